--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -17,6 +17,14 @@
 inline constexpr auto MemberSuspectAfter = 4000ms;
 inline constexpr auto RosterChangeDelayMin = 1000ms;
 inline constexpr auto RosterChangeDelayMax = 3000ms;
+inline constexpr auto RosterChangeRankStep = 200ms;
+inline constexpr auto RosterPollInterval = 2000ms;
+inline constexpr auto RosterFetchTimeout = 1000ms;
+inline constexpr auto RosterWriteTimeout = 5000ms;
+inline constexpr auto MemberRemoveAfter = 10'000ms;
+inline constexpr auto DelistedAfter = 5000ms;
+inline constexpr auto CandidateLifetime = 3000ms;
+inline constexpr std::size_t EpochHistory = 8;
 
 // Team limits.
 inline constexpr auto GrantLifetime = 500ms;
--- a/include/plumsill/messages.h
+++ b/include/plumsill/messages.h
@@ -29,6 +29,8 @@
 struct Pulse {
     std::uint64_t sequence = 0;
     MemberState state = MemberState::Starting;
+    ZoneName zone;
+    Endpoint admin;
     DocumentStamp document;
     std::vector<TargetName> leavingTargets; ///< targets seen to leave in the last seconds
 
@@ -36,7 +38,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(sequence, state, document, leavingTargets);
+        archive(sequence, state, zone, admin, document, leavingTargets);
     }
 };
 
@@ -45,12 +47,13 @@
     std::uint64_t sequence = 0;
     MemberState state = MemberState::Starting;
     DocumentStamp document;
+    std::uint64_t silentMembers = 0; ///< bit i: member i of the epoch's roster doesn't answer the sender
 
     auto operator<=>(const PulseAck &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(sequence, state, document);
+        archive(sequence, state, document, silentMembers);
     }
 };
 
@@ -202,7 +205,32 @@
     }
 };
 
-using Message = std::variant<Pulse, PulseAck, GrantRequest, Grant, GiveBack, HandOver, HealthDigest, Verdict, DocumentRequest, DocumentReply>;
+/// Asks a peer for the roster of its epoch. Goes over TCP.
+struct RosterRequest {
+    std::uint64_t knownEpoch = 0;
+
+    auto operator<=>(const RosterRequest &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(knownEpoch);
+    }
+};
+
+/// A peer's copy of the roster. Goes over TCP.
+struct RosterReply {
+    Roster roster;
+
+    auto operator<=>(const RosterReply &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(roster);
+    }
+};
+
+using Message
+    = std::variant<Pulse, PulseAck, GrantRequest, Grant, GiveBack, HandOver, HealthDigest, Verdict, DocumentRequest, DocumentReply, RosterRequest, RosterReply>;
 
 /// A message with its sender, as it crosses the network under a MAC.
 struct Envelope {
--- /dev/null
+++ b/include/plumsill/ownership.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <plumsill/clock.h>
+#include <plumsill/membership.h>
+#include <plumsill/roster.h>
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <unordered_set>
+#include <variant>
+#include <vector>
+
+/// Which member owns which key, and when it may act for it.
+namespace plumsill
+{
+/// One part of a team's token bucket.
+struct PartKey {
+    TeamName team;
+    std::uint32_t part = 0;
+
+    auto operator<=>(const PartKey &) const = default;
+};
+
+/// The verdict on one service's targets.
+struct VerdictKey {
+    ServiceName service;
+
+    auto operator<=>(const VerdictKey &) const = default;
+};
+
+using OwnedKey = std::variant<PartKey, VerdictKey>;
+
+/// How long the effect of an owner's act can last.
+Duration effectLifetime(const OwnedKey &key);
+
+/// Owners by rendezvous hashing over one epoch's members; immutable, no table per key.
+class OwnerTable
+{
+public:
+    OwnerTable() = default;
+    explicit OwnerTable(const std::vector<Member> &members);
+
+    /// Null when there are no members.
+    const Member *ownerOf(const OwnedKey &key) const;
+
+private:
+    struct Candidate {
+        std::uint64_t hash = 0;
+        Member member;
+    };
+    struct Zone {
+        std::uint64_t hash = 0;
+        std::vector<Candidate> members;
+    };
+
+    const Member *ownerOfPart(const PartKey &key) const;
+    const Member *ownerOfVerdict(const VerdictKey &key) const;
+
+    std::vector<Zone> m_zones;
+};
+
+/// Decides whether this daemon may act for a key; reads the membership that it is made with.
+class Ownership
+{
+public:
+    explicit Ownership(const Membership &membership);
+
+    /// Takes the membership's epochs; call after every Membership input that gave RosterAdopted.
+    void update();
+
+    /// Owner in the newest roster known, null while there is none.
+    const Member *ownerOf(const OwnedKey &key) const;
+    bool owns(const OwnedKey &key) const;
+    /// This member owns @p key, its epoch is confirmed, and no earlier owner's act can still have effect.
+    bool mayAct(const OwnedKey &key, TimePoint now) const;
+    /// This member was ready for @p key in the epoch before and owns it no more: it may hand the key over.
+    bool mayHandOver(const OwnedKey &key, TimePoint now) const;
+    /// Takes a key over; false when the hand-over is not for this epoch, not from the owner before, or a repeat.
+    bool acceptHandOver(const Envelope &envelope);
+    const OwnerTable &table() const;
+
+private:
+    struct Epoch {
+        std::uint64_t number = 0;
+        OwnerTable table;
+        OwnerTable predecessor;
+    };
+    struct KeyHash {
+        std::uint64_t low = 0;
+        std::uint64_t high = 0;
+
+        auto operator<=>(const KeyHash &) const = default;
+    };
+    struct KeyHasher {
+        std::size_t operator()(const KeyHash &hash) const { return hash.low; }
+    };
+
+    bool ready(const OwnedKey &key, std::size_t index, TimePoint now) const;
+    bool ownedIn(const Epoch &epoch, const OwnedKey &key) const;
+    static KeyHash hashOf(const OwnedKey &key);
+
+    const Membership &m_membership;
+    std::vector<Epoch> m_epochs;
+    std::uint64_t m_handedOverEpoch = 0;
+    std::unordered_set<KeyHash, KeyHasher> m_handedOver;
+};
+}
--- a/include/plumsill/roster.h
+++ b/include/plumsill/roster.h
@@ -2,6 +2,8 @@
 
 #include <plumsill/types.h>
 
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace plumsill
@@ -25,12 +27,13 @@
     ZoneName zone;
     Endpoint peer;
     Endpoint admin;
+    bool listed = false; ///< the platform's list has shown it, so its absence from the list means that it is gone
 
     auto operator<=>(const Member &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, zone, peer, admin);
+        archive(id, zone, peer, admin, listed);
     }
 };
 
@@ -38,7 +41,7 @@
 struct Roster {
     std::uint64_t epoch = 0;
     std::vector<Member> members;
-    std::vector<MemberId> predecessor;
+    std::vector<Member> predecessor;
 
     auto operator<=>(const Roster &) const = default;
     template<class Archive>
@@ -48,6 +51,11 @@
     }
 };
 
+/// Text of the roster's object in the platform's service.
+std::string toJson(const Roster &roster);
+/// Nothing when @p text isn't a roster with unique, complete members.
+std::optional<Roster> rosterFromJson(const std::string &text);
+
 /// Life of a daemon as its pulses tell it.
 enum class MemberState : std::uint8_t
 {
