--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -23,7 +23,11 @@
 inline constexpr auto RosterWriteTimeout = 5000ms;
 inline constexpr auto MemberRemoveAfter = 10'000ms;
 inline constexpr auto DelistedAfter = 5000ms;
+inline constexpr auto NeverListedAfter = 60'000ms;
 inline constexpr auto CandidateLifetime = 3000ms;
+inline constexpr auto PeerForgetAfter = 60'000ms;
+inline constexpr auto AnswerNowAfter = 1500ms;
+inline constexpr auto ListedFlagDelay = 10'000ms;
 inline constexpr std::size_t EpochHistory = 8;
 
 // Team limits.
--- a/include/plumsill/membership.h
+++ b/include/plumsill/membership.h
@@ -42,6 +42,11 @@
     auto operator<=>(const WriteRoster &) const = default;
 };
 
+/// Reads which document the store holds as the newest; the answer goes to Membership::documentRead.
+struct ReadDocument {
+    auto operator<=>(const ReadDocument &) const = default;
+};
+
 /// A new roster is in force for this daemon.
 struct RosterAdopted {
     std::uint64_t epoch = 0;
@@ -49,7 +54,7 @@
     auto operator<=>(const RosterAdopted &) const = default;
 };
 
-using MembershipEffect = std::variant<SendDatagram, FetchRoster, ReadRoster, WriteRoster, RosterAdopted>;
+using MembershipEffect = std::variant<SendDatagram, FetchRoster, ReadRoster, WriteRoster, ReadDocument, RosterAdopted>;
 using MembershipEffects = std::vector<MembershipEffect>;
 
 /// The roster's object as the store returned it.
@@ -95,7 +100,7 @@
 class Membership
 {
 public:
-    /// @p self's incarnation must rise with each start; @p seeds are peer ports to try while no roster is known.
+    /// @p self's incarnation must rise with each start (milliseconds of wall time will do); @p seeds are peer ports to try while no roster is known.
     Membership(Member self, std::vector<Endpoint> seeds, TimePoint now);
 
     /// Drives pulses, polling and roster changes; call every 100 ms or so.
@@ -106,7 +111,9 @@
     MembershipEffects rosterReadFailed(TimePoint now);
     /// @p version is the object's new version in the store, for Written.
     MembershipEffects rosterWritten(RosterWriteResult result, std::uint64_t version, TimePoint now);
-    /// The platform's list of instances.
+    /// The reply to a peer's RosterRequest; nothing for other messages, or while the roster is unknown.
+    std::optional<Envelope> respond(const Envelope &request) const;
+    /// The platform's list of instances. Watchers read it every few seconds.
     void instancesListed(const std::vector<ListedInstance> &instances, TimePoint now);
     /// The document this daemon holds now.
     void documentChanged(const DocumentStamp &document);
@@ -142,7 +149,7 @@
     /// When a majority of the predecessor's members was known to have adopted the present epoch.
     std::optional<TimePoint> predecessorAdoptedAt() const;
     std::vector<PeerStatus> peers(TimePoint now) const;
-    /// This daemon is one of the few that should watch the store for the cell.
+    /// This daemon should watch the store: one of the few that do so for the cell, or not confirmed itself.
     bool isWatcher(TimePoint now) const;
     /// An envelope from this daemon, stamped with its epoch.
     Envelope envelope(Message message) const;
@@ -151,50 +158,89 @@
     struct Peer {
         Member member;
         MemberState state = MemberState::Starting;
-        std::uint64_t epoch = 0;
-        DocumentStamp document;
+        std::uint64_t epoch = 0; ///< highest told
+        DocumentStamp document; ///< newest told
+        std::uint64_t lastPulse = 0; ///< sequence of its last pulse
+        std::uint64_t ackEpoch = 0; ///< epoch of the fields below
         std::uint64_t silentMembers = 0;
-        std::uint64_t ackEpoch = 0;
-        std::optional<TimePoint> heardAt; ///< any envelope
-        std::optional<TimePoint> answeredAt; ///< acknowledgement of a recent pulse
+        DocumentStamp heldInEpoch;
         std::optional<TimePoint> ackedPulseSentAt;
+        TimePoint trackedSince;
+        std::optional<TimePoint> heardAt; ///< any envelope
+        std::optional<TimePoint> answeredAt; ///< answer to a recent pulse, in any epoch
     };
     struct SentPulse {
         std::uint64_t sequence = 0;
         TimePoint at;
     };
+    struct Absence {
+        TimePoint first;
+        TimePoint last;
+    };
+    /// What a pulse and an acknowledgement have in common.
+    struct Told {
+        std::uint64_t answers = 0;
+        MemberState state = MemberState::Starting;
+        DocumentStamp document;
+        std::uint64_t silentMembers = 0;
+    };
 
-    Peer *findPeer(const MemberId &id);
+    // Peers.
     const Peer *findPeer(const MemberId &id) const;
-    Peer &notePeer(const Envelope &envelope, TimePoint now);
-    void takePulse(const Envelope &envelope, const Pulse &pulse, TimePoint now, MembershipEffects &effects);
-    void takeAck(const Envelope &envelope, const PulseAck &ack, TimePoint now);
-    void takeRoster(const Roster &roster, TimePoint now, MembershipEffects &effects);
+    const Peer *findPeer(const Endpoint &endpoint) const;
+    Peer *notePeer(const Envelope &envelope, TimePoint now);
+    void trackMembers(const std::vector<Member> &members, TimePoint now);
+    void forgetPeers(TimePoint now);
+    Duration silentFor(const MemberId &id, TimePoint now) const;
+    bool answers(const MemberId &id, TimePoint now) const;
+    bool heldInEpoch(const MemberId &id, const DocumentStamp &document) const;
+
+    // Pulses.
+    void takePulse(Peer &peer, const Envelope &envelope, const Pulse &pulse, TimePoint now, MembershipEffects &effects);
+    void takeTold(Peer &peer, std::uint64_t epoch, const Told &told, TimePoint now);
+    void takeAnswer(Peer &peer, std::uint64_t epoch, std::uint64_t sequence, TimePoint now);
+    void sendPulses(TimePoint now, MembershipEffects &effects);
+    std::vector<Endpoint> pulseReceivers(TimePoint now) const;
+    bool wantsAnswersNow(TimePoint now) const;
+    std::uint64_t silentMask(TimePoint now) const;
+
+    // Epochs.
+    bool currentRosterKnown() const;
     void raiseEpoch(std::uint64_t epoch);
+    void takeRoster(const Roster &roster, TimePoint now, MembershipEffects &effects);
     void fetchRoster(const Endpoint &from, TimePoint now, MembershipEffects &effects);
     void updateAdoption(TimePoint now);
+    bool hasAdopted(const Member &member, std::uint64_t epoch) const;
+    std::optional<TimePoint> majorityPulse(TimePoint now) const;
+
+    // Documents.
+    void raiseDocument(const DocumentStamp &document);
+    bool documentFloorKnown() const;
     void updateDocumentFreshness(TimePoint now);
-    void sendPulses(TimePoint now, MembershipEffects &effects);
-    std::vector<Member> pulseReceivers(TimePoint now) const;
-    void forgetPeers(TimePoint now);
+
+    // The platform's list.
+    bool delisted(const Member &member) const;
+    bool superseded(const MemberId &id) const;
+    bool gone(const Member &member, TimePoint now) const;
+    bool listed(const InstanceName &name) const;
+    bool listedAsLeaving(const InstanceName &name) const;
+
+    // Roster changes.
     void pollStore(TimePoint now, MembershipEffects &effects);
-    void changeRoster(TimePoint now, MembershipEffects &effects);
+    void askForDocument(TimePoint now, MembershipEffects &effects);
+    void readRoster(TimePoint now, MembershipEffects &effects);
     void createRoster(TimePoint now, MembershipEffects &effects);
-    void write(std::vector<Member> members, TimePoint now, MembershipEffects &effects);
+    void changeRoster(TimePoint now, MembershipEffects &effects);
+    bool changeIsDue(const std::vector<Member> &next, TimePoint now);
+    bool mayWrite(TimePoint now, MembershipEffects &effects);
+    void write(Roster next, std::optional<std::uint64_t> replaces, TimePoint now, MembershipEffects &effects);
     std::vector<Member> nextMembers(TimePoint now) const;
     std::vector<Member> candidates(TimePoint now) const;
-    bool answers(const MemberId &id, TimePoint now) const;
-    bool silent(const MemberId &id, TimePoint now) const;
-    bool delisted(const Member &member, TimePoint now) const;
-    bool gone(const Member &member, TimePoint now) const;
     bool removable(const Member &member, TimePoint now) const;
-    bool majoritySaysSilent(const Member &member, TimePoint now) const;
+    bool majoritySaysSilent(const MemberId &id, TimePoint now) const;
     bool majorityAnswers(TimePoint now) const;
-    std::size_t rank(TimePoint now) const;
-    std::optional<std::size_t> watchRank(TimePoint now) const;
-    std::uint64_t silentMask(TimePoint now) const;
-    std::optional<TimePoint> majorityPulse(TimePoint now) const;
-    bool currentRosterKnown() const;
+    std::optional<std::size_t> rank(TimePoint now) const;
+    Duration writeDelay(TimePoint now) const;
 
     Member m_self;
     std::vector<Endpoint> m_seeds;
@@ -207,25 +253,26 @@
 
     std::uint64_t m_sequence = 0;
     std::deque<SentPulse> m_sentPulses;
-    std::optional<TimePoint> m_nextPulseAt;
+    TimePoint m_nextPulseAt;
     std::vector<TargetName> m_leavingTargets;
 
     DocumentStamp m_document;
     DocumentStamp m_highestDocument;
     std::optional<TimePoint> m_documentReadAt;
     std::optional<TimePoint> m_documentFreshAt;
+    std::optional<TimePoint> m_documentAskedAt;
 
     std::map<InstanceName, ListedInstance> m_listed;
-    std::map<InstanceName, TimePoint> m_absentSince;
+    std::map<InstanceName, Absence> m_absent;
     bool m_listKnown = false;
 
     std::optional<std::uint64_t> m_storeVersion; ///< of the roster object, when it holds the present epoch
-    bool m_storeEmpty = false;
+    std::optional<TimePoint> m_storeEmptySince;
     std::optional<TimePoint> m_readStartedAt;
-    std::optional<TimePoint> m_nextReadAt;
+    TimePoint m_nextReadAt;
     std::optional<TimePoint> m_fetchStartedAt;
     std::optional<TimePoint> m_writeStartedAt;
     std::optional<TimePoint> m_changeWantedAt;
-    std::optional<Roster> m_pendingWrite;
+    Roster m_pendingWrite;
 };
 }
--- a/include/plumsill/messages.h
+++ b/include/plumsill/messages.h
@@ -12,33 +12,23 @@
 /// Messages between daemons. One datagram carries one message; what exceeds a datagram goes over TCP.
 namespace plumsill
 {
-/// A version of the environment's document and the SHA-256 of its text.
-struct DocumentStamp {
-    std::uint64_t version = 0;
-    std::string digest;
-
-    auto operator<=>(const DocumentStamp &) const = default;
-    template<class Archive>
-    void serialize(Archive &archive)
-    {
-        archive(version, digest);
-    }
-};
-
-/// Heartbeat that each daemon sends to every member once a second.
+/// Heartbeat that each daemon sends to every member once a second. It also answers the receiver's last pulse.
 struct Pulse {
     std::uint64_t sequence = 0;
+    std::uint64_t answers = 0; ///< sequence of the receiver's last pulse, 0 for none
+    bool answerNow = false; ///< asks for a PulseAck instead of the answer in the next pulse
     MemberState state = MemberState::Starting;
-    ZoneName zone;
-    Endpoint admin;
-    DocumentStamp document;
+    ZoneName zone; ///< empty when the roster lists the sender
+    Endpoint admin; ///< likewise
+    DocumentStamp document; ///< its digest is left out while nothing is new
+    std::uint64_t silentMembers = 0; ///< bit i: member i of the epoch's roster doesn't answer the sender
     std::vector<TargetName> leavingTargets; ///< targets seen to leave in the last seconds
 
     auto operator<=>(const Pulse &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(sequence, state, zone, admin, document, leavingTargets);
+        archive(sequence, answers, answerNow, state, zone, admin, document, silentMembers, leavingTargets);
     }
 };
 
@@ -47,7 +37,7 @@
     std::uint64_t sequence = 0;
     MemberState state = MemberState::Starting;
     DocumentStamp document;
-    std::uint64_t silentMembers = 0; ///< bit i: member i of the epoch's roster doesn't answer the sender
+    std::uint64_t silentMembers = 0; ///< as in Pulse
 
     auto operator<=>(const PulseAck &) const = default;
     template<class Archive>
--- a/include/plumsill/ownership.h
+++ b/include/plumsill/ownership.h
@@ -4,8 +4,8 @@
 #include <plumsill/membership.h>
 #include <plumsill/roster.h>
 
-#include <array>
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <unordered_set>
 #include <variant>
@@ -54,6 +54,7 @@
         std::vector<Candidate> members;
     };
 
+    static const Candidate *highest(const Zone &zone, std::uint64_t hash);
     const Member *ownerOfPart(const PartKey &key) const;
     const Member *ownerOfVerdict(const VerdictKey &key) const;
 
@@ -77,15 +78,10 @@
     /// This member was ready for @p key in the epoch before and owns it no more: it may hand the key over.
     bool mayHandOver(const OwnedKey &key, TimePoint now) const;
     /// Takes a key over; false when the hand-over is not for this epoch, not from the owner before, or a repeat.
-    bool acceptHandOver(const Envelope &envelope);
+    bool acceptHandOver(const Envelope &envelope, TimePoint now);
     const OwnerTable &table() const;
 
 private:
-    struct Epoch {
-        std::uint64_t number = 0;
-        OwnerTable table;
-        OwnerTable predecessor;
-    };
     struct KeyHash {
         std::uint64_t low = 0;
         std::uint64_t high = 0;
@@ -96,13 +92,19 @@
         std::size_t operator()(const KeyHash &hash) const { return hash.low; }
     };
 
+    struct Epoch {
+        std::uint64_t number = 0;
+        OwnerTable table;
+        OwnerTable predecessor;
+        std::unordered_set<KeyHash, KeyHasher> handedOver;
+    };
+
+    bool current() const;
     bool ready(const OwnedKey &key, std::size_t index, TimePoint now) const;
     bool ownedIn(const Epoch &epoch, const OwnedKey &key) const;
-    static KeyHash hashOf(const OwnedKey &key);
+    static KeyHash hashOfKey(const OwnedKey &key);
 
     const Membership &m_membership;
-    std::vector<Epoch> m_epochs;
-    std::uint64_t m_handedOverEpoch = 0;
-    std::unordered_set<KeyHash, KeyHasher> m_handedOver;
+    std::deque<Epoch> m_epochs;
 };
 }
--- a/include/plumsill/roster.h
+++ b/include/plumsill/roster.h
@@ -37,17 +37,31 @@
     }
 };
 
+/// A version of the environment's document and the SHA-256 of its text.
+struct DocumentStamp {
+    std::uint64_t version = 0;
+    std::string digest;
+
+    auto operator<=>(const DocumentStamp &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(version, digest);
+    }
+};
+
 /// Members of a cell in one epoch, and the members of the epoch before it. One object in the platform's service.
 struct Roster {
     std::uint64_t epoch = 0;
     std::vector<Member> members;
     std::vector<Member> predecessor;
+    DocumentStamp document; ///< newest document that the writer knew; nobody in this epoch may take an older one for the newest
 
     auto operator<=>(const Roster &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(epoch, members, predecessor);
+        archive(epoch, members, predecessor, document);
     }
 };
 
--- /dev/null
+++ b/src/membership.cpp
@@ -0,0 +1,539 @@
+#include <plumsill/config.h>
+#include <plumsill/membership.h>
+
+#include <algorithm>
+#include <cassert>
+#include <functional>
+#include <set>
+
+// The rules that keep two owners from acting at once:
+// - A daemon's epoch only rises, whoever tells it, and it answers with its highest epoch alone.
+// - An epoch is confirmed by a majority of its members' answers, stamped with it, to pulses sent a short while ago.
+// - The next epoch is written once a majority of the members before has left their epoch for the present one.
+// So when a majority of the predecessor's members has adopted an epoch, every earlier confirmation has stopped being
+// renewed, and has lapsed one ConfirmationLifetime later.
+namespace plumsill
+{
+namespace
+{
+const Member *findMember(const std::vector<Member> &members, const MemberId &id)
+{
+    const auto found = std::find_if(members.begin(), members.end(), [&id](const Member &member) { return member.id == id; });
+    return found == members.end() ? nullptr : &*found;
+}
+
+// A stamp of a version that is known already may come without its digest.
+void raiseStamp(DocumentStamp &known, const DocumentStamp &told)
+{
+    if (told.version > known.version || (told.version == known.version && known.digest.empty())) {
+        known = told;
+    }
+}
+}
+
+Membership::Membership(Member self, std::vector<Endpoint> seeds, TimePoint now)
+    : m_self(std::move(self))
+    , m_seeds(std::move(seeds))
+    , m_startedAt(now)
+    // Later than every pulse of an earlier incarnation, so an answer to one of those matches none of these.
+    , m_sequence(m_self.id.incarnation)
+    , m_nextPulseAt(now)
+    , m_nextReadAt(now)
+{
+    assert(!m_self.id.name.empty() && m_self.id.incarnation > 0);
+    std::erase(m_seeds, m_self.peer);
+}
+
+MembershipEffects Membership::tick(TimePoint now)
+{
+    MembershipEffects effects;
+    if (m_superseded) {
+        return effects;
+    }
+    forgetPeers(now);
+    updateAdoption(now);
+    updateDocumentFreshness(now);
+    if (now >= m_nextPulseAt) {
+        sendPulses(now, effects);
+    }
+    pollStore(now, effects);
+    askForDocument(now, effects);
+    changeRoster(now, effects);
+    return effects;
+}
+
+MembershipEffects Membership::receive(const Envelope &envelope, TimePoint now)
+{
+    MembershipEffects effects;
+    if (envelope.sender.name == m_self.id.name) {
+        m_superseded = m_superseded || envelope.sender.incarnation > m_self.id.incarnation;
+        return effects;
+    }
+    if (m_superseded) {
+        return effects;
+    }
+    raiseEpoch(envelope.epoch);
+    if (Peer *peer = notePeer(envelope, now)) {
+        if (const auto *pulse = std::get_if<Pulse>(&envelope.message)) {
+            takePulse(*peer, envelope, *pulse, now, effects);
+        } else if (const auto *ack = std::get_if<PulseAck>(&envelope.message)) {
+            takeTold(*peer, envelope.epoch, {ack->sequence, ack->state, ack->document, ack->silentMembers}, now);
+        }
+    }
+    if (const auto *reply = std::get_if<RosterReply>(&envelope.message)) {
+        takeRoster(reply->roster, now, effects);
+    }
+    if (!currentRosterKnown() && envelope.epoch == m_epoch && m_epoch > 0) {
+        fetchRoster(envelope.replyTo, now, effects);
+    }
+    updateAdoption(now);
+    updateDocumentFreshness(now);
+    return effects;
+}
+
+std::optional<Envelope> Membership::respond(const Envelope &request) const
+{
+    if (!std::holds_alternative<RosterRequest>(request.message) || !currentRosterKnown()) {
+        return std::nullopt;
+    }
+    return envelope(RosterReply {roster()});
+}
+
+void Membership::documentChanged(const DocumentStamp &document)
+{
+    assert(document.version >= m_document.version);
+    m_document = document;
+    raiseDocument(document);
+    m_nextPulseAt = m_startedAt;
+}
+
+void Membership::documentRead(const DocumentStamp &stored, TimePoint startedAt)
+{
+    raiseDocument(stored);
+    m_documentReadAt = std::max(m_documentReadAt.value_or(startedAt), startedAt);
+}
+
+void Membership::leavingTargetsChanged(std::vector<TargetName> targets)
+{
+    m_leavingTargets = std::move(targets);
+}
+
+void Membership::serving()
+{
+    m_state = std::max(m_state, MemberState::Serving);
+}
+
+void Membership::leave()
+{
+    m_state = MemberState::Leaving;
+    m_nextPulseAt = m_startedAt;
+}
+
+const Roster &Membership::roster() const
+{
+    static const Roster None;
+    return m_history.empty() ? None : m_history.back().roster;
+}
+
+bool Membership::isMember() const
+{
+    return currentRosterKnown() && findMember(roster().members, m_self.id) != nullptr;
+}
+
+bool Membership::epochConfirmed(TimePoint now) const
+{
+    return !m_superseded && majorityPulse(now).has_value();
+}
+
+bool Membership::documentConfirmed(TimePoint now) const
+{
+    const bool newest = m_document.version > 0 && m_highestDocument.version <= m_document.version;
+    return newest && documentFloorKnown() && epochConfirmed(now);
+}
+
+bool Membership::majorityHolds(const DocumentStamp &document) const
+{
+    if (!currentRosterKnown()) {
+        return false;
+    }
+    const auto &members = roster().members;
+    const auto holding = std::count_if(members.begin(), members.end(), [this, &document](const Member &member) { return heldInEpoch(member.id, document); });
+    return static_cast<std::size_t>(holding) * 2 > members.size();
+}
+
+DocumentStamp Membership::highestDocument() const
+{
+    return m_highestDocument;
+}
+
+std::vector<Member> Membership::holders(const DocumentStamp &document) const
+{
+    std::vector<Member> found;
+    for (const auto &[name, peer] : m_peers) {
+        if (peer.document.version >= document.version) {
+            found.push_back(peer.member);
+        }
+    }
+    return found;
+}
+
+std::optional<TimePoint> Membership::predecessorAdoptedAt() const
+{
+    return currentRosterKnown() ? m_history.back().predecessorAdoptedAt : std::nullopt;
+}
+
+std::vector<PeerStatus> Membership::peers(TimePoint now) const
+{
+    std::vector<PeerStatus> list;
+    for (const auto &[name, peer] : m_peers) {
+        PeerStatus status;
+        status.member = peer.member;
+        status.inRoster = findMember(roster().members, peer.member.id) != nullptr;
+        status.suspected = silentFor(peer.member.id, now) >= config::MemberSuspectAfter;
+        status.delisted = delisted(peer.member);
+        status.state = peer.state;
+        status.epoch = peer.epoch;
+        status.document = peer.document;
+        status.lastAnswer = peer.answeredAt;
+        list.push_back(std::move(status));
+    }
+    return list;
+}
+
+Envelope Membership::envelope(Message message) const
+{
+    return {m_self.id, m_self.peer, m_epoch, std::move(message)};
+}
+
+const Membership::Peer *Membership::findPeer(const MemberId &id) const
+{
+    const auto found = m_peers.find(id.name);
+    return found != m_peers.end() && found->second.member.id == id ? &found->second : nullptr;
+}
+
+const Membership::Peer *Membership::findPeer(const Endpoint &endpoint) const
+{
+    const auto found = std::find_if(m_peers.begin(), m_peers.end(), [&endpoint](const auto &entry) { return entry.second.member.peer == endpoint; });
+    return found == m_peers.end() ? nullptr : &found->second;
+}
+
+// Null for an earlier incarnation of a known peer: its epoch was a fact, but it has no voice any more.
+Membership::Peer *Membership::notePeer(const Envelope &envelope, TimePoint now)
+{
+    Peer &peer = m_peers[envelope.sender.name];
+    const auto known = peer.member.id.incarnation;
+    if (envelope.sender.incarnation < known) {
+        return nullptr;
+    }
+    if (envelope.sender.incarnation > known) {
+        peer = Peer {};
+        peer.trackedSince = now;
+        peer.member.id = envelope.sender;
+    }
+    peer.member.peer = envelope.replyTo;
+    peer.epoch = std::max(peer.epoch, envelope.epoch);
+    peer.heardAt = now;
+    return &peer;
+}
+
+// Members that were never heard count as silent from here on.
+void Membership::trackMembers(const std::vector<Member> &members, TimePoint now)
+{
+    for (const auto &member : members) {
+        if (member.id.name == m_self.id.name) {
+            m_superseded = m_superseded || member.id.incarnation > m_self.id.incarnation;
+            continue;
+        }
+        Peer &peer = m_peers[member.id.name];
+        if (member.id.incarnation > peer.member.id.incarnation) {
+            peer = Peer {};
+            peer.trackedSince = now;
+        }
+        if (member.id.incarnation == peer.member.id.incarnation || peer.member.id.incarnation == 0) {
+            peer.member = member;
+        }
+    }
+}
+
+void Membership::forgetPeers(TimePoint now)
+{
+    std::erase_if(m_peers, [this, now](const auto &entry) {
+        const MemberId &id = entry.second.member.id;
+        const bool listed = findMember(roster().members, id) || findMember(roster().predecessor, id);
+        return !listed && now - entry.second.heardAt.value_or(entry.second.trackedSince) >= config::PeerForgetAfter;
+    });
+}
+
+Duration Membership::silentFor(const MemberId &id, TimePoint now) const
+{
+    if (id == m_self.id) {
+        return Duration::zero();
+    }
+    const Peer *peer = findPeer(id);
+    return peer ? now - peer->answeredAt.value_or(peer->trackedSince) : now - m_startedAt;
+}
+
+bool Membership::answers(const MemberId &id, TimePoint now) const
+{
+    const Peer *peer = findPeer(id);
+    return id == m_self.id || (peer && peer->answeredAt && now - *peer->answeredAt < config::MemberSuspectAfter);
+}
+
+bool Membership::heldInEpoch(const MemberId &id, const DocumentStamp &document) const
+{
+    const Peer *peer = findPeer(id);
+    const bool told = peer && peer->ackEpoch == m_epoch;
+    const DocumentStamp held = id == m_self.id ? m_document : told ? peer->heldInEpoch : DocumentStamp {};
+    return held.version >= document.version;
+}
+
+void Membership::takePulse(Peer &peer, const Envelope &envelope, const Pulse &pulse, TimePoint now, MembershipEffects &effects)
+{
+    if (!pulse.zone.empty()) {
+        peer.member.zone = pulse.zone;
+        peer.member.admin = pulse.admin;
+    }
+    peer.lastPulse = std::max(peer.lastPulse, pulse.sequence);
+    takeTold(peer, envelope.epoch, {pulse.answers, pulse.state, pulse.document, pulse.silentMembers}, now);
+    if (pulse.answerNow || envelope.epoch < m_epoch) {
+        effects.push_back(SendDatagram {envelope.replyTo, this->envelope(PulseAck {pulse.sequence, m_state, m_document, silentMask(now)})});
+    }
+}
+
+void Membership::takeTold(Peer &peer, std::uint64_t epoch, const Told &told, TimePoint now)
+{
+    peer.state = std::max(peer.state, told.state);
+    raiseStamp(peer.document, told.document);
+    raiseDocument(told.document);
+    if (epoch == m_epoch) {
+        if (peer.ackEpoch != epoch) {
+            peer.ackEpoch = epoch;
+            peer.ackedPulseSentAt.reset();
+            peer.heldInEpoch = {};
+        }
+        peer.silentMembers = told.silentMembers;
+        raiseStamp(peer.heldInEpoch, told.document);
+    }
+    takeAnswer(peer, epoch, told.answers, now);
+}
+
+// An answer in an older epoch shows that the peer is alive, but confirms nothing.
+void Membership::takeAnswer(Peer &peer, std::uint64_t epoch, std::uint64_t sequence, TimePoint now)
+{
+    const auto sent = std::find_if(m_sentPulses.begin(), m_sentPulses.end(), [sequence](const SentPulse &pulse) { return pulse.sequence == sequence; });
+    if (sent == m_sentPulses.end() || now - sent->at >= config::ConfirmationLifetime) {
+        return;
+    }
+    peer.answeredAt = now;
+    if (epoch == m_epoch) {
+        peer.ackedPulseSentAt = std::max(peer.ackedPulseSentAt.value_or(sent->at), sent->at);
+    }
+}
+
+void Membership::sendPulses(TimePoint now, MembershipEffects &effects)
+{
+    m_nextPulseAt = now + config::PulseInterval;
+    ++m_sequence;
+    m_sentPulses.push_back({m_sequence, now});
+    std::erase_if(m_sentPulses, [now](const SentPulse &pulse) { return now - pulse.at >= config::ConfirmationLifetime; });
+    Pulse pulse;
+    pulse.sequence = m_sequence;
+    pulse.answerNow = wantsAnswersNow(now);
+    pulse.state = m_state;
+    pulse.document = m_document;
+    pulse.silentMembers = silentMask(now);
+    pulse.leavingTargets = m_leavingTargets;
+    if (!pulse.answerNow) {
+        pulse.document.digest.clear();
+    }
+    if (pulse.answerNow || !isMember()) {
+        pulse.zone = m_self.zone;
+        pulse.admin = m_self.admin;
+    }
+    for (const Endpoint &receiver : pulseReceivers(now)) {
+        const Peer *peer = findPeer(receiver);
+        pulse.answers = peer ? peer->lastPulse : 0;
+        effects.push_back(SendDatagram {receiver, envelope(pulse)});
+    }
+}
+
+// Members, those that the last change left out until they are known to have left their epoch, and daemons that ask to join.
+std::vector<Endpoint> Membership::pulseReceivers(TimePoint now) const
+{
+    std::set<Endpoint> receivers;
+    for (const auto &member : roster().members) {
+        receivers.insert(member.peer);
+    }
+    const bool adopted = predecessorAdoptedAt().has_value();
+    for (const auto &member : roster().predecessor) {
+        if (!adopted) {
+            receivers.insert(member.peer);
+        }
+    }
+    for (const auto &[name, peer] : m_peers) {
+        if (peer.heardAt && now - *peer.heardAt < config::CandidateLifetime) {
+            receivers.insert(peer.member.peer);
+        }
+    }
+    if (!epochConfirmed(now)) {
+        receivers.insert(m_seeds.begin(), m_seeds.end());
+    }
+    receivers.erase(m_self.peer);
+    return {receivers.begin(), receivers.end()};
+}
+
+// In the steady state a pulse answers the one before; anything new is worth a datagram of its own.
+bool Membership::wantsAnswersNow(TimePoint now) const
+{
+    const auto pulse = majorityPulse(now);
+    const bool fresh = pulse && now - *pulse < config::AnswerNowAfter;
+    const bool settled = predecessorAdoptedAt() && m_highestDocument.version <= m_document.version && majorityHolds(m_document);
+    return !fresh || !settled || m_state == MemberState::Leaving;
+}
+
+std::uint64_t Membership::silentMask(TimePoint now) const
+{
+    static_assert(config::MaxCellMembers <= 64);
+    std::uint64_t mask = 0;
+    const auto &members = roster().members;
+    for (std::size_t index = 0; currentRosterKnown() && index < members.size(); ++index) {
+        const bool silent = silentFor(members[index].id, now) >= config::MemberSuspectAfter;
+        mask |= static_cast<std::uint64_t>(silent) << index;
+    }
+    return mask;
+}
+
+bool Membership::currentRosterKnown() const
+{
+    return !m_history.empty() && m_history.back().roster.epoch == m_epoch;
+}
+
+void Membership::raiseEpoch(std::uint64_t epoch)
+{
+    if (epoch <= m_epoch) {
+        return;
+    }
+    m_epoch = epoch;
+    m_storeVersion.reset();
+    m_changeWantedAt.reset();
+}
+
+void Membership::takeRoster(const Roster &roster, TimePoint now, MembershipEffects &effects)
+{
+    if (roster.epoch < m_epoch || roster.epoch <= this->roster().epoch) {
+        return;
+    }
+    raiseEpoch(roster.epoch);
+    // The next epoch is only written once a majority has left the epoch before this one.
+    if (!m_history.empty() && !m_history.back().predecessorAdoptedAt) {
+        m_history.back().predecessorAdoptedAt = now;
+    }
+    // An epoch that was missed may have had another owner, so nothing carries over a gap.
+    if (!m_history.empty() && m_history.back().roster.epoch + 1 != roster.epoch) {
+        m_history.clear();
+    }
+    m_history.push_back({roster, now, std::nullopt, false});
+    if (m_history.size() > config::EpochHistory) {
+        m_history.pop_front();
+    }
+    m_fetchStartedAt.reset();
+    m_nextPulseAt = m_startedAt;
+    raiseDocument(roster.document);
+    trackMembers(roster.members, now);
+    trackMembers(roster.predecessor, now);
+    effects.push_back(RosterAdopted {roster.epoch});
+    updateAdoption(now);
+}
+
+void Membership::fetchRoster(const Endpoint &from, TimePoint now, MembershipEffects &effects)
+{
+    if (m_fetchStartedAt && now - *m_fetchStartedAt < config::RosterFetchTimeout) {
+        return;
+    }
+    m_fetchStartedAt = now;
+    effects.push_back(FetchRoster {from, envelope(RosterRequest {roster().epoch})});
+}
+
+// Members that are gone for good can't adopt anything, so the majority is one of the rest. What they alone knew of
+// documents is lost with them, so then the store has to be asked.
+void Membership::updateAdoption(TimePoint now)
+{
+    if (!currentRosterKnown()) {
+        return;
+    }
+    EpochRecord &record = m_history.back();
+    if (record.predecessorAdoptedAt && !record.goneCountedOut) {
+        return;
+    }
+    const auto &members = record.roster.predecessor;
+    std::size_t adopted = 0;
+    std::size_t lost = 0;
+    for (const auto &member : members) {
+        if (hasAdopted(member, record.roster.epoch)) {
+            ++adopted;
+        } else if (gone(member, now)) {
+            ++lost;
+        }
+    }
+    const bool whole = adopted * 2 > members.size();
+    const bool reduced = adopted * 2 > members.size() - lost || lost == members.size();
+    if (whole || reduced) {
+        record.goneCountedOut = !whole;
+        record.predecessorAdoptedAt = record.predecessorAdoptedAt.value_or(now);
+    }
+}
+
+bool Membership::hasAdopted(const Member &member, std::uint64_t epoch) const
+{
+    const Peer *peer = findPeer(member.id);
+    return member.id == m_self.id || (peer && peer->epoch >= epoch);
+}
+
+// When the pulse was sent that a majority of the epoch's members answered last, in this epoch.
+std::optional<TimePoint> Membership::majorityPulse(TimePoint now) const
+{
+    if (!currentRosterKnown()) {
+        return std::nullopt;
+    }
+    std::vector<TimePoint> sent;
+    for (const auto &member : roster().members) {
+        const Peer *peer = findPeer(member.id);
+        if (member.id == m_self.id) {
+            sent.push_back(now);
+        } else if (peer && peer->ackEpoch == m_epoch && peer->ackedPulseSentAt) {
+            sent.push_back(*peer->ackedPulseSentAt);
+        }
+    }
+    const std::size_t majority = roster().members.size() / 2 + 1;
+    if (sent.size() < majority) {
+        return std::nullopt;
+    }
+    std::sort(sent.begin(), sent.end(), std::greater<>());
+    const TimePoint pulse = sent[majority - 1];
+    return now - pulse < config::ConfirmationLifetime ? std::optional(pulse) : std::nullopt;
+}
+
+void Membership::raiseDocument(const DocumentStamp &document)
+{
+    raiseStamp(m_highestDocument, document);
+}
+
+// A majority of the predecessor told its documents after it left its epoch, and the roster carries those of earlier ones.
+bool Membership::documentFloorKnown() const
+{
+    if (!predecessorAdoptedAt()) {
+        return false;
+    }
+    const EpochRecord &record = m_history.back();
+    return !record.goneCountedOut || (m_documentReadAt && *m_documentReadAt >= *record.predecessorAdoptedAt);
+}
+
+void Membership::updateDocumentFreshness(TimePoint now)
+{
+    if (!documentConfirmed(now)) {
+        return;
+    }
+    const TimePoint pulse = *majorityPulse(now);
+    m_documentFreshAt = std::max(m_documentFreshAt.value_or(pulse), pulse);
+}
+}
