--- /dev/null
+++ b/tests/fuzz_settings.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdlib>
+#include <string>
+
+/// Seed and number of runs for RapidCheck, from PLUMSILL_SEED and PLUMSILL_RUNS; it prints the seed that it uses.
+/// Call it before the first check of a program.
+inline void fuzzSettings(int defaultRuns)
+{
+    const char *seed = std::getenv("PLUMSILL_SEED");
+    const char *runs = std::getenv("PLUMSILL_RUNS");
+    std::string settings = "max_success=" + (runs && *runs ? std::string(runs) : std::to_string(defaultRuns));
+    if (seed && *seed) {
+        settings += std::string(" seed=") + seed;
+    }
+    setenv("RC_PARAMS", settings.c_str(), 1);
+}
