Directed tests of confirmation, epoch change, documents and ownership

Cause: the randomized model catches the removal of most rules too rarely. Change: a joiner in a store outage could not tell that its document is the newest when the cell never changed its epoch; a member that knows so now vouches for it in its pulses.

--- a/include/plumsill/membership.h
+++ b/include/plumsill/membership.h
@@ -182,6 +182,7 @@
         std::uint64_t answers = 0;
         MemberState state = MemberState::Starting;
         DocumentStamp document;
+        bool documentKnown = false;
         std::uint64_t silentMembers = 0;
     };
 
@@ -216,6 +217,7 @@
     // Documents.
     void raiseDocument(const DocumentStamp &document);
     bool documentFloorKnown() const;
+    bool vouchesForDocument() const;
     void updateDocumentFreshness(TimePoint now);
 
     // The platform's list.
@@ -261,6 +263,7 @@
     std::optional<TimePoint> m_documentReadAt;
     std::optional<TimePoint> m_documentFreshAt;
     std::optional<TimePoint> m_documentAskedAt;
+    std::uint64_t m_vouchedEpoch = 0; ///< epoch in which a peer told a document that no earlier epoch exceeds
 
     std::map<InstanceName, ListedInstance> m_listed;
     std::map<InstanceName, Absence> m_absent;
--- a/include/plumsill/messages.h
+++ b/include/plumsill/messages.h
@@ -21,6 +21,7 @@
     ZoneName zone; ///< empty when the roster lists the sender
     Endpoint admin; ///< likewise
     DocumentStamp document; ///< its digest is left out while nothing is new
+    bool documentKnown = false; ///< no earlier epoch accepted a later document
     std::uint64_t silentMembers = 0; ///< bit i: member i of the epoch's roster doesn't answer the sender
     std::vector<TargetName> leavingTargets; ///< targets seen to leave in the last seconds
 
@@ -28,7 +29,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(sequence, answers, answerNow, state, zone, admin, document, silentMembers, leavingTargets);
+        archive(sequence, answers, answerNow, state, zone, admin, document, documentKnown, silentMembers, leavingTargets);
     }
 };
 
@@ -37,13 +38,14 @@
     std::uint64_t sequence = 0;
     MemberState state = MemberState::Starting;
     DocumentStamp document;
+    bool documentKnown = false; ///< as in Pulse
     std::uint64_t silentMembers = 0; ///< as in Pulse
 
     auto operator<=>(const PulseAck &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(sequence, state, document, silentMembers);
+        archive(sequence, state, document, documentKnown, silentMembers);
     }
 };
 
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -77,7 +77,7 @@
         if (const auto *pulse = std::get_if<Pulse>(&envelope.message)) {
             takePulse(*peer, envelope, *pulse, now, effects);
         } else if (const auto *ack = std::get_if<PulseAck>(&envelope.message)) {
-            takeTold(*peer, envelope.epoch, {ack->sequence, ack->state, ack->document, ack->silentMembers}, now);
+            takeTold(*peer, envelope.epoch, {ack->sequence, ack->state, ack->document, ack->documentKnown, ack->silentMembers}, now);
         }
     }
     if (const auto *reply = std::get_if<RosterReply>(&envelope.message)) {
@@ -294,9 +294,10 @@
         peer.member.admin = pulse.admin;
     }
     peer.lastPulse = std::max(peer.lastPulse, pulse.sequence);
-    takeTold(peer, envelope.epoch, {pulse.answers, pulse.state, pulse.document, pulse.silentMembers}, now);
+    takeTold(peer, envelope.epoch, {pulse.answers, pulse.state, pulse.document, pulse.documentKnown, pulse.silentMembers}, now);
     if (pulse.answerNow || envelope.epoch < m_epoch) {
-        effects.push_back(SendDatagram {envelope.replyTo, this->envelope(PulseAck {pulse.sequence, m_state, m_document, silentMask(now)})});
+        effects.push_back(
+            SendDatagram {envelope.replyTo, this->envelope(PulseAck {pulse.sequence, m_state, m_document, vouchesForDocument(), silentMask(now)})});
     }
 }
 
@@ -312,6 +313,7 @@
             peer.heldInEpoch = {};
         }
         peer.silentMembers = told.silentMembers;
+        m_vouchedEpoch = told.documentKnown ? epoch : m_vouchedEpoch;
         raiseStamp(peer.heldInEpoch, told.document);
     }
     takeAnswer(peer, epoch, told.answers, now);
@@ -341,6 +343,7 @@
     pulse.answerNow = wantsAnswersNow(now);
     pulse.state = m_state;
     pulse.document = m_document;
+    pulse.documentKnown = vouchesForDocument();
     pulse.silentMembers = silentMask(now);
     pulse.leavingTargets = m_leavingTargets;
     if (!pulse.answerNow) {
@@ -519,13 +522,21 @@
 }
 
 // A majority of the predecessor told its documents after it left its epoch, and the roster carries those of earlier ones.
+// Or a peer that knows as much told the result.
 bool Membership::documentFloorKnown() const
 {
-    if (!predecessorAdoptedAt()) {
+    if (!currentRosterKnown()) {
         return false;
     }
     const EpochRecord &record = m_history.back();
-    return !record.goneCountedOut || (m_documentReadAt && *m_documentReadAt >= *record.predecessorAdoptedAt);
+    const bool told = record.predecessorAdoptedAt && !record.goneCountedOut;
+    const bool read = record.predecessorAdoptedAt && m_documentReadAt && *m_documentReadAt >= *record.predecessorAdoptedAt;
+    return told || read || m_vouchedEpoch == m_epoch;
+}
+
+bool Membership::vouchesForDocument() const
+{
+    return documentFloorKnown() && m_document.version >= m_highestDocument.version;
 }
 
 void Membership::updateDocumentFreshness(TimePoint now)
--- /dev/null
+++ b/tests/member_fixture.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <plumsill/config.h>
+#include <plumsill/membership.h>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// One state machine among peers that a test speaks for.
+namespace plumsill::fake
+{
+using namespace std::chrono_literals;
+
+inline Member member(const std::string &name, std::uint64_t incarnation = 1000)
+{
+    Member made;
+    made.id = {InstanceName {name}, incarnation};
+    made.zone.value = "z" + std::to_string(name.back() % 3);
+    made.peer = {"10.0.0." + std::to_string(static_cast<int>(name.back())), 7000};
+    made.admin = made.peer;
+    made.listed = true;
+    return made;
+}
+
+inline std::vector<Member> members(const std::vector<std::string> &names)
+{
+    std::vector<Member> made;
+    for (const auto &name : names) {
+        made.push_back(member(name));
+    }
+    return made;
+}
+
+inline Roster roster(std::uint64_t epoch, const std::vector<std::string> &names, const std::vector<std::string> &predecessor)
+{
+    return {epoch, members(names), members(predecessor), {}};
+}
+
+struct MemberFixture {
+    explicit MemberFixture(const std::string &name = "a", std::uint64_t incarnation = 1000)
+        : membership(member(name, incarnation), {}, now)
+    {
+        membership.serving();
+    }
+
+    void read(const Roster &stored) { keep(membership.rosterRead(StoredRoster {stored, stored.epoch}, now)); }
+    void receive(const MemberId &sender, std::uint64_t epoch, const Message &message)
+    {
+        Endpoint endpoint = member(sender.name.value).peer;
+        keep(membership.receive({sender, endpoint, epoch, message}, now));
+    }
+    void tick(Duration step = Duration::zero())
+    {
+        now += step;
+        keep(membership.tick(now));
+    }
+    /// Sequence of the pulse that was sent last.
+    std::uint64_t lastPulse() const
+    {
+        for (auto effect = effects.rbegin(); effect != effects.rend(); ++effect) {
+            const auto *sent = std::get_if<SendDatagram>(&*effect);
+            const auto *pulse = sent ? std::get_if<Pulse>(&sent->envelope.message) : nullptr;
+            if (pulse) {
+                return pulse->sequence;
+            }
+        }
+        return 0;
+    }
+    /// @p names answer the last pulse in @p epoch.
+    void answer(const std::vector<std::string> &names, std::uint64_t epoch, const DocumentStamp &document = {})
+    {
+        for (const auto &name : names) {
+            answerAs(member(name).id, epoch, document);
+        }
+    }
+    void answerAs(const MemberId &id, std::uint64_t epoch, const DocumentStamp &document = {})
+    {
+        receive(id, epoch, PulseAck {lastPulse(), MemberState::Serving, document, false, 0});
+    }
+    /// Runs on while @p names answer every pulse.
+    void runAnswered(Duration duration, const std::vector<std::string> &names, std::uint64_t epoch)
+    {
+        for (const TimePoint end = now + duration; now < end;) {
+            tick(100ms);
+            answer(names, epoch);
+        }
+    }
+    void list(const std::vector<std::string> &names)
+    {
+        std::vector<ListedInstance> shown;
+        for (const auto &name : names) {
+            shown.push_back({InstanceName {name}, false});
+        }
+        membership.instancesListed(shown, now);
+    }
+    template<class Effect>
+    std::optional<Effect> last() const
+    {
+        for (auto effect = effects.rbegin(); effect != effects.rend(); ++effect) {
+            if (const auto *found = std::get_if<Effect>(&*effect)) {
+                return *found;
+            }
+        }
+        return std::nullopt;
+    }
+    bool confirmed() const { return membership.epochConfirmed(now); }
+
+    TimePoint now {1h};
+    Membership membership;
+    MembershipEffects effects;
+
+private:
+    void keep(const MembershipEffects &more) { effects.insert(effects.end(), more.begin(), more.end()); }
+};
+}
--- /dev/null
+++ b/tests/test_ownership.cpp
@@ -0,0 +1,226 @@
+#include <plumsill/ownership.h>
+
+#include "member_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+#include <set>
+
+using namespace plumsill;
+using namespace plumsill::fake;
+
+namespace
+{
+const std::vector<std::string> Abc {"a", "b", "c"};
+const std::vector<std::string> Abcd {"a", "b", "c", "d"};
+
+/// A part of a team that @p owners name in turn over the epochs' members.
+PartKey partOwnedBy(const std::vector<std::pair<std::vector<std::string>, std::string>> &owners)
+{
+    for (unsigned number = 0; number < 10'000; ++number) {
+        const PartKey key {TeamName {"team" + std::to_string(number)}, 0};
+        const bool fits = std::all_of(owners.begin(), owners.end(),
+                                      [&key](const auto &owner) { return OwnerTable(members(owner.first)).ownerOf(key)->id.name.value == owner.second; });
+        if (fits) {
+            return key;
+        }
+    }
+    FAIL("no part moves this way");
+    return {};
+}
+}
+
+TEST_GROUP(OwnerTable) {};
+
+TEST(OwnerTable, PartsOfATeamAreInDifferentZones)
+{
+    const OwnerTable table(members({"a", "b", "c", "d", "e", "f"}));
+    for (int number = 0; number < 100; ++number) {
+        std::set<ZoneName> zones;
+        for (std::uint32_t part = 0; part < 3; ++part) {
+            zones.insert(table.ownerOf(PartKey {TeamName {std::to_string(number)}, part})->zone);
+        }
+        LONGS_EQUAL(3, zones.size());
+    }
+}
+
+TEST(OwnerTable, SpreadsKeysEvenly)
+{
+    const OwnerTable table(members({"a", "b", "c", "d", "e", "f"}));
+    std::map<InstanceName, int> counts;
+    for (int number = 0; number < 6000; ++number) {
+        ++counts[table.ownerOf(VerdictKey {ServiceName {std::to_string(number)}})->id.name];
+        ++counts[table.ownerOf(PartKey {TeamName {std::to_string(number)}, 1})->id.name];
+    }
+    for (const auto &[name, count] : counts) {
+        CHECK(count > 1700 && count < 2300);
+    }
+}
+
+TEST(OwnerTable, OnlyKeysOfALostMemberMove)
+{
+    const OwnerTable before(members({"a", "b", "c", "d", "e", "f"}));
+    const OwnerTable after(members({"a", "b", "c", "d", "e"}));
+    for (int number = 0; number < 1000; ++number) {
+        const PartKey key {TeamName {std::to_string(number)}, 2};
+        const auto *owner = before.ownerOf(key);
+        CHECK(owner->id.name.value == "f" || owner->id == after.ownerOf(key)->id);
+    }
+}
+
+TEST(OwnerTable, NoMembersNoOwner)
+{
+    POINTERS_EQUAL(nullptr, OwnerTable().ownerOf(VerdictKey {}));
+}
+
+TEST_GROUP(Ownership)
+{
+    MemberFixture node;
+    Ownership ownership {node.membership};
+
+    void adopt(const Roster &next)
+    {
+        node.read(next);
+        ownership.update();
+        node.tick();
+    }
+    void adoptAnswered(const Roster &next, const std::vector<std::string> &names)
+    {
+        adopt(next);
+        node.answer(names, next.epoch);
+    }
+    bool mayAct(const OwnedKey &key)
+    {
+        return ownership.mayAct(key, node.now);
+    }
+    bool handOver(const PartKey &key, const std::string &from, std::uint64_t epoch)
+    {
+        const Envelope envelope {member(from).id, member(from).peer, epoch, HandOver {key.team, key.part, 1}};
+        node.membership.receive(envelope, node.now);
+        return ownership.acceptHandOver(envelope, node.now);
+    }
+    static Duration waitFor(const OwnedKey &key)
+    {
+        return config::ConfirmationLifetime + config::ClockDriftMargin + effectLifetime(key);
+    }
+};
+
+TEST(Ownership, NewOwnerWaitsOutTheFormerOne)
+{
+    const PartKey key = partOwnedBy({{Abcd, "d"}, {Abc, "a"}});
+    const VerdictKey verdict {ServiceName {"s"}};
+    adoptAnswered(roster(2, Abc, Abcd), {"b", "c"});
+    CHECK_TRUE(ownership.owns(key));
+    CHECK_FALSE(mayAct(key));
+    node.runAnswered(waitFor(key) - 100ms, {"b", "c"}, 2);
+    CHECK_FALSE(mayAct(key));
+    node.runAnswered(100ms, {"b", "c"}, 2);
+    CHECK_TRUE(mayAct(key));
+    CHECK(waitFor(verdict) - waitFor(key) == config::EjectionPermitLifetime - config::GrantLifetime);
+}
+
+TEST(Ownership, WaitStartsWithThePredecessorsMajority)
+{
+    const std::vector<std::string> before {"a", "x", "y"};
+    const PartKey key = partOwnedBy({{before, "y"}, {Abc, "a"}});
+    adopt(roster(2, Abc, before));
+    node.runAnswered(20s, {"b", "c"}, 2);
+    CHECK_TRUE(node.confirmed());
+    CHECK_FALSE(mayAct(key));
+    node.answer({"x"}, 2);
+    node.runAnswered(waitFor(key), {"b", "c"}, 2);
+    CHECK_TRUE(mayAct(key));
+}
+
+TEST(Ownership, ActsOnlyWhileConfirmed)
+{
+    const PartKey key = partOwnedBy({{Abc, "a"}});
+    adopt(roster(1, Abc, {}));
+    CHECK_FALSE(mayAct(key));
+    node.answer({"b", "c"}, 1);
+    CHECK_TRUE(mayAct(key));
+    node.now += config::ConfirmationLifetime;
+    CHECK_FALSE(mayAct(key));
+}
+
+TEST(Ownership, CarriesOverFromTheEpochDirectlyBefore)
+{
+    const PartKey key = partOwnedBy({{Abcd, "a"}, {Abc, "a"}});
+    adoptAnswered(roster(1, Abcd, {}), {"b", "c"});
+    CHECK_TRUE(mayAct(key));
+    adoptAnswered(roster(2, Abc, Abcd), {"b", "c"});
+    CHECK_TRUE(mayAct(key));
+}
+
+TEST(Ownership, NothingCarriesOverAMissedEpoch)
+{
+    const PartKey key = partOwnedBy({{Abcd, "a"}, {Abc, "a"}});
+    adoptAnswered(roster(1, Abcd, {}), {"b", "c"});
+    adoptAnswered(roster(3, Abc, {"b", "c", "d"}), {"b", "c"});
+    CHECK_TRUE(node.confirmed());
+    CHECK_FALSE(mayAct(key));
+}
+
+TEST(Ownership, NothingCarriesOverAnEpochOfAnotherOwner)
+{
+    const PartKey key = partOwnedBy({{Abcd, "a"}, {{"b", "c", "d"}, "d"}});
+    adoptAnswered(roster(1, Abcd, {}), {"b", "c"});
+    adopt(roster(2, {"b", "c", "d"}, Abcd));
+    adoptAnswered(roster(3, Abcd, {"b", "c", "d"}), {"b", "c"});
+    CHECK_FALSE(mayAct(key));
+}
+
+TEST(Ownership, HandedOverKeyNeedsNoWait)
+{
+    const PartKey key = partOwnedBy({{Abcd, "d"}, {Abc, "a"}});
+    adoptAnswered(roster(2, Abc, Abcd), {"b", "c"});
+    CHECK_TRUE(handOver(key, "d", 2));
+    CHECK_TRUE(mayAct(key));
+    CHECK_FALSE(handOver(key, "d", 2));
+}
+
+TEST(Ownership, HandOverOfAnotherEpochIsRefused)
+{
+    const PartKey key = partOwnedBy({{Abcd, "d"}, {Abc, "a"}});
+    adopt(roster(2, Abc, Abcd));
+    adoptAnswered(roster(4, Abc, Abcd), {"b", "c"});
+    CHECK_FALSE(handOver(key, "d", 2));
+    CHECK_FALSE(mayAct(key));
+}
+
+TEST(Ownership, HandOverOfALaterEpochIsRefused)
+{
+    const PartKey key = partOwnedBy({{Abcd, "d"}, {Abc, "a"}});
+    adoptAnswered(roster(2, Abc, Abcd), {"b", "c"});
+    CHECK_FALSE(handOver(key, "d", 3));
+    CHECK_FALSE(mayAct(key));
+}
+
+TEST(Ownership, HandOverOfAnotherThanTheFormerOwnerIsRefused)
+{
+    const PartKey key = partOwnedBy({{Abcd, "d"}, {Abc, "a"}});
+    adoptAnswered(roster(2, Abc, Abcd), {"b", "c"});
+    CHECK_FALSE(handOver(key, "b", 2));
+    CHECK_FALSE(mayAct(key));
+}
+
+TEST(Ownership, LateHandOverIsRefused)
+{
+    const PartKey key = partOwnedBy({{Abcd, "d"}, {Abc, "a"}});
+    adoptAnswered(roster(2, Abc, Abcd), {"b", "c"});
+    node.runAnswered(waitFor(key), {"b", "c"}, 2);
+    CHECK_TRUE(mayAct(key));
+    CHECK_FALSE(handOver(key, "d", 2));
+}
+
+TEST(Ownership, HandsOverOnlyWhatItWasReadyFor)
+{
+    const std::vector<std::string> bcd {"b", "c", "d"};
+    const PartKey key = partOwnedBy({{bcd, "d"}, {Abcd, "a"}});
+    adoptAnswered(roster(2, Abcd, bcd), {"b", "c"});
+    adopt(roster(3, bcd, Abcd));
+    CHECK_FALSE(ownership.mayHandOver(key, node.now));
+    node.now += waitFor(key);
+    CHECK_TRUE(ownership.mayHandOver(key, node.now));
+}
