--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -76,4 +76,7 @@
 inline constexpr std::size_t MaxDatagramBytes = 1400;
 inline constexpr std::size_t MacBytes = 16;
 inline constexpr std::size_t MaxStreamMessageBytes = 64 * 1024 * 1024;
+inline constexpr std::size_t MaxPeerStreams = 64;
+inline constexpr auto PeerRequestTimeout = 3000ms;
+inline constexpr auto PeerAcceptBackoff = 100ms;
 }
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -131,8 +131,8 @@
 
 const Roster &Membership::roster() const
 {
-    static const Roster None;
-    return m_history.empty() ? None : m_history.back().roster;
+    static const Roster none;
+    return m_history.empty() ? none : m_history.back().roster;
 }
 
 bool Membership::isMember() const
--- a/src/ownership.cpp
+++ b/src/ownership.cpp
@@ -114,8 +114,8 @@
 
 const OwnerTable &Ownership::table() const
 {
-    static const OwnerTable None;
-    return m_epochs.empty() ? None : m_epochs.back().table;
+    static const OwnerTable none;
+    return m_epochs.empty() ? none : m_epochs.back().table;
 }
 
 const Member *Ownership::ownerOf(const OwnedKey &key) const
--- a/tests/member_fixture.h
+++ b/tests/member_fixture.h
@@ -27,6 +27,7 @@
 inline std::vector<Member> members(const std::vector<std::string> &names)
 {
     std::vector<Member> made;
+    made.reserve(names.size());
     for (const auto &name : names) {
         made.push_back(member(name));
     }
@@ -90,6 +91,7 @@
     void list(const std::vector<std::string> &names)
     {
         std::vector<ListedInstance> shown;
+        shown.reserve(names.size());
         for (const auto &name : names) {
             shown.push_back({InstanceName {name}, false});
         }
--- /dev/null
+++ b/tests/test_codec.cpp
@@ -0,0 +1,195 @@
+#include <plumsill/codec.h>
+#include <plumsill/config.h>
+
+#include "fuzz_settings.h"
+
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <rapidcheck.h>
+
+// Last, for it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace plumsill;
+
+namespace
+{
+const std::string Secret = "cell secret";
+
+std::string anyText()
+{
+    return *rc::gen::arbitrary<std::string>();
+}
+
+std::uint64_t anyNumber()
+{
+    return *rc::gen::oneOf(rc::gen::arbitrary<std::uint64_t>(), rc::gen::just(std::uint64_t {0}), rc::gen::just(~std::uint64_t {0}));
+}
+
+std::uint32_t anySmallNumber()
+{
+    return static_cast<std::uint32_t>(anyNumber());
+}
+
+DocumentStamp anyStamp()
+{
+    return {anyNumber(), anyText()};
+}
+
+MemberState anyState()
+{
+    return *rc::gen::element(MemberState::Starting, MemberState::Serving, MemberState::Leaving);
+}
+
+Member anyMember()
+{
+    return {{InstanceName {anyText()}, anyNumber()}, ZoneName {anyText()}, {anyText(), 7000}, {anyText(), 65535}, anyNumber() % 2 == 0};
+}
+
+Roster anyRoster()
+{
+    return {anyNumber(), {anyMember(), anyMember()}, {anyMember()}, anyStamp()};
+}
+
+Message anyMessage()
+{
+    const TeamName team {anyText()};
+    const ServiceName service {anyText()};
+    switch (*rc::gen::inRange(0, 12)) {
+    case 0:
+        return Pulse {anyNumber(), anyNumber(), true, anyState(), ZoneName {anyText()}, {anyText(), 1}, anyStamp(), true, anyNumber(), {{anyText()}}};
+    case 1:
+        return PulseAck {anyNumber(), anyState(), anyStamp(), false, anyNumber()};
+    case 2:
+        return GrantRequest {anyNumber(), team, anySmallNumber(), anySmallNumber(), anySmallNumber(), {anyNumber(), anyNumber()}};
+    case 3:
+        return Grant {anyNumber(), team, anySmallNumber(), anySmallNumber(), anySmallNumber()};
+    case 4:
+        return GiveBack {anyNumber(), team, anySmallNumber(), anySmallNumber()};
+    case 5:
+        return HandOver {team, anySmallNumber(), *rc::gen::arbitrary<double>()};
+    case 6:
+        return HealthDigest {anyNumber(), service, {{TargetName {anyText()}, 1, 2, 3, 4, 5, anySmallNumber(), -1.5, 2.5}}};
+    case 7:
+        return Verdict {anyNumber(), service, {{TargetName {anyText()}, anySmallNumber()}}};
+    case 8:
+        return DocumentRequest {anyStamp()};
+    case 9:
+        return DocumentReply {anyStamp(), anyText()};
+    case 10:
+        return RosterRequest {anyNumber()};
+    default:
+        return RosterReply {anyRoster()};
+    }
+}
+
+Envelope anyEnvelope()
+{
+    return {{InstanceName {anyText()}, anyNumber()}, {anyText(), 7000}, anyNumber(), anyMessage()};
+}
+
+/// @p body under a right MAC, as a faulty daemon of the cell might send it.
+std::string signedBytes(const std::string &body)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> mac {};
+    unsigned size = 0;
+    HMAC(EVP_sha256(), Secret.data(), static_cast<int>(Secret.size()), reinterpret_cast<const unsigned char *>(body.data()), body.size(), mac.data(), &size);
+    return std::string(reinterpret_cast<const char *>(mac.data()), config::MacBytes) + body;
+}
+}
+
+TEST_GROUP(Codec) {void setup() override {fuzzSettings(300);
+}
+}
+;
+
+TEST(Codec, RoundTrip)
+{
+    CHECK(rc::check("what is encoded is decoded", [] {
+        const Envelope envelope = anyEnvelope();
+        const auto back = decode(encode(envelope, Secret), Secret);
+        RC_ASSERT(back.has_value());
+        RC_ASSERT(back.assume_value() == envelope);
+    }));
+}
+
+TEST(Codec, AnyChangedBitIsDropped)
+{
+    CHECK(rc::check("a changed bit fails the MAC", [] {
+        std::string bytes = encode(anyEnvelope(), Secret);
+        const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+        bytes[at] = static_cast<char>(bytes[at] ^ (1 << *rc::gen::inRange(0, 8)));
+        const auto back = decode(bytes, Secret);
+        RC_ASSERT(back.has_error());
+        RC_ASSERT(back.assume_error() == CodecError::BadMac);
+    }));
+}
+
+TEST(Codec, OtherSecretIsDropped)
+{
+    const auto back = decode(encode({{InstanceName {"a"}, 1}, {}, 1, Pulse {}}, Secret), "another");
+    CHECK(back.has_error() && back.assume_error() == CodecError::BadMac);
+}
+
+TEST(Codec, GarbageUnderARightMacIsAnErrorNotACrash)
+{
+    CHECK(rc::check("cut or changed bodies never throw", [] {
+        std::string body = encode(anyEnvelope(), Secret).substr(config::MacBytes);
+        body.resize(*rc::gen::inRange<std::size_t>(1, body.size() + 1));
+        const auto at = *rc::gen::inRange<std::size_t>(0, body.size());
+        body[at] = static_cast<char>(*rc::gen::arbitrary<char>());
+        const auto back = decode(signedBytes(body), Secret);
+        RC_ASSERT(back.has_value() || back.assume_error() != CodecError::BadMac);
+    }));
+}
+
+TEST(Codec, TrailingBytesAreAnError)
+{
+    const std::string body = encode({{InstanceName {"a"}, 1}, {}, 1, RosterRequest {3}}, Secret).substr(config::MacBytes);
+    const auto back = decode(signedBytes(body + "x"), Secret);
+    CHECK(back.has_error() && back.assume_error() == CodecError::TrailingBytes);
+}
+
+TEST(Codec, HugeSizeIsRefusedBeforeItAllocates)
+{
+    const std::string huge = "\xff\xff\xff\xff\xff\xff\xff\xff\x01";
+    const auto back = decode(signedBytes(huge + "abc"), Secret);
+    CHECK(back.has_error() && back.assume_error() == CodecError::Malformed);
+}
+
+TEST(Codec, ShortInputIsAnError)
+{
+    CHECK(decode("", Secret).assume_error() == CodecError::TooShort);
+    CHECK(decode(std::string(config::MacBytes, 'x'), Secret).assume_error() == CodecError::TooShort);
+}
+
+TEST(Codec, UnknownStateIsMalformed)
+{
+    const Envelope envelope {{InstanceName {"a"}, 1}, {}, 1, PulseAck {1, static_cast<MemberState>(7), {}, false, 0}};
+    const auto back = decode(encode(envelope, Secret), Secret);
+    CHECK(back.has_error() && back.assume_error() == CodecError::Malformed);
+}
+
+TEST_GROUP(RosterText) {};
+
+TEST(RosterText, RoundTrip)
+{
+    Roster roster;
+    roster.epoch = ~std::uint64_t {0};
+    roster.members = {{{InstanceName {"a \"quoted\""}, 7}, ZoneName {"z1"}, {"10.0.0.1", 1}, {"10.0.0.1", 65535}, true}};
+    roster.predecessor = {{{InstanceName {"b"}, 8}, ZoneName {"z2"}, {"10.0.0.2", 1}, {"10.0.0.2", 2}, false}};
+    roster.document = {3, "digest"};
+    CHECK(rosterFromJson(toJson(roster)) == std::optional(roster));
+}
+
+TEST(RosterText, BadTextIsRefused)
+{
+    Roster twice;
+    twice.epoch = 1;
+    twice.members = {{{InstanceName {"a"}, 1}, {}, {}, {}, false}, {{InstanceName {"a"}, 2}, {}, {}, {}, false}};
+    CHECK_FALSE(rosterFromJson(toJson(twice)).has_value());
+    CHECK_FALSE(rosterFromJson("{").has_value());
+    CHECK_FALSE(rosterFromJson("[]").has_value());
+    CHECK_FALSE(rosterFromJson(R"({"epoch":1,"members":[]})").has_value());
+    CHECK_FALSE(rosterFromJson(R"({"epoch":-1,"members":[],"predecessor":[],"document":{"version":0,"digest":""}})").has_value());
+}
