--- a/include/plumsill/membership.h
+++ b/include/plumsill/membership.h
@@ -215,6 +215,7 @@
     std::optional<TimePoint> majorityPulse(TimePoint now) const;
 
     // Documents.
+    static void raiseStamp(DocumentStamp &known, const DocumentStamp &told);
     void raiseDocument(const DocumentStamp &document);
     bool documentFloorKnown() const;
     bool vouchesForDocument() const;
@@ -275,7 +276,8 @@
     TimePoint m_nextReadAt;
     std::optional<TimePoint> m_fetchStartedAt;
     std::optional<TimePoint> m_writeStartedAt;
-    std::optional<TimePoint> m_changeWantedAt;
+    std::optional<TimePoint> m_changeWantedAt; ///< members differ from the roster
+    std::optional<TimePoint> m_flagsWantedAt; ///< only what the list shows differs
     Roster m_pendingWrite;
 };
 }
--- a/include/plumsill/ownership.h
+++ b/include/plumsill/ownership.h
@@ -75,7 +75,8 @@
     bool owns(const OwnedKey &key) const;
     /// This member owns @p key, its epoch is confirmed, and no earlier owner's act can still have effect.
     bool mayAct(const OwnedKey &key, TimePoint now) const;
-    /// This member was ready for @p key in the epoch before and owns it no more: it may hand the key over.
+    /// This member was ready for @p key in the epoch before and owns it no more: it may hand the key over. The new owner
+    /// may still be fetching the roster, so repeat it every HandOverRepeat for HandOverRepeatFor.
     bool mayHandOver(const OwnedKey &key, TimePoint now) const;
     /// Takes a key over; false when the hand-over is not for this epoch, not from the owner before, or a repeat.
     bool acceptHandOver(const Envelope &envelope, TimePoint now);
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <functional>
 #include <set>
 
 // The rules that keep two owners from acting at once:
@@ -21,14 +20,6 @@
     const auto found = std::find_if(members.begin(), members.end(), [&id](const Member &member) { return member.id == id; });
     return found == members.end() ? nullptr : &*found;
 }
-
-// A stamp of a version that is known already may come without its digest.
-void raiseStamp(DocumentStamp &known, const DocumentStamp &told)
-{
-    if (told.version > known.version || (told.version == known.version && known.digest.empty())) {
-        known = told;
-    }
-}
 }
 
 Membership::Membership(Member self, std::vector<Endpoint> seeds, TimePoint now)
@@ -99,20 +90,6 @@
     return envelope(RosterReply {roster()});
 }
 
-void Membership::documentChanged(const DocumentStamp &document)
-{
-    assert(document.version >= m_document.version);
-    m_document = document;
-    raiseDocument(document);
-    m_nextPulseAt = m_startedAt;
-}
-
-void Membership::documentRead(const DocumentStamp &stored, TimePoint startedAt)
-{
-    raiseDocument(stored);
-    m_documentReadAt = std::max(m_documentReadAt.value_or(startedAt), startedAt);
-}
-
 void Membership::leavingTargetsChanged(std::vector<TargetName> targets)
 {
     m_leavingTargets = std::move(targets);
@@ -140,48 +117,6 @@
     return currentRosterKnown() && findMember(roster().members, m_self.id) != nullptr;
 }
 
-bool Membership::epochConfirmed(TimePoint now) const
-{
-    return !m_superseded && majorityPulse(now).has_value();
-}
-
-bool Membership::documentConfirmed(TimePoint now) const
-{
-    const bool newest = m_document.version > 0 && m_highestDocument.version <= m_document.version;
-    return newest && documentFloorKnown() && epochConfirmed(now);
-}
-
-bool Membership::majorityHolds(const DocumentStamp &document) const
-{
-    if (!currentRosterKnown()) {
-        return false;
-    }
-    const auto &members = roster().members;
-    const auto holding = std::count_if(members.begin(), members.end(), [this, &document](const Member &member) { return heldInEpoch(member.id, document); });
-    return static_cast<std::size_t>(holding) * 2 > members.size();
-}
-
-DocumentStamp Membership::highestDocument() const
-{
-    return m_highestDocument;
-}
-
-std::vector<Member> Membership::holders(const DocumentStamp &document) const
-{
-    std::vector<Member> found;
-    for (const auto &[name, peer] : m_peers) {
-        if (peer.document.version >= document.version) {
-            found.push_back(peer.member);
-        }
-    }
-    return found;
-}
-
-std::optional<TimePoint> Membership::predecessorAdoptedAt() const
-{
-    return currentRosterKnown() ? m_history.back().predecessorAdoptedAt : std::nullopt;
-}
-
 std::vector<PeerStatus> Membership::peers(TimePoint now) const
 {
     std::vector<PeerStatus> list;
@@ -279,14 +214,6 @@
     return id == m_self.id || (peer && peer->answeredAt && now - *peer->answeredAt < config::MemberSuspectAfter);
 }
 
-bool Membership::heldInEpoch(const MemberId &id, const DocumentStamp &document) const
-{
-    const Peer *peer = findPeer(id);
-    const bool told = peer && peer->ackEpoch == m_epoch;
-    const DocumentStamp held = id == m_self.id ? m_document : told ? peer->heldInEpoch : DocumentStamp {};
-    return held.version >= document.version;
-}
-
 void Membership::takePulse(Peer &peer, const Envelope &envelope, const Pulse &pulse, TimePoint now, MembershipEffects &effects)
 {
     if (!pulse.zone.empty()) {
@@ -419,6 +346,7 @@
     m_epoch = epoch;
     m_storeVersion.reset();
     m_changeWantedAt.reset();
+    m_flagsWantedAt.reset();
 }
 
 void Membership::takeRoster(const Roster &roster, TimePoint now, MembershipEffects &effects)
@@ -491,60 +419,4 @@
     const Peer *peer = findPeer(member.id);
     return member.id == m_self.id || (peer && peer->epoch >= epoch);
 }
-
-// When the pulse was sent that a majority of the epoch's members answered last, in this epoch.
-std::optional<TimePoint> Membership::majorityPulse(TimePoint now) const
-{
-    if (!currentRosterKnown()) {
-        return std::nullopt;
-    }
-    std::vector<TimePoint> sent;
-    for (const auto &member : roster().members) {
-        const Peer *peer = findPeer(member.id);
-        if (member.id == m_self.id) {
-            sent.push_back(now);
-        } else if (peer && peer->ackEpoch == m_epoch && peer->ackedPulseSentAt) {
-            sent.push_back(*peer->ackedPulseSentAt);
-        }
-    }
-    const std::size_t majority = roster().members.size() / 2 + 1;
-    if (sent.size() < majority) {
-        return std::nullopt;
-    }
-    std::sort(sent.begin(), sent.end(), std::greater<>());
-    const TimePoint pulse = sent[majority - 1];
-    return now - pulse < config::ConfirmationLifetime ? std::optional(pulse) : std::nullopt;
-}
-
-void Membership::raiseDocument(const DocumentStamp &document)
-{
-    raiseStamp(m_highestDocument, document);
-}
-
-// A majority of the predecessor told its documents after it left its epoch, and the roster carries those of earlier ones.
-// Or a peer that knows as much told the result.
-bool Membership::documentFloorKnown() const
-{
-    if (!currentRosterKnown()) {
-        return false;
-    }
-    const EpochRecord &record = m_history.back();
-    const bool told = record.predecessorAdoptedAt && !record.goneCountedOut;
-    const bool read = record.predecessorAdoptedAt && m_documentReadAt && *m_documentReadAt >= *record.predecessorAdoptedAt;
-    return told || read || m_vouchedEpoch == m_epoch;
-}
-
-bool Membership::vouchesForDocument() const
-{
-    return documentFloorKnown() && m_document.version >= m_highestDocument.version;
-}
-
-void Membership::updateDocumentFreshness(TimePoint now)
-{
-    if (!documentConfirmed(now)) {
-        return;
-    }
-    const TimePoint pulse = *majorityPulse(now);
-    m_documentFreshAt = std::max(m_documentFreshAt.value_or(pulse), pulse);
-}
 }
--- a/src/roster_change.cpp
+++ b/src/roster_change.cpp
@@ -61,6 +61,7 @@
     MembershipEffects effects;
     m_writeStartedAt.reset();
     m_changeWantedAt.reset();
+    m_flagsWantedAt.reset();
     if (result == RosterWriteResult::Written) {
         takeRoster(m_pendingWrite, now, effects);
         if (m_pendingWrite.epoch == m_epoch) {
@@ -213,15 +214,21 @@
     write(std::move(next), m_storeVersion, now, effects);
 }
 
+// Joiners of the same moment share an epoch. Members that the list shows now are no reason to hurry.
 bool Membership::changeIsDue(const std::vector<Member> &next, TimePoint now)
 {
     if (next.empty() || next == roster().members) {
         m_changeWantedAt.reset();
+        m_flagsWantedAt.reset();
         return false;
     }
+    if (sameIds(next, roster().members)) {
+        m_changeWantedAt.reset();
+        m_flagsWantedAt = m_flagsWantedAt.value_or(now);
+        return now - *m_flagsWantedAt >= writeDelay(now) + config::ListedFlagDelay;
+    }
     m_changeWantedAt = m_changeWantedAt.value_or(now);
-    const Duration extra = sameIds(next, roster().members) ? config::ListedFlagDelay : Duration::zero();
-    return now - *m_changeWantedAt >= writeDelay(now) + extra;
+    return now - *m_changeWantedAt >= writeDelay(now);
 }
 
 // Ranks keep the members from writing all at once, and joiners from writing while members can.
--- a/tests/fleet_fake.h
+++ b/tests/fleet_fake.h
@@ -38,6 +38,7 @@
     bool storeCut = false;
     std::uint64_t document = 0;
     std::uint64_t lastEpoch = 0;
+    TimePoint nextHandOver;
 };
 
 struct Store {
@@ -282,6 +283,7 @@
     apply(index, node.membership->tick(local(node)));
     checkDocument(index);
     catchUp(index);
+    handOver(index);
     at(100ms, [this, index, generation] { step(index, generation); });
 }
 
@@ -440,6 +442,7 @@
     if (before != m_rosters.end() && before->second.members != roster.predecessor) {
         violation("wrong predecessor in epoch " + std::to_string(effect.epoch));
     }
+    node.nextHandOver = local(node);
     handOver(index);
 }
 
@@ -447,9 +450,13 @@
 inline void Fleet::handOver(std::size_t index)
 {
     Node &node = nodes[index];
-    if (!profile.handOverAlways && node.membership->state() != MemberState::Leaving) {
+    const bool wanted = profile.handOverAlways || node.membership->state() == MemberState::Leaving;
+    const auto &history = node.membership->history();
+    const bool late = history.empty() || local(node) - history.back().adoptedAt >= config::HandOverRepeatFor;
+    if (!wanted || late || local(node) < node.nextHandOver) {
         return;
     }
+    node.nextHandOver = local(node) + config::HandOverRepeat;
     for (std::size_t number = 0; number < keys.size(); ++number) {
         const auto *key = std::get_if<PartKey>(&keys[number]);
         if (!key || !node.ownership->mayHandOver(*key, local(node))) {
@@ -459,9 +466,9 @@
         if (onHandOver) {
             onHandOver(index, message);
         }
-        auto &last = m_lastAct[number];
+        Act &last = m_lastAct[number];
         if (last.by == node.self.id) {
-            last.until = now;
+            last.until = std::min(last.until, now);
         }
         send(index, node.ownership->ownerOf(*key)->peer, node.membership->envelope(message));
     }
