--- a/tests/fleet_fake.h
+++ b/tests/fleet_fake.h
@@ -124,6 +124,7 @@
     void violation(const std::string &text);
 
     static constexpr std::uint16_t FirstPort = 7000;
+    static constexpr std::uint64_t WallTimeMs = 1'764'000'000'000; ///< as large as real incarnations are
     std::multimap<TimePoint, std::function<void()>> m_events;
     std::set<std::pair<std::size_t, std::size_t>> m_cuts;
     std::set<std::size_t> m_listed;
@@ -139,7 +140,7 @@
 {
     for (std::size_t index = 0; index < size; ++index) {
         Member &self = nodes[index].self;
-        self.id.name.value = "n" + std::to_string(index);
+        self.id.name.value = "entry-" + std::to_string(index);
         self.zone.value = "z" + std::to_string(index % 3);
         self.peer = {"10.0.0.1", static_cast<std::uint16_t>(FirstPort + index)};
         self.admin = self.peer;
@@ -160,7 +161,8 @@
     node.held.clear();
     node.document = 0;
     node.lastEpoch = 0;
-    node.self.id.incarnation = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count());
+    const auto started = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+    node.self.id.incarnation = WallTimeMs + static_cast<std::uint64_t>(started.count());
     std::vector<Endpoint> seeds;
     for (const Node &other : nodes) {
         seeds.push_back(other.self.peer);
--- a/tests/test_codec.cpp
+++ b/tests/test_codec.cpp
@@ -14,7 +14,7 @@
 
 namespace
 {
-const std::string Secret = "cell secret";
+const std::string secret = "cell secret";
 
 std::string anyText()
 {
@@ -93,7 +93,7 @@
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> mac {};
     unsigned size = 0;
-    HMAC(EVP_sha256(), Secret.data(), static_cast<int>(Secret.size()), reinterpret_cast<const unsigned char *>(body.data()), body.size(), mac.data(), &size);
+    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()), reinterpret_cast<const unsigned char *>(body.data()), body.size(), mac.data(), &size);
     return std::string(reinterpret_cast<const char *>(mac.data()), config::MacBytes) + body;
 }
 }
@@ -107,7 +107,7 @@
 {
     CHECK(rc::check("what is encoded is decoded", [] {
         const Envelope envelope = anyEnvelope();
-        const auto back = decode(encode(envelope, Secret), Secret);
+        const auto back = decode(encode(envelope, secret), secret);
         RC_ASSERT(back.has_value());
         RC_ASSERT(back.assume_value() == envelope);
     }));
@@ -116,10 +116,10 @@
 TEST(Codec, AnyChangedBitIsDropped)
 {
     CHECK(rc::check("a changed bit fails the MAC", [] {
-        std::string bytes = encode(anyEnvelope(), Secret);
+        std::string bytes = encode(anyEnvelope(), secret);
         const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
         bytes[at] = static_cast<char>(bytes[at] ^ (1 << *rc::gen::inRange(0, 8)));
-        const auto back = decode(bytes, Secret);
+        const auto back = decode(bytes, secret);
         RC_ASSERT(back.has_error());
         RC_ASSERT(back.assume_error() == CodecError::BadMac);
     }));
@@ -127,46 +127,46 @@
 
 TEST(Codec, OtherSecretIsDropped)
 {
-    const auto back = decode(encode({{InstanceName {"a"}, 1}, {}, 1, Pulse {}}, Secret), "another");
+    const auto back = decode(encode({{InstanceName {"a"}, 1}, {}, 1, Pulse {}}, secret), "another");
     CHECK(back.has_error() && back.assume_error() == CodecError::BadMac);
 }
 
 TEST(Codec, GarbageUnderARightMacIsAnErrorNotACrash)
 {
     CHECK(rc::check("cut or changed bodies never throw", [] {
-        std::string body = encode(anyEnvelope(), Secret).substr(config::MacBytes);
+        std::string body = encode(anyEnvelope(), secret).substr(config::MacBytes);
         body.resize(*rc::gen::inRange<std::size_t>(1, body.size() + 1));
         const auto at = *rc::gen::inRange<std::size_t>(0, body.size());
         body[at] = static_cast<char>(*rc::gen::arbitrary<char>());
-        const auto back = decode(signedBytes(body), Secret);
+        const auto back = decode(signedBytes(body), secret);
         RC_ASSERT(back.has_value() || back.assume_error() != CodecError::BadMac);
     }));
 }
 
 TEST(Codec, TrailingBytesAreAnError)
 {
-    const std::string body = encode({{InstanceName {"a"}, 1}, {}, 1, RosterRequest {3}}, Secret).substr(config::MacBytes);
-    const auto back = decode(signedBytes(body + "x"), Secret);
+    const std::string body = encode({{InstanceName {"a"}, 1}, {}, 1, RosterRequest {3}}, secret).substr(config::MacBytes);
+    const auto back = decode(signedBytes(body + "x"), secret);
     CHECK(back.has_error() && back.assume_error() == CodecError::TrailingBytes);
 }
 
 TEST(Codec, HugeSizeIsRefusedBeforeItAllocates)
 {
     const std::string huge = "\xff\xff\xff\xff\xff\xff\xff\xff\x01";
-    const auto back = decode(signedBytes(huge + "abc"), Secret);
+    const auto back = decode(signedBytes(huge + "abc"), secret);
     CHECK(back.has_error() && back.assume_error() == CodecError::Malformed);
 }
 
 TEST(Codec, ShortInputIsAnError)
 {
-    CHECK(decode("", Secret).assume_error() == CodecError::TooShort);
-    CHECK(decode(std::string(config::MacBytes, 'x'), Secret).assume_error() == CodecError::TooShort);
+    CHECK(decode("", secret).assume_error() == CodecError::TooShort);
+    CHECK(decode(std::string(config::MacBytes, 'x'), secret).assume_error() == CodecError::TooShort);
 }
 
 TEST(Codec, UnknownStateIsMalformed)
 {
     const Envelope envelope {{InstanceName {"a"}, 1}, {}, 1, PulseAck {1, static_cast<MemberState>(7), {}, false, 0}};
-    const auto back = decode(encode(envelope, Secret), Secret);
+    const auto back = decode(encode(envelope, secret), secret);
     CHECK(back.has_error() && back.assume_error() == CodecError::Malformed);
 }
 
--- a/tools/bench_members.cpp
+++ b/tools/bench_members.cpp
@@ -14,7 +14,7 @@
 {
 constexpr std::uint64_t Seed = 1;
 constexpr std::size_t HeaderBytes = 28; // IP and UDP
-const std::string Secret = "bench";
+const std::string secret = "bench";
 
 void print(const std::string &name, double value, const char *unit)
 {
@@ -57,22 +57,22 @@
     std::vector<Envelope> outgoing;
     for (const auto &[to, envelope] : sent) {
         if (to == subject) {
-            incoming.push_back(encode(envelope, Secret));
+            incoming.push_back(encode(envelope, secret));
             bytes += incoming.back().size() + HeaderBytes;
         } else if (envelope.sender == fleet->nodes[0].self.id) {
             outgoing.push_back(envelope);
-            bytes += encode(envelope, Secret).size() + HeaderBytes;
+            bytes += encode(envelope, secret).size() + HeaderBytes;
         }
     }
     Membership &membership = *fleet->nodes[0].membership;
     const TimePoint now = fleet->local(fleet->nodes[0]);
     const double begin = processorSeconds();
     for (const auto &datagram : incoming) {
-        membership.receive(decode(datagram, Secret).assume_value(), now);
+        membership.receive(decode(datagram, secret).assume_value(), now);
     }
     std::size_t encoded = 0;
     for (const auto &envelope : outgoing) {
-        encoded += encode(envelope, Secret).size();
+        encoded += encode(envelope, secret).size();
     }
     for (int tick = 0; tick < 100; ++tick) {
         membership.tick(now);
