--- a/tools/standin_target.cpp
+++ b/tools/standin_target.cpp
@@ -5,7 +5,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/json.hpp>
 
 #include <popt.h>
@@ -72,6 +71,21 @@
     Expired,
 };
 
+// Waits report no cancellation of their own, so a handler asks after each of them.
+asio::awaitable<void> throwIfCancelled()
+{
+    const auto state = co_await asio::this_coro::cancellation_state;
+    if (state.cancelled() != asio::cancellation_type::none) {
+        throw boost::system::system_error(asio::error::operation_aborted);
+    }
+}
+
+asio::awaitable<void> sleepUnlessCancelled(Duration duration)
+{
+    co_await sleepFor(duration);
+    co_await throwIfCancelled();
+}
+
 /// Slots with a bounded first-in first-out queue.
 class SlotQueue
 {
@@ -97,6 +111,7 @@
         Waiter waiter(*this, co_await asio::this_coro::executor, deadline);
         boost::system::error_code woken;
         co_await waiter.timer.async_wait(asio::redirect_error(asio::use_awaitable, woken));
+        co_await throwIfCancelled();
         co_return waiter.take() ? Admission::Granted : Admission::Expired;
     }
 
@@ -241,7 +256,7 @@
         co_return co_await control(std::move(request));
     }
     if (m_faults.silentAll || request.connection <= m_faults.silentUpTo) {
-        co_await sleepFor(Forever);
+        co_await sleepUnlessCancelled(Forever);
     }
     if (request.path == "/health") {
         co_return jsonAnswer(200, R"({"status":"ok"})");
@@ -282,14 +297,14 @@
     {
         const SlotHolder slot(m_slots);
         // A request that was cancelled while it waited isn't begun.
-        co_await asio::post(co_await asio::this_coro::executor, asio::use_awaitable);
+        co_await throwIfCancelled();
         const auto number = ++m_stats.runs;
         ++m_runs[fieldValue(request.fields, "X-Request-Id")];
-        co_await sleepFor(workTime());
+        co_await sleepUnlessCancelled(workTime());
         answer = runAnswer(request, number);
     }
     if (m_faults.late > Duration::zero()) {
-        co_await sleepFor(m_faults.late);
+        co_await sleepUnlessCancelled(m_faults.late);
     }
     if (m_faults.mixed) {
         std::swap(answer, m_lastAnswer);
