Settings and the decisions on failed attempts

Cause: the daemon needs checked settings and one place that decides what a failed attempt leads to. Change: settings.h (every fault at once, FILE:LINE), attempt.h (at most once, retry budget, suspicion of silent connections) as plain decisions with the time passed in.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -53,8 +53,11 @@
 inline constexpr auto ConnectTimeout = 1000ms;
 inline constexpr auto FreshConnectionAge = 2000ms;
 inline constexpr double RetryBudgetShare = 0.1;
+inline constexpr double InitialRetries = 5;
 inline constexpr unsigned MaxAttempts = 3;
 inline constexpr unsigned MaxConnectionsPerTarget = 8;
+inline constexpr auto IdleTargetConnection = 30'000ms;
+inline constexpr auto RetryAfterFailure = 1000ms;
 
 // Graceful shutdown.
 inline constexpr auto LingerTime = 3000ms;
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,165 @@
+#include <plumsill/settings.h>
+
+#include <plumsill/ini.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+namespace plumsill
+{
+namespace
+{
+using Reason = std::string; // empty: the value was taken
+
+constexpr unsigned MaxTrafficThreads = 64;
+
+Reason takeEndpoint(const std::string &value, Endpoint &endpoint)
+{
+    const auto parsed = parseEndpoint(value);
+    if (!parsed) {
+        return "not IP:PORT: " + value;
+    }
+    endpoint = *parsed;
+    return {};
+}
+
+Reason takeText(const std::string &value, std::string &text)
+{
+    if (value.empty()) {
+        return "empty";
+    }
+    text = value;
+    return {};
+}
+
+Reason takeThreads(const std::string &value, unsigned &threads)
+{
+    const auto number = parseNumber(value);
+    if (!number || *number < 1 || *number > MaxTrafficThreads || *number != static_cast<unsigned>(*number)) {
+        return "not a whole number from 1 to " + std::to_string(MaxTrafficThreads) + ": " + value;
+    }
+    threads = static_cast<unsigned>(*number);
+    return {};
+}
+
+Reason takeSeeds(const std::string &value, std::vector<Endpoint> &seeds)
+{
+    for (const auto &item : splitList(value)) {
+        Endpoint seed;
+        if (auto reason = takeEndpoint(item, seed); !reason.empty()) {
+            return reason;
+        }
+        seeds.push_back(seed);
+    }
+    return {};
+}
+
+Reason takePlatform(const std::string &value, Endpoint &platform)
+{
+    static const std::string scheme = "http://";
+    if (!value.starts_with(scheme)) {
+        return "not http://IP:PORT: " + value;
+    }
+    return takeEndpoint(value.substr(scheme.size()), platform);
+}
+
+Reason takeLevel(const std::string &value, LogLevel &level)
+{
+    static const std::map<std::string, LogLevel> levels {
+        {"debug", LogLevel::Debug},
+        {"info", LogLevel::Info},
+        {"warning", LogLevel::Warning},
+        {"error", LogLevel::Error},
+    };
+    const auto found = levels.find(value);
+    if (found == levels.end()) {
+        return "not debug, info, warning or error: " + value;
+    }
+    level = found->second;
+    return {};
+}
+
+Reason takeFormat(const std::string &value, LogFormat &format)
+{
+    if (value != "text" && value != "json") {
+        return "not text or json: " + value;
+    }
+    format = value == "json" ? LogFormat::Json : LogFormat::Text;
+    return {};
+}
+
+struct Field {
+    const char *name; // section.key
+    bool required;
+    Reason (*take)(const std::string &value, Settings &settings);
+};
+
+constexpr std::array Fields {
+    Field {"instance.id", true, [](const std::string &value, Settings &settings) { return takeText(value, settings.instance.value); }},
+    Field {"instance.zone", true, [](const std::string &value, Settings &settings) { return takeText(value, settings.zone.value); }},
+    Field {"instance.region", true, [](const std::string &value, Settings &settings) { return takeText(value, settings.region); }},
+    Field {"traffic.listen", true, [](const std::string &value, Settings &settings) { return takeEndpoint(value, settings.trafficListen); }},
+    Field {"traffic.threads", false, [](const std::string &value, Settings &settings) { return takeThreads(value, settings.trafficThreads); }},
+    Field {"admin.listen", true, [](const std::string &value, Settings &settings) { return takeEndpoint(value, settings.adminListen); }},
+    Field {"admin.token_file", true, [](const std::string &value, Settings &settings) { return takeText(value, settings.adminTokenFile); }},
+    Field {"peer.listen", true, [](const std::string &value, Settings &settings) { return takeEndpoint(value, settings.peerListen); }},
+    Field {"peer.secret_file", true, [](const std::string &value, Settings &settings) { return takeText(value, settings.peerSecretFile); }},
+    Field {"peer.seeds", false, [](const std::string &value, Settings &settings) { return takeSeeds(value, settings.peerSeeds); }},
+    Field {"platform.url", true, [](const std::string &value, Settings &settings) { return takePlatform(value, settings.platform); }},
+    Field {"platform.environment", true, [](const std::string &value, Settings &settings) { return takeText(value, settings.environment); }},
+    Field {"log.level", false, [](const std::string &value, Settings &settings) { return takeLevel(value, settings.logLevel); }},
+    Field {"log.format", false, [](const std::string &value, Settings &settings) { return takeFormat(value, settings.logFormat); }},
+    Field {"log.file", false, [](const std::string &value, Settings &settings) { return takeText(value, settings.logFile); }},
+};
+
+const Field *findField(const std::string &name)
+{
+    const auto *const found = std::find_if(Fields.begin(), Fields.end(), [&](const Field &field) { return name == field.name; });
+    return found == Fields.end() ? nullptr : found;
+}
+
+// The line of a missing key is that of its section, or the last line when the section is missing too.
+unsigned lineForMissing(const std::string &name, const IniText &ini)
+{
+    const std::string section = name.substr(0, name.find('.'));
+    unsigned line = 0;
+    for (const auto &entry : ini.entries) {
+        if (entry.section == section) {
+            return entry.line;
+        }
+        line = entry.line;
+    }
+    return line;
+}
+}
+
+ParsedSettings parseSettings(const std::string &text, const std::string &file)
+{
+    ParsedSettings result;
+    const IniText ini = readIni(text, file);
+    result.problems = ini.problems;
+    std::map<std::string, unsigned> seen;
+    for (const auto &entry : ini.entries) {
+        const std::string name = entry.section + "." + entry.key;
+        const Field *field = findField(name);
+        Reason reason;
+        if (field == nullptr) {
+            reason = "unknown key";
+        } else if (!seen.emplace(name, entry.line).second) {
+            reason = "given twice, first in line " + std::to_string(seen[name]);
+        } else {
+            reason = field->take(entry.value, result.settings);
+        }
+        if (!reason.empty()) {
+            result.problems.push_back({file, entry.line, name, reason});
+        }
+    }
+    for (const auto &field : Fields) {
+        if (field.required && !seen.contains(field.name)) {
+            result.problems.push_back({file, lineForMissing(field.name, ini), field.name, "missing"});
+        }
+    }
+    return result;
+}
+}
--- /dev/null
+++ b/tests/test_attempt.cpp
@@ -0,0 +1,110 @@
+#include <plumsill/attempt.h>
+
+#include <plumsill/config.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plumsill;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Attempt)
+{
+    const TimePoint start {1000s};
+    RetryBudget budget;
+
+    void setup() override
+    {
+        for (int i = 0; i < 100; ++i) {
+            budget.deposit();
+        }
+    }
+};
+
+TEST(Attempt, NonIdempotentRequestIsNotRepeatedOnceSent)
+{
+    for (const auto failure : {AttemptFailure::ConnectionLost, AttemptFailure::TimedOut, AttemptFailure::Truncated, AttemptFailure::Malformed}) {
+        RequestAttempts request(false, start + 5s);
+        const auto step = request.failed({failure, AttemptProgress::Sent}, true, budget, start);
+        const auto *answer = std::get_if<GiveUp>(&step);
+        CHECK(answer != nullptr);
+        CHECK(answer->outcome == Outcome::Unknown);
+        CHECK(answer->retryAfter == Duration::zero());
+    }
+}
+
+TEST(Attempt, NothingSentMayBeRepeatedAndIsNotRun)
+{
+    RequestAttempts request(false, start + 5s);
+    const AttemptFailed failure {AttemptFailure::ConnectFailed, AttemptProgress::NothingSent};
+    CHECK(std::holds_alternative<TryAgain>(request.failed(failure, true, budget, start)));
+    const auto step = request.failed(failure, false, budget, start);
+    CHECK((step == NextStep(GiveUp {503, Outcome::NotRun, config::RetryAfterFailure})));
+}
+
+TEST(Attempt, OneSentAttemptMakesTheOutcomeUnknownForGood)
+{
+    RequestAttempts request(true, start + 5s);
+    CHECK(std::holds_alternative<TryAgain>(request.failed({AttemptFailure::ConnectionLost, AttemptProgress::Sent}, true, budget, start)));
+    const auto step = request.failed({AttemptFailure::ConnectFailed, AttemptProgress::NothingSent}, false, budget, start);
+    CHECK(std::get<GiveUp>(step).outcome == Outcome::Unknown);
+}
+
+TEST(Attempt, StartedAnswerIsAborted)
+{
+    RequestAttempts request(true, start + 5s);
+    CHECK(std::holds_alternative<AbortCaller>(request.failed({AttemptFailure::Truncated, AttemptProgress::AnswerStarted}, true, budget, start)));
+}
+
+TEST(Attempt, RetriesEndWithTheDeadlineTheCountAndTheBudget)
+{
+    const AttemptFailed lost {AttemptFailure::ConnectionLost, AttemptProgress::Sent};
+    RequestAttempts late(true, start + 5s);
+    CHECK(std::holds_alternative<GiveUp>(late.failed(lost, true, budget, start + 5s)));
+    RequestAttempts many(true, start + 5s);
+    CHECK(std::holds_alternative<TryAgain>(many.failed(lost, true, budget, start)));
+    CHECK(std::holds_alternative<TryAgain>(many.failed(lost, true, budget, start)));
+    CHECK(std::holds_alternative<GiveUp>(many.failed(lost, true, budget, start)));
+    RetryBudget empty;
+    RequestAttempts poor(true, start + 5s);
+    CHECK(std::holds_alternative<GiveUp>(poor.failed(lost, true, empty, start)));
+}
+
+TEST(Attempt, RetryBudgetIsAShareOfTraffic)
+{
+    RetryBudget fresh;
+    int retries = 0;
+    for (int i = 0; i < 1000; ++i) {
+        fresh.deposit();
+        retries += fresh.withdraw() ? 1 : 0;
+    }
+    CHECK(retries <= 1000 * config::RetryBudgetShare);
+    CHECK(retries >= 1000 * config::RetryBudgetShare - 1);
+}
+
+TEST(Attempt, ShedAnswerIsPassedOnWhenNoTargetIsLeft)
+{
+    RequestAttempts request(false, start + 5s);
+    CHECK(std::holds_alternative<PassOn>(request.failed({AttemptFailure::Shed, AttemptProgress::Sent}, true, budget, start)));
+}
+
+TEST(Attempt, DeadlineBeforeTheFirstAttemptIsNotRun)
+{
+    const RequestAttempts request(false, start);
+    CHECK((request.noTarget(start) == GiveUp {504, Outcome::NotRun, config::RetryAfterFailure}));
+}
+
+TEST(Attempt, QuietConnectionsCarryOnlyIdempotentRequests)
+{
+    const ConnectionFacts quiet {start, start};
+    const auto now = start + config::FreshConnectionAge;
+    CHECK(!reusable(quiet, false, std::nullopt, now));
+    CHECK(reusable(quiet, true, std::nullopt, now));
+    CHECK(reusable(quiet, false, std::nullopt, start + 1s));
+}
+
+TEST(Attempt, SilenceCastsSuspicionOnOlderConnections)
+{
+    const auto suspect = suspectAfterSilence(start + 10s, start + 20s);
+    CHECK(!reusable({start, start + 19s}, true, suspect, start + 20s));
+    CHECK(reusable({start + 11s, start + 19s}, true, suspect, start + 20s));
+}
