--- a/include/plumsill/attempt.h
+++ b/include/plumsill/attempt.h
@@ -77,8 +77,7 @@
     /// @p initial: retries allowed before any traffic.
     explicit RetryBudget(double initial = 0)
         : m_balance(initial)
-    {
-    }
+    { }
     /// Counts a first attempt.
     void deposit();
     /// True when a retry may be sent, which it then counts.
