Supervisor tree, metrics

Cause: children of the daemon need restarts with backoff, and traffic threads need counters that control can sum.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -63,6 +63,12 @@
 inline constexpr auto LingerTime = 3000ms;
 inline constexpr auto ShutdownLimit = 60'000ms;
 
+// Supervisor tree.
+inline constexpr auto RestartDelay = 100ms;
+inline constexpr auto RestartDelayMax = 10'000ms;
+inline constexpr auto RestartWindow = 60'000ms;
+inline constexpr std::size_t MaxRestarts = 10;
+
 // Peer datagrams.
 inline constexpr std::size_t MaxDatagramBytes = 1400;
 inline constexpr std::size_t MacBytes = 16;
--- /dev/null
+++ b/include/plumsill/metrics.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <plumsill/clock.h>
+#include <plumsill/messages.h>
+#include <plumsill/types.h>
+
+#include <boost/histogram/axis/regular.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace plumsill
+{
+using LatencyAxis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+using LatencyHistogram = decltype(boost::histogram::make_histogram(std::declval<LatencyAxis>()));
+
+/// Empty histogram of seconds, from 0.1 ms to 60 s.
+LatencyHistogram makeLatencyHistogram();
+
+/// Who asked for what.
+struct TrafficKey {
+    ServiceName service;
+    TeamName team; ///< empty on routes open to all
+
+    auto operator<=>(const TrafficKey &) const = default;
+};
+
+/// How the requests of one service and team ended.
+struct TrafficCounts {
+    std::uint64_t good = 0; ///< whole answers below status 500
+    std::uint64_t bad = 0; ///< server errors, timeouts, aborted answers, refusals for want of targets
+    std::uint64_t overRate = 0; ///< refused: above the team's rate
+    std::uint64_t ownerUnreachable = 0; ///< refused: no owner of the team's tokens answered
+    std::uint64_t notTrusted = 0; ///< refused: keys could not be confirmed
+
+    auto operator<=>(const TrafficCounts &) const = default;
+    TrafficCounts &operator+=(const TrafficCounts &other);
+};
+
+/// What one traffic thread saw since its last report to control.
+struct TrafficReport {
+    std::map<TrafficKey, TrafficCounts> counts;
+    std::map<ServiceName, LatencyHistogram> latency; ///< of good answers
+    std::map<ServiceName, std::map<TargetName, TargetEvidence>> evidence;
+    std::map<unsigned, std::uint64_t> rejected; ///< malformed, unrouted and unauthorised requests by status
+    std::uint64_t retries = 0;
+    std::vector<TargetName> leavingTargets; ///< targets that announced their drain
+
+    bool empty() const { return counts.empty() && evidence.empty() && rejected.empty() && leavingTargets.empty(); }
+};
+
+/// Adds the evidence of one answer or failure.
+void addEvidence(TargetEvidence &sum, const TargetEvidence &part);
+
+/// A single value for the metrics page.
+struct Gauge {
+    std::string name;
+    double value = 0;
+
+    auto operator<=>(const Gauge &) const = default;
+};
+
+/// Totals of the daemon since its start.
+class Metrics
+{
+public:
+    void add(const TrafficReport &report);
+    const std::map<TrafficKey, TrafficCounts> &counts() const { return m_counts; }
+    /// Prometheus text format.
+    std::string prometheusText(const std::vector<Gauge> &gauges) const;
+
+private:
+    std::map<TrafficKey, TrafficCounts> m_counts;
+    std::map<ServiceName, LatencyHistogram> m_latency;
+    std::map<unsigned, std::uint64_t> m_rejected;
+    std::uint64_t m_retries = 0;
+};
+}
--- /dev/null
+++ b/src/metrics.cpp
@@ -0,0 +1,118 @@
+#include <plumsill/metrics.h>
+
+#include <array>
+#include <sstream>
+
+namespace plumsill
+{
+namespace
+{
+constexpr unsigned LatencyBins = 60;
+constexpr double LatencyMinSeconds = 1e-4;
+constexpr double LatencyMaxSeconds = 60;
+
+struct OutcomeColumn {
+    const char *label;
+    std::uint64_t TrafficCounts::*count;
+};
+
+constexpr std::array OutcomeColumns {
+    OutcomeColumn {"good", &TrafficCounts::good},
+    OutcomeColumn {"bad", &TrafficCounts::bad},
+    OutcomeColumn {"over_rate", &TrafficCounts::overRate},
+    OutcomeColumn {"owner_unreachable", &TrafficCounts::ownerUnreachable},
+    OutcomeColumn {"not_trusted", &TrafficCounts::notTrusted},
+};
+
+void writeCounts(std::ostream &out, const std::map<TrafficKey, TrafficCounts> &counts)
+{
+    out << "# TYPE plumsill_requests_total counter\n";
+    for (const auto &[key, value] : counts) {
+        for (const auto &column : OutcomeColumns) {
+            out << "plumsill_requests_total{service=\"" << key.service.value << "\",team=\"" << key.team.value << "\",outcome=\"" << column.label << "\"} "
+                << value.*column.count << "\n";
+        }
+    }
+}
+
+void writeLatency(std::ostream &out, const ServiceName &service, const LatencyHistogram &histogram)
+{
+    const auto &axis = histogram.axis(0);
+    double sum = 0;
+    double cumulated = 0;
+    for (int bin = -1; bin < axis.size(); ++bin) {
+        const double count = histogram.at(bin);
+        cumulated += count;
+        sum += count * (bin < 0 ? LatencyMinSeconds : axis.bin(bin).center());
+        out << "plumsill_request_seconds_bucket{service=\"" << service.value << "\",le=\"" << axis.value(bin + 1) << "\"} " << cumulated << "\n";
+    }
+    const double above = histogram.at(axis.size());
+    cumulated += above;
+    sum += above * LatencyMaxSeconds;
+    out << "plumsill_request_seconds_bucket{service=\"" << service.value << "\",le=\"+Inf\"} " << cumulated << "\n";
+    out << "plumsill_request_seconds_sum{service=\"" << service.value << "\"} " << sum << "\n";
+    out << "plumsill_request_seconds_count{service=\"" << service.value << "\"} " << cumulated << "\n";
+}
+}
+
+LatencyHistogram makeLatencyHistogram()
+{
+    return boost::histogram::make_histogram(LatencyAxis(LatencyBins, LatencyMinSeconds, LatencyMaxSeconds));
+}
+
+TrafficCounts &TrafficCounts::operator+=(const TrafficCounts &other)
+{
+    for (const auto &column : OutcomeColumns) {
+        this->*column.count += other.*column.count;
+    }
+    return *this;
+}
+
+void addEvidence(TargetEvidence &sum, const TargetEvidence &part)
+{
+    sum.good += part.good;
+    sum.errors += part.errors;
+    sum.timeouts += part.timeouts;
+    sum.truncated += part.truncated;
+    sum.shed += part.shed;
+    sum.unreachable += part.unreachable;
+    sum.logLatencySum += part.logLatencySum;
+    sum.logLatencySquares += part.logLatencySquares;
+}
+
+void Metrics::add(const TrafficReport &report)
+{
+    for (const auto &[key, counts] : report.counts) {
+        m_counts[key] += counts;
+    }
+    for (const auto &[service, histogram] : report.latency) {
+        auto [entry, added] = m_latency.try_emplace(service, histogram);
+        if (!added) {
+            entry->second += histogram;
+        }
+    }
+    for (const auto &[status, count] : report.rejected) {
+        m_rejected[status] += count;
+    }
+    m_retries += report.retries;
+}
+
+std::string Metrics::prometheusText(const std::vector<Gauge> &gauges) const
+{
+    std::ostringstream out;
+    writeCounts(out, m_counts);
+    out << "# TYPE plumsill_request_seconds histogram\n";
+    for (const auto &[service, histogram] : m_latency) {
+        writeLatency(out, service, histogram);
+    }
+    out << "# TYPE plumsill_rejected_total counter\n";
+    for (const auto &[status, count] : m_rejected) {
+        out << "plumsill_rejected_total{status=\"" << status << "\"} " << count << "\n";
+    }
+    out << "# TYPE plumsill_retries_total counter\nplumsill_retries_total " << m_retries << "\n";
+    for (const auto &gauge : gauges) {
+        out << "# TYPE " << gauge.name << " gauge\n" << gauge.name << " " << gauge.value << "\n";
+    }
+    return out.str();
+}
+}
