Traffic path: callers' sessions, dispatch, attempts at targets (in progress)

Cause: the daemon needs its request path. Change: one connection carries one request at a time; a connection whose answer was late, cut or malformed is never reused; answers are held until whole, or streamed and aborted when cut; waiting requests are queued by team.

--- a/include/plumsill/attempt.h
+++ b/include/plumsill/attempt.h
@@ -12,7 +12,7 @@
 namespace plumsill
 {
 /// Whether a refused or failed request may have run at a target.
-enum class Outcome : std::uint8_t
+enum class RunOutcome : std::uint8_t
 {
     NotRun, ///< no byte of it reached any target
     Unknown, ///< it may have run
@@ -57,7 +57,7 @@
 /// Answer the caller now with this status; there is no answer of a target to pass on.
 struct GiveUp {
     unsigned status = 502;
-    Outcome outcome = Outcome::Unknown;
+    RunOutcome outcome = RunOutcome::Unknown;
     Duration retryAfter {}; ///< zero: a retry makes no sense
 
     auto operator<=>(const GiveUp &) const = default;
@@ -100,7 +100,7 @@
     /// Time that the next attempt may take; an idempotent request keeps some for a retry.
     Duration attemptTimeout(bool targetsLeft, TimePoint now) const;
     /// Whether no byte has reached any target so far.
-    Outcome outcome() const;
+    RunOutcome outcome() const;
     unsigned attempts() const { return m_attempts; }
 
 private:
--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -59,6 +59,16 @@
 inline constexpr auto IdleTargetConnection = 30'000ms;
 inline constexpr auto RetryAfterFailure = 1000ms;
 
+// Traffic threads.
+inline constexpr auto AcceptRetryDelay = 50ms;
+inline constexpr auto IdleCheckInterval = 500ms;
+inline constexpr auto CloseDrainTime = 500ms;
+inline constexpr std::size_t ReadBytes = 16 * 1024;
+inline constexpr auto TrafficReportInterval = 250ms;
+inline constexpr auto ConcurrencyDecreaseInterval = 100ms;
+inline constexpr double ConcurrencyDecrease = 0.8;
+inline constexpr std::size_t MaxQueuedRequests = 256;
+
 // Graceful shutdown.
 inline constexpr auto LingerTime = 3000ms;
 inline constexpr auto ShutdownLimit = 60'000ms;
--- a/src/attempt.cpp
+++ b/src/attempt.cpp
@@ -88,9 +88,9 @@
     return keepSome ? left / 2 : left;
 }
 
-Outcome RequestAttempts::outcome() const
+RunOutcome RequestAttempts::outcome() const
 {
-    return m_sent ? Outcome::Unknown : Outcome::NotRun;
+    return m_sent ? RunOutcome::Unknown : RunOutcome::NotRun;
 }
 
 // A silent connection looks like a good one until something is sent on it. An idempotent request can be sent
--- /dev/null
+++ b/src/net_message.cpp
@@ -0,0 +1,125 @@
+#include "session_p.h"
+
+#include <boost/beast/http.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace plumsill
+{
+namespace http = boost::beast::http;
+
+namespace
+{
+constexpr std::array HopByHopFields {
+    http::field::connection,
+    http::field::keep_alive,
+    http::field::proxy_authenticate,
+    http::field::proxy_authorization,
+    http::field::proxy_connection,
+    http::field::te,
+    http::field::trailer,
+    http::field::transfer_encoding,
+    http::field::upgrade,
+};
+
+const char *outcomeText(RunOutcome outcome)
+{
+    return outcome == RunOutcome::NotRun ? "not-run" : "unknown";
+}
+
+// Whole seconds, rounded up: a retry before the time is of no use.
+std::string retryAfterText(Duration duration)
+{
+    const auto whole = std::chrono::ceil<std::chrono::seconds>(duration).count();
+    return std::to_string(std::max<std::int64_t>(whole, 1));
+}
+
+Refusal badRequest(const std::string &message)
+{
+    return {400, "bad-request", message, std::nullopt, {}};
+}
+}
+
+void removeHopByHopFields(http::fields &fields)
+{
+    std::vector<std::string> named;
+    const auto [begin, end] = fields.equal_range(http::field::connection);
+    for (auto field = begin; field != end; ++field) {
+        for (const auto &name : http::token_list(field->value())) {
+            named.emplace_back(name);
+        }
+    }
+    for (const auto &name : named) {
+        fields.erase(name);
+    }
+    for (const auto field : HopByHopFields) {
+        fields.erase(field);
+    }
+}
+
+TargetAnswer refusalAnswer(const Refusal &refusal)
+{
+    TargetAnswer answer(http::int_to_status(refusal.status), 11);
+    answer.set(http::field::content_type, "application/json");
+    if (refusal.outcome) {
+        answer.set("Plumsill-Outcome", outcomeText(*refusal.outcome));
+    }
+    if (refusal.retryAfter > Duration::zero()) {
+        answer.set(http::field::retry_after, retryAfterText(refusal.retryAfter));
+    }
+    if (refusal.status == 401) {
+        answer.set(http::field::www_authenticate, "Bearer");
+    }
+    const boost::json::value body = {{"error", {{"code", refusal.code}, {"message", refusal.message}}}};
+    answer.body() = boost::json::serialize(body) + "\n";
+    answer.prepare_payload();
+    return answer;
+}
+
+// The parser refuses a length beside chunks and differing lengths; equal ones twice are refused here too, and
+// so is every transfer coding but "chunked", as another reader may take another view of them.
+std::optional<Refusal> checkFraming(const CallerRequestHeader &header)
+{
+    if (header.count(http::field::content_length) > 1) {
+        return badRequest("more than one Content-Length");
+    }
+    const auto coding = header.find(http::field::transfer_encoding);
+    if (coding != header.end()) {
+        const bool plain = header.count(http::field::transfer_encoding) == 1 && boost::beast::iequals(coding->value(), "chunked");
+        if (!plain || header.find(http::field::content_length) != header.end()) {
+            return badRequest("transfer coding other than chunked, or beside a length");
+        }
+    }
+    if (header.count(http::field::host) != 1) {
+        return badRequest("not one Host");
+    }
+    if (header.method() == http::verb::connect || header.method() == http::verb::trace || header.find(http::field::upgrade) != header.end()) {
+        return badRequest("tunnels and upgrades are not served");
+    }
+    if (!header.target().starts_with('/')) {
+        return badRequest("not an absolute path");
+    }
+    return std::nullopt;
+}
+
+TargetRequest requestForTarget(const CallerRequest &request, const std::string &requestId, const std::string &callerAddress)
+{
+    TargetRequest forwarded = request;
+    removeHopByHopFields(forwarded);
+    forwarded.erase("X-Api-Key");
+    forwarded.erase(http::field::authorization);
+    forwarded.erase(http::field::expect);
+    forwarded.version(11);
+    if (forwarded.find("X-Request-Id") == forwarded.end()) {
+        forwarded.set("X-Request-Id", requestId);
+    }
+    forwarded.set("X-Forwarded-For", callerAddress);
+    if (!forwarded.body().empty() || request.find(http::field::content_length) != request.end() || request.chunked()) {
+        forwarded.content_length(forwarded.body().size());
+    }
+    return forwarded;
+}
+}
--- /dev/null
+++ b/src/net_session.cpp
@@ -0,0 +1,307 @@
+#include "session_p.h"
+
+#include "forward_p.h"
+#include "traffic_p.h"
+
+#include <plumsill/config.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+#include <sys/socket.h>
+
+namespace plumsill
+{
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+auto token(error_code &error)
+{
+    return boost::asio::redirect_error(boost::asio::use_awaitable, error);
+}
+
+/// How the reading of a request ended.
+enum class ReadEnd : std::uint8_t
+{
+    Whole,
+    Closed, ///< nothing came: no answer is due
+    Refused, ///< answered; the connection can't be used any more
+};
+
+class CallerSession
+{
+public:
+    CallerSession(TrafficThread &thread, tcp::socket socket)
+        : m_thread(thread)
+        , m_stream(std::move(socket))
+    { }
+
+    boost::asio::awaitable<void> run();
+
+private:
+    boost::asio::awaitable<bool> waitForRequest();
+    boost::asio::awaitable<bool> serveOne();
+    boost::asio::awaitable<ReadEnd> readHeader();
+    boost::asio::awaitable<ReadEnd> readBody(std::size_t limit);
+    boost::asio::awaitable<ReadEnd> refuse(Refusal refusal);
+    boost::asio::awaitable<bool> sendAnswer(TargetAnswer answer, bool keepAlive);
+    AnswerSink sink(bool keepAlive);
+    boost::asio::awaitable<bool> beginStream(const AnswerHeader &header, std::uint64_t length, bool chunked, bool keepAlive);
+    boost::asio::awaitable<bool> writeStream(std::string_view bytes);
+    void watchCaller(const std::shared_ptr<AttemptHandle> &handle);
+    void abortConnection();
+    bool leaving() const { return m_thread.snapshot()->leaving; }
+
+    TrafficThread &m_thread;
+    boost::beast::tcp_stream m_stream;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    bool m_streamStarted = false;
+    bool m_streamChunked = false;
+};
+
+// Between requests the connection may rest; the first byte of a request starts its own time limit.
+boost::asio::awaitable<bool> CallerSession::waitForRequest()
+{
+    if (m_buffer.size() > 0) {
+        co_return true;
+    }
+    TimePoint quietSince = RuntimeClock::now();
+    while (true) {
+        const bool closing = leaving();
+        const Duration allowed = closing ? Duration(config::LingerTime) : Duration(config::IdleTimeout);
+        if (RuntimeClock::now() - quietSince >= allowed) {
+            co_return false;
+        }
+        m_stream.expires_after(config::IdleCheckInterval);
+        error_code error;
+        const auto count = co_await m_stream.async_read_some(m_buffer.prepare(config::ReadBytes), token(error));
+        m_buffer.commit(count);
+        if (count > 0) {
+            co_return true;
+        }
+        if (error != boost::beast::error::timeout) {
+            co_return false;
+        }
+        if (!closing && leaving()) {
+            quietSince = RuntimeClock::now();
+        }
+    }
+}
+
+boost::asio::awaitable<ReadEnd> CallerSession::refuse(Refusal refusal)
+{
+    ++m_thread.report().rejected[refusal.status];
+    co_await sendAnswer(refusalAnswer(refusal), false);
+    co_return ReadEnd::Refused;
+}
+
+boost::asio::awaitable<ReadEnd> CallerSession::readHeader()
+{
+    m_parser.emplace();
+    m_parser->header_limit(config::MaxHeaderBytes);
+    m_parser->body_limit(boost::none);
+    m_stream.expires_after(config::HeaderTimeout);
+    error_code error;
+    co_await http::async_read_header(m_stream, m_buffer, *m_parser, token(error));
+    if (!error) {
+        const auto refusal = checkFraming(m_parser->get().base());
+        co_return refusal ? co_await refuse(*refusal) : ReadEnd::Whole;
+    }
+    if (error == boost::beast::error::timeout) {
+        co_return co_await refuse({408, "timeout", "the request came too slowly", std::nullopt, {}});
+    }
+    if (error == http::error::header_limit) {
+        co_return co_await refuse({431, "header-too-large", "the header is too large", std::nullopt, {}});
+    }
+    if (error == http::error::end_of_stream || error.category() == boost::asio::error::get_system_category()) {
+        co_return ReadEnd::Closed;
+    }
+    co_return co_await refuse({400, "bad-request", "the request is malformed", std::nullopt, {}});
+}
+
+boost::asio::awaitable<ReadEnd> CallerSession::readBody(std::size_t limit)
+{
+    const auto length = m_parser->content_length();
+    if (length && *length > limit) {
+        co_return co_await refuse({413, "body-too-large", "the body is too large", std::nullopt, {}});
+    }
+    m_parser->body_limit(limit);
+    error_code error;
+    if (!m_parser->is_done() && boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
+        static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await boost::asio::async_write(m_stream, boost::asio::buffer(Continue), token(error));
+    }
+    m_stream.expires_after(config::BodyTimeout);
+    co_await http::async_read(m_stream, m_buffer, *m_parser, token(error));
+    if (!error) {
+        co_return ReadEnd::Whole;
+    }
+    if (error == boost::beast::error::timeout) {
+        co_return co_await refuse({408, "timeout", "the request came too slowly", std::nullopt, {}});
+    }
+    if (error == http::error::body_limit) {
+        co_return co_await refuse({413, "body-too-large", "the body is too large", std::nullopt, {}});
+    }
+    if (error == http::error::partial_message || error.category() == boost::asio::error::get_system_category()) {
+        co_return ReadEnd::Closed;
+    }
+    co_return co_await refuse({400, "bad-request", "the body is malformed", std::nullopt, {}});
+}
+
+boost::asio::awaitable<bool> CallerSession::sendAnswer(TargetAnswer answer, bool keepAlive)
+{
+    answer.keep_alive(keepAlive);
+    m_stream.expires_after(config::BodyTimeout);
+    error_code error;
+    http::response_serializer<http::string_body> serializer(answer);
+    if (answer.body().empty()) {
+        co_await http::async_write_header(m_stream, serializer, token(error));
+    } else {
+        co_await http::async_write(m_stream, serializer, token(error));
+    }
+    co_return !error && keepAlive;
+}
+
+boost::asio::awaitable<bool> CallerSession::beginStream(const AnswerHeader &header, std::uint64_t length, bool chunked, bool keepAlive)
+{
+    http::response<http::empty_body> answer(header);
+    removeHopByHopFields(answer);
+    answer.version(11);
+    answer.keep_alive(keepAlive);
+    if (chunked) {
+        answer.chunked(true);
+    } else {
+        answer.content_length(length);
+    }
+    m_streamStarted = true;
+    m_streamChunked = chunked;
+    m_stream.expires_after(config::BodyTimeout);
+    http::response_serializer<http::empty_body> serializer(answer);
+    error_code error;
+    co_await http::async_write_header(m_stream, serializer, token(error));
+    co_return !error;
+}
+
+boost::asio::awaitable<bool> CallerSession::writeStream(std::string_view bytes)
+{
+    m_stream.expires_after(config::BodyTimeout);
+    error_code error;
+    const boost::asio::const_buffer buffer(bytes.data(), bytes.size());
+    if (m_streamChunked) {
+        co_await boost::asio::async_write(m_stream, http::make_chunk(buffer), token(error));
+    } else {
+        co_await boost::asio::async_write(m_stream, buffer, token(error));
+    }
+    co_return !error;
+}
+
+AnswerSink CallerSession::sink(bool keepAlive)
+{
+    AnswerSink sink;
+    sink.begin = [this, keepAlive](const AnswerHeader &header, std::uint64_t length, bool chunked) { return beginStream(header, length, chunked, keepAlive); };
+    sink.write = [this](std::string_view bytes) { return writeStream(bytes); };
+    return sink;
+}
+
+// The caller's connection is watched while its request runs: there is no one to answer once it is closed.
+void CallerSession::watchCaller(const std::shared_ptr<AttemptHandle> &handle)
+{
+    auto &socket = m_stream.socket();
+    socket.async_wait(tcp::socket::wait_read, [&socket, handle](const error_code &error) {
+        char byte = 0;
+        if (error || handle->finished()) {
+            return;
+        }
+        const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
+            handle->callerGone();
+        }
+    });
+}
+
+// A reset, so that the caller can't take the part of the answer for the whole.
+void CallerSession::abortConnection()
+{
+    error_code ignored;
+    m_stream.socket().set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    m_stream.socket().close(ignored);
+}
+
+boost::asio::awaitable<bool> CallerSession::serveOne()
+{
+    if (co_await readHeader() != ReadEnd::Whole) {
+        co_return false;
+    }
+    const AccessResult access = checkAccess(*m_thread.snapshot(), m_parser->get().base(), RuntimeClock::now());
+    if (const auto *refusal = std::get_if<Refusal>(&access)) {
+        // The body was not read, so the next request can't be found.
+        co_await refuse(*refusal);
+        co_return false;
+    }
+    if (co_await readBody(std::get<Access>(access).route.bodyLimit) != ReadEnd::Whole) {
+        co_return false;
+    }
+    const CallerRequest request = m_parser->release();
+    const bool mayStream = request.version() == 11;
+    const bool keepAlive = request.keep_alive() && !leaving();
+    const AnswerSink answerSink = sink(keepAlive);
+    const auto handle = std::make_shared<AttemptHandle>();
+    error_code ignored;
+    m_stream.expires_never();
+    m_streamStarted = false;
+    watchCaller(handle);
+    const auto address = m_stream.socket().remote_endpoint(ignored).address().to_string(ignored);
+    Forwarder forwarder(m_thread, std::get<Access>(access), request, address, mayStream ? &answerSink : nullptr, *handle);
+    ForwardResult result = co_await forwarder.run();
+    handle->finish();
+    m_stream.socket().cancel(ignored);
+    if (handle->isCallerGone() || std::holds_alternative<AbortCaller>(result)) {
+        abortConnection();
+        co_return false;
+    }
+    if (std::holds_alternative<StreamedAnswer>(result)) {
+        if (m_streamChunked) {
+            co_await boost::asio::async_write(m_stream, http::make_chunk_last(), token(ignored));
+        }
+        co_return keepAlive && !ignored;
+    }
+    co_return co_await sendAnswer(std::move(std::get<TargetAnswer>(result)), keepAlive && !leaving());
+}
+
+boost::asio::awaitable<void> CallerSession::run()
+{
+    while (co_await waitForRequest()) {
+        if (!co_await serveOne()) {
+            break;
+        }
+    }
+    if (!m_stream.socket().is_open()) {
+        co_return;
+    }
+    // Closing with unread bytes would reset the connection and could take the answer with it.
+    error_code error;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
+    m_stream.expires_after(config::CloseDrainTime);
+    while (!error) {
+        m_buffer.clear();
+        co_await m_stream.async_read_some(m_buffer.prepare(config::ReadBytes), token(error));
+    }
+}
+}
+
+boost::asio::awaitable<void> runSession(TrafficThread &thread, tcp::socket socket)
+{
+    thread.sessionStarted();
+    try {
+        CallerSession session(thread, std::move(socket));
+        co_await session.run();
+    } catch (const std::exception &error) {
+        logWarning(LogPart::Traffic, std::string("a caller's connection failed: ") + error.what());
+    }
+    thread.sessionEnded();
+}
+}
--- /dev/null
+++ b/src/net_traffic.cpp
@@ -0,0 +1,185 @@
+#include "traffic_p.h"
+
+#include "session_p.h"
+
+#include <plumsill/config.h>
+#include <plumsill/log.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+#include <sys/socket.h>
+
+namespace plumsill
+{
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+using ReusePort = boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+// Waiters of all threads share one space of numbers: the thread stands in the upper bits.
+constexpr unsigned WaiterThreadShift = 48;
+}
+
+TrafficThread::TrafficThread(unsigned index, ControlPort control)
+    : m_index(index)
+    , m_context(1)
+    , m_acceptor(m_context)
+    , m_control(std::move(control))
+    , m_snapshot(new Snapshot)
+    , m_nextWaiter(WaiterId(index) << WaiterThreadShift)
+    , m_random(std::random_device()() + index)
+{ }
+
+TrafficThread::~TrafficThread() = default;
+
+// Every traffic thread listens on the same port; the kernel spreads the connections over them.
+Endpoint TrafficThread::open(const Endpoint &listen)
+{
+    const tcp::endpoint endpoint(boost::asio::ip::make_address(listen.address), listen.port);
+    m_acceptor.open(endpoint.protocol());
+    m_acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+    m_acceptor.set_option(ReusePort(true));
+    m_acceptor.bind(endpoint);
+    m_acceptor.listen();
+    return {listen.address, m_acceptor.local_endpoint().port()};
+}
+
+void TrafficThread::run()
+{
+    boost::asio::co_spawn(m_context, acceptCallers(), boost::asio::detached);
+    boost::asio::co_spawn(m_context, reportRegularly(), boost::asio::detached);
+    m_context.run();
+}
+
+void TrafficThread::publish(SnapshotPtr snapshot)
+{
+    boost::asio::post(m_context, [this, snapshot = std::move(snapshot)]() mutable { takeSnapshot(std::move(snapshot)); });
+}
+
+void TrafficThread::takeSnapshot(SnapshotPtr snapshot)
+{
+    m_snapshot = std::move(snapshot);
+    for (const auto &[name, view] : m_snapshot->services) {
+        auto &dispatch = m_services[name];
+        if (!dispatch) {
+            dispatch = std::make_unique<ServiceDispatch>(m_random());
+        }
+        dispatch->update(*view);
+    }
+}
+
+void TrafficThread::drain()
+{
+    boost::asio::post(m_context, [this] {
+        m_draining = true;
+        error_code ignored;
+        m_acceptor.close(ignored);
+        if (m_sessions == 0) {
+            stop();
+        }
+    });
+}
+
+void TrafficThread::stop()
+{
+    m_context.stop();
+}
+
+void TrafficThread::sessionEnded()
+{
+    --m_sessions;
+    if (m_draining && m_sessions == 0) {
+        m_control.report(std::exchange(m_report, {}));
+        stop();
+    }
+}
+
+ServiceDispatch *TrafficThread::dispatch(const ServiceName &service)
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? nullptr : found->second.get();
+}
+
+std::string TrafficThread::nextRequestId()
+{
+    static constexpr char Digits[] = "0123456789abcdef";
+    std::string id(16, '0');
+    std::uint64_t number = m_random();
+    for (auto &digit : id) {
+        digit = Digits[number & 15];
+        number >>= 4;
+    }
+    return id;
+}
+
+boost::asio::awaitable<TokenAnswer> TrafficThread::token(const TeamName &team, TimePoint deadline)
+{
+    const auto known = m_allowances.find(team);
+    if (known != m_allowances.end() && known->second->take()) {
+        co_return TokenAnswer {true, {}, {}, known->second};
+    }
+    const WaiterId id = ++m_nextWaiter;
+    TokenWaiter waiter {RuntimeTimer(m_context), std::nullopt};
+    m_tokenWaiters.emplace(id, &waiter);
+    const TimePoint giveUpAt = std::min<TimePoint>(deadline, RuntimeClock::now() + config::TokenWaitMax);
+    waiter.timer.expires_at(giveUpAt);
+    m_control.wantToken({m_index, id, team, giveUpAt});
+    error_code cancelled;
+    co_await waiter.timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, cancelled));
+    m_tokenWaiters.erase(id);
+    if (!waiter.answer) {
+        co_return TokenAnswer {false, config::RetryAfterFailure, RefusalReason::NoOwner, nullptr};
+    }
+    if (waiter.answer->allowance) {
+        m_allowances[team] = waiter.answer->allowance;
+    }
+    co_return *waiter.answer;
+}
+
+void TrafficThread::resolveToken(WaiterId waiter, TokenAnswer answer)
+{
+    boost::asio::post(m_context, [this, waiter, answer = std::move(answer)]() mutable {
+        const auto found = m_tokenWaiters.find(waiter);
+        if (found != m_tokenWaiters.end()) {
+            found->second->answer = std::move(answer);
+            found->second->timer.cancel();
+        }
+    });
+}
+
+boost::asio::awaitable<void> TrafficThread::acceptCallers()
+{
+    while (m_acceptor.is_open()) {
+        error_code error;
+        tcp::socket socket = co_await m_acceptor.async_accept(boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        if (!m_acceptor.is_open()) {
+            co_return;
+        }
+        if (error) {
+            logWarning(LogPart::Traffic, "cannot accept a connection: " + error.message());
+            co_await sleepFor(config::AcceptRetryDelay);
+            continue;
+        }
+        socket.set_option(tcp::no_delay(true), error);
+        boost::asio::co_spawn(m_context, runSession(*this, std::move(socket)), boost::asio::detached);
+    }
+}
+
+boost::asio::awaitable<void> TrafficThread::reportRegularly()
+{
+    while (true) {
+        co_await sleepFor(config::TrafficReportInterval);
+        const TimePoint now = RuntimeClock::now();
+        for (const auto &[name, dispatch] : m_services) {
+            dispatch->closeStale(now);
+        }
+        if (!m_report.empty()) {
+            m_control.report(std::exchange(m_report, {}));
+        }
+    }
+}
+}
--- /dev/null
+++ b/src/net_upstream.cpp
@@ -0,0 +1,374 @@
+#include "upstream_p.h"
+
+#include "clock_p.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http.hpp>
+
+#include <charconv>
+#include <sys/socket.h>
+
+namespace plumsill
+{
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace
+{
+constexpr std::size_t ReadChunkBytes = 16 * 1024;
+constexpr unsigned MaxInterimAnswers = 8;
+
+auto token(error_code &error)
+{
+    return boost::asio::redirect_error(boost::asio::use_awaitable, error);
+}
+
+// An idle connection must be silent: bytes before a request belong to no request of ours.
+bool isQuiet(TargetConnection &connection)
+{
+    if (connection.buffer.size() != 0 || !connection.stream.socket().is_open()) {
+        return false;
+    }
+    char byte = 0;
+    const auto count = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+AttemptFailure failureOf(const error_code &error)
+{
+    if (error == boost::beast::error::timeout) {
+        return AttemptFailure::TimedOut;
+    }
+    if (error == http::error::partial_message) {
+        return AttemptFailure::Truncated;
+    }
+    if (error.category() == http::make_error_code(http::error::bad_version).category() && error != http::error::end_of_stream) {
+        return AttemptFailure::Malformed;
+    }
+    return AttemptFailure::ConnectionLost;
+}
+
+// A failure while the body is read means that the answer is short, whatever the socket says.
+AttemptFailure bodyFailureOf(const error_code &error)
+{
+    const auto failure = failureOf(error);
+    return failure == AttemptFailure::ConnectionLost ? AttemptFailure::Truncated : failure;
+}
+
+bool announcesDrain(const AnswerHeader &header)
+{
+    return header.find("Plumsill-Drain") != header.end();
+}
+
+Duration retryAfterOf(const AnswerHeader &header)
+{
+    const auto field = header[http::field::retry_after];
+    unsigned count = 0;
+    std::from_chars(field.data(), field.data() + field.size(), count);
+    return std::chrono::seconds(std::min(count, 3600U));
+}
+
+std::optional<AttemptFailure> unhappyStatus(const AnswerHeader &header)
+{
+    const unsigned status = header.result_int();
+    if (status == 503 && header.find(http::field::retry_after) != header.end()) {
+        return AttemptFailure::Shed;
+    }
+    if (status == 500 || (status >= 502 && status <= 504)) {
+        return AttemptFailure::ServerError;
+    }
+    return std::nullopt;
+}
+
+// The end of an answer without a length or chunks is the end of the connection, which a cut looks like too.
+bool endIsMarked(const AnswerHeader &header, bool chunked, bool hasLength, bool noBody)
+{
+    return noBody || chunked || hasLength || header.result() == http::status::no_content || header.result() == http::status::not_modified;
+}
+
+bool answersOther(const TargetRequest &request, const AnswerHeader &header)
+{
+    const auto sent = request.find("X-Request-Id");
+    const auto echoed = header.find("X-Request-Id");
+    return sent != request.end() && echoed != header.end() && sent->value() != echoed->value();
+}
+
+class AnswerReader
+{
+public:
+    AnswerReader(TargetConnection &connection, const TargetRequest &request, const AnswerSink *sink)
+        : m_connection(connection)
+        , m_request(request)
+        , m_sink(sink)
+    { }
+
+    boost::asio::awaitable<AttemptResult> read();
+    bool keepAlive() const { return m_keepAlive; }
+
+private:
+    using Parser = http::response_parser<http::buffer_body>;
+
+    boost::asio::awaitable<error_code> readHeader();
+    boost::asio::awaitable<std::optional<AttemptResult>> readBody();
+    boost::asio::awaitable<bool> pass(std::string_view bytes);
+    void startParser();
+    AttemptResult fail(AttemptFailure failure) const;
+    AttemptResult finish();
+
+    TargetConnection &m_connection;
+    const TargetRequest &m_request;
+    const AnswerSink *m_sink;
+    std::optional<Parser> m_parser;
+    std::string m_held;
+    bool m_streaming = false;
+    bool m_keepAlive = false;
+};
+
+void AnswerReader::startParser()
+{
+    m_parser.emplace();
+    m_parser->header_limit(config::MaxHeaderBytes);
+    m_parser->body_limit(boost::none);
+    if (m_request.method() == http::verb::head) {
+        m_parser->skip(true);
+    }
+}
+
+// Interim answers (status 1xx) come before the real one.
+boost::asio::awaitable<error_code> AnswerReader::readHeader()
+{
+    for (unsigned interim = 0; interim <= MaxInterimAnswers; ++interim) {
+        error_code error;
+        startParser();
+        co_await http::async_read_header(m_connection.stream, m_connection.buffer, *m_parser, token(error));
+        if (error) {
+            co_return error;
+        }
+        if (m_parser->get().result_int() >= 200) {
+            co_return error_code();
+        }
+        if (m_parser->get().result_int() == 101) {
+            break;
+        }
+    }
+    co_return http::make_error_code(http::error::bad_status);
+}
+
+AttemptResult AnswerReader::fail(AttemptFailure failure) const
+{
+    const auto progress = m_streaming ? AttemptProgress::AnswerStarted : AttemptProgress::Sent;
+    return FailedAttempt {{failure, progress}, std::nullopt, {}};
+}
+
+boost::asio::awaitable<bool> AnswerReader::pass(std::string_view bytes)
+{
+    if (m_streaming) {
+        co_return co_await m_sink->write(bytes);
+    }
+    m_held.append(bytes);
+    if (m_held.size() <= config::MaxBufferedAnswerBytes || m_sink == nullptr) {
+        co_return true;
+    }
+    m_streaming = true;
+    const auto length = m_parser->content_length();
+    if (!co_await m_sink->begin(m_parser->get().base(), length.value_or(0), !length.has_value())) {
+        co_return false;
+    }
+    const std::string held = std::move(m_held);
+    co_return co_await m_sink->write(held);
+}
+
+boost::asio::awaitable<std::optional<AttemptResult>> AnswerReader::readBody()
+{
+    std::array<char, ReadChunkBytes> chunk {};
+    while (!m_parser->is_done()) {
+        auto &body = m_parser->get().body();
+        body.data = chunk.data();
+        body.size = chunk.size();
+        error_code error;
+        co_await http::async_read_some(m_connection.stream, m_connection.buffer, *m_parser, token(error));
+        if (error && error != http::error::need_buffer) {
+            co_return fail(bodyFailureOf(error));
+        }
+        const std::size_t count = chunk.size() - body.size;
+        if (count > 0 && !co_await pass(std::string_view(chunk.data(), count))) {
+            co_return fail(AttemptFailure::ConnectionLost);
+        }
+    }
+    co_return std::nullopt;
+}
+
+AttemptResult AnswerReader::finish()
+{
+    const AnswerHeader &header = m_parser->get().base();
+    const bool leaving = announcesDrain(header);
+    if (m_streaming) {
+        return StreamedAnswer {leaving};
+    }
+    const auto unhappy = unhappyStatus(header);
+    const Duration retryAfter = retryAfterOf(header);
+    HeldAnswer held {TargetAnswer(header, std::move(m_held)), leaving};
+    if (unhappy) {
+        return FailedAttempt {{*unhappy, AttemptProgress::Sent}, std::move(held), retryAfter};
+    }
+    return held;
+}
+
+boost::asio::awaitable<AttemptResult> AnswerReader::read()
+{
+    if (const auto error = co_await readHeader()) {
+        co_return fail(failureOf(error));
+    }
+    const auto &header = m_parser->get().base();
+    const bool noBody = m_request.method() == http::verb::head;
+    if (!endIsMarked(header, m_parser->chunked(), m_parser->content_length().has_value(), noBody) || answersOther(m_request, header)) {
+        co_return fail(AttemptFailure::Malformed);
+    }
+    if (!noBody) {
+        if (auto failed = co_await readBody()) {
+            co_return std::move(*failed);
+        }
+    }
+    m_keepAlive = m_parser->get().keep_alive();
+    co_return finish();
+}
+}
+
+void AttemptHandle::callerGone()
+{
+    m_callerGone = true;
+    if (m_connection && m_cancellable) {
+        m_connection->stream.close();
+    }
+}
+
+void AttemptHandle::attach(const boost::intrusive_ptr<TargetConnection> &connection, bool cancellable)
+{
+    m_connection = connection;
+    m_cancellable = cancellable;
+}
+
+TargetPool::TargetPool(Endpoint endpoint)
+    : m_endpoint(std::move(endpoint))
+{ }
+
+TargetPool::~TargetPool()
+{
+    while (!m_idle.empty()) {
+        drop(m_idle.front());
+    }
+}
+
+void TargetPool::drop(TargetConnection &connection)
+{
+    m_idle.erase(m_idle.iterator_to(connection));
+    intrusive_ptr_release(&connection);
+}
+
+void TargetPool::keep(const Connection &connection, TimePoint now)
+{
+    connection->facts.lastAnswerAt = now;
+    intrusive_ptr_add_ref(connection.get());
+    m_idle.push_front(*connection);
+}
+
+TargetPool::Connection TargetPool::takeIdle(bool idempotent, TimePoint now)
+{
+    while (!m_idle.empty()) {
+        Connection connection(&m_idle.front());
+        if (!reusable(connection->facts, idempotent, m_suspectBefore, now)) {
+            // The newest doesn't serve, so no other does; closeStale() sees to them.
+            return {};
+        }
+        drop(*connection);
+        if (isQuiet(*connection)) {
+            return connection;
+        }
+    }
+    return {};
+}
+
+void TargetPool::closeStale(TimePoint now)
+{
+    for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+        auto &connection = *entry;
+        ++entry;
+        if (!reusable(connection.facts, true, m_suspectBefore, now)) {
+            drop(connection);
+        }
+    }
+}
+
+void TargetPool::noteSilence(TimePoint now)
+{
+    m_suspectBefore = suspectAfterSilence(m_lastAnswerAt, now);
+    closeStale(now);
+}
+
+boost::asio::awaitable<TargetPool::Connection> TargetPool::open(Duration timeout, AttemptHandle *handle, AttemptFailure &failure)
+{
+    const Connection connection(new TargetConnection(boost::beast::tcp_stream(co_await boost::asio::this_coro::executor)));
+    if (handle != nullptr) {
+        handle->attach(connection, true);
+    }
+    const boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address(m_endpoint.address), m_endpoint.port);
+    connection->stream.expires_after(std::min<Duration>(timeout, config::ConnectTimeout));
+    error_code error;
+    co_await connection->stream.async_connect(address, token(error));
+    if (error) {
+        failure = AttemptFailure::ConnectFailed;
+        co_return Connection();
+    }
+    connection->stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), error);
+    connection->facts.openedAt = RuntimeClock::now();
+    connection->facts.lastAnswerAt = connection->facts.openedAt;
+    co_return connection;
+}
+
+boost::asio::awaitable<AttemptResult> TargetPool::attempt(const TargetRequest &request, AttemptOptions options)
+{
+    const TimePoint start = RuntimeClock::now();
+    Connection connection = takeIdle(options.idempotent, start);
+    if (!connection) {
+        AttemptFailure failure = AttemptFailure::ConnectFailed;
+        connection = co_await open(options.timeout, options.handle, failure);
+        if (!connection) {
+            co_return FailedAttempt {{failure, AttemptProgress::NothingSent}, std::nullopt, {}};
+        }
+    }
+    if (options.handle != nullptr) {
+        if (options.handle->isCallerGone()) {
+            co_return FailedAttempt {{AttemptFailure::ConnectionLost, AttemptProgress::NothingSent}, std::nullopt, {}};
+        }
+        options.handle->attach(connection, options.idempotent);
+    }
+    connection->stream.expires_after(std::max<Duration>(options.timeout - (RuntimeClock::now() - start), std::chrono::milliseconds(1)));
+    error_code error;
+    co_await http::async_write(connection->stream, request, token(error));
+    if (error) {
+        // Some of it may have left, so it counts as sent.
+        const auto failure = error == boost::beast::error::timeout ? AttemptFailure::TimedOut : AttemptFailure::ConnectionLost;
+        co_return FailedAttempt {{failure, AttemptProgress::Sent}, std::nullopt, {}};
+    }
+    AnswerReader reader(*connection, request, options.sink);
+    AttemptResult result = co_await reader.read();
+    const TimePoint now = RuntimeClock::now();
+    if (options.handle != nullptr) {
+        options.handle->detach();
+    }
+    const auto *failed = std::get_if<FailedAttempt>(&result);
+    if (failed != nullptr && !failed->answer) {
+        if (failed->failed.failure == AttemptFailure::TimedOut) {
+            noteSilence(now);
+        }
+        co_return result;
+    }
+    m_lastAnswerAt = now;
+    const bool reuse = reader.keepAlive() && connection->buffer.size() == 0;
+    if (reuse && m_idle.size() < config::MaxConnectionsPerTarget) {
+        connection->stream.expires_never();
+        keep(connection, now);
+    }
+    co_return result;
+}
+}
--- /dev/null
+++ b/src/snapshot_p.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <plumsill/document.h>
+#include <plumsill/health.h>
+#include <plumsill/keys.h>
+#include <plumsill/messages.h>
+#include <plumsill/routing.h>
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <memory>
+#include <unordered_map>
+
+namespace plumsill
+{
+/// A document with the indexes that the traffic threads search.
+struct CompiledDocument : boost::intrusive_ref_counter<CompiledDocument> {
+    CompiledDocument(DocumentStamp documentStamp, std::shared_ptr<const Document> parsed)
+        : stamp(std::move(documentStamp))
+        , document(std::move(parsed))
+        , routes(document)
+        , keys(*document)
+    { }
+    const DocumentStamp stamp;
+    const std::shared_ptr<const Document> document;
+    const RouteTable routes;
+    const KeyTable keys;
+};
+
+/// Everything that control tells the traffic threads; never changed once published.
+struct Snapshot : boost::intrusive_ref_counter<Snapshot> {
+    boost::intrusive_ptr<const CompiledDocument> compiled; ///< null before the first document
+    std::unordered_map<ServiceName, std::shared_ptr<const ServiceView>> services;
+    TimePoint trustedUntil; ///< keys of the document hold until then
+    bool leaving = false; ///< the daemon is being stopped
+};
+
+using SnapshotPtr = boost::intrusive_ptr<const Snapshot>;
+}
--- /dev/null
+++ b/src/traffic_p.h
@@ -0,0 +1,193 @@
+#pragma once
+
+#include "clock_p.h"
+#include "snapshot_p.h"
+#include "upstream_p.h"
+
+#include <plumsill/allowance.h>
+#include <plumsill/attempt.h>
+#include <plumsill/balancer.h>
+#include <plumsill/concurrency.h>
+#include <plumsill/fairqueue.h>
+#include <plumsill/limits.h>
+#include <plumsill/metrics.h>
+#include <plumsill/settings.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <unordered_map>
+
+namespace plumsill
+{
+/// A request that waits for a token of its team's limit.
+struct TokenRequest {
+    unsigned thread = 0;
+    WaiterId waiter = 0;
+    TeamName team;
+    TimePoint deadline;
+
+    auto operator<=>(const TokenRequest &) const = default;
+};
+
+/// Control's answer to a TokenRequest.
+struct TokenAnswer {
+    bool admitted = false;
+    Duration retryAfter {};
+    RefusalReason reason = RefusalReason::NoOwner;
+    TeamAllowancePtr allowance; ///< for the team's next requests; may be null
+};
+
+/// What a traffic thread asks of control; each call posts and returns at once.
+struct ControlPort {
+    std::function<void(TrafficReport)> report;
+    std::function<void(TokenRequest)> wantToken;
+};
+
+/// One target as one traffic thread uses it.
+struct TargetRuntime {
+    explicit TargetRuntime(const Endpoint &endpoint)
+        : pool(endpoint)
+    { }
+    TargetPool pool;
+    LatencyEstimate latency;
+    unsigned inFlight = 0;
+};
+
+using TargetRuntimePtr = std::shared_ptr<TargetRuntime>;
+
+/// A chosen target; counts as in flight while it lives.
+class TargetLease
+{
+public:
+    TargetLease(TargetName name, TargetRuntimePtr runtime, std::function<void()> released);
+    ~TargetLease();
+    TargetLease(const TargetLease &) = delete;
+    TargetLease &operator=(const TargetLease &) = delete;
+
+    const TargetName &name() const { return m_name; }
+    TargetRuntime &runtime() { return *m_runtime; }
+
+private:
+    TargetName m_name;
+    TargetRuntimePtr m_runtime;
+    std::function<void()> m_released;
+};
+
+/// A request that waits for a target.
+struct DispatchRequest {
+    TeamName team;
+    TimePoint deadline;
+    std::vector<TargetName> tried; ///< targets that failed it before
+};
+
+/// No target: either none is in use, or the request could not be served in time.
+struct NoTarget {
+    bool overloaded = false;
+    Duration retryAfter {};
+};
+
+using DispatchResult = std::variant<std::unique_ptr<TargetLease>, NoTarget>;
+
+/// One service as one traffic thread uses it.
+class ServiceDispatch
+{
+public:
+    explicit ServiceDispatch(std::uint64_t seed);
+
+    /// Takes over the newest view; targets that are gone lose their pools when their last request ends.
+    void update(const ServiceView &view);
+    /// Chooses a target that was not tried; waits in the team's queue while all are busy.
+    boost::asio::awaitable<DispatchResult> acquire(const DispatchRequest &request);
+    /// True when another target than the tried ones is in use.
+    bool targetsLeft(const std::vector<TargetName> &tried) const;
+    RetryBudget &retries() { return m_retries; }
+    ConcurrencyLimit &concurrency() { return m_concurrency; }
+    bool limitReached() const { return m_inFlight >= m_concurrency.value(); }
+    /// Closes idle connections that may carry no more requests.
+    void closeStale(TimePoint now);
+
+private:
+    struct Waiter {
+        RuntimeTimer timer;
+        const DispatchRequest &request;
+        std::optional<DispatchResult> result;
+    };
+
+    std::unique_ptr<TargetLease> pick(const std::vector<TargetName> &tried);
+    boost::asio::awaitable<DispatchResult> wait(const DispatchRequest &request);
+    void resolve(std::uint64_t id, DispatchResult result);
+    void serveQueue();
+
+    Balancer m_balancer;
+    RetryBudget m_retries;
+    ConcurrencyLimit m_concurrency;
+    ServiceView m_view;
+    std::unordered_map<TargetName, TargetRuntimePtr> m_targets;
+    FairQueue m_queue;
+    std::map<std::uint64_t, Waiter *> m_waiters;
+    std::uint64_t m_nextWaiter = 1;
+    std::size_t m_inFlight = 0;
+};
+
+/// An event loop that accepts callers and forwards their requests.
+class TrafficThread
+{
+public:
+    TrafficThread(unsigned index, ControlPort control);
+    ~TrafficThread();
+    TrafficThread(const TrafficThread &) = delete;
+    TrafficThread &operator=(const TrafficThread &) = delete;
+
+    /// Binds the listening socket; returns the endpoint with its real port. Throws system_error.
+    Endpoint open(const Endpoint &listen);
+    /// Runs the loop until it is stopped.
+    void run();
+    /// Hands over a snapshot; may be called from any thread.
+    void publish(SnapshotPtr snapshot);
+    /// Stops accepting; run() returns once no request is left.
+    void drain();
+    void stop();
+
+    // For the sessions of this thread.
+    const SnapshotPtr &snapshot() const { return m_snapshot; }
+    TrafficReport &report() { return m_report; }
+    ServiceDispatch *dispatch(const ServiceName &service);
+    std::string nextRequestId();
+    /// Takes a token of the team's limit; asks control where this daemon has none left.
+    boost::asio::awaitable<TokenAnswer> token(const TeamName &team, TimePoint deadline);
+    /// Control's answer to a TokenRequest; may be called from any thread.
+    void resolveToken(WaiterId waiter, TokenAnswer answer);
+    void sessionStarted() { ++m_sessions; }
+    void sessionEnded();
+
+private:
+    boost::asio::awaitable<void> acceptCallers();
+    boost::asio::awaitable<void> reportRegularly();
+    void takeSnapshot(SnapshotPtr snapshot);
+
+    struct TokenWaiter {
+        RuntimeTimer timer;
+        std::optional<TokenAnswer> answer;
+    };
+
+    const unsigned m_index;
+
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    ControlPort m_control;
+    SnapshotPtr m_snapshot;
+    TrafficReport m_report;
+    std::unordered_map<ServiceName, std::unique_ptr<ServiceDispatch>> m_services;
+    std::unordered_map<TeamName, TeamAllowancePtr> m_allowances;
+    std::map<WaiterId, TokenWaiter *> m_tokenWaiters;
+    WaiterId m_nextWaiter;
+    std::mt19937_64 m_random;
+    std::size_t m_sessions = 0;
+    bool m_draining = false;
+};
+}
--- /dev/null
+++ b/src/upstream_p.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <plumsill/attempt.h>
+#include <plumsill/config.h>
+#include <plumsill/types.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/intrusive/list.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <functional>
+#include <optional>
+#include <string_view>
+#include <variant>
+
+namespace plumsill
+{
+using TargetRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using TargetAnswer = boost::beast::http::response<boost::beast::http::string_body>;
+using AnswerHeader = boost::beast::http::response_header<>;
+
+/// Takes an answer that is too large to be held until it is whole.
+struct AnswerSink {
+    std::function<boost::asio::awaitable<bool>(const AnswerHeader &header, std::uint64_t contentLength, bool chunked)> begin;
+    std::function<boost::asio::awaitable<bool>(std::string_view bytes)> write;
+};
+
+/// The whole answer, held in memory.
+struct HeldAnswer {
+    TargetAnswer answer;
+    bool targetLeaving = false;
+};
+
+/// The whole answer went through the sink.
+struct StreamedAnswer {
+    bool targetLeaving = false;
+};
+
+/// The attempt failed; a shed or server error brings the target's own answer.
+struct FailedAttempt {
+    AttemptFailed failed;
+    std::optional<HeldAnswer> answer;
+    Duration retryAfter {};
+};
+
+using AttemptResult = std::variant<HeldAnswer, StreamedAnswer, FailedAttempt>;
+
+/// One connection to a target; carries one request at a time.
+struct TargetConnection : boost::intrusive_ref_counter<TargetConnection, boost::thread_unsafe_counter>, boost::intrusive::list_base_hook<> {
+    explicit TargetConnection(boost::beast::tcp_stream &&stream)
+        : stream(std::move(stream))
+    { }
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    ConnectionFacts facts;
+};
+
+/// The part of a request that its caller's connection can end: shared by the session and the running attempt.
+class AttemptHandle
+{
+public:
+    /// The caller closed its connection: an idempotent attempt is cancelled, any other is let run to its end.
+    void callerGone();
+    bool isCallerGone() const { return m_callerGone; }
+    /// The request has its answer; what comes later changes nothing.
+    void finish() { m_finished = true; }
+    bool finished() const { return m_finished; }
+    void attach(const boost::intrusive_ptr<TargetConnection> &connection, bool cancellable);
+    void detach() { m_connection.reset(); }
+
+private:
+    boost::intrusive_ptr<TargetConnection> m_connection;
+    bool m_cancellable = true;
+    bool m_callerGone = false;
+    bool m_finished = false;
+};
+
+/// How one attempt is to be made.
+struct AttemptOptions {
+    bool idempotent = false;
+    Duration timeout {};
+    const AnswerSink *sink = nullptr;
+    AttemptHandle *handle = nullptr;
+};
+
+/// Connections of one traffic thread to one target.
+class TargetPool
+{
+public:
+    explicit TargetPool(Endpoint endpoint);
+    ~TargetPool();
+    TargetPool(const TargetPool &) = delete;
+    TargetPool &operator=(const TargetPool &) = delete;
+
+    /// Sends @p request once and reads its answer.
+    boost::asio::awaitable<AttemptResult> attempt(const TargetRequest &request, AttemptOptions options);
+    const Endpoint &endpoint() const { return m_endpoint; }
+    std::size_t idleConnections() const { return m_idle.size(); }
+    /// Closes idle connections that may carry no more requests.
+    void closeStale(TimePoint now);
+
+private:
+    using Connection = boost::intrusive_ptr<TargetConnection>;
+    using IdleList = boost::intrusive::list<TargetConnection>;
+
+    Connection takeIdle(bool idempotent, TimePoint now);
+    void keep(const Connection &connection, TimePoint now);
+    void drop(TargetConnection &connection);
+    void noteSilence(TimePoint now);
+    boost::asio::awaitable<Connection> open(Duration timeout, AttemptHandle *handle, AttemptFailure &failure);
+
+    Endpoint m_endpoint;
+    IdleList m_idle; // newest answer first; each holds one count
+    std::optional<TimePoint> m_lastAnswerAt;
+    std::optional<TimePoint> m_suspectBefore;
+};
+}
--- a/tests/test_attempt.cpp
+++ b/tests/test_attempt.cpp
@@ -27,7 +27,7 @@
         const auto step = request.failed({failure, AttemptProgress::Sent}, true, budget, start);
         const auto *answer = std::get_if<GiveUp>(&step);
         CHECK(answer != nullptr);
-        CHECK(answer->outcome == Outcome::Unknown);
+        CHECK(answer->outcome == RunOutcome::Unknown);
         CHECK(answer->retryAfter == Duration::zero());
     }
 }
@@ -38,7 +38,7 @@
     const AttemptFailed failure {AttemptFailure::ConnectFailed, AttemptProgress::NothingSent};
     CHECK(std::holds_alternative<TryAgain>(request.failed(failure, true, budget, start)));
     const auto step = request.failed(failure, false, budget, start);
-    CHECK((step == NextStep(GiveUp {503, Outcome::NotRun, config::RetryAfterFailure})));
+    CHECK((step == NextStep(GiveUp {503, RunOutcome::NotRun, config::RetryAfterFailure})));
 }
 
 TEST(Attempt, OneSentAttemptMakesTheOutcomeUnknownForGood)
@@ -46,7 +46,7 @@
     RequestAttempts request(true, start + 5s);
     CHECK(std::holds_alternative<TryAgain>(request.failed({AttemptFailure::ConnectionLost, AttemptProgress::Sent}, true, budget, start)));
     const auto step = request.failed({AttemptFailure::ConnectFailed, AttemptProgress::NothingSent}, false, budget, start);
-    CHECK(std::get<GiveUp>(step).outcome == Outcome::Unknown);
+    CHECK(std::get<GiveUp>(step).outcome == RunOutcome::Unknown);
 }
 
 TEST(Attempt, StartedAnswerIsAborted)
@@ -90,7 +90,7 @@
 TEST(Attempt, DeadlineBeforeTheFirstAttemptIsNotRun)
 {
     const RequestAttempts request(false, start);
-    CHECK((request.noTarget(start) == GiveUp {504, Outcome::NotRun, config::RetryAfterFailure}));
+    CHECK((request.noTarget(start) == GiveUp {504, RunOutcome::NotRun, config::RetryAfterFailure}));
 }
 
 TEST(Attempt, QuietConnectionsCarryOnlyIdempotentRequests)
