Headers of the team limits, allowances and fair queue

Cause: the daemon's glue is written against them. Grants carry a delay and a status, reports carry ids and an age, hand-overs carry what is outstanding, so that the owner's bucket equals the ideal one.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -20,8 +20,18 @@
 
 // Team limits.
 inline constexpr auto GrantLifetime = 500ms;
-inline constexpr unsigned TeamParts = 3;
+inline constexpr auto GrantExpiryMargin = 25ms; // clock drift over one lifetime
+inline constexpr unsigned TeamParts = 12;
+inline constexpr double MinPartBurst = 4.0; // tokens; a team with less than two parts of this size has one part
+inline constexpr auto LimitsTick = 10ms;
+inline constexpr auto GrantTimeout = 25ms; // then the next part's owner is asked
+inline constexpr auto OwnerSuspectTime = 1000ms;
+inline constexpr unsigned PartTriesMax = 4;
 inline constexpr auto TokenWaitMax = 300ms;
+inline constexpr auto GrantReportDelay = 20ms;
+inline constexpr auto OverRatePause = 100ms; // between rounds over the parts while all refuse
+inline constexpr auto LimitsIdleTime = 10'000ms; // then an idle team's state is dropped
+inline constexpr auto LimitsChangeDelay = ConfirmationLifetime + ClockDriftMargin + GrantLifetime;
 
 // Document.
 inline constexpr auto DocumentTrustLifetime = 5000ms;
--- /dev/null
+++ b/include/plumsill/limits.h
@@ -0,0 +1,241 @@
+#pragma once
+
+#include <plumsill/allowance.h>
+#include <plumsill/clock.h>
+#include <plumsill/document.h>
+#include <plumsill/messages.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+/// Team limits: token buckets cut into parts, each granted by one owner and spent by holders.
+namespace plumsill
+{
+/// Rate and burst of a team, or of one part of its bucket.
+struct TeamLimits {
+    double rate = 0; ///< tokens a second
+    double burst = 0; ///< tokens
+
+    auto operator<=>(const TeamLimits &) const = default;
+};
+
+/// One part of a team's bucket; has at most one acting owner.
+struct PartKey {
+    TeamName team;
+    std::uint32_t part = 0;
+
+    auto operator<=>(const PartKey &) const = default;
+};
+
+/// Number of parts that a bucket is cut into.
+unsigned partCount(const TeamLimits &limits);
+/// Limits of each part; the parts' sum is the whole.
+TeamLimits partLimits(const TeamLimits &limits);
+
+/// A daemon's right to act as owner of one part.
+struct Tenure {
+    bool mayAct = false; ///< confirmed now, and the wait is over or the part was handed over
+    std::uint64_t since = 0; ///< epoch from which this daemon has owned the part without a gap
+    TimePoint from; ///< when it became free to act in this tenure
+
+    auto operator<=>(const Tenure &) const = default;
+};
+
+/// A team whose limits differ between two documents.
+struct LimitsChange {
+    TeamName team;
+    TeamLimits before; ///< zero for a team that is new
+    TeamLimits after; ///< zero for a team that is gone
+
+    auto operator<=>(const LimitsChange &) const = default;
+};
+
+/// Teams whose limits differ between the two documents.
+std::vector<LimitsChange> changedLimits(const Document &before, const Document &after);
+
+/// Bucket of one part at its owner. Admissions of the whole fleet from it stay within burst + rate * time.
+class PartBucket
+{
+public:
+    PartBucket(const TeamLimits &limits, double filled, TimePoint now);
+
+    /// Tokens free to grant; negative while delayed grants are open.
+    double available() const { return m_filled - m_outstanding; }
+    double outstanding() const { return m_outstanding; }
+    bool full() const;
+    const TeamLimits &limits() const { return m_limits; }
+
+    /// Refills up to @p now.
+    void advance(TimePoint now);
+    /// Changes the limits from now on; what exceeds the new burst is lost.
+    void setLimits(const TeamLimits &limits);
+    /// Promises tokens to a holder.
+    void grant(double tokens);
+    /// Granted tokens were spent, at the latest @p age ago; or have to be counted so.
+    void spent(double tokens, Duration age);
+    /// Granted tokens come back.
+    void giveBack(double tokens);
+    /// Time until @p tokens can be granted.
+    Duration delayFor(double tokens) const;
+
+private:
+    TeamLimits m_limits;
+    double m_filled; ///< level of the ideal bucket, fed with the spending known so far
+    double m_outstanding = 0;
+    TimePoint m_time;
+    std::optional<TimePoint> m_fullSince;
+};
+
+/// Owner's side: grants tokens of the parts that this daemon owns. One for each daemon.
+class LimitsOwner
+{
+public:
+    /// Answers a request; nothing for one that can't be valid. @p limits are the whole team's, of the present document.
+    std::optional<Grant> onGrantRequest(const MemberId &holder, const GrantRequest &request, const TeamLimits &limits, const Tenure &tenure, TimePoint now);
+    /// Takes back what a holder didn't spend.
+    void onGiveBack(const MemberId &holder, const GiveBack &message, TimePoint now);
+    /// Call for each changed team once the new document is confirmed: growth waits until owners with the old one have lapsed.
+    void limitsChanged(const LimitsChange &change, TimePoint now);
+    /// Gives up every part for a planned stop: nothing more is granted by this daemon.
+    std::vector<HandOver> handOver(TimePoint now);
+    /// Takes over a part's balance; false where this daemon has already granted in this tenure or the hand-over is stale.
+    bool acceptHandOver(const HandOver &message, std::uint64_t senderEpoch, const TeamLimits &limits, const Tenure &tenure, TimePoint now);
+    /// Counts expired grants as spent and drops idle parts.
+    void tick(TimePoint now);
+
+    /// Parts with state.
+    std::size_t activeParts() const { return m_parts.size(); }
+    /// Tokens free to grant; nothing for a part without state.
+    std::optional<double> available(const PartKey &key) const;
+
+private:
+    struct GrantId {
+        MemberId holder;
+        std::uint64_t id = 0;
+
+        auto operator<=>(const GrantId &) const = default;
+    };
+    struct OpenGrant {
+        std::uint32_t tokens = 0;
+        bool ended = false; ///< reported or given back
+        Grant answer;
+    };
+    struct Expiry {
+        TimePoint at;
+        GrantId grant;
+    };
+    struct Part {
+        PartBucket bucket;
+        PartBucket demand; ///< ideal bucket fed with the requests as they come; decides refusals of a team with one part
+        std::uint64_t tenure = 0;
+        bool granted = false;
+        double inherited = 0; ///< outstanding tokens taken over from the last owner
+        TimePoint inheritedExpiry;
+        TimePoint lastUse;
+        std::map<GrantId, OpenGrant> grants;
+        std::deque<Expiry> expiries;
+    };
+    struct Change {
+        TeamLimits before;
+        TimePoint until;
+    };
+
+    TeamLimits effectiveLimits(const TeamName &team, const TeamLimits &limits, TimePoint now) const;
+    Part *partFor(const PartKey &key, const TeamLimits &limits, const Tenure &tenure, TimePoint now);
+    static Part freshPart(const TeamLimits &limits, const Tenure &tenure, TimePoint now);
+    static void expire(Part &part, TimePoint now);
+    static void settle(Part &part, const MemberId &holder, const std::vector<GrantReport> &reports, TimePoint now);
+    static Grant decide(Part &part, const GrantRequest &request, bool onlyPart);
+
+    std::map<PartKey, Part> m_parts;
+    std::map<TeamName, Change> m_changes;
+    bool m_stopped = false;
+};
+
+/// Identifies a caller's request that waits for a token.
+using WaiterId = std::uint64_t;
+
+/// Send to the owner of the part in the message.
+struct SendGrantRequest {
+    GrantRequest message;
+
+    auto operator<=>(const SendGrantRequest &) const = default;
+};
+
+/// Send to the owner of the part in the message.
+struct SendGiveBack {
+    GiveBack message;
+
+    auto operator<=>(const SendGiveBack &) const = default;
+};
+
+/// Let these requests pass now: a token of each is spent.
+struct Admit {
+    std::vector<WaiterId> waiters;
+
+    auto operator<=>(const Admit &) const = default;
+};
+
+enum class RefusalReason : std::uint8_t
+{
+    OverRate,
+    NoOwner, ///< no owner of the team's parts could be reached
+};
+
+/// Answer these requests 429 (over rate) or 503 (no owner), not run.
+struct Refuse {
+    std::vector<WaiterId> waiters;
+    Duration retryAfter {};
+    RefusalReason reason = RefusalReason::OverRate;
+
+    auto operator<=>(const Refuse &) const = default;
+};
+
+using LimitsEffect = std::variant<SendGrantRequest, SendGiveBack, Admit, Refuse>;
+using LimitsEffects = std::vector<LimitsEffect>;
+
+/// Holder's side: keeps the allowances of this daemon filled. One for each daemon, control thread.
+class LimitsHolder
+{
+public:
+    /// @p seed differs between daemons; spreads them over the parts.
+    explicit LimitsHolder(std::uint64_t seed);
+    ~LimitsHolder();
+    LimitsHolder(const LimitsHolder &) = delete;
+    LimitsHolder &operator=(const LimitsHolder &) = delete;
+
+    /// Allowance of a team for the traffic threads; made at the first call. Kept while anyone else refers to it.
+    TeamAllowancePtr allowance(const TeamName &team, const TeamLimits &limits, TimePoint now);
+    /// A request found its allowance empty and waits until @p deadline at most.
+    LimitsEffects wantToken(const TeamName &team, const TeamLimits &limits, WaiterId waiter, TimePoint deadline, TimePoint now);
+    /// The waiting request was given up by its caller.
+    void cancel(const TeamName &team, WaiterId waiter);
+    /// @p epoch is the sender's: an older one than adopted is refused.
+    LimitsEffects onGrant(const Grant &grant, std::uint64_t epoch, TimePoint now);
+    /// Call every LimitsTick, and at nextWake().
+    LimitsEffects tick(TimePoint now);
+    /// Takes the limits of a new document for teams with state.
+    void limitsChanged(const LimitsChange &change);
+    void adoptEpoch(std::uint64_t epoch);
+    /// Gives everything back for a planned stop.
+    LimitsEffects release(TimePoint now);
+
+    /// Earliest time at which tick() has something to do before the next LimitsTick.
+    std::optional<TimePoint> nextWake() const;
+    std::size_t activeTeams() const;
+
+private:
+    struct Team;
+
+    std::uint64_t m_seed;
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_nextId = 1;
+    std::unordered_map<TeamName, std::unique_ptr<Team>> m_teams;
+};
+}
--- a/include/plumsill/messages.h
+++ b/include/plumsill/messages.h
@@ -54,65 +54,90 @@
     }
 };
 
+/// End of one grant: what isn't unspent was spent, the last of it at least `ageMilliseconds` before the report was sent.
+struct GrantReport {
+    std::uint64_t id = 0; ///< of the grant
+    std::uint32_t unspent = 0;
+    std::uint32_t ageMilliseconds = 0;
+
+    auto operator<=>(const GrantReport &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, unspent, ageMilliseconds);
+    }
+};
+
 /// Asks the owner of one part of a team's bucket for tokens.
 struct GrantRequest {
     std::uint64_t id = 0; ///< unique for one incarnation of the sender
     TeamName team;
     std::uint32_t part = 0;
-    std::uint32_t wanted = 0;
-    std::uint32_t spent = 0; ///< tokens of the grants in `finished` that were spent
-    std::vector<std::uint64_t> finished; ///< grants that are wholly spent or given back
+    std::uint32_t waiting = 0; ///< requests that wait for a token
+    std::uint32_t ahead = 0; ///< tokens wanted for requests to come
+    std::uint32_t patienceMilliseconds = 0; ///< longest delay at which tokens are still of use
+    std::vector<GrantReport> finished; ///< of the same part
 
     auto operator<=>(const GrantRequest &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, team, part, wanted, spent, finished);
+        archive(id, team, part, waiting, ahead, patienceMilliseconds, finished);
     }
 };
 
-/// Tokens that expire GrantLifetime after their request was sent. None: refused, come back later.
+/// How an owner answered a grant request.
+enum class GrantStatus : std::uint8_t
+{
+    Granted,
+    OverRate, ///< come back later
+    NotActing, ///< this daemon doesn't act for the part now
+};
+
+/// Tokens that may be spent from `delayMilliseconds` after receipt until GrantLifetime after the request was sent.
 struct Grant {
     std::uint64_t id = 0; ///< of the request
     TeamName team;
     std::uint32_t part = 0;
+    GrantStatus status = GrantStatus::NotActing;
     std::uint32_t tokens = 0;
+    std::uint32_t delayMilliseconds = 0;
     std::uint32_t retryAfterMilliseconds = 0;
 
     auto operator<=>(const Grant &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, team, part, tokens, retryAfterMilliseconds);
+        archive(id, team, part, status, tokens, delayMilliseconds, retryAfterMilliseconds);
     }
 };
 
-/// Ends a grant early: what was spent of it counts, the rest goes back to the bucket.
+/// Ends grants early: what was spent of them counts, the rest goes back to the bucket.
 struct GiveBack {
-    std::uint64_t id = 0; ///< of the grant
     TeamName team;
     std::uint32_t part = 0;
-    std::uint32_t unspent = 0;
+    std::vector<GrantReport> finished;
 
     auto operator<=>(const GiveBack &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, team, part, unspent);
+        archive(team, part, finished);
     }
 };
 
-/// Balance of one part that its owner gives up on a planned stop.
+/// One part that its owner gives up on a planned stop.
 struct HandOver {
     TeamName team;
     std::uint32_t part = 0;
-    double balance = 0; ///< tokens
+    double balance = 0; ///< tokens free to grant
+    double outstanding = 0; ///< tokens granted and not yet reported; they expire within GrantLifetime
 
     auto operator<=>(const HandOver &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(team, part, balance);
+        archive(team, part, balance, outstanding);
     }
 };
 
