Health, detector and balancer: public headers

Evidence counts are 16 bits wide and slowness is a count against a limit that the owner's verdict gives, in place of squared logarithms: squares are ruled by the few slowest answers. Leaving targets in pulses carry their endpoint, so a target that comes back elsewhere under its name is not taken for the one that left.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -32,7 +32,19 @@
 inline constexpr auto EjectionPermitLifetime = 2000ms;
 inline constexpr auto EjectionBase = 5000ms;
 inline constexpr auto EjectionMax = 120'000ms;
+inline constexpr auto EjectionForgetAfter = 60'000ms; ///< without a new ejection the next one is half as long
 inline constexpr auto SlowStart = 10'000ms;
+inline constexpr double SlowStartWeight = 0.1;
+inline constexpr auto ColdStartGrace = 10'000ms; ///< slowness of a new target isn't counted
+inline constexpr std::uint32_t TrialPerMille = 100;
+inline constexpr auto EvidenceWindow = 3000ms; ///< time constant of the recent shares
+inline constexpr auto LatencyWindow = 20'000ms; ///< time constant of the usual latency
+inline constexpr auto EvidenceSenderForgetAfter = 10'000ms;
+inline constexpr unsigned SilentRequestsBeforeAvoidance = 3;
+inline constexpr auto AvoidanceBase = 1000ms;
+inline constexpr auto AvoidanceMax = 10'000ms;
+inline constexpr auto LeavingAnnounceTime = 10'000ms;
+inline constexpr auto LeavingForgetAfter = 30'000ms; ///< once the list no longer shows the target
 
 // Platform's service.
 inline constexpr auto StoreCallTimeout = 2000ms;
--- /dev/null
+++ b/include/plumsill/detector.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include <plumsill/clock.h>
+#include <plumsill/document.h>
+#include <plumsill/messages.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace plumsill
+{
+/// Daemon that gathered evidence, with its zone.
+struct EvidenceSource {
+    MemberId member;
+    ZoneName zone;
+
+    auto operator<=>(const EvidenceSource &) const = default;
+};
+
+/// How a request to a target ended.
+enum class AnswerKind
+{
+    Good,
+    Error,
+    Timeout,
+    Truncated,
+    Shed,
+    Unreachable,
+};
+
+/// Adds one ended request; @p countedSlow says that countOverdue() was called for it. No slow limit: zero.
+void countAnswer(TargetEvidence &evidence, AnswerKind kind, Duration latency, Duration slowAfter, bool countedSlow);
+/// Adds a request that still waits and has just passed the slow limit.
+void countOverdue(TargetEvidence &evidence);
+/// Adds up the evidence of two threads on the same target.
+void addEvidence(TargetEvidence &sum, const TargetEvidence &part);
+
+/// Thresholds of one detection profile.
+struct DetectorThresholds {
+    double usualShare = 0; ///< least share of bad requests that is taken as usual
+    double errorShare = 0; ///< share of failed requests of an ill target
+    double slowShare = 0; ///< share of slow requests of an ill target
+    double slowFactor = 0; ///< slow limit as a multiple of the usual latency
+    double alarm = 0; ///< log-likelihood ratio at which a target counts as ill
+    double recovered = 0; ///< log-likelihood ratio, sign changed, at which a target on trial counts as well
+
+    auto operator<=>(const DetectorThresholds &) const = default;
+};
+
+DetectorThresholds thresholdsOf(const HealthPolicy &policy);
+
+/// Why a target counts as ill.
+enum class IllnessCause
+{
+    Errors,
+    Slowness,
+    Unreachable,
+};
+
+std::string toString(IllnessCause cause);
+
+/// A target that the test finds ill; a higher score is worse.
+struct Illness {
+    TargetName target;
+    IllnessCause cause = IllnessCause::Errors;
+    double score = 0;
+
+    auto operator<=>(const Illness &) const = default;
+};
+
+/// Result of the trial requests of an ejected target.
+enum class TrialResult
+{
+    Open,
+    Recovered,
+    StillIll,
+};
+
+/// Sequential test on the pooled evidence on the targets of one service, each against its peers.
+class Detector
+{
+public:
+    explicit Detector(const HealthPolicy &policy);
+
+    void setPolicy(const HealthPolicy &policy);
+    /// Targets to judge; those that a later call adds count as cold at first.
+    void setTargets(const std::vector<TargetName> &targets, TimePoint now);
+    void add(const EvidenceSource &source, const TargetEvidence &evidence, TimePoint now);
+    /// Forgets the evidence on @p target, before trials and after its return.
+    void restart(const TargetName &target);
+
+    /// Ill targets, the worst first. None while the whole service is slow or failing.
+    std::vector<Illness> ill(TimePoint now) const;
+    TrialResult trialResult(const TargetName &target) const;
+    /// Badness for ordering only: higher is worse.
+    double score(const TargetName &target) const;
+    bool cold(const TargetName &target, TimePoint now) const;
+    /// Connections fail from several zones, or from several daemons where all are in one zone.
+    bool unreachable(const TargetName &target, TimePoint now) const;
+    /// Latency above which a request is slow; zero while too little is known.
+    Duration slowAfter() const;
+
+private:
+    /// Counts that fade with time.
+    struct FadingCounts {
+        double ok = 0;
+        double bad = 0;
+        TimePoint at;
+
+        void fade(TimePoint now, Duration window);
+        double share() const;
+        double total() const { return ok + bad; }
+    };
+
+    /// One-sided cumulative sum, kept as a whole and for each group of senders.
+    struct CumulativeSum {
+        double whole = 0;
+        double sinceRestart = 0;
+        std::map<std::string, double> byGroup;
+
+        void add(const std::string &group, double ratio);
+        double withoutWorstGroup() const;
+    };
+
+    struct TargetRecord {
+        CumulativeSum errors;
+        CumulativeSum slowness;
+        CumulativeSum connections;
+        FadingCounts recentErrors;
+        FadingCounts recentSlow;
+        double answers = 0;
+        double logLatencySum = 0;
+        TimePoint latencyAt;
+        std::optional<TimePoint> coldSince;
+        std::map<std::string, TimePoint> unreachableFrom; ///< group to last failure
+        std::map<std::string, TimePoint> reachedFrom; ///< group to last answer
+    };
+
+    using Counts = FadingCounts TargetRecord::*;
+    using Sum = CumulativeSum TargetRecord::*;
+
+    std::string groupOf(const EvidenceSource &source) const;
+    void noteSource(const EvidenceSource &source, TimePoint now);
+    double usualShare(const TargetName &target, Counts counts, TimePoint now) const;
+    bool alarmed(const TargetRecord &record, Sum sum) const;
+    bool outlier(const TargetName &target, Counts counts, double illShare, TimePoint now) const;
+    bool serviceWide(Sum sum) const;
+    void addTest(TargetRecord &record, Sum sum, Counts counts, double usual, double illShare, double ok, double bad, const std::string &group, TimePoint now);
+
+    DetectorThresholds m_thresholds;
+    std::map<TargetName, TargetRecord> m_targets;
+    std::map<MemberId, std::pair<ZoneName, TimePoint>> m_sources;
+    bool m_listed = false;
+};
+}
--- /dev/null
+++ b/include/plumsill/health.h
@@ -0,0 +1,245 @@
+#pragma once
+
+#include <plumsill/clock.h>
+#include <plumsill/config.h>
+#include <plumsill/detector.h>
+#include <plumsill/document.h>
+#include <plumsill/messages.h>
+#include <plumsill/types.h>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Health of targets: evidence, ejection under a floor, and what the traffic threads may use.
+namespace plumsill
+{
+/// How a daemon uses a target.
+enum class TargetUse
+{
+    Active,
+    SlowStart, ///< new or returned: its weight rises
+    Trial, ///< ejected, gets a few trial requests
+    Ejected,
+    Avoided, ///< this daemon can't reach it
+    Leaving,
+};
+
+std::string toString(TargetUse use);
+
+/// A target with its share of new requests, 0 to 1.
+struct TargetView {
+    Target target;
+    TargetUse use = TargetUse::Active;
+    double weight = 1;
+
+    auto operator<=>(const TargetView &) const = default;
+};
+
+/// What the traffic threads know of one service.
+struct ServiceView {
+    ServiceName service;
+    unsigned slots = 0;
+    Duration slowAfter = Duration::zero(); ///< slow limit; none while zero
+    std::vector<TargetView> targets;
+
+    auto operator<=>(const ServiceView &) const = default;
+};
+
+/// Targets that may be out of use at once, by the floor over @p listed targets.
+std::size_t outAllowed(double floor, std::size_t listed);
+
+struct TargetEjected {
+    ServiceName service;
+    Illness illness;
+
+    auto operator<=>(const TargetEjected &) const = default;
+};
+
+/// Trials went well, or the floor needs the target.
+struct TargetReturned {
+    ServiceName service;
+    TargetName target;
+    bool forFloor = false;
+
+    auto operator<=>(const TargetReturned &) const = default;
+};
+
+using HealthEvent = std::variant<TargetEjected, TargetReturned>;
+
+/// Detection and the life of ejections for one service, with the floor.
+class EjectionPlan
+{
+public:
+    /// @p permitLifetime: how long an ejection may outlive its withdrawal; zero where it ends at once.
+    EjectionPlan(const Service &service, Duration permitLifetime);
+
+    void setService(const Service &service);
+    /// Listed targets; @p leaving names those that take no new work.
+    void setTargets(const std::vector<TargetName> &targets, const std::set<TargetName> &leaving, TimePoint now);
+    void add(const EvidenceSource &source, const TargetEvidence &evidence, TimePoint now);
+    /// Goes on with an ejection that somebody else decided.
+    void takeOver(const EjectionPermit &permit, TimePoint now);
+    std::vector<HealthEvent> update(TimePoint now);
+    /// Ejected targets, the worst first.
+    std::vector<EjectionPermit> permits() const;
+    /// The present permits go out to a daemon at @p now.
+    void noteSent(TimePoint now);
+
+    Duration slowAfter() const { return m_detector.slowAfter(); }
+    std::size_t allowed() const { return outAllowed(m_service.floor, m_targets.size()); }
+    /// Targets out of use somewhere, each counted once.
+    std::set<TargetName> out(TimePoint now) const;
+
+private:
+    enum class Phase
+    {
+        InUse,
+        Ejected,
+        Trial,
+    };
+
+    struct Record {
+        Phase phase = Phase::InUse;
+        double badness = 0;
+        double ejections = 0; ///< recent ones, fades
+        TimePoint phaseEnds;
+        TimePoint lastEjected;
+        TimePoint heldUntil; ///< a daemon may act on a sent permit until then
+        TimePoint warmAt; ///< end of slow start
+    };
+
+    void eject(Record &record, double badness, TimePoint now);
+    void endPhases(TimePoint now, std::vector<HealthEvent> &events);
+    void keepFloor(TimePoint now, std::vector<HealthEvent> &events);
+    void ejectIll(TimePoint now, std::vector<HealthEvent> &events);
+    void release(const TargetName &target, Record &record, TimePoint now);
+
+    Service m_service;
+    Duration m_permitLifetime;
+    Detector m_detector;
+    std::set<TargetName> m_targets;
+    std::set<TargetName> m_leaving;
+    std::map<TargetName, Record> m_records;
+};
+
+struct SendVerdict {
+    MemberId to;
+    Verdict verdict;
+
+    auto operator<=>(const SendVerdict &) const = default;
+};
+
+using OwnerEffect = std::variant<SendVerdict, HealthEvent>;
+
+/// Judges the targets of the services that this daemon owns; alone permits ejections.
+class HealthOwner
+{
+public:
+    /// The document's services; a service that is gone is forgotten.
+    void setServices(const std::vector<Service> &services);
+    /// Listed targets of @p service, with those that any daemon saw leaving marked so.
+    void setTargets(const ServiceName &service, const std::vector<Target> &targets, TimePoint now);
+    /// @p mayAct: this daemon is the acting owner of the service at @p now. Otherwise nothing changes and nothing is said.
+    std::vector<OwnerEffect> handleDigest(const EvidenceSource &sender, const HealthDigest &digest, bool mayAct, TimePoint now);
+    /// Present permits, for the status page.
+    std::vector<EjectionPermit> permits(const ServiceName &service) const;
+
+private:
+    struct ServiceRecord {
+        Service service;
+        std::vector<Target> targets;
+        std::optional<EjectionPlan> plan; ///< made by the first digest
+        std::map<MemberId, std::pair<std::uint64_t, TimePoint>> lastSequence;
+    };
+
+    static void tellTargets(ServiceRecord &record, TimePoint now);
+    static bool freshDigest(ServiceRecord &record, const EvidenceSource &sender, const HealthDigest &digest, TimePoint now);
+
+    std::map<ServiceName, ServiceRecord> m_services;
+};
+
+struct SendDigest {
+    HealthDigest digest; ///< goes to the owner of digest.service
+
+    auto operator<=>(const SendDigest &) const = default;
+};
+
+using LocalHealthEffect = std::variant<SendDigest, HealthEvent>;
+
+/// One daemon's part: digests, verdicts, avoidance of what it can't reach, leaving targets.
+class LocalHealth
+{
+public:
+    explicit LocalHealth(const EvidenceSource &self);
+
+    void setServices(const std::vector<Service> &services);
+    /// Listed targets of @p service, as the platform shows them.
+    void setTargets(const ServiceName &service, const std::vector<Target> &targets, TimePoint now);
+    /// Evidence that the traffic threads gathered.
+    void record(const ServiceName &service, const std::vector<TargetEvidence> &evidence, TimePoint now);
+    /// Call every 100 ms or so; says which digests to send now.
+    std::vector<LocalHealthEffect> tick(TimePoint now);
+    /// @p epoch is that of the verdict's envelope. False: refused as outdated.
+    bool handleVerdict(std::uint64_t epoch, const Verdict &verdict, TimePoint now);
+    /// Highest epoch that this daemon has adopted; verdicts of older ones are refused.
+    void noteEpoch(std::uint64_t epoch);
+
+    /// A drain header, a refusal or a peer's pulse told that the target is leaving.
+    void noteLeaving(const LeavingTarget &target, TimePoint now);
+    /// What the next pulse tells of leaving targets.
+    std::vector<LeavingTarget> leavingForPulse(TimePoint now) const;
+    /// Listed targets of @p service with those seen leaving marked so, for HealthOwner.
+    std::vector<Target> targets(const ServiceName &service) const;
+
+    /// For the snapshot of the traffic threads; changes with time alone too (lapsed permits, slow start).
+    ServiceView view(const ServiceName &service, TimePoint now) const;
+    /// True while an owner's verdict is in force.
+    bool owned(const ServiceName &service, TimePoint now) const;
+
+private:
+    /// What this daemon alone knows of a target.
+    struct LocalRecord {
+        unsigned silent = 0; ///< requests and connections without an answer since the last one
+        unsigned avoidances = 0;
+        TimePoint avoidUntil;
+        TimePoint avoidedAt;
+        std::optional<TimePoint> startedAt; ///< begin of slow start
+        bool ejected = false; ///< at the last look
+    };
+
+    struct ServiceRecord {
+        Service service;
+        std::vector<Target> targets;
+        bool listed = false;
+        std::map<TargetName, TargetEvidence> pending;
+        std::map<TargetName, LocalRecord> locals;
+        std::uint64_t sequence = 0;
+        TimePoint nextDigest;
+        std::map<std::uint64_t, TimePoint> sentAt; ///< by sequence, of digests not yet answered
+        std::uint64_t verdictEpoch = 0;
+        Verdict verdict;
+        TimePoint verdictLapses;
+        bool hadVerdict = false;
+        std::optional<EjectionPlan> plan; ///< this daemon's own judgement, in force without an owner
+
+        bool owned(TimePoint now) const { return hadVerdict && now < verdictLapses; }
+    };
+
+    bool isLeaving(const Target &target) const;
+    void tellPlan(ServiceRecord &record, TimePoint now) const;
+    std::vector<EjectionPermit> ejections(const ServiceRecord &record, TimePoint now) const;
+    void noteTransitions(ServiceRecord &record, TimePoint now);
+    void makeDigest(ServiceRecord &record, TimePoint now, std::vector<LocalHealthEffect> &effects);
+    static void judgeReach(LocalRecord &local, const TargetEvidence &evidence, TimePoint now);
+
+    EvidenceSource m_self;
+    std::uint64_t m_epoch = 0;
+    std::map<ServiceName, ServiceRecord> m_services;
+    std::map<LeavingTarget, TimePoint> m_leaving; ///< to the first observation
+    std::map<LeavingTarget, TimePoint> m_delisted; ///< leaving targets that the list no longer shows
+};
+}
--- a/include/plumsill/messages.h
+++ b/include/plumsill/messages.h
@@ -25,12 +25,25 @@
     }
 };
 
+/// A target that takes no new work; one that comes back on another endpoint is not meant.
+struct LeavingTarget {
+    TargetName target;
+    Endpoint endpoint;
+
+    auto operator<=>(const LeavingTarget &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(target, endpoint);
+    }
+};
+
 /// Heartbeat that each daemon sends to every member once a second.
 struct Pulse {
     std::uint64_t sequence = 0;
     MemberState state = MemberState::Starting;
     DocumentStamp document;
-    std::vector<TargetName> leavingTargets; ///< targets seen to leave in the last seconds
+    std::vector<LeavingTarget> leavingTargets; ///< targets seen to leave in the last seconds
 
     auto operator<=>(const Pulse &) const = default;
     template<class Archive>
@@ -119,20 +132,21 @@
 /// What one daemon saw of one target since its last digest.
 struct TargetEvidence {
     TargetName target;
-    std::uint32_t good = 0;
-    std::uint32_t errors = 0;
-    std::uint32_t timeouts = 0;
-    std::uint32_t truncated = 0;
-    std::uint32_t shed = 0; ///< refusals for load, not a sign of illness
-    std::uint32_t unreachable = 0; ///< connection attempts that failed
-    double logLatencySum = 0; ///< sum of ln(seconds) over good answers
-    double logLatencySquares = 0;
+    std::uint16_t good = 0; ///< whole answers
+    std::uint16_t fast = 0; ///< whole answers within the slow limit
+    std::uint16_t slow = 0; ///< requests that passed the slow limit, answered or not
+    std::uint16_t errors = 0;
+    std::uint16_t timeouts = 0;
+    std::uint16_t truncated = 0;
+    std::uint16_t shed = 0; ///< refusals for load, not a sign of illness
+    std::uint16_t unreachable = 0; ///< connection attempts that failed
+    float logLatencySum = 0; ///< sum of ln(seconds) over whole answers
 
     auto operator<=>(const TargetEvidence &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(target, good, errors, timeouts, truncated, shed, unreachable, logLatencySum, logLatencySquares);
+        archive(target, good, fast, slow, errors, timeouts, truncated, shed, unreachable, logLatencySum);
     }
 };
 
@@ -167,13 +181,14 @@
 struct Verdict {
     std::uint64_t sequence = 0; ///< of the digest it answers
     ServiceName service;
-    std::vector<EjectionPermit> ejected;
+    std::vector<EjectionPermit> ejected; ///< worst first
+    std::uint32_t slowAfterMicroseconds = 0; ///< slow limit of the service; none while 0
 
     auto operator<=>(const Verdict &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(sequence, service, ejected);
+        archive(sequence, service, ejected, slowAfterMicroseconds);
     }
 };
 
