One place for part keys and tenure; evidence by the detector's counters

Change: tenure.h holds PartKey and Tenure; slow requests are counted while they still wait. Not yet built.

--- a/include/plumsill/limits.h
+++ b/include/plumsill/limits.h
@@ -4,6 +4,7 @@
 #include <plumsill/clock.h>
 #include <plumsill/document.h>
 #include <plumsill/messages.h>
+#include <plumsill/tenure.h>
 
 #include <cstdint>
 #include <deque>
@@ -25,28 +26,11 @@
     auto operator<=>(const TeamLimits &) const = default;
 };
 
-/// One part of a team's bucket; has at most one acting owner.
-struct PartKey {
-    TeamName team;
-    std::uint32_t part = 0;
-
-    auto operator<=>(const PartKey &) const = default;
-};
-
 /// Number of parts that a bucket is cut into.
 unsigned partCount(const TeamLimits &limits);
 /// Limits of each part; the parts' sum is the whole.
 TeamLimits partLimits(const TeamLimits &limits);
 
-/// A daemon's right to act as owner of one part.
-struct Tenure {
-    bool mayAct = false; ///< confirmed now, and the wait is over or the part was handed over
-    std::uint64_t since = 0; ///< epoch from which this daemon has owned the part without a gap
-    TimePoint from; ///< when it became free to act in this tenure
-
-    auto operator<=>(const Tenure &) const = default;
-};
-
 /// A team whose limits differ between two documents.
 struct LimitsChange {
     TeamName team;
--- a/include/plumsill/membership.h
+++ b/include/plumsill/membership.h
@@ -112,7 +112,7 @@
     void documentChanged(const DocumentStamp &document);
     /// A read of the store that started at @p startedAt showed this stamp as the newest.
     void documentRead(const DocumentStamp &stored, TimePoint startedAt);
-    void leavingTargetsChanged(std::vector<TargetName> targets);
+    void leavingTargetsChanged(std::vector<LeavingTarget> targets);
     void serving();
     /// Planned stop: asks the others for an epoch without this daemon.
     void leave();
@@ -208,7 +208,7 @@
     std::uint64_t m_sequence = 0;
     std::deque<SentPulse> m_sentPulses;
     std::optional<TimePoint> m_nextPulseAt;
-    std::vector<TargetName> m_leavingTargets;
+    std::vector<LeavingTarget> m_leavingTargets;
 
     DocumentStamp m_document;
     DocumentStamp m_highestDocument;
--- a/include/plumsill/metrics.h
+++ b/include/plumsill/metrics.h
@@ -49,14 +49,11 @@
     std::map<ServiceName, std::map<TargetName, TargetEvidence>> evidence;
     std::map<unsigned, std::uint64_t> rejected; ///< malformed, unrouted and unauthorised requests by status
     std::uint64_t retries = 0;
-    std::vector<TargetName> leavingTargets; ///< targets that announced their drain
+    std::vector<LeavingTarget> leavingTargets; ///< targets that announced their drain
 
     bool empty() const { return counts.empty() && evidence.empty() && rejected.empty() && leavingTargets.empty(); }
 };
 
-/// Adds the evidence of one answer or failure.
-void addEvidence(TargetEvidence &sum, const TargetEvidence &part);
-
 /// A single value for the metrics page.
 struct Gauge {
     std::string name;
--- a/include/plumsill/ownership.h
+++ b/include/plumsill/ownership.h
@@ -3,6 +3,7 @@
 #include <plumsill/clock.h>
 #include <plumsill/membership.h>
 #include <plumsill/roster.h>
+#include <plumsill/tenure.h>
 
 #include <array>
 #include <cstdint>
@@ -14,14 +15,6 @@
 /// Which member owns which key, and when it may act for it.
 namespace plumsill
 {
-/// One part of a team's token bucket.
-struct PartKey {
-    TeamName team;
-    std::uint32_t part = 0;
-
-    auto operator<=>(const PartKey &) const = default;
-};
-
 /// The verdict on one service's targets.
 struct VerdictKey {
     ServiceName service;
--- a/src/forward_p.h
+++ b/src/forward_p.h
@@ -40,7 +40,8 @@
     boost::asio::awaitable<std::optional<Refusal>> admit();
     boost::asio::awaitable<ForwardResult> forward();
     boost::asio::awaitable<AttemptResult> attempt(ServiceDispatch &dispatch, TargetLease &lease);
-    void noteEvidence(const TargetLease &lease, const AttemptResult &result, TimePoint start);
+    void noteEvidence(TargetLease &lease, const AttemptResult &result, Duration latency, Duration slowAfter, bool countedSlow);
+    TargetEvidence &evidence(const TargetName &target);
     ForwardResult refuse(const Refusal &refusal);
     ForwardResult giveUp(const GiveUp &answer);
     ForwardResult passOn(HeldAnswer held);
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -68,18 +68,6 @@
     return *this;
 }
 
-void addEvidence(TargetEvidence &sum, const TargetEvidence &part)
-{
-    sum.good += part.good;
-    sum.errors += part.errors;
-    sum.timeouts += part.timeouts;
-    sum.truncated += part.truncated;
-    sum.shed += part.shed;
-    sum.unreachable += part.unreachable;
-    sum.logLatencySum += part.logLatencySum;
-    sum.logLatencySquares += part.logLatencySquares;
-}
-
 void Metrics::add(const TrafficReport &report)
 {
     for (const auto &[key, counts] : report.counts) {
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -1,11 +1,11 @@
 #include "forward_p.h"
 
 #include <plumsill/config.h>
+#include <plumsill/detector.h>
 
 #include <boost/beast/http.hpp>
 
 #include <charconv>
-#include <cmath>
 
 namespace plumsill
 {
@@ -73,6 +73,43 @@
     return Access {route, *team, presented->key};
 }
 
+/// Shared with a timer's handler, which may still run after the attempt has ended.
+struct SlowWatch {
+    bool running = true;
+    bool counted = false;
+};
+
+AnswerKind answerKind(AttemptFailure failure)
+{
+    switch (failure) {
+    case AttemptFailure::ConnectFailed:
+        return AnswerKind::Unreachable;
+    case AttemptFailure::TimedOut:
+        return AnswerKind::Timeout;
+    case AttemptFailure::Truncated:
+    case AttemptFailure::Malformed:
+        return AnswerKind::Truncated;
+    case AttemptFailure::Shed:
+        return AnswerKind::Shed;
+    case AttemptFailure::ConnectionLost:
+    case AttemptFailure::ServerError:
+        return AnswerKind::Error;
+    }
+    return AnswerKind::Error;
+}
+
+bool targetLeaving(const AttemptResult &result)
+{
+    if (const auto *held = std::get_if<HeldAnswer>(&result)) {
+        return held->targetLeaving;
+    }
+    if (const auto *streamed = std::get_if<StreamedAnswer>(&result)) {
+        return streamed->targetLeaving;
+    }
+    const auto &answer = std::get<FailedAttempt>(result).answer;
+    return answer && answer->targetLeaving;
+}
+
 std::string joined(const std::vector<std::string> &values)
 {
     std::string text;
@@ -250,45 +287,48 @@
     options.handle = &m_handle;
     m_request.set(DeadlineField, std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(options.timeout).count()));
     const bool limitReached = dispatch.limitReached();
+    const Duration slowAfter = dispatch.slowAfter();
+    const auto watch = std::make_shared<SlowWatch>();
+    RuntimeTimer slowTimer(co_await boost::asio::this_coro::executor);
+    if (slowAfter > Duration::zero()) {
+        slowTimer.expires_after(slowAfter);
+        slowTimer.async_wait([this, watch, &lease](const boost::system::error_code &error) {
+            if (!error && watch->running) {
+                countOverdue(evidence(lease.name()));
+                watch->counted = true;
+            }
+        });
+    }
     AttemptResult result = co_await lease.runtime().pool.attempt(m_request, options);
+    watch->running = false;
+    const TimePoint now = RuntimeClock::now();
     const auto *failed = std::get_if<FailedAttempt>(&result);
     if (failed != nullptr && failed->failed.failure == AttemptFailure::Shed) {
-        dispatch.concurrency().shed(RuntimeClock::now());
+        dispatch.concurrency().shed(now);
     } else if (failed == nullptr) {
         dispatch.concurrency().answered(limitReached);
     }
     if (!m_handle.isCallerGone()) {
-        noteEvidence(lease, result, start);
+        noteEvidence(lease, result, now - start, slowAfter, watch->counted);
     }
     co_return result;
 }
 
-void Forwarder::noteEvidence(const TargetLease &lease, const AttemptResult &result, TimePoint start)
+TargetEvidence &Forwarder::evidence(const TargetName &target)
 {
-    const double latency = std::max(seconds(RuntimeClock::now() - start), 1e-6);
-    TargetEvidence evidence;
-    bool leaving = false;
-    if (const auto *failed = std::get_if<FailedAttempt>(&result)) {
-        const auto failure = failed->failed.failure;
-        evidence.unreachable = failure == AttemptFailure::ConnectFailed ? 1 : 0;
-        evidence.timeouts = failure == AttemptFailure::TimedOut ? 1 : 0;
-        evidence.truncated = failure == AttemptFailure::Truncated || failure == AttemptFailure::Malformed ? 1 : 0;
-        evidence.errors = failure == AttemptFailure::ServerError || failure == AttemptFailure::ConnectionLost ? 1 : 0;
-        evidence.shed = failure == AttemptFailure::Shed ? 1 : 0;
-        leaving = failed->answer && failed->answer->targetLeaving;
-    } else {
-        evidence.good = 1;
-        evidence.logLatencySum = std::log(latency);
-        evidence.logLatencySquares = evidence.logLatencySum * evidence.logLatencySum;
-        const auto *held = std::get_if<HeldAnswer>(&result);
-        leaving = held != nullptr ? held->targetLeaving : std::get<StreamedAnswer>(result).targetLeaving;
-    }
-    const_cast<TargetLease &>(lease).runtime().latency.add(latency);
-    auto &sum = m_thread.report().evidence[m_access.route.service][lease.name()];
-    sum.target = lease.name();
-    addEvidence(sum, evidence);
-    if (leaving) {
-        m_thread.report().leavingTargets.push_back(lease.name());
+    auto &sum = m_thread.report().evidence[m_access.route.service][target];
+    sum.target = target;
+    return sum;
+}
+
+void Forwarder::noteEvidence(TargetLease &lease, const AttemptResult &result, Duration latency, Duration slowAfter, bool countedSlow)
+{
+    const auto *failed = std::get_if<FailedAttempt>(&result);
+    const AnswerKind kind = failed == nullptr ? AnswerKind::Good : answerKind(failed->failed.failure);
+    countAnswer(evidence(lease.name()), kind, latency, slowAfter, countedSlow);
+    lease.runtime().latency.add(seconds(latency));
+    if (targetLeaving(result)) {
+        m_thread.report().leavingTargets.push_back({lease.name(), lease.runtime().pool.endpoint()});
     }
 }
 
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -107,6 +107,7 @@
     bool targetsLeft(const std::vector<TargetName> &tried) const;
     RetryBudget &retries() { return m_retries; }
     ConcurrencyLimit &concurrency() { return m_concurrency; }
+    Duration slowAfter() const { return m_view.slowAfter; }
     bool limitReached() const { return m_inFlight >= m_concurrency.value(); }
     /// Closes idle connections that may carry no more requests.
     void closeStale(TimePoint now);
