--- a/include/plumsill/document.h
+++ b/include/plumsill/document.h
@@ -92,6 +92,25 @@
 /// Parses and checks the text as a whole; @p file only names it in problems.
 ParsedDocument parseDocument(const std::string &text, const std::string &file);
 
+/// The document as INI text in one fixed form: equal documents give equal texts.
+std::string canonicalText(const Document &document);
+
+/// One item that differs: added without `before`, removed without `after`.
+template<class Item>
+struct ItemChange {
+    std::optional<Item> before;
+    std::optional<Item> after;
+
+    auto operator<=>(const ItemChange &) const = default;
+};
+
+using DocumentChange = std::variant<ItemChange<Service>, ItemChange<Team>, ItemChange<Route>>;
+
+/// What turns @p before into @p after; the order of items doesn't count.
+std::vector<DocumentChange> diffDocuments(const Document &before, const Document &after);
+/// One line: "added team a", "removed route r", "changed service s".
+std::string toString(const DocumentChange &change);
+
 /// SHA-256 of @p bytes as 64 lower-case hexadecimal digits.
 std::string sha256Hex(const std::string &bytes);
 }
--- /dev/null
+++ b/include/plumsill/keys.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <plumsill/document.h>
+
+#include <array>
+#include <cstdint>
+#include <cstring>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace plumsill
+{
+/// A key has 8 to 256 letters, digits, '-', '.', '_' or '~'.
+inline constexpr std::size_t MinKeyBytes = 8;
+inline constexpr std::size_t MaxKeyBytes = 256;
+
+struct NoKey {
+};
+
+/// A key as the caller sent it: never log it.
+struct PresentedKey {
+    std::string key;
+};
+
+/// Two different keys, or a key header sent twice.
+struct AmbiguousKey {
+};
+
+using KeyPresence = std::variant<NoKey, PresentedKey, AmbiguousKey>;
+
+/// The caller's key, from the values of all `X-Api-Key` and all `Authorization` headers.
+KeyPresence presentedKey(const std::vector<std::string_view> &apiKeys, const std::vector<std::string_view> &authorizations);
+
+using KeyDigest = std::array<unsigned char, 32>;
+
+/// Hash of a digest: its first bytes are as good as random.
+struct KeyDigestHash {
+    std::size_t operator()(const KeyDigest &digest) const noexcept
+    {
+        std::size_t hash = 0;
+        std::memcpy(&hash, digest.data(), sizeof(hash));
+        return hash;
+    }
+};
+
+/// Immutable index from key digests to teams.
+class KeyTable
+{
+public:
+    explicit KeyTable(const Document &document);
+
+    /// Team of the key; null for an unknown one. Lives as long as the table.
+    const TeamName *find(std::string_view key) const;
+    /// Whether a known key stands in @p text as a token, also percent-encoded or in Basic credentials.
+    bool containsKnownKey(std::string_view text) const;
+
+private:
+    bool hasKeyToken(std::string_view text) const;
+
+    std::vector<TeamName> m_teams;
+    std::unordered_map<KeyDigest, std::uint32_t, KeyDigestHash> m_teamOfDigest;
+};
+}
--- a/src/document.cpp
+++ b/src/document.cpp
@@ -1,9 +1,185 @@
 #include <plumsill/document.h>
 
+#include <openssl/sha.h>
+
+#include <charconv>
+#include <map>
+
 namespace plumsill
 {
+namespace
+{
+std::string number(double value)
+{
+    std::array<char, 32> buffer {};
+    const auto [end, error] = std::to_chars(buffer.data(), buffer.data() + buffer.size(), value);
+    return error == std::errc() ? std::string(buffer.data(), end) : std::string();
+}
+
+std::string joined(const std::vector<std::string> &values)
+{
+    std::string text;
+    for (const auto &value : values) {
+        text += (text.empty() ? "" : ", ") + value;
+    }
+    return text;
+}
+
+std::string joined(const std::vector<TeamName> &names)
+{
+    std::vector<std::string> values;
+    values.reserve(names.size());
+    for (const auto &name : names) {
+        values.push_back(name.value);
+    }
+    return joined(values);
+}
+
+std::string canonical(const HealthPolicy &policy)
+{
+    return std::holds_alternative<FastDetection>(policy) ? "fast-detection" : "few-false-ejections";
+}
+
+std::string canonical(const Service &service)
+{
+    std::string text = "[service " + service.name.value + "]\n";
+    text += "floor = " + number(service.floor) + "\n";
+    text += "slots = " + std::to_string(service.slots) + "\n";
+    text += "profile = " + canonical(service.policy) + "\n";
+    text += "objective = " + number(service.objective) + "\n";
+    return text;
+}
+
+std::string canonical(const Team &team)
+{
+    std::string text = "[team " + team.name.value + "]\n";
+    text += "rate = " + number(team.rate) + "/s\n";
+    text += "burst = " + number(team.burst) + "\n";
+    for (const auto &digest : team.keyDigests) {
+        text += "key = " + digest + "\n";
+    }
+    return text;
+}
+
+std::string canonical(const Route &route)
+{
+    std::string text = "[route " + route.name.value + "]\n";
+    if (!route.host.empty()) {
+        text += "host = " + route.host + "\n";
+    }
+    text += "prefix = " + route.prefix + "\n";
+    if (!route.methods.empty()) {
+        text += "methods = " + joined(route.methods) + "\n";
+    }
+    text += "service = " + route.service.value + "\n";
+    text += std::string("idempotent = ") + (route.idempotent ? "yes" : "no") + "\n";
+    text += std::string("access = ") + (route.open ? "open" : "team") + "\n";
+    if (!route.teams.empty()) {
+        text += "teams = " + joined(route.teams) + "\n";
+    }
+    text += "timeout = " + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(route.timeout).count()) + "ms\n";
+    text += "body-limit = " + std::to_string(route.bodyLimit) + "B\n";
+    return text;
+}
+
+template<class Item>
+std::map<std::string, const Item *> byName(const std::vector<Item> &items)
+{
+    std::map<std::string, const Item *> sorted;
+    for (const auto &item : items) {
+        sorted.emplace(item.name.value, &item);
+    }
+    return sorted;
+}
+
+template<class Item>
+void appendCanonical(std::string &text, const std::vector<Item> &items)
+{
+    for (const auto &[name, item] : byName(items)) {
+        text += canonical(*item);
+    }
+}
+
+template<class Item>
+void appendChanges(std::vector<DocumentChange> &changes, const std::vector<Item> &before, const std::vector<Item> &after)
+{
+    const auto old = byName(before);
+    const auto fresh = byName(after);
+    for (const auto &[name, item] : old) {
+        const auto same = fresh.find(name);
+        if (same == fresh.end()) {
+            changes.push_back(ItemChange<Item> {*item, std::nullopt});
+        } else if (*same->second != *item) {
+            changes.push_back(ItemChange<Item> {*item, *same->second});
+        }
+    }
+    for (const auto &[name, item] : fresh) {
+        if (!old.contains(name)) {
+            changes.push_back(ItemChange<Item> {std::nullopt, *item});
+        }
+    }
+}
+
+const char *kind(const ItemChange<Service> & /*change*/)
+{
+    return "service";
+}
+
+const char *kind(const ItemChange<Team> & /*change*/)
+{
+    return "team";
+}
+
+const char *kind(const ItemChange<Route> & /*change*/)
+{
+    return "route";
+}
+}
+
 std::string toString(const IniProblem &problem)
 {
     return problem.file + ":" + std::to_string(problem.line) + ": " + problem.field + ": " + problem.reason;
 }
+
+std::string canonicalText(const Document &document)
+{
+    std::string text;
+    appendCanonical(text, document.services);
+    appendCanonical(text, document.teams);
+    appendCanonical(text, document.routes);
+    return text;
+}
+
+std::vector<DocumentChange> diffDocuments(const Document &before, const Document &after)
+{
+    std::vector<DocumentChange> changes;
+    appendChanges(changes, before.services, after.services);
+    appendChanges(changes, before.teams, after.teams);
+    appendChanges(changes, before.routes, after.routes);
+    return changes;
+}
+
+std::string toString(const DocumentChange &change)
+{
+    const auto line = [](const auto &item) {
+        const std::string verb = !item.before ? "added" : !item.after ? "removed" : "changed";
+        const auto &name = item.after ? item.after->name : item.before->name;
+        return verb + " " + kind(item) + " " + name.value;
+    };
+    return std::visit(line, change);
+}
+
+std::string sha256Hex(const std::string &bytes)
+{
+    static constexpr char Digits[] = "0123456789abcdef";
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
+    SHA256(reinterpret_cast<const unsigned char *>(bytes.data()), bytes.size(), digest.data());
+    std::string text;
+    text.reserve(2 * digest.size());
+    for (const auto byte : digest) {
+        text += Digits[byte >> 4];
+        text += Digits[byte & 15];
+    }
+    return text;
+}
 }
--- /dev/null
+++ b/src/document_check.cpp
@@ -0,0 +1,429 @@
+#include <plumsill/document.h>
+#include <plumsill/ini.h>
+#include <plumsill/routing.h>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace plumsill
+{
+namespace
+{
+constexpr auto LongestRouteTimeout = std::chrono::minutes(10);
+constexpr std::size_t MaxBodyLimitBytes = 64 * 1024 * 1024;
+constexpr double MaxRate = 1e6;
+constexpr unsigned MaxSlots = 100'000;
+
+struct Header {
+    std::string section;
+    unsigned line = 0;
+    std::size_t entries = 0;
+};
+
+// Where each key of the item being read stands, to name it in a problem found later.
+using KeyLines = std::map<std::string, unsigned>;
+
+struct Checker {
+    const std::string &file;
+    ParsedDocument &result;
+    std::vector<KeyLines> serviceLines {};
+    std::vector<KeyLines> teamLines {};
+    std::vector<KeyLines> routeLines {};
+
+    void problem(unsigned line, const std::string &section, const std::string &key, const std::string &reason)
+    {
+        result.problems.push_back({file, line, section + "." + key, reason});
+    }
+};
+
+// The INI library hands out entries only, so sections are found here: also the empty and the repeated ones.
+std::vector<Header> sectionHeaders(const std::string &text, const std::vector<IniEntry> &entries)
+{
+    std::vector<Header> headers;
+    auto entry = entries.begin();
+    unsigned line = 0;
+    for (std::size_t position = 0; position < text.size();) {
+        const auto end = std::min(text.find('\n', position), text.size());
+        const auto content = std::string_view(text).substr(position, end - position);
+        const auto first = content.find_first_not_of(" \t");
+        const bool opens = first != std::string_view::npos && content[first] == '[';
+        const auto close = opens ? content.find(']', first) : std::string_view::npos;
+        ++line;
+        for (; entry != entries.end() && entry->line <= line; ++entry) {
+            if (!headers.empty()) {
+                ++headers.back().entries;
+            }
+        }
+        if (close != std::string_view::npos) {
+            headers.push_back({std::string(content.substr(first + 1, close - first - 1)), line, 0});
+        }
+        position = end + 1;
+    }
+    return headers;
+}
+
+bool isName(const std::string &name)
+{
+    const auto allowed = [](char c) { return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '_' || c == '.'; };
+    return !name.empty() && std::all_of(name.begin(), name.end(), allowed);
+}
+
+std::optional<double> parseShare(const std::string &text)
+{
+    const bool percent = !text.empty() && text.back() == '%';
+    const auto number = parseNumber(percent ? text.substr(0, text.size() - 1) : text);
+    const auto share = number ? std::optional<double>(percent ? *number / 100 : *number) : std::nullopt;
+    return share && *share >= 0 && *share <= 1 ? share : std::nullopt;
+}
+
+std::optional<double> parseRate(const std::string &text)
+{
+    if (!text.ends_with("/s")) {
+        return std::nullopt;
+    }
+    const auto rate = parseNumber(text.substr(0, text.size() - 2));
+    return rate && *rate > 0 && *rate <= MaxRate ? rate : std::nullopt;
+}
+
+std::optional<unsigned> parseCount(const std::string &text, unsigned most)
+{
+    const auto number = parseNumber(text);
+    const bool whole = number && std::floor(*number) == *number;
+    return whole && *number >= 1 && *number <= most ? std::optional<unsigned>(static_cast<unsigned>(*number)) : std::nullopt;
+}
+
+bool isDigest(const std::string &text)
+{
+    const auto hex = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
+    return text.size() == 64 && std::all_of(text.begin(), text.end(), hex);
+}
+
+bool isMethod(const std::string &text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return c >= 'A' && c <= 'Z'; });
+}
+
+template<class Value, class Target>
+std::string assign(const std::optional<Value> &value, Target &target, const char *reason)
+{
+    if (!value) {
+        return reason;
+    }
+    target = static_cast<Target>(*value);
+    return {};
+}
+
+// Each setter gives the reason for which it refuses the value, or nothing; an unknown key gives this one.
+constexpr const char *UnknownKey = "unknown key";
+
+std::string setProfile(HealthPolicy &policy, const std::string &value)
+{
+    if (value == "few-false-ejections") {
+        policy = FewFalseEjections {};
+        return {};
+    }
+    if (value == "fast-detection") {
+        policy = FastDetection {};
+        return {};
+    }
+    return "neither few-false-ejections nor fast-detection";
+}
+
+std::string setKey(Service &service, const std::string &key, const std::string &value)
+{
+    if (key == "floor") {
+        return assign(parseShare(value), service.floor, "not a share from 0 to 1 or 0% to 100%");
+    }
+    if (key == "slots") {
+        return assign(parseCount(value, MaxSlots), service.slots, "not a whole number from 1 to 100000");
+    }
+    if (key == "profile") {
+        return setProfile(service.policy, value);
+    }
+    if (key == "objective") {
+        return assign(parseShare(value), service.objective, "not a share from 0 to 1 or 0% to 100%");
+    }
+    return UnknownKey;
+}
+
+std::string setBurst(Team &team, const std::string &value)
+{
+    const auto burst = parseNumber(value);
+    if (!burst || *burst < 1 || *burst > MaxRate) {
+        return "not a number of requests from 1 to 1000000";
+    }
+    team.burst = *burst;
+    return {};
+}
+
+std::string addDigest(Team &team, const std::string &value)
+{
+    if (!isDigest(value)) {
+        return "not a SHA-256 digest of 64 lower-case hexadecimal digits";
+    }
+    team.keyDigests.push_back(value);
+    return {};
+}
+
+std::string setKey(Team &team, const std::string &key, const std::string &value)
+{
+    if (key == "rate") {
+        return assign(parseRate(value), team.rate, "not a rate above 0 and up to 1000000, such as 50/s");
+    }
+    if (key == "burst") {
+        return setBurst(team, value);
+    }
+    if (key == "key") {
+        return addDigest(team, value);
+    }
+    return UnknownKey;
+}
+
+std::string setPrefix(Route &route, const std::string &value)
+{
+    const auto path = normalizedPath(value);
+    if (!path || value.find('?') != std::string::npos || value.find(';') != std::string::npos) {
+        return "not a plain path that starts with '/'";
+    }
+    route.prefix = *path;
+    return {};
+}
+
+std::string setHost(Route &route, const std::string &value)
+{
+    route.host = normalizedHost(value);
+    return isName(route.host) ? std::string() : "not a host name";
+}
+
+std::string setMethods(Route &route, const std::string &value)
+{
+    route.methods = splitList(value);
+    std::sort(route.methods.begin(), route.methods.end());
+    const bool repeated = std::adjacent_find(route.methods.begin(), route.methods.end()) != route.methods.end();
+    const bool methods = std::all_of(route.methods.begin(), route.methods.end(), isMethod);
+    return methods && !repeated && !route.methods.empty() ? std::string() : "not a list of different methods in capitals";
+}
+
+std::string setTeams(Route &route, const std::string &value)
+{
+    for (auto &name : splitList(value)) {
+        route.teams.push_back({std::move(name)});
+    }
+    std::sort(route.teams.begin(), route.teams.end());
+    const bool repeated = std::adjacent_find(route.teams.begin(), route.teams.end()) != route.teams.end();
+    return route.teams.empty() || repeated ? "not a list of different teams" : std::string();
+}
+
+std::string setAccess(Route &route, const std::string &value)
+{
+    route.open = value == "open";
+    return value == "open" || value == "team" ? std::string() : "neither open nor team";
+}
+
+std::string setTimeout(Route &route, const std::string &value)
+{
+    const auto timeout = parseDuration(value);
+    if (!timeout || *timeout < std::chrono::milliseconds(1) || *timeout > LongestRouteTimeout) {
+        return "not a duration with a unit from 1ms to 10m";
+    }
+    route.timeout = std::chrono::floor<std::chrono::milliseconds>(*timeout);
+    return {};
+}
+
+std::string setBodyLimit(Route &route, const std::string &value)
+{
+    const auto limit = parseBytes(value);
+    if (!limit || *limit > MaxBodyLimitBytes) {
+        return "not a size with a unit up to 64MB";
+    }
+    route.bodyLimit = *limit;
+    return {};
+}
+
+std::string setKey(Route &route, const std::string &key, const std::string &value)
+{
+    using Setter = std::string (*)(Route &, const std::string &);
+    static const std::map<std::string, Setter> setters {
+        {"host", setHost},
+        {"prefix", setPrefix},
+        {"methods", setMethods},
+        {"access", setAccess},
+        {"teams", setTeams},
+        {"timeout", setTimeout},
+        {"body-limit", setBodyLimit},
+        {"service",
+         [](Route &target, const std::string &text) {
+             target.service = {text};
+             return std::string();
+         }},
+        {"idempotent", [](Route &target, const std::string &text) { return assign(parseYesNo(text), target.idempotent, "neither yes nor no"); }},
+    };
+    const auto setter = setters.find(key);
+    return setter == setters.end() ? UnknownKey : setter->second(route, value);
+}
+
+bool repeatable(const std::string &section, const std::string &key)
+{
+    return key == "key" && section.starts_with("team ");
+}
+
+using Entries = std::vector<IniEntry>::const_iterator;
+
+template<class Item>
+KeyLines readItem(Checker &checker, Item &item, const Header &header, Entries first, const std::vector<std::string> &needed)
+{
+    KeyLines lines {{"", header.line}};
+    for (auto entry = first; entry != first + static_cast<std::ptrdiff_t>(header.entries); ++entry) {
+        const auto reason = setKey(item, entry->key, entry->value);
+        if (!reason.empty()) {
+            checker.problem(entry->line, header.section, entry->key, reason);
+        }
+        if (!lines.emplace(entry->key, entry->line).second && !repeatable(header.section, entry->key)) {
+            checker.problem(entry->line, header.section, entry->key, "given twice");
+        }
+    }
+    for (const auto &key : needed) {
+        if (!lines.contains(key)) {
+            checker.problem(header.line, header.section, key, "missing");
+        }
+    }
+    return lines;
+}
+
+void readSection(Checker &checker, const Header &header, Entries first)
+{
+    const auto space = header.section.find(' ');
+    const std::string kind = header.section.substr(0, space);
+    const std::string name = space == std::string::npos ? std::string() : header.section.substr(space + 1);
+    auto &document = checker.result.document;
+    if (kind != "service" && kind != "team" && kind != "route") {
+        checker.problem(header.line, header.section, "section", "unknown section");
+    } else if (!isName(name)) {
+        checker.problem(header.line, header.section, "section", "needs a name of letters, digits, '-', '_' and '.'");
+    } else if (kind == "service") {
+        auto &service = document.services.emplace_back();
+        service.name = {name};
+        checker.serviceLines.push_back(readItem(checker, service, header, first, {"floor"}));
+    } else if (kind == "team") {
+        auto &team = document.teams.emplace_back();
+        team.name = {name};
+        checker.teamLines.push_back(readItem(checker, team, header, first, {"rate", "burst"}));
+    } else {
+        auto &route = document.routes.emplace_back();
+        route.name = {name};
+        checker.routeLines.push_back(readItem(checker, route, header, first, {"prefix", "service", "idempotent", "access"}));
+    }
+}
+
+void readSections(Checker &checker, const std::vector<Header> &headers, const std::vector<IniEntry> &entries)
+{
+    std::unordered_map<std::string, unsigned> seen;
+    auto entry = entries.begin();
+    const auto before = [&](const IniEntry &next) { return headers.empty() || next.line < headers.front().line; };
+    for (; entry != entries.end() && before(*entry); ++entry) {
+        checker.problem(entry->line, "", entry->key, "outside of any section");
+    }
+    for (const auto &header : headers) {
+        const auto [first, fresh] = seen.emplace(header.section, header.line);
+        if (!fresh) {
+            checker.problem(header.line, header.section, "section", "already given in line " + std::to_string(first->second));
+        }
+        readSection(checker, header, entry);
+        entry += static_cast<std::ptrdiff_t>(header.entries);
+    }
+}
+
+unsigned lineOf(const KeyLines &lines, const std::string &key)
+{
+    const auto found = lines.find(key);
+    return found == lines.end() ? lines.at("") : found->second;
+}
+
+void checkKeys(Checker &checker)
+{
+    std::unordered_map<std::string, const Team *> owners;
+    const auto &teams = checker.result.document.teams;
+    for (std::size_t i = 0; i < teams.size(); ++i) {
+        for (const auto &digest : teams[i].keyDigests) {
+            const auto [owner, fresh] = owners.emplace(digest, &teams[i]);
+            if (!fresh) {
+                const auto line = lineOf(checker.teamLines[i], "key");
+                checker.problem(line, "team " + teams[i].name.value, "key", "the same key is already given to team " + owner->second->name.value);
+            }
+        }
+    }
+}
+
+void checkReferences(Checker &checker)
+{
+    const auto &document = checker.result.document;
+    std::unordered_set<std::string> services;
+    std::unordered_set<std::string> teams;
+    for (const auto &service : document.services) {
+        services.insert(service.name.value);
+    }
+    for (const auto &team : document.teams) {
+        teams.insert(team.name.value);
+    }
+    for (std::size_t i = 0; i < document.routes.size(); ++i) {
+        const auto &route = document.routes[i];
+        const auto &lines = checker.routeLines[i];
+        const std::string section = "route " + route.name.value;
+        if (!route.service.empty() && !services.contains(route.service.value)) {
+            checker.problem(lineOf(lines, "service"), section, "service", "unknown service " + route.service.value);
+        }
+        for (const auto &team : route.teams) {
+            if (!teams.contains(team.value)) {
+                checker.problem(lineOf(lines, "teams"), section, "teams", "unknown team " + team.value);
+            }
+        }
+        if (route.open && !route.teams.empty()) {
+            checker.problem(lineOf(lines, "teams"), section, "teams", "an open route takes no teams");
+        }
+    }
+}
+
+bool shareMethod(const Route &a, const Route &b)
+{
+    if (a.methods.empty() || b.methods.empty()) {
+        return true;
+    }
+    const auto inB = [&](const std::string &method) { return std::find(b.methods.begin(), b.methods.end(), method) != b.methods.end(); };
+    return std::any_of(a.methods.begin(), a.methods.end(), inB);
+}
+
+void checkOverlaps(Checker &checker)
+{
+    std::unordered_map<std::string, std::vector<const Route *>> places;
+    const auto &routes = checker.result.document.routes;
+    for (std::size_t i = 0; i < routes.size(); ++i) {
+        auto &others = places[routes[i].host + routes[i].prefix];
+        const auto same = std::find_if(others.begin(), others.end(), [&](const Route *other) { return shareMethod(*other, routes[i]); });
+        if (same != others.end() && !routes[i].prefix.empty()) {
+            const auto line = lineOf(checker.routeLines[i], "prefix");
+            checker.problem(line, "route " + routes[i].name.value, "prefix", "same host, prefix and method as route " + (*same)->name.value);
+        }
+        others.push_back(&routes[i]);
+    }
+}
+}
+
+ParsedDocument parseDocument(const std::string &text, const std::string &file)
+{
+    ParsedDocument result;
+    auto ini = readIni(text, file);
+    result.problems = std::move(ini.problems);
+    Checker checker {file, result};
+    readSections(checker, sectionHeaders(text, ini.entries), ini.entries);
+    checkKeys(checker);
+    checkReferences(checker);
+    checkOverlaps(checker);
+    const auto byLine = [](const IniProblem &a, const IniProblem &b) { return a.line < b.line; };
+    std::stable_sort(result.problems.begin(), result.problems.end(), byLine);
+    return result;
+}
+}
--- /dev/null
+++ b/src/net_store.cpp
@@ -0,0 +1,411 @@
+#include "store_p.h"
+
+#include "clock_p.h"
+
+#include <plumsill/ini.h>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <charconv>
+#include <list>
+
+namespace plumsill
+{
+namespace
+{
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+using Stream = beast::basic_stream<asio::ip::tcp, asio::any_io_executor>;
+using Request = http::request<http::string_body>;
+using Response = http::response<http::string_body>;
+using HttpResult = StoreResult<Response>;
+
+constexpr std::size_t MaxAnswerBytes = 256 * 1024 * 1024; // a list of many chunks
+constexpr std::size_t MaxIdleConnections = 4;
+constexpr auto IdleConnectionAge = std::chrono::seconds(20);
+
+std::string quoted(std::uint64_t version)
+{
+    return '"' + std::to_string(version) + '"';
+}
+
+std::optional<std::uint64_t> versionOf(const Response &response)
+{
+    const auto tag = response[http::field::etag];
+    std::uint64_t version = 0;
+    if (tag.size() < 3 || tag.front() != '"') {
+        return std::nullopt;
+    }
+    const auto [end, error] = std::from_chars(tag.data() + 1, tag.data() + tag.size() - 1, version);
+    return error == std::errc() && *end == '"' ? std::optional(version) : std::nullopt;
+}
+
+StoreError failed(StoreFault fault, const std::string &message)
+{
+    return {fault, message};
+}
+
+StoreError refused(const Response &response)
+{
+    const std::string status = "status " + std::to_string(response.result_int());
+    switch (response.result_int()) {
+    case 404:
+        return failed(StoreFault::NotFound, {});
+    case 410:
+        return failed(StoreFault::Expired, {});
+    case 412:
+        return failed(StoreFault::Conflict, {});
+    case 413:
+        return failed(StoreFault::TooLarge, {});
+    default:
+        // An error of the server doesn't tell whether a write took effect.
+        return failed(StoreFault::NoAnswer, status);
+    }
+}
+
+Request makeRequest(http::verb verb, const std::string &target, const std::string &host)
+{
+    Request request(verb, target, 11);
+    request.set(http::field::host, host);
+    return request;
+}
+
+struct RequestMaker {
+    const std::string &host;
+
+    Request operator()(const ReadCall &call) const { return makeRequest(http::verb::get, "/v1/objects/" + call.key, host); }
+    Request operator()(const ListCall &call) const { return makeRequest(http::verb::get, "/v1/objects?prefix=" + call.prefix, host); }
+    Request operator()(const CreateCall &call) const { return put(call.key, call.value, http::field::if_none_match, "*"); }
+    Request operator()(const ReplaceCall &call) const { return put(call.key, call.value, http::field::if_match, quoted(call.expected)); }
+    Request operator()(const RemoveCall &call) const
+    {
+        auto request = makeRequest(http::verb::delete_, "/v1/objects/" + call.key, host);
+        request.set(http::field::if_match, quoted(call.expected));
+        return request;
+    }
+    Request put(const std::string &key, const std::string &value, http::field condition, const std::string &tag) const
+    {
+        auto request = makeRequest(http::verb::put, "/v1/objects/" + key, host);
+        request.set(condition, tag);
+        request.body() = value;
+        request.prepare_payload();
+        return request;
+    }
+};
+
+struct AnswerReader {
+    const Response &response;
+
+    ObjectResult operator()(const ReadCall &call) const
+    {
+        const auto version = versionOf(response);
+        if (!version) {
+            return failed(StoreFault::Malformed, "no version");
+        }
+        return ObjectAnswer(StoredObject {call.key, *version, response.body()});
+    }
+    ObjectResult operator()(const ListCall & /*call*/) const
+    {
+        auto list = parseObjectList(response.body());
+        return list.has_error() ? ObjectResult(list.error()) : ObjectResult(ObjectAnswer(std::move(list.value())));
+    }
+    ObjectResult operator()(const CreateCall & /*call*/) const { return written(); }
+    ObjectResult operator()(const ReplaceCall & /*call*/) const { return written(); }
+    ObjectResult operator()(const RemoveCall & /*call*/) const { return ObjectAnswer(Removed {}); }
+    ObjectResult written() const
+    {
+        const auto version = versionOf(response);
+        return version ? ObjectResult(ObjectAnswer(Written {*version})) : ObjectResult(failed(StoreFault::Malformed, "no version"));
+    }
+};
+
+bool isRead(const Request &request)
+{
+    return request.method() == http::verb::get;
+}
+}
+
+std::optional<Endpoint> parseStoreUrl(const std::string &url)
+{
+    static const std::string scheme = "http://";
+    if (!url.starts_with(scheme)) {
+        return std::nullopt;
+    }
+    const auto rest = url.substr(scheme.size());
+    return parseEndpoint(rest.ends_with('/') ? rest.substr(0, rest.size() - 1) : rest);
+}
+
+class StoreConnection::Pool
+{
+public:
+    explicit Pool(StoreSettings settings)
+        : m_settings(std::move(settings))
+        , m_host(toString(m_settings.endpoint))
+        , m_budget(m_settings.callsPerSecond, m_settings.callBurst)
+    { }
+
+    const std::string &host() const { return m_host; }
+
+    asio::awaitable<HttpResult> exchange(Request request)
+    {
+        if (!co_await waitForBudget()) {
+            co_return failed(StoreFault::Throttled, {});
+        }
+        auto stream = takeIdle();
+        if (stream != nullptr) {
+            auto result = co_await exchangeOn(*stream, request);
+            // The server may have closed an idle connection: reading again is harmless, writing again is not.
+            if (result.has_value() || !isRead(request)) {
+                co_return keepOrDrop(std::move(stream), std::move(result));
+            }
+            m_idle.clear();
+        }
+        auto fresh = co_await connected();
+        if (fresh.has_error()) {
+            co_return fresh.error();
+        }
+        auto result = co_await exchangeOn(*fresh.value(), request);
+        co_return keepOrDrop(std::move(fresh.value()), std::move(result));
+    }
+
+    asio::awaitable<StoreResult<std::unique_ptr<Stream>>> connected()
+    {
+        auto stream = std::make_unique<Stream>(co_await asio::this_coro::executor);
+        stream->expires_after(m_settings.callTimeout);
+        boost::system::error_code error;
+        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_settings.endpoint.address, error), m_settings.endpoint.port);
+        co_await stream->async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return failed(StoreFault::Unreachable, error.message());
+        }
+        stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
+        co_return std::move(stream);
+    }
+
+    asio::awaitable<bool> waitForBudget()
+    {
+        const auto deadline = RuntimeClock::now() + m_settings.callTimeout;
+        while (const auto wait = m_budget.take(RuntimeClock::now())) {
+            if (RuntimeClock::now() + *wait > deadline) {
+                co_return false;
+            }
+            co_await sleepFor(*wait);
+        }
+        co_return true;
+    }
+
+    const StoreSettings &settings() const { return m_settings; }
+
+private:
+    struct Idle {
+        std::unique_ptr<Stream> stream;
+        TimePoint since;
+    };
+
+    std::unique_ptr<Stream> takeIdle()
+    {
+        while (!m_idle.empty()) {
+            auto idle = std::move(m_idle.back());
+            m_idle.pop_back();
+            if (RuntimeClock::now() - idle.since < IdleConnectionAge) {
+                return std::move(idle.stream);
+            }
+        }
+        return nullptr;
+    }
+
+    asio::awaitable<HttpResult> exchangeOn(Stream &stream, Request &request)
+    {
+        stream.expires_after(m_settings.callTimeout);
+        boost::system::error_code error;
+        co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return failed(StoreFault::NoAnswer, error.message());
+        }
+        beast::flat_buffer buffer;
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(MaxAnswerBytes);
+        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return failed(StoreFault::NoAnswer, error.message());
+        }
+        co_return parser.release();
+    }
+
+    HttpResult keepOrDrop(std::unique_ptr<Stream> stream, HttpResult result)
+    {
+        if (result.has_error()) {
+            // One connection that went silent makes those opened before it suspect.
+            m_idle.clear();
+            return result;
+        }
+        if (result.value().keep_alive() && m_idle.size() < MaxIdleConnections) {
+            stream->expires_never();
+            m_idle.push_back({std::move(stream), RuntimeClock::now()});
+        }
+        if (http::to_status_class(result.value().result()) != http::status_class::successful) {
+            return refused(result.value());
+        }
+        return result;
+    }
+
+    StoreSettings m_settings;
+    std::string m_host;
+    CallBudget m_budget;
+    std::list<Idle> m_idle;
+};
+
+StoreConnection::StoreConnection(StoreSettings settings)
+    : m_pool(std::make_unique<Pool>(std::move(settings)))
+{ }
+
+StoreConnection::~StoreConnection() = default;
+
+asio::awaitable<ObjectResult> StoreConnection::call(ObjectCall call)
+{
+    auto request = std::visit(RequestMaker {m_pool->host()}, call);
+    const auto response = co_await m_pool->exchange(std::move(request));
+    if (response.has_error()) {
+        co_return response.error();
+    }
+    co_return std::visit(AnswerReader {response.value()}, call);
+}
+
+namespace
+{
+template<class Answer>
+StoreResult<Answer> only(ObjectResult result)
+{
+    if (result.has_error()) {
+        return result.error();
+    }
+    return std::get<Answer>(std::move(result.value()));
+}
+}
+
+asio::awaitable<StoreResult<StoredObject>> StoreConnection::read(std::string key)
+{
+    co_return only<StoredObject>(co_await call(ReadCall {std::move(key)}));
+}
+
+asio::awaitable<StoreResult<ObjectList>> StoreConnection::list(std::string prefix)
+{
+    co_return only<ObjectList>(co_await call(ListCall {std::move(prefix)}));
+}
+
+asio::awaitable<StoreResult<Written>> StoreConnection::create(std::string key, std::string value)
+{
+    co_return only<Written>(co_await call(CreateCall {std::move(key), std::move(value)}));
+}
+
+asio::awaitable<StoreResult<Written>> StoreConnection::replace(std::string key, std::string value, std::uint64_t expected)
+{
+    co_return only<Written>(co_await call(ReplaceCall {std::move(key), std::move(value), expected}));
+}
+
+asio::awaitable<StoreResult<Removed>> StoreConnection::remove(std::string key, std::uint64_t expected)
+{
+    co_return only<Removed>(co_await call(RemoveCall {std::move(key), expected}));
+}
+
+asio::awaitable<StoreResult<std::vector<ListedInstance>>> StoreConnection::instances()
+{
+    const auto response = co_await m_pool->exchange(makeRequest(http::verb::get, "/v1/instances", m_pool->host()));
+    if (response.has_error()) {
+        co_return response.error();
+    }
+    co_return parseInstances(response.value().body());
+}
+
+asio::awaitable<StoreResult<std::vector<Target>>> StoreConnection::targets()
+{
+    const auto response = co_await m_pool->exchange(makeRequest(http::verb::get, "/v1/targets", m_pool->host()));
+    if (response.has_error()) {
+        co_return response.error();
+    }
+    co_return parseTargets(response.value().body());
+}
+
+namespace
+{
+// Hands on every whole line of the text and keeps the rest.
+std::optional<StoreError> handLines(std::string &text, const std::function<void(const WatchEvent &)> &handler)
+{
+    std::size_t start = 0;
+    for (auto end = text.find('\n'); end != std::string::npos; end = text.find('\n', start)) {
+        const auto line = text.substr(start, end - start);
+        start = end + 1;
+        const auto event = line.empty() || line == "\r" ? std::nullopt : std::optional(parseWatchEvent(line));
+        if (event && event->has_error()) {
+            return event->error();
+        }
+        if (event) {
+            handler(event->value());
+        }
+    }
+    text.erase(0, start);
+    return std::nullopt;
+}
+
+asio::awaitable<StoreError> readWatch(Stream &stream, beast::flat_buffer &buffer, http::response_parser<http::buffer_body> &parser,
+                                      const std::function<void(const WatchEvent &)> &handler)
+{
+    std::vector<char> piece(64 * 1024);
+    std::string text;
+    WatchMonitor monitor(RuntimeClock::now());
+    while (!parser.is_done()) {
+        parser.get().body().data = piece.data();
+        parser.get().body().size = piece.size();
+        stream.expires_after(monitor.deadline() - RuntimeClock::now());
+        boost::system::error_code error;
+        co_await http::async_read_some(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error && error != http::error::need_buffer) {
+            co_return failed(StoreFault::NoAnswer, error.message());
+        }
+        const auto length = piece.size() - parser.get().body().size;
+        text.append(piece.data(), length);
+        if (length > 0) {
+            monitor.heard(RuntimeClock::now());
+        }
+        if (auto fault = handLines(text, handler)) {
+            co_return *fault;
+        }
+    }
+    co_return failed(StoreFault::NoAnswer, "watch ended");
+}
+}
+
+asio::awaitable<StoreError> StoreConnection::watch(std::string prefix, std::uint64_t from, std::function<void(const WatchEvent &)> handler)
+{
+    if (!co_await m_pool->waitForBudget()) {
+        co_return failed(StoreFault::Throttled, {});
+    }
+    auto connected = co_await m_pool->connected();
+    if (connected.has_error()) {
+        co_return connected.error();
+    }
+    auto &stream = *connected.value();
+    stream.expires_after(m_pool->settings().callTimeout);
+    const auto request = makeRequest(http::verb::get, "/v1/watch?prefix=" + prefix + "&from=" + std::to_string(from), m_pool->host());
+    boost::system::error_code error;
+    co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, error));
+    beast::flat_buffer buffer;
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    if (!error) {
+        co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (error) {
+        co_return failed(StoreFault::NoAnswer, error.message());
+    }
+    if (parser.get().result_int() != 200) {
+        Response response(parser.get().result(), 11);
+        co_return refused(response);
+    }
+    co_return co_await readWatch(stream, buffer, parser, handler);
+}
+}
--- /dev/null
+++ b/src/store_client.cpp
@@ -0,0 +1,286 @@
+#include <plumsill/config.h>
+#include <plumsill/ini.h>
+#include <plumsill/store.h>
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace plumsill
+{
+namespace
+{
+namespace json = boost::json;
+
+constexpr auto ReadBackDelay = std::chrono::milliseconds(100);
+
+StoreError malformed(const std::string &what)
+{
+    return {StoreFault::Malformed, what + " can't be read"};
+}
+
+const char *toText(StoreFault fault)
+{
+    switch (fault) {
+    case StoreFault::Unreachable:
+        return "unreachable";
+    case StoreFault::NoAnswer:
+        return "no answer";
+    case StoreFault::Conflict:
+        return "conflict";
+    case StoreFault::NotFound:
+        return "not found";
+    case StoreFault::TooLarge:
+        return "too large";
+    case StoreFault::Expired:
+        return "revision too old";
+    case StoreFault::Throttled:
+        return "call budget spent";
+    case StoreFault::Malformed:
+        return "malformed answer";
+    }
+    return "";
+}
+
+// Throws what the JSON library throws; the callers turn it into an error of this layer.
+std::string text(const json::object &object, const char *key)
+{
+    return std::string(object.at(key).as_string());
+}
+
+StoredObject toObject(const json::object &object)
+{
+    return {text(object, "key"), object.at("version").to_number<std::uint64_t>(), text(object, "value")};
+}
+
+WatchEvent toWatchEvent(const json::object &event)
+{
+    const auto type = text(event, "type");
+    const auto version = event.at("version").to_number<std::uint64_t>();
+    if (type == "bookmark") {
+        return WatchBookmark {version};
+    }
+    if (type == "delete") {
+        return ObjectDeleted {text(event, "key"), version};
+    }
+    return ObjectPut {toObject(event)};
+}
+
+Target toTarget(const json::object &object)
+{
+    const auto endpoint = parseEndpoint(text(object, "endpoint"));
+    if (!endpoint) {
+        throw std::invalid_argument("endpoint");
+    }
+    return {{text(object, "name")}, {text(object, "service")}, {text(object, "zone")}, *endpoint, text(object, "state") == "leaving"};
+}
+
+template<class Value, class Convert>
+StoreResult<Value> convert(const std::string &text, const char *what, Convert fill)
+{
+    try {
+        return fill(json::parse(text));
+    } catch (const std::exception &) {
+        return malformed(what);
+    }
+}
+
+// The write didn't reach the store, or the store refused it.
+bool surelyNotDone(StoreFault fault)
+{
+    return fault != StoreFault::NoAnswer && fault != StoreFault::Malformed;
+}
+}
+
+std::string toString(const StoreError &error)
+{
+    return std::string(toText(error.fault)) + (error.message.empty() ? "" : ": " + error.message);
+}
+
+StoreResult<ObjectList> parseObjectList(const std::string &text)
+{
+    return convert<ObjectList>(text, "list of objects", [](const json::value &value) {
+        ObjectList list {value.at("revision").to_number<std::uint64_t>(), {}};
+        for (const auto &object : value.at("objects").as_array()) {
+            list.objects.push_back(toObject(object.as_object()));
+        }
+        return list;
+    });
+}
+
+StoreResult<WatchEvent> parseWatchEvent(const std::string &line)
+{
+    return convert<WatchEvent>(line, "watch event", [](const json::value &value) { return toWatchEvent(value.as_object()); });
+}
+
+StoreResult<std::vector<ListedInstance>> parseInstances(const std::string &text)
+{
+    return convert<std::vector<ListedInstance>>(text, "list of instances", [](const json::value &value) {
+        std::vector<ListedInstance> instances;
+        for (const auto &item : value.as_array()) {
+            const auto &object = item.as_object();
+            instances.push_back({{plumsill::text(object, "name")}, plumsill::text(object, "state") == "leaving"});
+        }
+        return instances;
+    });
+}
+
+StoreResult<std::vector<Target>> parseTargets(const std::string &text)
+{
+    return convert<std::vector<Target>>(text, "list of targets", [](const json::value &value) {
+        std::vector<Target> targets;
+        for (const auto &item : value.as_array()) {
+            targets.push_back(toTarget(item.as_object()));
+        }
+        return targets;
+    });
+}
+
+CallBudget::CallBudget(double callsPerSecond, double burst)
+    : m_rate(callsPerSecond)
+    , m_burst(burst)
+    , m_tokens(burst)
+{ }
+
+std::optional<Duration> CallBudget::take(TimePoint now)
+{
+    const double elapsed = m_updated ? std::max(0.0, seconds(now - *m_updated)) : 0;
+    m_updated = now;
+    m_tokens = std::min(m_burst, m_tokens + elapsed * m_rate);
+    if (m_tokens < 1) {
+        return fromSeconds((1 - m_tokens) / m_rate) + std::chrono::milliseconds(1);
+    }
+    m_tokens -= 1;
+    return std::nullopt;
+}
+
+Backoff::Backoff(Duration first, Duration longest)
+    : m_first(first)
+    , m_longest(longest)
+    , m_limit(first)
+{ }
+
+Duration Backoff::next(double random)
+{
+    const auto delay = fromSeconds(seconds(m_limit) * random);
+    m_limit = std::min(m_longest, 2 * m_limit);
+    return delay;
+}
+
+void Backoff::reset()
+{
+    m_limit = m_first;
+}
+
+bool VersionFilter::accept(const std::string &key, std::uint64_t version)
+{
+    auto &highest = m_highest[key];
+    if (version < highest) {
+        return false;
+    }
+    highest = version;
+    return true;
+}
+
+WatchMonitor::WatchMonitor(TimePoint opened)
+    : m_heard(opened)
+{ }
+
+void WatchMonitor::heard(TimePoint now)
+{
+    m_heard = std::max(m_heard, now);
+}
+
+TimePoint WatchMonitor::deadline() const
+{
+    return m_heard + config::WatchBookmarksMissed * config::WatchBookmarkInterval;
+}
+
+std::string toJson(const TaggedValue &value)
+{
+    return json::serialize(json::object {{"writeId", value.writeId}, {"data", value.data}});
+}
+
+std::optional<TaggedValue> parseTaggedValue(const std::string &text)
+{
+    boost::system::error_code error;
+    const auto value = json::parse(text, error);
+    const auto *object = error ? nullptr : value.if_object();
+    const auto *writeId = object == nullptr ? nullptr : object->if_contains("writeId");
+    const auto *data = object == nullptr ? nullptr : object->if_contains("data");
+    if (writeId == nullptr || data == nullptr || !writeId->is_string() || !data->is_string()) {
+        return std::nullopt;
+    }
+    return TaggedValue {std::string(writeId->as_string()), std::string(data->as_string())};
+}
+
+ConditionalWrite::ConditionalWrite(Request request, TimePoint deadline)
+    : m_request(std::move(request))
+    , m_deadline(deadline)
+{ }
+
+WriteStep ConditionalWrite::start()
+{
+    return write();
+}
+
+WriteStep ConditionalWrite::write()
+{
+    m_reading = false;
+    if (m_request.expected == 0) {
+        return ObjectCall(CreateCall {m_request.key, m_request.value});
+    }
+    return ObjectCall(ReplaceCall {m_request.key, m_request.value, m_request.expected});
+}
+
+WriteStep ConditionalWrite::resume()
+{
+    m_reading = true;
+    return ObjectCall(ReadCall {m_request.key});
+}
+
+WriteStep ConditionalWrite::answered(const ObjectResult &result, TimePoint now)
+{
+    return m_reading ? afterRead(result, now) : afterWrite(result, now);
+}
+
+WriteStep ConditionalWrite::afterWrite(const ObjectResult &result, TimePoint now)
+{
+    if (result.has_value()) {
+        const auto *written = std::get_if<Written>(&result.value());
+        return written != nullptr ? WriteStep(WriteDone {written->version}) : unsettled(now);
+    }
+    const auto &error = result.error();
+    m_maybeDone = m_maybeDone || !surelyNotDone(error.fault);
+    if (m_maybeDone) {
+        return unsettled(now);
+    }
+    return error.fault == StoreFault::Conflict ? WriteStep(WriteConflict {}) : WriteStep(WriteNotDone {error});
+}
+
+// A conditional write may be repeated under the same condition: at most one of the copies takes effect.
+WriteStep ConditionalWrite::afterRead(const ObjectResult &result, TimePoint now)
+{
+    const bool absent = result.has_error() && result.error().fault == StoreFault::NotFound;
+    if (absent && m_request.expected == 0) {
+        return now < m_deadline ? write() : WriteStep(WriteUnknown {});
+    }
+    const auto *object = result.has_value() ? std::get_if<StoredObject>(&result.value()) : nullptr;
+    if (object == nullptr) {
+        return unsettled(now);
+    }
+    if (object->value.find('"' + m_request.writeId + '"') != std::string::npos) {
+        return WriteDone {object->version};
+    }
+    if (object->version > m_request.expected) {
+        return WriteSuperseded {};
+    }
+    const bool same = object->version == m_request.expected;
+    return same && now < m_deadline ? write() : unsettled(now);
+}
+
+WriteStep ConditionalWrite::unsettled(TimePoint now)
+{
+    return now < m_deadline ? WriteStep(WritePause {ReadBackDelay}) : WriteStep(WriteUnknown {});
+}
+}
