--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -254,7 +254,7 @@
     m_stream.expires_never();
     m_streamStarted = false;
     watchCaller(handle);
-    const auto address = m_stream.socket().remote_endpoint(ignored).address().to_string(ignored);
+    const auto address = m_stream.socket().remote_endpoint(ignored).address().to_string();
     Forwarder forwarder(m_thread, std::get<Access>(access), request, address, mayStream ? &answerSink : nullptr, *handle);
     ForwardResult result = co_await forwarder.run();
     handle->finish();
