Control thread: glue of membership, document, limits and health

Cause: the decisions need a daemon around them. Change: one part for each subject, effects carried out by Asio. Not yet built into a program.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -89,6 +89,14 @@
 inline constexpr auto IdleTargetConnection = 30'000ms;
 inline constexpr auto RetryAfterFailure = 1000ms;
 
+// Control thread.
+inline constexpr auto ControlTick = 100ms;
+inline constexpr auto PublishInterval = 1000ms;
+inline constexpr auto ListIntervalWatcher = 1000ms;
+inline constexpr auto ListInterval = 10'000ms;
+inline constexpr auto StoreBackoffMin = 200ms;
+inline constexpr auto StoreBackoffMax = 10'000ms;
+
 // Traffic threads.
 inline constexpr auto AcceptRetryDelay = 50ms;
 inline constexpr auto IdleCheckInterval = 500ms;
--- /dev/null
+++ b/src/net_control.cpp
@@ -0,0 +1,151 @@
+#include "control_p.h"
+
+#include <plumsill/config.h>
+#include <plumsill/log.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace plumsill
+{
+Control::Control(boost::asio::io_context &context, const Settings &settings, PeerPort &peers, Member self, std::vector<std::unique_ptr<TrafficThread>> &threads)
+    : m_context(context)
+    , m_settings(settings)
+    , m_peers(peers)
+    , m_threads(threads)
+    , m_store({settings.platform})
+    , m_membership(*this, std::move(self), settings.peerSeeds)
+    , m_document(*this)
+    , m_limits(*this)
+    , m_health(*this)
+{ }
+
+void Control::send(const Endpoint &to, Message message)
+{
+    const auto sent = m_peers.sendDatagram(to, m_membership.membership().envelope(std::move(message)));
+    if (!sent) {
+        logDebug(LogPart::Peer, "cannot send to " + toString(to) + ": " + toString(sent.error()));
+    }
+}
+
+void Control::received(const Envelope &envelope)
+{
+    m_membership.received(envelope);
+    if (const auto *pulse = std::get_if<Pulse>(&envelope.message)) {
+        m_document.told(envelope.sender, pulse->document);
+        m_health.leavingTold(pulse->leavingTargets);
+    } else if (const auto *ack = std::get_if<PulseAck>(&envelope.message)) {
+        m_document.told(envelope.sender, ack->document);
+        m_document.confirm();
+    } else if (const auto *request = std::get_if<GrantRequest>(&envelope.message)) {
+        m_limits.received(envelope, *request);
+    } else if (const auto *grant = std::get_if<Grant>(&envelope.message)) {
+        m_limits.received(envelope, *grant);
+    } else if (const auto *giveBack = std::get_if<GiveBack>(&envelope.message)) {
+        m_limits.received(envelope, *giveBack);
+    } else if (const auto *handOver = std::get_if<HandOver>(&envelope.message)) {
+        m_limits.received(envelope, *handOver);
+    } else if (const auto *digest = std::get_if<HealthDigest>(&envelope.message)) {
+        m_health.received(envelope, *digest);
+    } else if (const auto *verdict = std::get_if<Verdict>(&envelope.message)) {
+        m_health.received(envelope, *verdict);
+    }
+}
+
+std::optional<Envelope> Control::respond(const Envelope &request)
+{
+    if (std::holds_alternative<DocumentRequest>(request.message)) {
+        return m_document.respond(request);
+    }
+    return m_membership.respond(request);
+}
+
+void Control::report(const TrafficReport &report)
+{
+    m_metrics.add(report);
+    m_health.report(report);
+}
+
+void Control::documentAdopted(const Document &before, const HeldDocument &held)
+{
+    m_membership.membership().documentChanged(held.stamp);
+    m_limits.documentChanged(before, *held.document);
+    m_health.documentChanged(*held.document);
+    m_publishDue = true;
+    logInfo(LogPart::Document, "document version " + std::to_string(held.stamp.version) + " is in force");
+}
+
+void Control::epochAdopted(std::uint64_t epoch)
+{
+    m_limits.epochAdopted(epoch);
+    m_health.epochAdopted(epoch);
+    logInfo(LogPart::Member, "epoch " + std::to_string(epoch) + " adopted");
+}
+
+void Control::startLeaving()
+{
+    m_leaving = true;
+    m_membership.membership().leave();
+    publish(RuntimeClock::now());
+}
+
+bool Control::ready(TimePoint now) const
+{
+    return !m_leaving && m_document.holder().trusted(now);
+}
+
+// Only the watchers of the cell read the platform's lists often; the others keep an eye on them, and learn of
+// leaving targets from pulses.
+boost::asio::awaitable<void> Control::runLists()
+{
+    while (true) {
+        auto targets = co_await m_store.targets();
+        auto instances = co_await m_store.instances();
+        const TimePoint now = RuntimeClock::now();
+        if (targets && instances) {
+            m_lists = {instances.value(), targets.value(), now};
+            m_membership.membership().instancesListed(m_lists.instances, now);
+            m_health.listsChanged();
+            m_publishDue = true;
+        }
+        const bool often = !m_lists.readAt || m_membership.membership().isWatcher(now);
+        co_await sleepFor(often ? Duration(config::ListIntervalWatcher) : Duration(config::ListInterval));
+    }
+}
+
+boost::asio::awaitable<void> Control::runPublisher()
+{
+    TimePoint lastAt;
+    while (true) {
+        co_await sleepFor(config::ControlTick);
+        const TimePoint now = RuntimeClock::now();
+        m_document.confirm();
+        if (m_publishDue || now - lastAt >= config::PublishInterval) {
+            publish(now);
+            lastAt = now;
+        }
+    }
+}
+
+void Control::publish(TimePoint now)
+{
+    m_publishDue = false;
+    const boost::intrusive_ptr<Snapshot> snapshot(new Snapshot);
+    snapshot->compiled = m_document.compiled();
+    snapshot->leaving = m_leaving;
+    snapshot->trustedUntil = m_document.holder().trustedUntil().value_or(TimePoint());
+    if (snapshot->compiled) {
+        for (const auto &service : snapshot->compiled->document->services) {
+            ServiceView view = m_health.view(service.name, now);
+            auto &published = m_views[service.name];
+            if (!published || *published != view) {
+                published = std::make_shared<const ServiceView>(std::move(view));
+            }
+            snapshot->services.emplace(service.name, published);
+        }
+    }
+    for (const auto &thread : m_threads) {
+        thread->publish(snapshot);
+    }
+}
+}
--- /dev/null
+++ b/src/net_control_document.cpp
@@ -0,0 +1,134 @@
+#include "control_p.h"
+
+#include <plumsill/config.h>
+#include <plumsill/log.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace plumsill
+{
+DocumentPart::DocumentPart(Control &control)
+    : m_control(control)
+{ }
+
+boost::asio::awaitable<void> DocumentPart::run()
+{
+    Backoff backoff(config::StoreBackoffMin, config::StoreBackoffMax);
+    while (true) {
+        const bool needed = !m_holder.held() || m_control.membership().membership().isWatcher(RuntimeClock::now());
+        if (!needed) {
+            co_await sleepFor(config::PulseInterval);
+            continue;
+        }
+        if (co_await readFromStore()) {
+            backoff.reset();
+            co_await watchStore();
+        }
+        co_await sleepFor(backoff.next(0.5));
+    }
+}
+
+boost::asio::awaitable<bool> DocumentPart::readFromStore()
+{
+    const std::string &environment = m_control.settings().environment;
+    const TimePoint sent = RuntimeClock::now();
+    const auto stored = co_await m_control.store().read(manifestKey(environment));
+    if (!stored) {
+        co_return stored.error().fault == StoreFault::NotFound;
+    }
+    m_storeRevision = stored.value().version;
+    const auto manifest = parseManifest(stored.value().value);
+    if (!manifest) {
+        logError(LogPart::Document, "the stored manifest cannot be read");
+        co_return false;
+    }
+    m_control.membership().membership().documentRead(manifest->stamp, sent);
+    if (m_holder.confirmedByStore(manifest->stamp, sent)) {
+        co_return true;
+    }
+    TextAssembly assembly(environment, *manifest);
+    while (const auto call = assembly.next()) {
+        const auto chunk = co_await m_control.store().call(*call);
+        if (!chunk || !assembly.add(std::get<StoredObject>(chunk.value()).value)) {
+            co_return false;
+        }
+    }
+    if (const auto text = assembly.text()) {
+        carryOut(m_holder.offeredByStore(manifest->stamp, *text, sent));
+    }
+    co_return true;
+}
+
+// Ends when the watch does, so that the caller reads anew.
+boost::asio::awaitable<void> DocumentPart::watchStore()
+{
+    const std::string key = manifestKey(m_control.settings().environment);
+    const auto error = co_await m_control.store().watch(key, m_storeRevision, [this, key](const WatchEvent &event) {
+        const auto *put = std::get_if<ObjectPut>(&event);
+        if (put != nullptr && put->object.key == key) {
+            boost::asio::co_spawn(
+                m_control.context(), [this]() -> boost::asio::awaitable<void> { co_await readFromStore(); }, boost::asio::detached);
+        }
+    });
+    logDebug(LogPart::Document, "the watch ended: " + toString(error));
+}
+
+void DocumentPart::told(const MemberId &member, const DocumentStamp &stamp)
+{
+    carryOut(m_holder.toldByMember(member, stamp, RuntimeClock::now()));
+}
+
+void DocumentPart::confirm()
+{
+    const auto since = m_control.membership().membership().documentFreshAt();
+    if (since) {
+        m_holder.confirmedByMembers(m_holder.stamp(), *since);
+    }
+}
+
+std::optional<Envelope> DocumentPart::respond(const Envelope &)
+{
+    if (!m_holder.held()) {
+        return std::nullopt;
+    }
+    const auto &held = *m_holder.held();
+    return m_control.membership().membership().envelope(DocumentReply {held.stamp, held.text});
+}
+
+boost::asio::awaitable<void> DocumentPart::fetch(FetchDocument effect)
+{
+    auto &membership = m_control.membership().membership();
+    std::optional<Endpoint> from;
+    for (const auto &peer : membership.peers(RuntimeClock::now())) {
+        if (peer.member.id == effect.member) {
+            from = peer.member.peer;
+        }
+    }
+    if (!from) {
+        co_return;
+    }
+    const auto reply = co_await m_control.peers().request(*from, membership.envelope(DocumentRequest {m_holder.stamp()}));
+    if (!reply) {
+        co_return;
+    }
+    if (const auto *document = std::get_if<DocumentReply>(&reply.value().message)) {
+        carryOut(m_holder.offeredByMember(document->stamp, document->text));
+    }
+}
+
+void DocumentPart::carryOut(const HolderEffects &effects)
+{
+    for (const auto &effect : effects) {
+        if (const auto *adopt = std::get_if<AdoptDocument>(&effect)) {
+            const Document before = m_compiled ? *m_compiled->document : Document {};
+            m_compiled = new CompiledDocument(adopt->held->stamp, adopt->held->document);
+            m_control.documentAdopted(before, *adopt->held);
+        } else if (const auto *wanted = std::get_if<FetchDocument>(&effect)) {
+            boost::asio::co_spawn(m_control.context(), fetch(*wanted), boost::asio::detached);
+        } else if (const auto *rejected = std::get_if<RejectOffer>(&effect)) {
+            logWarning(LogPart::Document, "document version " + std::to_string(rejected->stamp.version) + " turned down: " + rejected->reason);
+        }
+    }
+}
+}
--- /dev/null
+++ b/src/net_control_health.cpp
@@ -0,0 +1,128 @@
+#include "control_p.h"
+
+#include <plumsill/config.h>
+#include <plumsill/log.h>
+
+namespace plumsill
+{
+HealthPart::HealthPart(Control &control)
+    : m_control(control)
+    , m_local({control.membership().membership().self().id, control.settings().zone})
+{ }
+
+boost::asio::awaitable<void> HealthPart::run()
+{
+    while (true) {
+        co_await sleepFor(config::ControlTick);
+        for (const auto &effect : m_local.tick(RuntimeClock::now())) {
+            if (const auto *event = std::get_if<HealthEvent>(&effect)) {
+                log(*event);
+                m_control.publishSoon();
+                continue;
+            }
+            const auto &digest = std::get<SendDigest>(effect).digest;
+            const Member *owner = m_control.membership().ownership().ownerOf(VerdictKey {digest.service});
+            if (owner != nullptr) {
+                m_control.send(owner->peer, digest);
+            }
+        }
+    }
+}
+
+void HealthPart::report(const TrafficReport &report)
+{
+    const TimePoint now = RuntimeClock::now();
+    for (const auto &[service, targets] : report.evidence) {
+        std::vector<TargetEvidence> evidence;
+        for (const auto &[name, value] : targets) {
+            evidence.push_back(value);
+        }
+        m_local.record(service, evidence, now);
+    }
+    leavingTold(report.leavingTargets);
+}
+
+void HealthPart::leavingTold(const std::vector<LeavingTarget> &targets)
+{
+    const TimePoint now = RuntimeClock::now();
+    for (const auto &target : targets) {
+        m_local.noteLeaving(target, now);
+        m_control.publishSoon();
+    }
+}
+
+void HealthPart::received(const Envelope &envelope, const HealthDigest &digest)
+{
+    judge(envelope.sender, digest);
+}
+
+void HealthPart::judge(const MemberId &from, const HealthDigest &digest)
+{
+    const TimePoint now = RuntimeClock::now();
+    EvidenceSource source {from, {}};
+    std::optional<Endpoint> replyTo;
+    for (const auto &member : m_control.membership().membership().roster().members) {
+        if (member.id == from) {
+            source.zone = member.zone;
+            replyTo = member.peer;
+        }
+    }
+    if (!replyTo) {
+        return;
+    }
+    m_owner.setTargets(digest.service, m_local.targets(digest.service), now);
+    const bool mayAct = m_control.membership().ownership().mayAct(VerdictKey {digest.service}, now);
+    for (const auto &effect : m_owner.handleDigest(source, digest, mayAct, now)) {
+        if (const auto *event = std::get_if<HealthEvent>(&effect)) {
+            log(*event);
+        } else {
+            m_control.send(*replyTo, std::get<SendVerdict>(effect).verdict);
+        }
+    }
+}
+
+void HealthPart::received(const Envelope &envelope, const Verdict &verdict)
+{
+    if (m_local.handleVerdict(envelope.epoch, verdict, RuntimeClock::now())) {
+        m_control.publishSoon();
+    }
+}
+
+void HealthPart::documentChanged(const Document &document)
+{
+    m_services.clear();
+    for (const auto &service : document.services) {
+        m_services.push_back(service.name);
+    }
+    m_local.setServices(document.services);
+    m_owner.setServices(document.services);
+    setTargets();
+}
+
+void HealthPart::listsChanged()
+{
+    setTargets();
+}
+
+void HealthPart::setTargets()
+{
+    const TimePoint now = RuntimeClock::now();
+    std::map<ServiceName, std::vector<Target>> byService;
+    for (const auto &target : m_control.lists().targets) {
+        byService[target.service].push_back(target);
+    }
+    for (const auto &service : m_services) {
+        m_local.setTargets(service, byService[service], now);
+    }
+}
+
+void HealthPart::log(const HealthEvent &event) const
+{
+    if (const auto *ejected = std::get_if<TargetEjected>(&event)) {
+        logWarning(LogPart::Health, "target " + ejected->illness.target.value + " ejected: " + toString(ejected->illness.cause));
+        return;
+    }
+    const auto &returned = std::get<TargetReturned>(event);
+    logInfo(LogPart::Health, "target " + returned.target.value + (returned.forFloor ? " returned for the floor" : " returned"));
+}
+}
--- /dev/null
+++ b/src/net_control_limits.cpp
@@ -0,0 +1,146 @@
+#include "control_p.h"
+
+#include <plumsill/config.h>
+#include <plumsill/log.h>
+
+#include <random>
+
+namespace plumsill
+{
+LimitsPart::LimitsPart(Control &control)
+    : m_control(control)
+    , m_holder(std::random_device()())
+{ }
+
+boost::asio::awaitable<void> LimitsPart::run()
+{
+    while (true) {
+        const TimePoint now = RuntimeClock::now();
+        m_owner.tick(now);
+        carryOut(m_holder.tick(now));
+        const auto wake = m_holder.nextWake();
+        const Duration pause = wake ? std::clamp<Duration>(*wake - now, std::chrono::milliseconds(1), config::LimitsTick) : Duration(config::LimitsTick);
+        co_await sleepFor(pause);
+    }
+}
+
+std::optional<TeamLimits> LimitsPart::limitsOf(const TeamName &team) const
+{
+    const auto found = m_limits.find(team);
+    return found == m_limits.end() ? std::nullopt : std::optional(found->second);
+}
+
+void LimitsPart::wantToken(const TokenRequest &request)
+{
+    const auto limits = limitsOf(request.team);
+    m_waiting[request.waiter] = {request.thread, request.team};
+    if (!limits) {
+        resolve(request.waiter, {false, config::RetryAfterFailure, RefusalReason::OverRate, nullptr});
+        return;
+    }
+    carryOut(m_holder.wantToken(request.team, *limits, request.waiter, request.deadline, RuntimeClock::now()));
+}
+
+void LimitsPart::resolve(WaiterId waiter, const TokenAnswer &answer)
+{
+    const auto found = m_waiting.find(waiter);
+    if (found == m_waiting.end()) {
+        return;
+    }
+    TokenAnswer complete = answer;
+    if (const auto limits = limitsOf(found->second.team)) {
+        complete.allowance = m_holder.allowance(found->second.team, *limits, RuntimeClock::now());
+    }
+    m_control.threads()[found->second.thread]->resolveToken(waiter, std::move(complete));
+    m_waiting.erase(found);
+}
+
+void LimitsPart::toOwner(const PartKey &key, Message message)
+{
+    const Member *owner = m_control.membership().ownership().ownerOf(key);
+    if (owner != nullptr) {
+        m_control.send(owner->peer, std::move(message));
+    }
+}
+
+void LimitsPart::carryOut(const LimitsEffects &effects)
+{
+    for (const auto &effect : effects) {
+        if (const auto *request = std::get_if<SendGrantRequest>(&effect)) {
+            toOwner({request->message.team, request->message.part}, request->message);
+        } else if (const auto *giveBack = std::get_if<SendGiveBack>(&effect)) {
+            toOwner({giveBack->message.team, giveBack->message.part}, giveBack->message);
+        } else if (const auto *admit = std::get_if<Admit>(&effect)) {
+            for (const auto waiter : admit->waiters) {
+                resolve(waiter, {true, {}, {}, nullptr});
+            }
+        } else if (const auto *refuse = std::get_if<Refuse>(&effect)) {
+            for (const auto waiter : refuse->waiters) {
+                resolve(waiter, {false, std::max<Duration>(refuse->retryAfter, config::RetryAfterFailure), refuse->reason, nullptr});
+            }
+        }
+    }
+}
+
+void LimitsPart::received(const Envelope &envelope, const GrantRequest &request)
+{
+    const auto limits = limitsOf(request.team);
+    if (!limits) {
+        return;
+    }
+    const TimePoint now = RuntimeClock::now();
+    const Tenure tenure = m_control.membership().ownership().tenure(PartKey {request.team, request.part}, now);
+    const auto grant = m_owner.onGrantRequest(envelope.sender, request, *limits, tenure, now);
+    if (grant) {
+        m_control.send(envelope.replyTo, *grant);
+    }
+}
+
+void LimitsPart::received(const Envelope &envelope, const Grant &grant)
+{
+    carryOut(m_holder.onGrant(grant, envelope.epoch, RuntimeClock::now()));
+}
+
+void LimitsPart::received(const Envelope &envelope, const GiveBack &giveBack)
+{
+    m_owner.onGiveBack(envelope.sender, giveBack, RuntimeClock::now());
+}
+
+void LimitsPart::received(const Envelope &envelope, const HandOver &handOver)
+{
+    const auto limits = limitsOf(handOver.team);
+    if (!limits || !m_control.membership().acceptHandOver(envelope)) {
+        return;
+    }
+    const TimePoint now = RuntimeClock::now();
+    const Tenure tenure = m_control.membership().ownership().tenure(PartKey {handOver.team, handOver.part}, now);
+    m_owner.acceptHandOver(handOver, envelope.epoch, *limits, tenure, now);
+}
+
+void LimitsPart::documentChanged(const Document &before, const Document &after)
+{
+    m_limits.clear();
+    for (const auto &team : after.teams) {
+        m_limits.emplace(team.name, TeamLimits {team.rate, team.burst});
+    }
+    const TimePoint now = RuntimeClock::now();
+    for (const auto &change : changedLimits(before, after)) {
+        m_owner.limitsChanged(change, now);
+        m_holder.limitsChanged(change);
+    }
+}
+
+void LimitsPart::epochAdopted(std::uint64_t epoch)
+{
+    m_holder.adoptEpoch(epoch);
+}
+
+void LimitsPart::handOver()
+{
+    const TimePoint now = RuntimeClock::now();
+    carryOut(m_holder.release(now));
+    for (const auto &part : m_owner.handOver(now)) {
+        toOwner({part.team, part.part}, part);
+    }
+}
+}
--- /dev/null
+++ b/src/net_control_membership.cpp
@@ -0,0 +1,113 @@
+#include "control_p.h"
+
+#include <plumsill/config.h>
+#include <plumsill/log.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace plumsill
+{
+namespace
+{
+constexpr const char *RosterKey = "cells/0/roster";
+
+RosterWriteResult resultOf(const StoreResult<Written> &written)
+{
+    if (written) {
+        return RosterWriteResult::Written;
+    }
+    switch (written.error().fault) {
+    case StoreFault::Conflict:
+    case StoreFault::Unreachable:
+    case StoreFault::Throttled:
+    case StoreFault::NotFound:
+    case StoreFault::TooLarge:
+        return RosterWriteResult::Conflict;
+    case StoreFault::NoAnswer:
+    case StoreFault::Expired:
+    case StoreFault::Malformed:
+        return RosterWriteResult::Unknown;
+    }
+    return RosterWriteResult::Unknown;
+}
+}
+
+MembershipPart::MembershipPart(Control &control, Member self, std::vector<Endpoint> seeds)
+    : m_control(control)
+    , m_membership(std::move(self), std::move(seeds), RuntimeClock::now())
+    , m_ownership(m_membership)
+{ }
+
+boost::asio::awaitable<void> MembershipPart::run()
+{
+    while (true) {
+        const TimePoint now = RuntimeClock::now();
+        m_membership.leavingTargetsChanged(m_control.health().leavingForPulse(now));
+        carryOut(m_membership.tick(now));
+        co_await sleepFor(config::ControlTick);
+    }
+}
+
+void MembershipPart::received(const Envelope &envelope)
+{
+    carryOut(m_membership.receive(envelope, RuntimeClock::now()));
+}
+
+std::optional<Envelope> MembershipPart::respond(const Envelope &request)
+{
+    return m_membership.respond(request);
+}
+
+void MembershipPart::carryOut(const MembershipEffects &effects)
+{
+    for (const auto &effect : effects) {
+        if (const auto *datagram = std::get_if<SendDatagram>(&effect)) {
+            (void)m_control.peers().sendDatagram(datagram->to, datagram->envelope);
+        } else if (const auto *fetch = std::get_if<FetchRoster>(&effect)) {
+            boost::asio::co_spawn(m_control.context(), fetchRoster(*fetch), boost::asio::detached);
+        } else if (std::holds_alternative<ReadRoster>(effect)) {
+            boost::asio::co_spawn(m_control.context(), readRoster(), boost::asio::detached);
+        } else if (const auto *write = std::get_if<WriteRoster>(&effect)) {
+            boost::asio::co_spawn(m_control.context(), writeRoster(*write), boost::asio::detached);
+        } else if (const auto *adopted = std::get_if<RosterAdopted>(&effect)) {
+            m_ownership.update();
+            m_control.epochAdopted(adopted->epoch);
+        }
+    }
+}
+
+boost::asio::awaitable<void> MembershipPart::readRoster()
+{
+    const auto stored = co_await m_control.store().read(RosterKey);
+    const TimePoint now = RuntimeClock::now();
+    if (!stored && stored.error().fault == StoreFault::NotFound) {
+        carryOut(m_membership.rosterRead(std::nullopt, now));
+        co_return;
+    }
+    const auto roster = stored ? rosterFromJson(stored.value().value) : std::nullopt;
+    if (!roster) {
+        carryOut(m_membership.rosterReadFailed(now));
+        co_return;
+    }
+    carryOut(m_membership.rosterRead(StoredRoster {*roster, stored.value().version}, now));
+}
+
+boost::asio::awaitable<void> MembershipPart::writeRoster(WriteRoster write)
+{
+    const std::string value = toJson(write.roster);
+    StoreResult<Written> written
+        = write.replaces ? co_await m_control.store().replace(RosterKey, value, *write.replaces) : co_await m_control.store().create(RosterKey, value);
+    const RosterWriteResult result = resultOf(written);
+    const std::uint64_t version = written ? written.value().version : 0;
+    carryOut(m_membership.rosterWritten(result, version, RuntimeClock::now()));
+}
+
+boost::asio::awaitable<void> MembershipPart::fetchRoster(FetchRoster fetch)
+{
+    const auto reply = co_await m_control.peers().request(fetch.from, fetch.envelope);
+    if (reply) {
+        received(reply.value());
+    }
+}
+}
