Team limits, allowances and fair queue: first implementation

The owner's bucket is charged at a report or an expiry; a report's age gives back refill that was lost meanwhile. Not measured yet.

--- a/include/plumsill/allowance.h
+++ b/include/plumsill/allowance.h
@@ -25,8 +25,10 @@
 
     /// Takes one token by the runtime's clock; false: ask control for one. Any thread.
     bool take();
-    /// Takes one token that is valid at @p now; returns its expiry.
+    /// Takes one token that is valid at @p now; returns its expiry, at which the caller must not use it any more.
     std::optional<TimePoint> takeAt(TimePoint now);
+    /// The same for a request that has been counted as demand before.
+    std::optional<TimePoint> takeAgain(TimePoint now);
     /// Requests that asked since the last call, with or without success. Control thread.
     std::uint64_t drainDemand();
 
--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -20,19 +20,39 @@
 
 // Team limits.
 inline constexpr auto GrantLifetime = 500ms;
-inline constexpr auto GrantExpiryMargin = 25ms; // clock drift over one lifetime
+inline constexpr double MaxClockDrift = 0.01; // share of a measured time
+inline constexpr auto GrantExpiryMargin = 10ms; // drift over one lifetime, and rounding
 inline constexpr unsigned TeamParts = 12;
 inline constexpr double MinPartBurst = 4.0; // tokens; a team with less than two parts of this size has one part
 inline constexpr auto LimitsTick = 10ms;
 inline constexpr auto GrantTimeout = 25ms; // then the next part's owner is asked
 inline constexpr auto OwnerSuspectTime = 1000ms;
 inline constexpr unsigned PartTriesMax = 4;
+inline constexpr unsigned GrantRequestsAtOnce = 4; // of one team and daemon
 inline constexpr auto TokenWaitMax = 300ms;
-inline constexpr auto GrantReportDelay = 20ms;
+inline constexpr auto DemandOrderSlack = 3ms; // requests may reach an owner this much out of order
+inline constexpr double PrefetchReserveShare = 0.5; // of a part's burst, kept for requests that wait
+inline constexpr double PrefetchGrantShare = 0.25; // of what is above the reserve, for one request
+inline constexpr double PrefetchMinRate = 3.0; // requests a second of one daemon and team
+inline constexpr auto PrefetchHorizon = 250ms;
+inline constexpr auto PrefetchRefill = 30ms; // asks again when less than this is left
+inline constexpr auto PrefetchPause = 50ms; // after an owner had nothing to spare
+inline constexpr auto StockAgeMax = 350ms; // then what is left is given back
+inline constexpr auto StockIdleMax = 100ms; // without any demand
+inline constexpr auto DemandAverageTime = 1000ms;
+inline constexpr auto GrantReportDelayMin = 10ms;
+inline constexpr auto GrantReportDelayMax = 200ms;
+inline constexpr double GrantReportShare = 0.1; // of the time in which an empty bucket fills
 inline constexpr auto OverRatePause = 100ms; // between rounds over the parts while all refuse
+inline constexpr auto NoOwnerPause = 250ms; // between rounds over the parts while none answers
 inline constexpr auto LimitsIdleTime = 10'000ms; // then an idle team's state is dropped
 inline constexpr auto LimitsChangeDelay = ConfirmationLifetime + ClockDriftMargin + GrantLifetime;
 
+// Queue for targets.
+inline constexpr double FairQuantum = 1.0; // cost that each team may use in one round
+inline constexpr double QueueCostMax = 16.0;
+inline constexpr double QueueIntervalWeight = 0.05; // of the newest time between two served requests
+
 // Document.
 inline constexpr auto DocumentTrustLifetime = 5000ms;
 inline constexpr std::size_t MaxValueBytes = 1'000'000;
--- a/include/plumsill/fairqueue.h
+++ b/include/plumsill/fairqueue.h
@@ -7,6 +7,8 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace plumsill
@@ -47,8 +49,8 @@
     /// Removes one request that its caller gave up; false if it isn't queued.
     bool remove(std::uint64_t id);
 
-    bool empty() const { return m_size == 0; }
-    std::size_t size() const { return m_size; }
+    bool empty() const { return m_teamOf.empty(); }
+    std::size_t size() const { return m_teamOf.size(); }
     std::size_t queued(const TeamName &team) const;
     /// Earliest deadline of all queued requests.
     std::optional<TimePoint> nextDeadline() const;
@@ -62,12 +64,25 @@
     };
     using Teams = std::map<TeamName, TeamQueue>;
 
+    struct Deadline {
+        TimePoint at;
+        std::uint64_t id = 0;
+
+        auto operator<=>(const Deadline &) const = default;
+    };
+
     std::optional<std::uint64_t> displaceLongest(const TeamName &pushing);
+    void append(const QueuedRequest &request, TimePoint now);
+    QueuedRequest takeHead(TimePoint now);
+    void forget(const QueuedRequest &request);
+    void dropIfEmpty(Teams::iterator team);
+    void measureInterval(TimePoint now);
 
     const std::size_t m_limit;
-    std::size_t m_size = 0;
     Teams m_teams;
     std::deque<TeamName> m_round; ///< teams with queued requests, in the order of service
+    std::set<Deadline> m_deadlines;
+    std::unordered_map<std::uint64_t, TeamName> m_teamOf;
     std::optional<TimePoint> m_lastPop; ///< set while requests have been waiting since
     std::optional<Duration> m_interval; ///< mean time between two requests served while others wait
 };
--- a/include/plumsill/limits.h
+++ b/include/plumsill/limits.h
@@ -35,8 +35,8 @@
 
 /// Number of parts that a bucket is cut into.
 unsigned partCount(const TeamLimits &limits);
-/// Limits of each part; the parts' sum is the whole.
-TeamLimits partLimits(const TeamLimits &limits);
+/// Limits of one part, zero for one that doesn't exist; the parts' sum is the whole.
+TeamLimits partLimits(const TeamLimits &limits, std::uint32_t part);
 
 /// A daemon's right to act as owner of one part.
 struct Tenure {
@@ -65,45 +65,59 @@
 public:
     PartBucket(const TeamLimits &limits, double filled, TimePoint now);
 
-    /// Tokens free to grant; negative while delayed grants are open.
+    /// Tokens free to grant now; negative while delayed grants are open.
     double available() const { return m_filled - m_outstanding; }
     double outstanding() const { return m_outstanding; }
-    bool full() const;
+    double filled() const { return m_filled; }
+    bool full() const { return m_fullSince.has_value(); }
     const TeamLimits &limits() const { return m_limits; }
 
     /// Refills up to @p now.
     void advance(TimePoint now);
     /// Changes the limits from now on; what exceeds the new burst is lost.
     void setLimits(const TeamLimits &limits);
+    /// Time until @p tokens more can be spent; nothing if that can't be promised.
+    std::optional<Duration> delayFor(double tokens) const;
     /// Promises tokens to a holder.
     void grant(double tokens);
-    /// Granted tokens were spent, at the latest @p age ago; or have to be counted so.
+    /// Granted tokens were spent, or have to be counted so, at the latest @p age ago.
     void spent(double tokens, Duration age);
     /// Granted tokens come back.
     void giveBack(double tokens);
-    /// Time until @p tokens can be granted.
-    Duration delayFor(double tokens) const;
+    /// Takes over tokens of another owner, @p outstanding of them granted.
+    void inherit(double balance, double outstanding);
 
 private:
+    void refill(double tokens, TimePoint from);
+
     TeamLimits m_limits;
     double m_filled; ///< level of the ideal bucket, fed with the spending known so far
-    double m_outstanding = 0;
+    double m_outstanding = 0; ///< granted, not known to be spent
     TimePoint m_time;
     std::optional<TimePoint> m_fullSince;
 };
 
+/// A part that this daemon owns.
+struct OwnedPart {
+    PartKey key;
+    TeamLimits limits; ///< of the whole team
+    Tenure tenure;
+
+    auto operator<=>(const OwnedPart &) const = default;
+};
+
 /// Owner's side: grants tokens of the parts that this daemon owns. One for each daemon.
 class LimitsOwner
 {
 public:
-    /// Answers a request; nothing for one that can't be valid. @p limits are the whole team's, of the present document.
+    /// Answers a request; nothing for a stale or impossible one. @p limits are the whole team's, of the present document.
     std::optional<Grant> onGrantRequest(const MemberId &holder, const GrantRequest &request, const TeamLimits &limits, const Tenure &tenure, TimePoint now);
     /// Takes back what a holder didn't spend.
     void onGiveBack(const MemberId &holder, const GiveBack &message, TimePoint now);
     /// Call for each changed team once the new document is confirmed: growth waits until owners with the old one have lapsed.
     void limitsChanged(const LimitsChange &change, TimePoint now);
     /// Gives up every part for a planned stop: nothing more is granted by this daemon.
-    std::vector<HandOver> handOver(TimePoint now);
+    std::vector<HandOver> handOver(const std::vector<OwnedPart> &owned, TimePoint now);
     /// Takes over a part's balance; false where this daemon has already granted in this tenure or the hand-over is stale.
     bool acceptHandOver(const HandOver &message, std::uint64_t senderEpoch, const TeamLimits &limits, const Tenure &tenure, TimePoint now);
     /// Counts expired grants as spent and drops idle parts.
@@ -121,40 +135,48 @@
 
         auto operator<=>(const GrantId &) const = default;
     };
-    struct OpenGrant {
-        std::uint32_t tokens = 0;
-        bool ended = false; ///< reported or given back
-        Grant answer;
+    struct Answer {
+        Grant grant;
+        std::uint32_t open = 0; ///< tokens not yet reported
     };
     struct Expiry {
         TimePoint at;
-        GrantId grant;
+        GrantId id;
+    };
+    struct Inherited {
+        double tokens = 0;
+        TimePoint expiry;
     };
     struct Part {
         PartBucket bucket;
-        PartBucket demand; ///< ideal bucket fed with the requests as they come; decides refusals of a team with one part
+        PartBucket demand; ///< ideal bucket fed with the requests as they come
         std::uint64_t tenure = 0;
-        bool granted = false;
-        double inherited = 0; ///< outstanding tokens taken over from the last owner
-        TimePoint inheritedExpiry;
         TimePoint lastUse;
-        std::map<GrantId, OpenGrant> grants;
+        bool granted = false;
+        std::optional<Inherited> inherited;
+        std::map<GrantId, Answer> answers;
         std::deque<Expiry> expiries;
     };
     struct Change {
-        TeamLimits before;
+        std::vector<TeamLimits> before;
         TimePoint until;
     };
+    struct Forgotten {
+        std::uint64_t id = 0;
+        TimePoint lastUse;
+    };
 
-    TeamLimits effectiveLimits(const TeamName &team, const TeamLimits &limits, TimePoint now) const;
-    Part *partFor(const PartKey &key, const TeamLimits &limits, const Tenure &tenure, TimePoint now);
-    static Part freshPart(const TeamLimits &limits, const Tenure &tenure, TimePoint now);
-    static void expire(Part &part, TimePoint now);
-    static void settle(Part &part, const MemberId &holder, const std::vector<GrantReport> &reports, TimePoint now);
-    static Grant decide(Part &part, const GrantRequest &request, bool onlyPart);
+    TeamLimits limitsOf(const PartKey &key, const TeamLimits &limits, TimePoint now) const;
+    Part &partFor(const PartKey &key, const TeamLimits &limits, const Tenure &tenure, TimePoint now);
+    void expire(Part &part, TimePoint now);
+    static bool idle(const Part &part, TimePoint now);
+    static void settle(Part &part, const MemberId &holder, const std::vector<GrantReport> &reports);
+    static void promise(Part &part, const GrantRequest &request, bool single, Grant &answer);
 
     std::map<PartKey, Part> m_parts;
     std::map<TeamName, Change> m_changes;
+    std::map<MemberId, Forgotten> m_forgotten; ///< newest request of each holder whose answer is no longer kept
+    TimePoint m_nextSweep;
     bool m_stopped = false;
 };
 
@@ -175,9 +197,10 @@
     auto operator<=>(const SendGiveBack &) const = default;
 };
 
-/// Let these requests pass now: a token of each is spent.
+/// Let these requests pass: a token of each is spent. One that hasn't passed at the expiry must be refused instead.
 struct Admit {
     std::vector<WaiterId> waiters;
+    TimePoint expiry;
 
     auto operator<=>(const Admit &) const = default;
 };
@@ -226,16 +249,22 @@
     /// Gives everything back for a planned stop.
     LimitsEffects release(TimePoint now);
 
-    /// Earliest time at which tick() has something to do before the next LimitsTick.
-    std::optional<TimePoint> nextWake() const;
-    std::size_t activeTeams() const;
+    /// Time before the next LimitsTick at which tick() has something to do.
+    std::optional<TimePoint> nextWake() const { return m_wake; }
+    /// Teams with demand or tokens.
+    std::size_t activeTeams() const { return m_active.size(); }
 
 private:
-    struct Team;
+    class Team;
+
+    Team &teamFor(const TeamName &name, const TeamLimits &limits, TimePoint now);
+    void noteWake(const Team &team);
 
-    std::uint64_t m_seed;
+    const std::uint64_t m_seed;
     std::uint64_t m_epoch = 0;
     std::uint64_t m_nextId = 1;
+    std::optional<TimePoint> m_wake;
     std::unordered_map<TeamName, std::unique_ptr<Team>> m_teams;
+    std::vector<Team *> m_active;
 };
 }
--- /dev/null
+++ b/src/fairqueue.cpp
@@ -0,0 +1,199 @@
+#include <plumsill/config.h>
+#include <plumsill/fairqueue.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace plumsill
+{
+FairQueue::FairQueue(std::size_t limit)
+    : m_limit(limit)
+{
+    assert(limit > 0);
+}
+
+// Round robin serves at most as many requests of any other team as of this one until a new request's turn comes.
+// While nothing is served, the time since the last service stands for the service rate.
+Duration FairQueue::expectedWait(const TeamName &team, TimePoint now) const
+{
+    if (!m_interval) {
+        return Duration(0);
+    }
+    const auto own = queued(team);
+    auto before = own;
+    for (const auto &[name, queue] : m_teams) {
+        if (name != team) {
+            before += std::min(queue.requests.size(), own + 1);
+        }
+    }
+    const auto sinceLast = m_lastPop ? now - *m_lastPop : Duration(0);
+    return std::max(*m_interval, sinceLast) * static_cast<Duration::rep>(before);
+}
+
+QueueVerdict FairQueue::push(const QueuedRequest &request, TimePoint now)
+{
+    assert(!m_teamOf.contains(request.id));
+    const auto wait = expectedWait(request.team, now);
+    if (request.deadline <= now || request.deadline - now < wait) {
+        return {false, wait, std::nullopt};
+    }
+    if (size() < m_limit) {
+        append(request, now);
+        return {true, {}, std::nullopt};
+    }
+    const auto displaced = displaceLongest(request.team);
+    if (!displaced) {
+        return {false, wait, std::nullopt};
+    }
+    append(request, now);
+    return {true, wait, displaced};
+}
+
+// A full queue must not shut out the teams that use less than their share of it.
+std::optional<std::uint64_t> FairQueue::displaceLongest(const TeamName &pushing)
+{
+    const auto longest
+        = std::max_element(m_teams.begin(), m_teams.end(), [](const auto &a, const auto &b) { return a.second.requests.size() < b.second.requests.size(); });
+    if (longest->second.requests.size() <= queued(pushing) + 1) {
+        return std::nullopt;
+    }
+    const auto newest = longest->second.requests.back();
+    longest->second.requests.pop_back();
+    forget(newest);
+    dropIfEmpty(longest);
+    return newest.id;
+}
+
+void FairQueue::append(const QueuedRequest &request, TimePoint now)
+{
+    if (empty()) {
+        m_lastPop = now;
+    }
+    auto &queue = m_teams[request.team];
+    if (queue.requests.empty()) {
+        m_round.push_back(request.team);
+    }
+    queue.requests.push_back(request);
+    queue.requests.back().cost = std::clamp(request.cost, 0.0, config::QueueCostMax);
+    m_deadlines.insert({request.deadline, request.id});
+    m_teamOf.emplace(request.id, request.team);
+}
+
+void FairQueue::forget(const QueuedRequest &request)
+{
+    m_deadlines.erase({request.deadline, request.id});
+    m_teamOf.erase(request.id);
+    if (empty()) {
+        m_lastPop.reset();
+    }
+}
+
+void FairQueue::dropIfEmpty(Teams::iterator team)
+{
+    if (team->second.requests.empty()) {
+        std::erase(m_round, team->first);
+        m_teams.erase(team);
+    }
+}
+
+void FairQueue::measureInterval(TimePoint now)
+{
+    if (!m_lastPop) {
+        return;
+    }
+    const auto interval = now - *m_lastPop;
+    const auto mean = m_interval.value_or(interval);
+    m_interval = mean + std::chrono::duration_cast<Duration>((interval - mean) * config::QueueIntervalWeight);
+    m_lastPop = now;
+}
+
+// Each team in turn gets the quantum once a round and serves requests while its deficit covers their cost.
+std::optional<QueuedRequest> FairQueue::pop(TimePoint now)
+{
+    if (empty()) {
+        return std::nullopt;
+    }
+    while (true) {
+        auto &queue = m_teams[m_round.front()];
+        const double cost = queue.requests.front().cost;
+        if (queue.deficit >= cost) {
+            return takeHead(now);
+        }
+        queue.deficit += config::FairQuantum;
+        if (queue.deficit < cost) {
+            m_round.push_back(m_round.front());
+            m_round.pop_front();
+        }
+    }
+}
+
+QueuedRequest FairQueue::takeHead(TimePoint now)
+{
+    const auto team = m_teams.find(m_round.front());
+    auto &queue = team->second;
+    const auto request = queue.requests.front();
+    queue.requests.pop_front();
+    queue.deficit -= request.cost;
+    if (!queue.requests.empty() && queue.deficit < queue.requests.front().cost) {
+        m_round.push_back(m_round.front());
+        m_round.pop_front();
+    }
+    measureInterval(now);
+    forget(request);
+    dropIfEmpty(team);
+    return request;
+}
+
+std::vector<std::uint64_t> FairQueue::expire(TimePoint now)
+{
+    std::vector<std::uint64_t> expired;
+    while (!m_deadlines.empty() && m_deadlines.begin()->at <= now) {
+        expired.push_back(m_deadlines.begin()->id);
+        remove(expired.back());
+    }
+    return expired;
+}
+
+std::vector<std::uint64_t> FairQueue::removeTeam(const TeamName &team)
+{
+    std::vector<std::uint64_t> removed;
+    const auto known = m_teams.find(team);
+    if (known == m_teams.end()) {
+        return removed;
+    }
+    for (const auto &request : known->second.requests) {
+        removed.push_back(request.id);
+        forget(request);
+    }
+    known->second.requests.clear();
+    dropIfEmpty(known);
+    return removed;
+}
+
+bool FairQueue::remove(std::uint64_t id)
+{
+    const auto owner = m_teamOf.find(id);
+    if (owner == m_teamOf.end()) {
+        return false;
+    }
+    const auto team = m_teams.find(owner->second);
+    auto &requests = team->second.requests;
+    const auto request = std::find_if(requests.begin(), requests.end(), [id](const auto &entry) { return entry.id == id; });
+    const auto removed = *request;
+    requests.erase(request);
+    forget(removed);
+    dropIfEmpty(team);
+    return true;
+}
+
+std::size_t FairQueue::queued(const TeamName &team) const
+{
+    const auto known = m_teams.find(team);
+    return known == m_teams.end() ? 0 : known->second.requests.size();
+}
+
+std::optional<TimePoint> FairQueue::nextDeadline() const
+{
+    return m_deadlines.empty() ? std::nullopt : std::optional(m_deadlines.begin()->at);
+}
+}
--- /dev/null
+++ b/src/limits_bucket.cpp
@@ -0,0 +1,140 @@
+#include <plumsill/config.h>
+#include <plumsill/limits.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace plumsill
+{
+unsigned partCount(const TeamLimits &limits)
+{
+    const double parts = std::floor(limits.burst / config::MinPartBurst);
+    return static_cast<unsigned>(std::clamp(parts, 1.0, double(config::TeamParts)));
+}
+
+TeamLimits partLimits(const TeamLimits &limits, std::uint32_t part)
+{
+    const auto parts = partCount(limits);
+    return part < parts ? TeamLimits {limits.rate / parts, limits.burst / parts} : TeamLimits {};
+}
+
+std::vector<LimitsChange> changedLimits(const Document &before, const Document &after)
+{
+    std::map<TeamName, LimitsChange> teams;
+    for (const auto &team : before.teams) {
+        teams[team.name].before = {team.rate, team.burst};
+    }
+    for (const auto &team : after.teams) {
+        teams[team.name].after = {team.rate, team.burst};
+    }
+    std::vector<LimitsChange> changes;
+    for (auto &[name, change] : teams) {
+        change.team = name;
+        if (change.before != change.after) {
+            changes.push_back(change);
+        }
+    }
+    return changes;
+}
+
+// Why admissions in any window (x, x + t] are at most burst + rate * t.
+// `filled` is a token bucket to which every spending is charged when it is reported or expires, so never before it
+// happened, and `filled <= burst` always. Each admission in the window spends a token that was outstanding at x or was
+// granted in the window. A grant needs `outstanding + tokens <= filled` at the time from which it may be spent; that
+// is `tokens <= available`, and available grows by rate alone. So the admissions are at most
+// outstanding(x) + available(x) + rate * t = filled(x) + rate * t <= burst + rate * t.
+// Tokens that come back only move from outstanding to available. An early charge would break the first step, which is
+// why a grant that expires unreported counts as spent at its expiry and not when it was granted.
+PartBucket::PartBucket(const TeamLimits &limits, double filled, TimePoint now)
+    : m_limits(limits)
+    , m_filled(0)
+    , m_time(now)
+{
+    refill(filled, now);
+}
+
+void PartBucket::refill(double tokens, TimePoint from)
+{
+    const double missing = m_limits.burst - m_filled;
+    if (tokens < missing) {
+        m_filled += tokens;
+        return;
+    }
+    m_filled = m_limits.burst;
+    if (!m_fullSince) {
+        m_fullSince = m_limits.rate > 0 ? from + fromSeconds(missing / m_limits.rate) : m_time;
+    }
+}
+
+void PartBucket::advance(TimePoint now)
+{
+    if (now <= m_time) {
+        return;
+    }
+    const auto from = m_time;
+    m_time = now;
+    if (!m_fullSince) {
+        refill(m_limits.rate * seconds(now - from), from);
+    }
+}
+
+void PartBucket::setLimits(const TeamLimits &limits)
+{
+    if (limits == m_limits) {
+        return;
+    }
+    m_limits = limits;
+    m_filled = std::min(m_filled, limits.burst);
+    m_fullSince.reset();
+    if (m_filled == limits.burst) {
+        m_fullSince = m_time;
+    }
+}
+
+// A bucket that is full stops refilling until a spending is reported, so no more than the burst can be promised ahead.
+std::optional<Duration> PartBucket::delayFor(double tokens) const
+{
+    if (m_outstanding + tokens > m_limits.burst) {
+        return std::nullopt;
+    }
+    const double missing = m_outstanding + tokens - m_filled;
+    if (missing <= 0) {
+        return Duration(0);
+    }
+    if (m_limits.rate <= 0) {
+        return std::nullopt;
+    }
+    return fromSeconds(missing / m_limits.rate);
+}
+
+void PartBucket::grant(double tokens)
+{
+    m_outstanding += tokens;
+}
+
+// A report tells of a spending some time ago. While the bucket was full since then, it lost refill that it would have
+// kept had it known: that much comes back, as if the report had come at once.
+void PartBucket::spent(double tokens, Duration age)
+{
+    m_outstanding -= tokens;
+    m_filled -= tokens;
+    if (!m_fullSince) {
+        return;
+    }
+    const auto from = std::max(*m_fullSince, m_time - age);
+    m_fullSince.reset();
+    refill(m_limits.rate * seconds(m_time - from), from);
+}
+
+void PartBucket::giveBack(double tokens)
+{
+    m_outstanding -= tokens;
+}
+
+void PartBucket::inherit(double balance, double outstanding)
+{
+    m_outstanding += outstanding;
+    m_fullSince.reset();
+    refill(balance + outstanding, m_time);
+}
+}
--- /dev/null
+++ b/src/limits_team.cpp
@@ -0,0 +1,314 @@
+#include "limits_p.h"
+
+#include <plumsill/config.h>
+
+#include <algorithm>
+
+namespace plumsill
+{
+namespace
+{
+Duration milliseconds(std::uint32_t count)
+{
+    return std::chrono::milliseconds(count);
+}
+
+std::vector<WaiterId> idsOf(const auto &waiters)
+{
+    std::vector<WaiterId> ids;
+    for (const auto &waiter : waiters) {
+        ids.push_back(waiter.id);
+    }
+    return ids;
+}
+}
+
+LimitsHolder::Team::Team(TeamName name, const TeamLimits &limits, std::uint64_t seed, TimePoint now)
+    : m_name(std::move(name))
+    , m_cursor(static_cast<std::uint32_t>(seed))
+    , m_allowance(new TeamAllowance(m_name))
+    , m_refusedUntil(now)
+    , m_demandTime(now)
+    , m_lastDemand(now)
+    , m_prefetchFrom(now)
+{
+    setLimits(limits);
+}
+
+void LimitsHolder::Team::setLimits(const TeamLimits &limits)
+{
+    if (limits == m_limits) {
+        return;
+    }
+    m_limits = limits;
+    m_parts = partCount(limits);
+    m_suspectUntil.resize(m_parts);
+}
+
+bool LimitsHolder::Team::idle() const
+{
+    constexpr double NoDemand = 0.05;
+    return m_batches.empty() && m_queued.empty() && m_held.empty() && m_reports.empty() && m_demandRate < NoDemand;
+}
+
+std::optional<TimePoint> LimitsHolder::Team::nextDue() const
+{
+    std::optional<TimePoint> next;
+    for (const auto &delayed : m_delayed) {
+        next = std::min(next.value_or(delayed.due), delayed.due);
+    }
+    return next;
+}
+
+void LimitsHolder::Team::want(WaiterId waiter, TimePoint deadline, LimitsCall &call)
+{
+    if (const auto expiry = m_allowance->takeAgain(call.now)) {
+        call.effects.push_back(Admit {{waiter}, *expiry});
+        return;
+    }
+    if (call.now < m_refusedUntil) {
+        call.effects.push_back(Refuse {{waiter}, m_refusedUntil - call.now, m_refusal});
+        return;
+    }
+    const Waiter entry {waiter, std::min<TimePoint>(deadline, call.now + config::TokenWaitMax)};
+    if (m_batches.size() < config::GrantRequestsAtOnce) {
+        start({entry}, call);
+    } else {
+        m_queued.push_back(entry);
+    }
+}
+
+void LimitsHolder::Team::cancel(WaiterId waiter)
+{
+    const auto matches = [waiter](const auto &entry) { return entry.id == waiter; };
+    std::erase_if(m_queued, matches);
+    for (auto &batch : m_batches) {
+        std::erase_if(batch.waiters, matches);
+    }
+    for (auto &delayed : m_delayed) {
+        delayed.cancelled = delayed.cancelled || delayed.waiter == waiter;
+    }
+}
+
+// Parts are asked in turn, so that the fleet's demand spreads over all of them.
+std::optional<std::uint32_t> LimitsHolder::Team::pickPart(TimePoint now)
+{
+    for (std::uint32_t i = 0; i < m_parts; ++i) {
+        const auto part = m_cursor++ % m_parts;
+        if (single() || m_suspectUntil[part] <= now) {
+            return part;
+        }
+    }
+    return std::nullopt;
+}
+
+void LimitsHolder::Team::start(std::vector<Waiter> waiters, LimitsCall &call)
+{
+    Batch batch;
+    batch.deadline = call.now + config::TokenWaitMax;
+    for (const auto &waiter : waiters) {
+        batch.deadline = std::min(batch.deadline, waiter.deadline);
+    }
+    batch.waiters = std::move(waiters);
+    m_batches.push_back(std::move(batch));
+    const auto entry = std::prev(m_batches.end());
+    if (const auto part = pickPart(call.now)) {
+        send(*entry, *part, call);
+    } else {
+        refuse(entry, RefusalReason::NoOwner, config::NoOwnerPause, config::NoOwnerPause, call);
+    }
+}
+
+void LimitsHolder::Team::startQueued(LimitsCall &call)
+{
+    if (m_queued.empty() || m_batches.size() >= config::GrantRequestsAtOnce) {
+        return;
+    }
+    std::vector<Waiter> waiters(m_queued.begin(), m_queued.end());
+    m_queued.clear();
+    start(std::move(waiters), call);
+}
+
+void LimitsHolder::Team::send(Batch &batch, std::uint32_t part, LimitsCall &call)
+{
+    const auto waiting = static_cast<std::uint32_t>(batch.waiters.size());
+    const bool patient = batch.patient || single();
+    const auto patience = patient ? std::max(batch.deadline - call.now, Duration(0)) : Duration(0);
+    const auto ahead = batch.patient ? 0 : aheadWanted(call.now);
+    m_aheadAsked = m_aheadAsked || ahead > 0;
+    const auto patienceMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(patience).count();
+    batch.request = {call.nextId++, m_name, part, waiting, ahead, static_cast<std::uint32_t>(patienceMilliseconds), takeReports(part, call.now)};
+    batch.sentAt = call.now;
+    batch.timeout = call.now + config::GrantTimeout;
+    call.effects.push_back(SendGrantRequest {batch.request});
+}
+
+// The owner repeats its answer to a repeated id, so a lost answer costs no token.
+void LimitsHolder::Team::resend(Batch &batch, LimitsCall &call)
+{
+    batch.timeout = call.now + config::GrantTimeout;
+    call.effects.push_back(SendGrantRequest {batch.request});
+}
+
+void LimitsHolder::Team::onGrant(const Grant &grant, bool stale, LimitsCall &call)
+{
+    const auto batch = std::find_if(m_batches.begin(), m_batches.end(), [&grant](const auto &entry) { return entry.request.id == grant.id; });
+    if (batch == m_batches.end()) {
+        onLateGrant(grant, stale, call);
+        return;
+    }
+    if (stale || grant.status == GrantStatus::NotActing || call.now >= batch->sentAt + config::GrantLifetime) {
+        fail(batch, config::NoOwnerPause, call);
+        return;
+    }
+    if (grant.part < m_parts) {
+        m_suspectUntil[grant.part] = {};
+    }
+    if (batch->request.ahead > 0) {
+        m_aheadAsked = false;
+    }
+    distribute(*batch, grant, call);
+    if (batch->waiters.empty()) {
+        end(batch, call);
+    } else {
+        onRefusal(batch, grant, call);
+    }
+}
+
+void LimitsHolder::Team::onLateGrant(const Grant &grant, bool stale, LimitsCall &call)
+{
+    const auto late = std::find_if(m_late.begin(), m_late.end(), [&grant](const auto &entry) { return entry.id == grant.id; });
+    if (late == m_late.end()) {
+        return;
+    }
+    if (!stale && grant.tokens > 0) {
+        const GrantReport unspent {grant.id, grant.tokens, 0};
+        call.effects.push_back(SendGiveBack {{m_name, grant.part, {unspent}}});
+    }
+    m_late.erase(late);
+}
+
+// The one owner of a small team knows the whole team's demand, so its refusal is final. Otherwise the next part is asked.
+void LimitsHolder::Team::onRefusal(Batches::iterator batch, const Grant &grant, LimitsCall &call)
+{
+    const auto retryAfter = milliseconds(grant.retryAfterMilliseconds);
+    if (single()) {
+        // Counted from the sending of the request, so never longer than the owner meant.
+        const auto pause = std::max(batch->sentAt + retryAfter - call.now, Duration(0));
+        refuse(batch, RefusalReason::OverRate, pause, retryAfter, call);
+        return;
+    }
+    ++batch->refusals;
+    if (retryAfter < batch->bestRetry) {
+        batch->bestRetry = retryAfter;
+        batch->bestPart = grant.part;
+    }
+    askNext(batch, call);
+}
+
+void LimitsHolder::Team::askNext(Batches::iterator batch, LimitsCall &call)
+{
+    if (batch->waiters.empty()) {
+        end(batch, call);
+        return;
+    }
+    const bool answered = batch->refusals > 0;
+    if (batch->patient) {
+        refuse(batch, RefusalReason::OverRate, config::OverRatePause, std::max<Duration>(batch->bestRetry, config::OverRatePause), call);
+        return;
+    }
+    const auto part = batch->refusals < std::min(m_parts, config::PartTriesMax) ? pickPart(call.now) : std::nullopt;
+    if (part) {
+        send(*batch, *part, call);
+    } else if (answered) {
+        batch->patient = true;
+        send(*batch, batch->bestPart, call);
+    } else {
+        refuse(batch, RefusalReason::NoOwner, config::NoOwnerPause, config::NoOwnerPause, call);
+    }
+}
+
+void LimitsHolder::Team::fail(Batches::iterator batch, Duration suspectTime, LimitsCall &call)
+{
+    if (single()) {
+        // Nobody else can grant: the next timeout asks again, until the deadline.
+        batch->timeout = call.now + config::GrantTimeout;
+        return;
+    }
+    m_late.push_back({batch->request.id, batch->sentAt});
+    if (batch->request.part < m_parts) {
+        m_suspectUntil[batch->request.part] = call.now + suspectTime;
+    }
+    if (batch->request.ahead > 0) {
+        m_aheadAsked = false;
+    }
+    askNext(batch, call);
+}
+
+void LimitsHolder::Team::refuse(Batches::iterator batch, RefusalReason reason, Duration pause, Duration retryAfter, LimitsCall &call)
+{
+    if (!batch->waiters.empty()) {
+        call.effects.push_back(Refuse {idsOf(batch->waiters), retryAfter, reason});
+        m_refusedUntil = call.now + pause;
+        m_refusal = reason;
+    }
+    end(batch, call);
+}
+
+void LimitsHolder::Team::end(Batches::iterator batch, LimitsCall &call)
+{
+    m_batches.erase(batch);
+    startQueued(call);
+}
+
+void LimitsHolder::Team::checkTimes(LimitsCall &call)
+{
+    for (auto batch = m_batches.begin(); batch != m_batches.end();) {
+        const auto current = batch++;
+        if (!current->waiters.empty() && current->deadline <= call.now) {
+            const auto reason = current->refusals > 0 ? RefusalReason::OverRate : RefusalReason::NoOwner;
+            m_late.push_back({current->request.id, current->sentAt});
+            m_aheadAsked = m_aheadAsked && current->request.ahead == 0;
+            refuse(current, reason, reason == RefusalReason::NoOwner ? config::NoOwnerPause : config::OverRatePause, config::NoOwnerPause, call);
+        } else if (current->timeout <= call.now && single()) {
+            resend(*current, call);
+        } else if (current->timeout <= call.now) {
+            fail(current, config::OwnerSuspectTime, call);
+        }
+    }
+    std::erase_if(m_late, [&call](const auto &late) { return late.sentAt + config::GrantLifetime <= call.now; });
+}
+
+// Requests that wait for their turn to ask go with the same pause as those that have asked.
+void LimitsHolder::Team::checkQueue(LimitsCall &call)
+{
+    std::vector<Waiter> refused;
+    while (!m_queued.empty() && (m_queued.front().deadline <= call.now || call.now < m_refusedUntil)) {
+        refused.push_back(m_queued.front());
+        m_queued.pop_front();
+    }
+    if (!refused.empty()) {
+        call.effects.push_back(Refuse {idsOf(refused), std::max<Duration>(m_refusedUntil - call.now, config::OverRatePause), m_refusal});
+    }
+}
+
+void LimitsHolder::Team::tick(LimitsCall &call)
+{
+    measureDemand(call.now);
+    admitDue(call);
+    checkTimes(call);
+    checkQueue(call);
+    upkeep(call);
+    prefetch(call);
+    flushReports(false, call);
+}
+
+void LimitsHolder::Team::release(LimitsCall &call)
+{
+    for (auto &held : m_held) {
+        finish(held, call.now);
+    }
+    std::erase_if(m_held, [](const auto &held) { return held.delayed == 0; });
+    flushReports(true, call);
+}
+}
