--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -26,6 +26,13 @@
 // Document.
 inline constexpr auto DocumentTrustLifetime = 5000ms;
 inline constexpr std::size_t MaxValueBytes = 1'000'000;
+inline constexpr std::size_t MaxChunkBytes = 500'000;
+inline constexpr std::size_t MaxDocumentBytes = 256 * 1024 * 1024;
+inline constexpr std::size_t MaxHistoryEntries = 50;
+inline constexpr auto ChangeTimeout = 10'000ms;
+inline constexpr auto ChangeRetryInterval = 100ms;
+inline constexpr auto StaleReadPatience = 500ms;
+inline constexpr auto DocumentFetchRetry = 500ms;
 
 // Target health.
 inline constexpr auto HealthDigestInterval = 500ms;
--- a/include/plumsill/environment.h
+++ b/include/plumsill/environment.h
@@ -5,7 +5,6 @@
 #include <plumsill/messages.h>
 #include <plumsill/store.h>
 
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -161,13 +160,14 @@
     DocumentStamp stamp() const { return m_held ? m_held->stamp : DocumentStamp {}; }
 
 private:
-    HolderEffects offer(const DocumentStamp &stamp, const std::string &text);
-    void confirm(const DocumentStamp &stamp, TimePoint since);
+    HolderEffects adopt(const DocumentStamp &stamp, const std::string &text);
+    bool higher(const DocumentStamp &stamp) const;
+    void confirm(TimePoint since);
 
     std::shared_ptr<const HeldDocument> m_held;
     std::optional<TimePoint> m_confirmed;
-    std::uint64_t m_laterKnown = 0; ///< highest version anybody told of
     std::set<DocumentStamp> m_invalid; ///< offers whose text was bad
-    std::map<DocumentStamp, TimePoint> m_fetching;
+    std::optional<DocumentStamp> m_fetching;
+    TimePoint m_fetchSent;
 };
 }
--- /dev/null
+++ b/src/document_holder.cpp
@@ -0,0 +1,97 @@
+#include <plumsill/config.h>
+#include <plumsill/environment.h>
+
+#include <algorithm>
+
+namespace plumsill
+{
+namespace
+{
+constexpr std::size_t MaxInvalidRemembered = 16;
+
+std::string described(const DocumentStamp &stamp)
+{
+    return "document version " + std::to_string(stamp.version);
+}
+}
+
+bool DocumentHolder::higher(const DocumentStamp &stamp) const
+{
+    return stamp.version > this->stamp().version;
+}
+
+// What a peer or the store says is later counts as later only once it is whole and valid.
+HolderEffects DocumentHolder::adopt(const DocumentStamp &stamp, const std::string &text)
+{
+    if (!higher(stamp) || m_invalid.contains(stamp)) {
+        return {};
+    }
+    if (sha256Hex(text) != stamp.digest) {
+        return {RejectOffer {stamp, described(stamp) + " has another digest than its text"}};
+    }
+    auto parsed = parseDocument(text, "document");
+    if (!parsed.valid()) {
+        if (m_invalid.size() >= MaxInvalidRemembered) {
+            m_invalid.erase(m_invalid.begin());
+        }
+        m_invalid.insert(stamp);
+        return {RejectOffer {stamp, described(stamp) + " is invalid: " + toString(parsed.problems.front())}};
+    }
+    auto document = std::make_shared<const Document>(std::move(parsed.document));
+    m_held = std::make_shared<const HeldDocument>(HeldDocument {stamp, text, std::move(document)});
+    return {AdoptDocument {m_held}};
+}
+
+void DocumentHolder::confirm(TimePoint since)
+{
+    m_confirmed = m_confirmed ? std::max(*m_confirmed, since) : since;
+}
+
+HolderEffects DocumentHolder::offeredByStore(const DocumentStamp &stamp, const std::string &text, TimePoint sent)
+{
+    auto effects = adopt(stamp, text);
+    confirmedByStore(stamp, sent);
+    return effects;
+}
+
+// A text that fails the check changes nothing, so the store showing it doesn't make the held one doubtful.
+bool DocumentHolder::confirmedByStore(const DocumentStamp &stamp, TimePoint sent)
+{
+    if (m_held && (stamp == m_held->stamp || m_invalid.contains(stamp))) {
+        confirm(sent);
+        return true;
+    }
+    return !higher(stamp) || m_invalid.contains(stamp);
+}
+
+HolderEffects DocumentHolder::toldByMember(const MemberId &member, const DocumentStamp &stamp, TimePoint now)
+{
+    if (!higher(stamp) || m_invalid.contains(stamp)) {
+        return {};
+    }
+    const bool asked = m_fetching && m_fetching->version >= stamp.version && now < m_fetchSent + config::DocumentFetchRetry;
+    if (asked) {
+        return {};
+    }
+    m_fetching = stamp;
+    m_fetchSent = now;
+    return {FetchDocument {member, stamp}};
+}
+
+HolderEffects DocumentHolder::offeredByMember(const DocumentStamp &stamp, const std::string &text)
+{
+    return adopt(stamp, text);
+}
+
+void DocumentHolder::confirmedByMembers(const DocumentStamp &stamp, TimePoint since)
+{
+    if (m_held && stamp == m_held->stamp) {
+        confirm(since);
+    }
+}
+
+bool DocumentHolder::trusted(TimePoint now) const
+{
+    return m_held && m_confirmed && now - *m_confirmed <= config::DocumentTrustLifetime;
+}
+}
