--- a/include/plumsill/detector.h
+++ b/include/plumsill/detector.h
@@ -92,7 +92,7 @@
     void restart(const TargetName &target);
 
     /// Ill targets, the worst first. None while the whole service is slow or failing.
-    std::vector<Illness> ill(TimePoint now) const;
+    std::vector<Illness> ill() const;
     TrialResult trialResult(const TargetName &target) const;
     /// Badness for ordering only: higher is worse.
     double score(const TargetName &target) const;
@@ -100,7 +100,7 @@
     /// Connections fail from several zones, or from several daemons where all are in one zone.
     bool unreachable(const TargetName &target, TimePoint now) const;
     /// Latency above which a request is slow; zero while too little is known.
-    Duration slowAfter() const;
+    Duration slowAfter() const { return m_slowAfter; }
 
 private:
     /// Counts that fade with time.
@@ -110,48 +110,65 @@
         TimePoint at;
 
         void fade(TimePoint now, Duration window);
+        void add(double moreOk, double moreBad, TimePoint now, Duration window);
         double share() const;
-        double total() const { return ok + bad; }
     };
 
-    /// One-sided cumulative sum, kept as a whole and for each group of senders.
+    /// One-sided cumulative sum, as a whole and for each group of senders.
     struct CumulativeSum {
         double whole = 0;
-        double sinceRestart = 0;
+        double sinceRestart = 0; ///< not held above zero, for trials
         std::map<std::string, double> byGroup;
 
-        void add(const std::string &group, double ratio);
+        void add(const std::string &group, double ratio, double limit);
+        void clear();
+        void fade(double keep);
         double withoutWorstGroup() const;
     };
 
+    /// One question asked of each target: what share of its requests is bad, and what share do its peers have?
+    struct Test {
+        CumulativeSum sum;
+        FadingCounts recent;
+        double usual = 0; ///< share of the peers
+    };
+
     struct TargetRecord {
-        CumulativeSum errors;
-        CumulativeSum slowness;
-        CumulativeSum connections;
-        FadingCounts recentErrors;
-        FadingCounts recentSlow;
-        double answers = 0;
-        double logLatencySum = 0;
-        TimePoint latencyAt;
-        std::optional<TimePoint> coldSince;
+        Test errors;
+        Test slowness;
+        Test connections;
+        FadingCounts latency; ///< ok: answers, bad: sum of ln(seconds)
+        std::optional<TimePoint> coldUntil;
         std::map<std::string, TimePoint> unreachableFrom; ///< group to last failure
-        std::map<std::string, TimePoint> reachedFrom; ///< group to last answer
+        std::optional<TimePoint> reached; ///< last answer
     };
 
-    using Counts = FadingCounts TargetRecord::*;
-    using Sum = CumulativeSum TargetRecord::*;
+    using TestField = Test TargetRecord::*;
+
+    /// Bad and other requests of one digest.
+    struct Sample {
+        double ok = 0;
+        double bad = 0;
+    };
 
     std::string groupOf(const EvidenceSource &source) const;
     void noteSource(const EvidenceSource &source, TimePoint now);
-    double usualShare(const TargetName &target, Counts counts, TimePoint now) const;
-    bool alarmed(const TargetRecord &record, Sum sum) const;
-    bool outlier(const TargetName &target, Counts counts, double illShare, TimePoint now) const;
-    bool serviceWide(Sum sum) const;
-    void addTest(TargetRecord &record, Sum sum, Counts counts, double usual, double illShare, double ok, double bad, const std::string &group, TimePoint now);
+    void refresh(TimePoint now);
+    void forgetSources(TimePoint now);
+    void refreshUsual(TestField field, TimePoint now);
+    void refreshSlowLimit(TimePoint now);
+    void addSample(Test &test, const Sample &sample, double illShare, const std::string &group, TimePoint now) const;
+    static void noteReach(TargetRecord &record, const TargetEvidence &evidence, const std::string &group, TimePoint now);
+    bool alarmed(const Test &test) const;
+    bool serviceWide(TestField field) const;
+    void appendIll(TestField field, IllnessCause cause, std::vector<Illness> &found) const;
 
     DetectorThresholds m_thresholds;
     std::map<TargetName, TargetRecord> m_targets;
     std::map<MemberId, std::pair<ZoneName, TimePoint>> m_sources;
+    std::size_t m_zones = 0; ///< zones that evidence comes from
+    Duration m_slowAfter = Duration::zero();
+    std::optional<TimePoint> m_refreshed;
     bool m_listed = false;
 };
 }
--- a/include/plumsill/health.h
+++ b/include/plumsill/health.h
@@ -107,16 +107,18 @@
         double badness = 0;
         double ejections = 0; ///< recent ones, fades
         TimePoint phaseEnds;
-        TimePoint lastEjected;
+        TimePoint quietSince; ///< end of the last ejection
         TimePoint heldUntil; ///< a daemon may act on a sent permit until then
         TimePoint warmAt; ///< end of slow start
     };
 
-    void eject(Record &record, double badness, TimePoint now);
+    void eject(const TargetName &target, Record &record, double badness, TimePoint now);
     void endPhases(TimePoint now, std::vector<HealthEvent> &events);
     void keepFloor(TimePoint now, std::vector<HealthEvent> &events);
     void ejectIll(TimePoint now, std::vector<HealthEvent> &events);
-    void release(const TargetName &target, Record &record, TimePoint now);
+    void release(const TargetName &target, Record &record);
+    /// Leaving, cold or unreachable ones.
+    std::set<TargetName> unfit(TimePoint now) const;
 
     Service m_service;
     Duration m_permitLifetime;
@@ -153,9 +155,11 @@
         Service service;
         std::vector<Target> targets;
         std::optional<EjectionPlan> plan; ///< made by the first digest
+        TimePoint lastDigest;
         std::map<MemberId, std::pair<std::uint64_t, TimePoint>> lastSequence;
     };
 
+    static void startPlan(ServiceRecord &record, TimePoint now);
     static void tellTargets(ServiceRecord &record, TimePoint now);
     static bool freshDigest(ServiceRecord &record, const EvidenceSource &sender, const HealthDigest &digest, TimePoint now);
 
@@ -204,10 +208,11 @@
     /// What this daemon alone knows of a target.
     struct LocalRecord {
         unsigned silent = 0; ///< requests and connections without an answer since the last one
+        TimePoint silentSince;
         unsigned avoidances = 0;
         TimePoint avoidUntil;
-        TimePoint avoidedAt;
         std::optional<TimePoint> startedAt; ///< begin of slow start
+        bool returned = false; ///< the slow start follows an ejection
         bool ejected = false; ///< at the last look
     };
 
@@ -219,6 +224,7 @@
         std::map<TargetName, LocalRecord> locals;
         std::uint64_t sequence = 0;
         TimePoint nextDigest;
+        std::optional<TimePoint> lastUsed; ///< last evidence
         std::map<std::uint64_t, TimePoint> sentAt; ///< by sequence, of digests not yet answered
         std::uint64_t verdictEpoch = 0;
         Verdict verdict;
@@ -231,9 +237,10 @@
 
     bool isLeaving(const Target &target) const;
     void tellPlan(ServiceRecord &record, TimePoint now) const;
-    std::vector<EjectionPermit> ejections(const ServiceRecord &record, TimePoint now) const;
-    void noteTransitions(ServiceRecord &record, TimePoint now);
-    void makeDigest(ServiceRecord &record, TimePoint now, std::vector<LocalHealthEffect> &effects);
+    static std::vector<EjectionPermit> ejections(const ServiceRecord &record, TimePoint now);
+    static Duration slowAfter(const ServiceRecord &record, TimePoint now);
+    static void noteTransitions(ServiceRecord &record, TimePoint now);
+    static void makeDigest(ServiceRecord &record, TimePoint now, std::vector<LocalHealthEffect> &effects);
     static void judgeReach(LocalRecord &local, const TargetEvidence &evidence, TimePoint now);
 
     EvidenceSource m_self;
--- /dev/null
+++ b/src/detector.cpp
@@ -0,0 +1,431 @@
+#include <plumsill/config.h>
+#include <plumsill/detector.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <set>
+
+namespace plumsill
+{
+namespace
+{
+// Above this share of bad requests among the peers the whole service is ill, and the test says nothing about one target.
+constexpr double MaxUsualShare = 0.25;
+// The peers' share is an estimate; the test takes it this much higher.
+constexpr double UsualShareMargin = 1.5;
+// Shares of targets with fewer recent requests are noise.
+constexpr double MinRecentRequests = 4;
+// Answers of one target before its latency counts for the slow limit.
+constexpr double MinLatencyAnswers = 8;
+// A sum above this multiple of the alarm tells no more, and would only take longer to fall.
+constexpr double SumLimit = 3;
+// Part of the alarm that the evidence must reach without the group of senders that accuses most.
+constexpr double CorroborationShare = 0.25;
+// Part of the alarm from which a target counts as suspected, when the service as a whole is judged.
+constexpr double SuspicionShare = 0.33;
+// What one request tells for recovery while the service as a whole is ill.
+constexpr double IdleRecovery = 0.2;
+
+struct ThresholdsOfPolicy {
+    // Alarm: with the usual share true, one false alarm in about exp(alarm) requests of a target (Wald's bound on the
+    // run length of the cumulative sum); healthy shares are far below usualShare, which makes it far rarer.
+    DetectorThresholds operator()(const FewFalseEjections &) const
+    {
+        return {.usualShare = 0.02, .errorShare = 0.2, .slowShare = 0.5, .slowFactor = 5, .alarm = 18, .recovered = 3};
+    }
+    DetectorThresholds operator()(const FastDetection &) const
+    {
+        return {.usualShare = 0.02, .errorShare = 0.15, .slowShare = 0.4, .slowFactor = 4, .alarm = 14, .recovered = 3};
+    }
+};
+
+template<class Count>
+void addSaturated(Count &sum, unsigned part)
+{
+    sum = static_cast<Count>(std::min<unsigned>(std::numeric_limits<Count>::max(), sum + part));
+}
+
+double median(std::vector<double> values)
+{
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+}
+
+void countOverdue(TargetEvidence &evidence)
+{
+    addSaturated(evidence.slow, 1);
+}
+
+void countAnswer(TargetEvidence &evidence, AnswerKind kind, Duration latency, Duration slowAfter, bool countedSlow)
+{
+    switch (kind) {
+    case AnswerKind::Good:
+        addSaturated(evidence.good, 1);
+        evidence.logLatencySum += static_cast<float>(std::log(std::max(seconds(latency), 1e-6)));
+        if (slowAfter > Duration::zero() && !countedSlow) {
+            addSaturated(latency > slowAfter ? evidence.slow : evidence.fast, 1);
+        }
+        break;
+    case AnswerKind::Error:
+        addSaturated(evidence.errors, 1);
+        break;
+    case AnswerKind::Timeout:
+        addSaturated(evidence.timeouts, 1);
+        break;
+    case AnswerKind::Truncated:
+        addSaturated(evidence.truncated, 1);
+        break;
+    case AnswerKind::Shed:
+        addSaturated(evidence.shed, 1);
+        break;
+    case AnswerKind::Unreachable:
+        addSaturated(evidence.unreachable, 1);
+        break;
+    }
+}
+
+void addEvidence(TargetEvidence &sum, const TargetEvidence &part)
+{
+    addSaturated(sum.good, part.good);
+    addSaturated(sum.fast, part.fast);
+    addSaturated(sum.slow, part.slow);
+    addSaturated(sum.errors, part.errors);
+    addSaturated(sum.timeouts, part.timeouts);
+    addSaturated(sum.truncated, part.truncated);
+    addSaturated(sum.shed, part.shed);
+    addSaturated(sum.unreachable, part.unreachable);
+    sum.logLatencySum += part.logLatencySum;
+}
+
+DetectorThresholds thresholdsOf(const HealthPolicy &policy)
+{
+    return std::visit(ThresholdsOfPolicy {}, policy);
+}
+
+std::string toString(IllnessCause cause)
+{
+    switch (cause) {
+    case IllnessCause::Errors:
+        return "errors";
+    case IllnessCause::Slowness:
+        return "slowness";
+    case IllnessCause::Unreachable:
+        return "unreachable";
+    }
+    return {};
+}
+
+void Detector::FadingCounts::fade(TimePoint now, Duration window)
+{
+    if (now <= at) {
+        return;
+    }
+    const double keep = std::exp(-seconds(now - at) / seconds(window));
+    ok *= keep;
+    bad *= keep;
+    at = now;
+}
+
+void Detector::FadingCounts::add(double moreOk, double moreBad, TimePoint now, Duration window)
+{
+    fade(now, window);
+    ok += moreOk;
+    bad += moreBad;
+}
+
+double Detector::FadingCounts::share() const
+{
+    return ok + bad > 0 ? bad / (ok + bad) : 0;
+}
+
+void Detector::CumulativeSum::add(const std::string &group, double ratio, double limit)
+{
+    sinceRestart += ratio;
+    whole = std::clamp(whole + ratio, 0.0, limit);
+    double &part = byGroup[group];
+    part = std::clamp(part + ratio, 0.0, limit);
+}
+
+void Detector::CumulativeSum::clear()
+{
+    whole = 0;
+    byGroup.clear();
+}
+
+void Detector::CumulativeSum::fade(double keep)
+{
+    whole *= keep;
+    for (auto &[group, part] : byGroup) {
+        part *= keep;
+    }
+}
+
+double Detector::CumulativeSum::withoutWorstGroup() const
+{
+    double sum = 0;
+    double worst = 0;
+    for (const auto &[group, part] : byGroup) {
+        sum += part;
+        worst = std::max(worst, part);
+    }
+    return sum - worst;
+}
+
+Detector::Detector(const HealthPolicy &policy)
+    : m_thresholds(thresholdsOf(policy))
+{ }
+
+void Detector::setPolicy(const HealthPolicy &policy)
+{
+    m_thresholds = thresholdsOf(policy);
+}
+
+void Detector::setTargets(const std::vector<TargetName> &targets, TimePoint now)
+{
+    const std::set<TargetName> listed(targets.begin(), targets.end());
+    std::erase_if(m_targets, [&](const auto &entry) { return !listed.contains(entry.first); });
+    for (const auto &name : listed) {
+        const auto [place, added] = m_targets.try_emplace(name);
+        // What the first list shows has served for an unknown time; a grace for all would leave nobody to judge.
+        if (added && m_listed) {
+            place->second.coldUntil = now + config::ColdStartGrace;
+        }
+    }
+    m_listed = true;
+}
+
+// Groups are zones. Where all senders are in one zone a cut between zones can't show, and each sender is a group.
+std::string Detector::groupOf(const EvidenceSource &source) const
+{
+    return m_zones > 1 ? source.zone.value : source.member.name.value;
+}
+
+void Detector::noteSource(const EvidenceSource &source, TimePoint now)
+{
+    const auto [place, added] = m_sources.insert_or_assign(source.member, std::pair(source.zone, now));
+    if (added) {
+        forgetSources(now);
+    }
+}
+
+void Detector::forgetSources(TimePoint now)
+{
+    std::erase_if(m_sources, [&](const auto &entry) { return now - entry.second.second > config::EvidenceSenderForgetAfter; });
+    std::set<ZoneName> zones;
+    for (const auto &[member, seen] : m_sources) {
+        zones.insert(seen.first);
+    }
+    m_zones = zones.size();
+}
+
+void Detector::refresh(TimePoint now)
+{
+    if (m_refreshed && now - *m_refreshed < config::DetectorRefreshInterval) {
+        return;
+    }
+    const double keep = m_refreshed ? std::exp(-seconds(now - *m_refreshed) / seconds(config::SuspicionWindow)) : 1;
+    for (auto &[name, record] : m_targets) {
+        record.errors.sum.fade(keep);
+        record.slowness.sum.fade(keep);
+        record.connections.sum.fade(keep);
+    }
+    m_refreshed = now;
+    forgetSources(now);
+    refreshUsual(&TargetRecord::errors, now);
+    refreshUsual(&TargetRecord::slowness, now);
+    refreshUsual(&TargetRecord::connections, now);
+    refreshSlowLimit(now);
+}
+
+// Each target is compared with the median of the others: up to half of them may be ill without hiding it.
+void Detector::refreshUsual(TestField field, TimePoint now)
+{
+    std::vector<std::pair<double, Test *>> shares;
+    for (auto &[name, record] : m_targets) {
+        Test &test = record.*field;
+        test.recent.fade(now, config::EvidenceWindow);
+        test.usual = 0;
+        if (test.recent.ok + test.recent.bad >= MinRecentRequests) {
+            shares.emplace_back(test.recent.share(), &test);
+        }
+    }
+    std::sort(shares.begin(), shares.end());
+    for (std::size_t rank = 0; rank < shares.size() && shares.size() > 1; ++rank) {
+        const std::size_t middle = (shares.size() - 2) / 2;
+        shares[rank].second->usual = shares[middle < rank ? middle : middle + 1].first;
+    }
+}
+
+void Detector::refreshSlowLimit(TimePoint now)
+{
+    std::vector<double> means;
+    for (auto &[name, record] : m_targets) {
+        record.latency.fade(now, config::LatencyWindow);
+        if (record.latency.ok >= MinLatencyAnswers && !cold(name, now)) {
+            means.push_back(record.latency.bad / record.latency.ok);
+        }
+    }
+    if (!means.empty()) {
+        m_slowAfter = std::max<Duration>(config::MinSlowLimit, fromSeconds(m_thresholds.slowFactor * std::exp(median(means))));
+    }
+}
+
+// Log-likelihood ratio of an ill against a usual target, for requests that are bad with a fixed probability each.
+void Detector::addSample(Test &test, const Sample &sample, double illShare, const std::string &group, TimePoint now) const
+{
+    test.recent.add(sample.ok, sample.bad, now, config::EvidenceWindow);
+    const double usual = std::max(m_thresholds.usualShare, UsualShareMargin * test.usual);
+    if (usual > MaxUsualShare) {
+        test.sum.clear();
+        test.sum.sinceRestart -= IdleRecovery * (sample.ok + sample.bad);
+        return;
+    }
+    const double ill = std::max(illShare, 2 * usual);
+    const double ratio = sample.bad * std::log(ill / usual) + sample.ok * std::log((1 - ill) / (1 - usual));
+    test.sum.add(group, ratio, SumLimit * m_thresholds.alarm);
+}
+
+void Detector::noteReach(TargetRecord &record, const TargetEvidence &evidence, const std::string &group, TimePoint now)
+{
+    if (evidence.good + evidence.errors + evidence.truncated + evidence.shed > 0) {
+        record.reached = now;
+        record.unreachableFrom.clear();
+    } else if (evidence.unreachable > 0) {
+        record.unreachableFrom[group] = now;
+    }
+}
+
+void Detector::add(const EvidenceSource &source, const TargetEvidence &evidence, TimePoint now)
+{
+    const auto place = m_targets.find(evidence.target);
+    if (place == m_targets.end()) {
+        return;
+    }
+    noteSource(source, now);
+    refresh(now);
+    TargetRecord &record = place->second;
+    const std::string group = groupOf(source);
+    const double answered = evidence.good + evidence.errors + evidence.truncated + evidence.shed;
+    const Sample errors {double(evidence.good), double(evidence.errors + evidence.timeouts + evidence.truncated)};
+    addSample(record.errors, errors, m_thresholds.errorShare, group, now);
+    addSample(record.connections, {answered, double(evidence.unreachable)}, m_thresholds.errorShare, group, now);
+    if (!cold(evidence.target, now)) {
+        addSample(record.slowness, {double(evidence.fast), double(evidence.slow)}, m_thresholds.slowShare, group, now);
+        record.latency.add(evidence.good, evidence.logLatencySum, now, config::LatencyWindow);
+    }
+    noteReach(record, evidence, group, now);
+}
+
+void Detector::restart(const TargetName &target)
+{
+    const auto place = m_targets.find(target);
+    if (place == m_targets.end()) {
+        return;
+    }
+    for (const TestField field : {&TargetRecord::errors, &TargetRecord::slowness, &TargetRecord::connections}) {
+        Test &test = place->second.*field;
+        test.sum.clear();
+        test.sum.sinceRestart = 0;
+        test.recent = {};
+    }
+}
+
+// One path that fails would otherwise condemn a target that serves everybody else.
+bool Detector::alarmed(const Test &test) const
+{
+    if (test.sum.whole < m_thresholds.alarm) {
+        return false;
+    }
+    return m_sources.size() < 2 || test.sum.withoutWorstGroup() >= CorroborationShare * m_thresholds.alarm;
+}
+
+bool Detector::serviceWide(TestField field) const
+{
+    std::size_t suspected = 0;
+    std::size_t judged = 0;
+    for (const auto &[name, record] : m_targets) {
+        const Test &test = record.*field;
+        judged += test.recent.ok + test.recent.bad > 1 ? 1 : 0;
+        suspected += test.sum.whole >= SuspicionShare * m_thresholds.alarm ? 1 : 0;
+    }
+    return judged > 1 && 2 * suspected > judged;
+}
+
+void Detector::appendIll(TestField field, IllnessCause cause, std::vector<Illness> &found) const
+{
+    if (serviceWide(field)) {
+        return;
+    }
+    for (const auto &[name, record] : m_targets) {
+        if (!alarmed(record.*field)) {
+            continue;
+        }
+        const auto known = std::find_if(found.begin(), found.end(), [&](const Illness &illness) { return illness.target == name; });
+        if (known == found.end()) {
+            found.push_back({name, cause, score(name)});
+        }
+    }
+}
+
+std::vector<Illness> Detector::ill() const
+{
+    std::vector<Illness> found;
+    appendIll(&TargetRecord::connections, IllnessCause::Unreachable, found);
+    appendIll(&TargetRecord::errors, IllnessCause::Errors, found);
+    appendIll(&TargetRecord::slowness, IllnessCause::Slowness, found);
+    std::stable_sort(found.begin(), found.end(), [](const Illness &a, const Illness &b) { return a.score > b.score; });
+    return found;
+}
+
+TrialResult Detector::trialResult(const TargetName &target) const
+{
+    const auto place = m_targets.find(target);
+    if (place == m_targets.end()) {
+        return TrialResult::Open;
+    }
+    const TargetRecord &record = place->second;
+    const double errors = record.errors.sum.sinceRestart;
+    const double slowness = record.slowness.sum.sinceRestart;
+    const double worst = std::max({errors, slowness, record.connections.sum.sinceRestart});
+    if (worst >= m_thresholds.recovered) {
+        return TrialResult::StillIll;
+    }
+    const bool latencyKnown = m_slowAfter > Duration::zero();
+    const double least = latencyKnown ? std::max(errors, slowness) : errors;
+    return least <= -m_thresholds.recovered ? TrialResult::Recovered : TrialResult::Open;
+}
+
+double Detector::score(const TargetName &target) const
+{
+    const auto place = m_targets.find(target);
+    if (place == m_targets.end()) {
+        return 0;
+    }
+    const TargetRecord &record = place->second;
+    return std::max({record.errors.recent.share(), record.slowness.recent.share(), record.connections.recent.share()});
+}
+
+bool Detector::cold(const TargetName &target, TimePoint now) const
+{
+    const auto place = m_targets.find(target);
+    return place != m_targets.end() && place->second.coldUntil && now < *place->second.coldUntil;
+}
+
+bool Detector::unreachable(const TargetName &target, TimePoint now) const
+{
+    const auto place = m_targets.find(target);
+    if (place == m_targets.end()) {
+        return false;
+    }
+    const TargetRecord &record = place->second;
+    if (record.reached && now - *record.reached <= config::EvidenceWindow) {
+        return false;
+    }
+    const auto recent = [&](const auto &entry) { return now - entry.second <= config::UnreachableMemory; };
+    const auto groups = std::count_if(record.unreachableFrom.begin(), record.unreachableFrom.end(), recent);
+    return groups > 0 && static_cast<std::size_t>(groups) >= std::min<std::size_t>(2, m_sources.size());
+}
+}
--- /dev/null
+++ b/src/health_local.cpp
@@ -0,0 +1,379 @@
+#include <plumsill/health.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace plumsill
+{
+namespace
+{
+LeavingTarget leavingKey(const Target &target)
+{
+    return {target.name, target.endpoint};
+}
+
+bool lists(const std::vector<Target> &targets, const LeavingTarget &key)
+{
+    return std::any_of(targets.begin(), targets.end(), [&](const Target &target) { return leavingKey(target) == key; });
+}
+
+double slowStartWeight(Duration age)
+{
+    return std::clamp(seconds(age) / seconds(config::SlowStart), config::SlowStartWeight, 1.0);
+}
+
+/// Takes targets out of use while the floor has room.
+class FloorGate
+{
+public:
+    FloorGate(std::size_t allowed, std::vector<TargetView> &targets)
+        : m_allowed(allowed)
+        , m_targets(targets)
+    {
+        m_out = static_cast<std::size_t>(std::count_if(targets.begin(), targets.end(), [](const TargetView &view) { return view.use == TargetUse::Leaving; }));
+    }
+
+    void lower(const TargetName &name, TargetUse use, double weight)
+    {
+        if (m_out < m_allowed && set(name, use, weight)) {
+            ++m_out;
+        }
+    }
+
+    /// For a target that brings new capacity: the floor has nothing to lose by it.
+    bool set(const TargetName &name, TargetUse use, double weight)
+    {
+        for (auto &view : m_targets) {
+            if (view.target.name == name && view.use == TargetUse::Active) {
+                view.use = use;
+                view.weight = weight;
+                return true;
+            }
+        }
+        return false;
+    }
+
+private:
+    std::size_t m_allowed;
+    std::size_t m_out = 0;
+    std::vector<TargetView> &m_targets;
+};
+}
+
+std::string toString(TargetUse use)
+{
+    switch (use) {
+    case TargetUse::Active:
+        return "active";
+    case TargetUse::SlowStart:
+        return "slow-start";
+    case TargetUse::Trial:
+        return "trial";
+    case TargetUse::Ejected:
+        return "ejected";
+    case TargetUse::Avoided:
+        return "avoided";
+    case TargetUse::Leaving:
+        return "leaving";
+    }
+    return {};
+}
+
+LocalHealth::LocalHealth(const EvidenceSource &self)
+    : m_self(self)
+{ }
+
+void LocalHealth::setServices(const std::vector<Service> &services)
+{
+    std::set<ServiceName> named;
+    for (const auto &service : services) {
+        named.insert(service.name);
+        ServiceRecord &record = m_services[service.name];
+        record.service = service;
+        if (record.plan) {
+            record.plan->setService(service);
+        } else {
+            record.plan.emplace(service, Duration::zero());
+        }
+    }
+    std::erase_if(m_services, [&](const auto &entry) { return !named.contains(entry.first); });
+}
+
+void LocalHealth::setTargets(const ServiceName &service, const std::vector<Target> &targets, TimePoint now)
+{
+    const auto place = m_services.find(service);
+    if (place == m_services.end()) {
+        return;
+    }
+    ServiceRecord &record = place->second;
+    for (const auto &target : record.targets) {
+        if (m_leaving.contains(leavingKey(target)) && !lists(targets, leavingKey(target))) {
+            m_delisted[leavingKey(target)] = now;
+        }
+    }
+    for (const auto &target : targets) {
+        const auto [local, added] = record.locals.try_emplace(target.name);
+        if (added && record.listed) {
+            local->second.startedAt = now;
+        }
+        if (target.leaving) {
+            m_leaving.try_emplace(leavingKey(target), now);
+        }
+        m_delisted.erase(leavingKey(target));
+    }
+    std::erase_if(record.locals, [&](const auto &entry) {
+        return std::none_of(targets.begin(), targets.end(), [&](const Target &target) { return target.name == entry.first; });
+    });
+    record.targets = targets;
+    record.listed = true;
+    tellPlan(record, now);
+}
+
+void LocalHealth::noteLeaving(const LeavingTarget &target, TimePoint now)
+{
+    if (!m_leaving.try_emplace(target, now).second) {
+        return;
+    }
+    bool listed = false;
+    for (auto &[name, record] : m_services) {
+        if (lists(record.targets, target)) {
+            listed = true;
+            tellPlan(record, now);
+        }
+    }
+    if (!listed) {
+        m_delisted[target] = now;
+    }
+}
+
+std::vector<LeavingTarget> LocalHealth::leavingForPulse(TimePoint now) const
+{
+    std::vector<LeavingTarget> recent;
+    for (const auto &[target, since] : m_leaving) {
+        if (now - since < config::LeavingAnnounceTime) {
+            recent.push_back(target);
+        }
+    }
+    return recent;
+}
+
+// The list lags: a target once seen leaving stays so until the list has dropped it, whatever the list says meanwhile.
+bool LocalHealth::isLeaving(const Target &target) const
+{
+    return target.leaving || m_leaving.contains(leavingKey(target));
+}
+
+std::vector<Target> LocalHealth::targets(const ServiceName &service) const
+{
+    const auto place = m_services.find(service);
+    std::vector<Target> marked = place != m_services.end() ? place->second.targets : std::vector<Target>();
+    for (auto &target : marked) {
+        target.leaving = isLeaving(target);
+    }
+    return marked;
+}
+
+void LocalHealth::tellPlan(ServiceRecord &record, TimePoint now) const
+{
+    std::vector<TargetName> names;
+    std::set<TargetName> leaving;
+    for (const auto &target : record.targets) {
+        names.push_back(target.name);
+        if (isLeaving(target)) {
+            leaving.insert(target.name);
+        }
+    }
+    record.plan->setTargets(names, leaving, now);
+}
+
+// A target that never answers this daemon is avoided for a growing time. Slow or failing answers are left to the owner.
+void LocalHealth::judgeReach(LocalRecord &local, const TargetEvidence &evidence, TimePoint now)
+{
+    if (evidence.good + evidence.errors + evidence.truncated + evidence.shed > 0) {
+        local.silent = 0;
+        local.avoidances = 0;
+        local.avoidUntil = now;
+        return;
+    }
+    const unsigned silent = evidence.unreachable + evidence.timeouts + evidence.slow;
+    if (local.silent == 0 && silent > 0) {
+        local.silentSince = now;
+    }
+    local.silent += silent;
+    // Requests that hang may still be answered late; a connection that fails needs no such wait.
+    const bool longEnough = evidence.unreachable > 0 || now - local.silentSince >= config::AvoidanceBase;
+    if (local.silent < config::SilentRequestsBeforeAvoidance || !longEnough) {
+        return;
+    }
+    const double length = seconds(config::AvoidanceBase) * std::exp2(local.avoidances);
+    local.avoidUntil = now + fromSeconds(std::min(length, seconds(config::AvoidanceMax)));
+    local.avoidances += 1;
+    // One more silent request after the avoidance is enough to avoid it again.
+    local.silent = config::SilentRequestsBeforeAvoidance - 1;
+}
+
+void LocalHealth::record(const ServiceName &service, const std::vector<TargetEvidence> &evidence, TimePoint now)
+{
+    const auto place = m_services.find(service);
+    if (place == m_services.end()) {
+        return;
+    }
+    ServiceRecord &record = place->second;
+    for (const auto &part : evidence) {
+        const auto local = record.locals.find(part.target);
+        if (local == record.locals.end()) {
+            continue;
+        }
+        judgeReach(local->second, part, now);
+        record.plan->add(m_self, part, now);
+        TargetEvidence &sum = record.pending[part.target];
+        sum.target = part.target;
+        addEvidence(sum, part);
+        record.lastUsed = now;
+    }
+}
+
+void LocalHealth::makeDigest(ServiceRecord &record, TimePoint now, std::vector<LocalHealthEffect> &effects)
+{
+    const bool used = record.lastUsed && now - *record.lastUsed <= config::EvidenceSenderForgetAfter;
+    if (!used || now < record.nextDigest) {
+        return;
+    }
+    record.nextDigest = now + config::HealthDigestInterval;
+    HealthDigest digest {++record.sequence, record.service.name, {}};
+    for (auto &[name, evidence] : record.pending) {
+        digest.targets.push_back(std::move(evidence));
+    }
+    record.pending.clear();
+    std::erase_if(record.sentAt, [&](const auto &entry) { return now - entry.second > config::EjectionPermitLifetime; });
+    record.sentAt[digest.sequence] = now;
+    effects.emplace_back(SendDigest {std::move(digest)});
+}
+
+std::vector<LocalHealthEffect> LocalHealth::tick(TimePoint now)
+{
+    for (auto entry = m_delisted.begin(); entry != m_delisted.end();) {
+        if (now - entry->second <= config::LeavingForgetAfter) {
+            ++entry;
+            continue;
+        }
+        m_leaving.erase(entry->first);
+        entry = m_delisted.erase(entry);
+    }
+    std::vector<LocalHealthEffect> effects;
+    for (auto &[name, record] : m_services) {
+        if (record.hadVerdict && !record.owned(now)) {
+            record.hadVerdict = false;
+            for (const auto &permit : record.verdict.ejected) {
+                record.plan->takeOver(permit, now);
+            }
+        }
+        if (!record.owned(now)) {
+            for (const auto &event : record.plan->update(now)) {
+                effects.emplace_back(event);
+            }
+        }
+        noteTransitions(record, now);
+        makeDigest(record, now, effects);
+    }
+    return effects;
+}
+
+bool LocalHealth::handleVerdict(std::uint64_t epoch, const Verdict &verdict, TimePoint now)
+{
+    const auto place = m_services.find(verdict.service);
+    if (place == m_services.end()) {
+        return false;
+    }
+    ServiceRecord &record = place->second;
+    const auto sent = record.sentAt.find(verdict.sequence);
+    const bool overtaken = record.hadVerdict && epoch == record.verdictEpoch && verdict.sequence <= record.verdict.sequence;
+    if (epoch < m_epoch || epoch < record.verdictEpoch || sent == record.sentAt.end() || overtaken) {
+        return false;
+    }
+    // Counted from the sending: however long the answer took, the owner knows when it has lapsed.
+    const TimePoint lapses = sent->second + config::EjectionPermitLifetime;
+    if (lapses <= now) {
+        return false;
+    }
+    record.verdict = verdict;
+    record.verdictEpoch = epoch;
+    record.verdictLapses = lapses;
+    record.hadVerdict = true;
+    record.sentAt.erase(record.sentAt.begin(), std::next(sent));
+    noteTransitions(record, now);
+    return true;
+}
+
+void LocalHealth::noteEpoch(std::uint64_t epoch)
+{
+    m_epoch = std::max(m_epoch, epoch);
+}
+
+bool LocalHealth::owned(const ServiceName &service, TimePoint now) const
+{
+    const auto place = m_services.find(service);
+    return place != m_services.end() && place->second.owned(now);
+}
+
+std::vector<EjectionPermit> LocalHealth::ejections(const ServiceRecord &record, TimePoint now)
+{
+    return record.owned(now) ? record.verdict.ejected : record.plan->permits();
+}
+
+Duration LocalHealth::slowAfter(const ServiceRecord &record, TimePoint now)
+{
+    return record.owned(now) ? std::chrono::microseconds(record.verdict.slowAfterMicroseconds) : record.plan->slowAfter();
+}
+
+// A target that is no longer ejected gets its requests back bit by bit.
+void LocalHealth::noteTransitions(ServiceRecord &record, TimePoint now)
+{
+    std::set<TargetName> ejected;
+    for (const auto &permit : ejections(record, now)) {
+        ejected.insert(permit.target);
+    }
+    for (auto &[name, local] : record.locals) {
+        const bool out = ejected.contains(name);
+        if (local.ejected && !out) {
+            local.startedAt = now;
+            local.returned = true;
+        }
+        local.ejected = out;
+    }
+}
+
+ServiceView LocalHealth::view(const ServiceName &service, TimePoint now) const
+{
+    const auto place = m_services.find(service);
+    if (place == m_services.end()) {
+        return {service, 0, Duration::zero(), {}};
+    }
+    const ServiceRecord &record = place->second;
+    ServiceView view {service, record.service.slots, slowAfter(record, now), {}};
+    for (const auto &target : targets(service)) {
+        view.targets.push_back({target, target.leaving ? TargetUse::Leaving : TargetUse::Active, target.leaving ? 0.0 : 1.0});
+    }
+    FloorGate gate(outAllowed(record.service.floor, view.targets.size()), view.targets);
+    for (const auto &permit : ejections(record, now)) {
+        gate.lower(permit.target, permit.trialPerMille > 0 ? TargetUse::Trial : TargetUse::Ejected, permit.trialPerMille / 1000.0);
+    }
+    for (const auto &[name, local] : record.locals) {
+        if (local.avoidUntil > now) {
+            gate.lower(name, TargetUse::Avoided, 0);
+        }
+    }
+    for (const auto &[name, local] : record.locals) {
+        if (!local.startedAt || now - *local.startedAt >= config::SlowStart) {
+            continue;
+        }
+        const double weight = slowStartWeight(now - *local.startedAt);
+        if (local.returned) {
+            gate.lower(name, TargetUse::SlowStart, weight);
+        } else {
+            gate.set(name, TargetUse::SlowStart, weight);
+        }
+    }
+    return view;
+}
+}
--- /dev/null
+++ b/src/health_plan.cpp
@@ -0,0 +1,190 @@
+#include <plumsill/health.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace plumsill
+{
+std::size_t outAllowed(double floor, std::size_t listed)
+{
+    // 0.7 x 10 is a little above 7 in binary; that must not cost a target.
+    constexpr double Rounding = 1e-9;
+    const double kept = std::ceil(floor * static_cast<double>(listed) - Rounding);
+    return listed - std::min(listed, static_cast<std::size_t>(std::max(0.0, kept)));
+}
+
+EjectionPlan::EjectionPlan(const Service &service, Duration permitLifetime)
+    : m_service(service)
+    , m_permitLifetime(permitLifetime)
+    , m_detector(service.policy)
+{ }
+
+void EjectionPlan::setService(const Service &service)
+{
+    m_service = service;
+    m_detector.setPolicy(service.policy);
+}
+
+void EjectionPlan::setTargets(const std::vector<TargetName> &targets, const std::set<TargetName> &leaving, TimePoint now)
+{
+    m_targets = {targets.begin(), targets.end()};
+    m_leaving = leaving;
+    m_detector.setTargets(targets, now);
+    // A target that drops out of the list and comes back is still ejected wherever a sent permit is in force.
+    for (auto &[name, record] : m_records) {
+        if (!m_targets.contains(name) || m_leaving.contains(name)) {
+            record.phase = Phase::InUse;
+        }
+    }
+    std::erase_if(m_records, [&](const auto &entry) { return !m_targets.contains(entry.first) && entry.second.heldUntil <= now; });
+}
+
+void EjectionPlan::add(const EvidenceSource &source, const TargetEvidence &evidence, TimePoint now)
+{
+    m_detector.add(source, evidence, now);
+}
+
+std::set<TargetName> EjectionPlan::unfit(TimePoint now) const
+{
+    std::set<TargetName> found;
+    for (const auto &name : m_targets) {
+        if (m_leaving.contains(name) || m_detector.cold(name, now) || m_detector.unreachable(name, now)) {
+            found.insert(name);
+        }
+    }
+    return found;
+}
+
+std::set<TargetName> EjectionPlan::out(TimePoint now) const
+{
+    std::set<TargetName> found = unfit(now);
+    for (const auto &[name, record] : m_records) {
+        const bool counted = record.phase != Phase::InUse || record.heldUntil > now || record.warmAt > now;
+        if (counted && m_targets.contains(name)) {
+            found.insert(name);
+        }
+    }
+    return found;
+}
+
+// Ejection time doubles with each recent ejection; a quiet time halves it again.
+void EjectionPlan::eject(const TargetName &target, Record &record, double badness, TimePoint now)
+{
+    const double quiet = std::floor(seconds(now - record.quietSince) / seconds(config::EjectionForgetAfter));
+    record.ejections = std::max(0.0, record.ejections - std::max(0.0, quiet));
+    const double length = seconds(config::EjectionBase) * std::exp2(record.ejections);
+    record.ejections += 1;
+    record.phase = Phase::Ejected;
+    record.badness = badness;
+    record.phaseEnds = now + fromSeconds(std::min(length, seconds(config::EjectionMax)));
+    record.quietSince = record.phaseEnds;
+    m_detector.restart(target);
+}
+
+void EjectionPlan::release(const TargetName &target, Record &record)
+{
+    record.phase = Phase::InUse;
+    m_detector.restart(target);
+}
+
+void EjectionPlan::takeOver(const EjectionPermit &permit, TimePoint now)
+{
+    const auto taken = out(now);
+    if (!m_targets.contains(permit.target) || taken.contains(permit.target) || taken.size() >= allowed()) {
+        return;
+    }
+    eject(permit.target, m_records[permit.target], m_detector.score(permit.target), now);
+}
+
+void EjectionPlan::endPhases(TimePoint now, std::vector<HealthEvent> &events)
+{
+    for (auto &[name, record] : m_records) {
+        if (record.phase == Phase::Ejected && now >= record.phaseEnds) {
+            record.phase = Phase::Trial;
+            record.phaseEnds = now + config::TrialMax;
+            m_detector.restart(name);
+        }
+        if (record.phase != Phase::Trial) {
+            continue;
+        }
+        const TrialResult result = m_detector.trialResult(name);
+        if (result == TrialResult::StillIll) {
+            eject(name, record, record.badness, now);
+        } else if (result == TrialResult::Recovered || now >= record.phaseEnds) {
+            release(name, record);
+            record.warmAt = now + config::SlowStart;
+            events.emplace_back(TargetReturned {m_service.name, name, false});
+        }
+    }
+}
+
+// Targets that leave, fail or start take room from ejections that were permitted before.
+void EjectionPlan::keepFloor(TimePoint now, std::vector<HealthEvent> &events)
+{
+    const auto present = permits();
+    std::set<TargetName> taken = unfit(now);
+    for (const auto &permit : present) {
+        taken.erase(permit.target);
+    }
+    std::size_t used = taken.size();
+    for (const auto &permit : present) {
+        if (used < allowed()) {
+            ++used;
+            continue;
+        }
+        release(permit.target, m_records[permit.target]);
+        events.emplace_back(TargetReturned {m_service.name, permit.target, true});
+    }
+}
+
+void EjectionPlan::ejectIll(TimePoint now, std::vector<HealthEvent> &events)
+{
+    std::set<TargetName> taken = out(now);
+    for (const auto &illness : m_detector.ill()) {
+        Record &record = m_records[illness.target];
+        const std::size_t size = taken.size() + (taken.contains(illness.target) ? 0 : 1);
+        if (record.phase != Phase::InUse || m_leaving.contains(illness.target) || size > allowed()) {
+            continue;
+        }
+        taken.insert(illness.target);
+        eject(illness.target, record, illness.score, now);
+        events.emplace_back(TargetEjected {m_service.name, illness});
+    }
+}
+
+std::vector<HealthEvent> EjectionPlan::update(TimePoint now)
+{
+    std::vector<HealthEvent> events;
+    endPhases(now, events);
+    keepFloor(now, events);
+    ejectIll(now, events);
+    return events;
+}
+
+std::vector<EjectionPermit> EjectionPlan::permits() const
+{
+    std::vector<std::pair<double, EjectionPermit>> sorted;
+    for (const auto &[name, record] : m_records) {
+        if (record.phase != Phase::InUse) {
+            sorted.push_back({record.badness, {name, record.phase == Phase::Trial ? config::TrialPerMille : 0}});
+        }
+    }
+    std::stable_sort(sorted.begin(), sorted.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
+    std::vector<EjectionPermit> permits;
+    permits.reserve(sorted.size());
+    for (auto &[badness, permit] : sorted) {
+        permits.push_back(std::move(permit));
+    }
+    return permits;
+}
+
+// The daemon counts the lifetime from when it sent the digest, which was before now.
+void EjectionPlan::noteSent(TimePoint now)
+{
+    for (auto &[name, record] : m_records) {
+        if (record.phase != Phase::InUse) {
+            record.heldUntil = std::max(record.heldUntil, now + m_permitLifetime + config::ClockDriftMargin);
+        }
+    }
+}
+}
