--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -125,8 +125,12 @@
 inline constexpr auto IdleTargetConnection = 30'000ms;
 inline constexpr auto RetryAfterFailure = 1000ms;
 
+// Administration.
+inline constexpr std::size_t MaxAdminBodyBytes = 64 * 1024 * 1024;
+
 // Control thread.
 inline constexpr auto ControlTick = 100ms;
+inline constexpr unsigned HandOverRounds = 3;
 inline constexpr auto PublishInterval = 1000ms;
 inline constexpr auto ListIntervalWatcher = 1000ms;
 inline constexpr auto ListInterval = 10'000ms;
--- a/include/plumsill/environment.h
+++ b/include/plumsill/environment.h
@@ -155,6 +155,8 @@
 
     /// Whether keys may be trusted: confirmed recently enough. Otherwise keyed routes answer 503.
     bool trusted(TimePoint now) const;
+    /// Until when they may be, unless it is confirmed again; nothing before the first confirmation.
+    std::optional<TimePoint> trustedUntil() const;
     /// Null before the first document.
     const std::shared_ptr<const HeldDocument> &held() const { return m_held; }
     DocumentStamp stamp() const { return m_held ? m_held->stamp : DocumentStamp {}; }
--- a/include/plumsill/ownership.h
+++ b/include/plumsill/ownership.h
@@ -7,8 +7,9 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
-#include <unordered_set>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -68,6 +69,8 @@
     bool owns(const OwnedKey &key) const;
     /// This member owns @p key, its epoch is confirmed, and no earlier owner's act can still have effect.
     bool mayAct(const OwnedKey &key, TimePoint now) const;
+    /// Right to act for @p key; `since` goes back as far as the epochs known here.
+    Tenure tenure(const OwnedKey &key, TimePoint now) const;
     /// This member was ready for @p key in the epoch before and owns it no more: it may hand the key over.
     bool mayHandOver(const OwnedKey &key, TimePoint now) const;
     /// Takes a key over; false when the hand-over is not for this epoch, not from the owner before, or a repeat.
@@ -89,10 +92,11 @@
         std::uint64_t number = 0;
         OwnerTable table;
         OwnerTable predecessor;
-        std::unordered_set<KeyHash, KeyHasher> handedOver;
+        std::unordered_map<KeyHash, TimePoint, KeyHasher> handedOver; ///< and when
     };
 
     bool current() const;
+    std::optional<TimePoint> readyAt(const OwnedKey &key, std::size_t index) const;
     bool ready(const OwnedKey &key, std::size_t index, TimePoint now) const;
     bool ownedIn(const Epoch &epoch, const OwnedKey &key) const;
     static KeyHash hashOfKey(const OwnedKey &key);
--- a/src/control_p.h
+++ b/src/control_p.h
@@ -47,7 +47,7 @@
 
     Membership &membership() { return m_membership; }
     const Ownership &ownership() const { return m_ownership; }
-    bool acceptHandOver(const Envelope &envelope) { return m_ownership.acceptHandOver(envelope); }
+    bool acceptHandOver(const Envelope &envelope) { return m_ownership.acceptHandOver(envelope, RuntimeClock::now()); }
 
 private:
     void carryOut(const MembershipEffects &effects);
@@ -103,8 +103,8 @@
     void received(const Envelope &envelope, const HandOver &handOver);
     void documentChanged(const Document &before, const Document &after);
     void epochAdopted(std::uint64_t epoch);
-    /// Planned stop: gives grants back and hands parts over.
-    void handOver();
+    /// Planned stop: parts are handed over once an epoch without this daemon is adopted.
+    void startLeaving() { m_leaving = true; }
     const LimitsHolder &holder() const { return m_holder; }
     const LimitsOwner &owner() const { return m_owner; }
 
@@ -118,12 +118,19 @@
     void toOwner(const PartKey &key, Message message);
     void resolve(WaiterId waiter, const TokenAnswer &answer);
     std::optional<TeamLimits> limitsOf(const TeamName &team) const;
+    Tenure tenureOf(const PartKey &key, TimePoint now);
+    void sendHandOvers(TimePoint now);
 
     Control &m_control;
     LimitsHolder m_holder;
     LimitsOwner m_owner;
     std::unordered_map<TeamName, TeamLimits> m_limits;
     std::unordered_map<WaiterId, Waiting> m_waiting;
+    std::map<PartKey, Tenure> m_tenures; ///< of parts asked for since they were last dropped
+    std::vector<HandOver> m_handOvers; ///< sent a few times, as datagrams get lost
+    unsigned m_handOverRounds = 0;
+    TimePoint m_nextHandOver;
+    bool m_leaving = false;
 };
 
 /// Health of targets: this daemon's evidence and view, and the services that it judges.
@@ -181,6 +188,8 @@
     bool ready(TimePoint now) const;
     boost::json::object status(TimePoint now);
     std::string metricsText(TimePoint now);
+    /// How many members of the epoch hold @p stamp or a later one.
+    Holders holdersOf(const DocumentStamp &stamp);
 
     // For the parts.
     boost::asio::io_context &context() { return m_context; }
--- a/src/document_holder.cpp
+++ b/src/document_holder.cpp
@@ -92,6 +92,15 @@
 
 bool DocumentHolder::trusted(TimePoint now) const
 {
-    return m_held && m_confirmed && now - *m_confirmed <= config::DocumentTrustLifetime;
+    const auto until = trustedUntil();
+    return until && now <= *until;
+}
+
+std::optional<TimePoint> DocumentHolder::trustedUntil() const
+{
+    if (!m_held || !m_confirmed) {
+        return std::nullopt;
+    }
+    return *m_confirmed + config::DocumentTrustLifetime;
 }
 }
--- a/src/net_control.cpp
+++ b/src/net_control.cpp
@@ -34,6 +34,7 @@
     if (const auto *pulse = std::get_if<Pulse>(&envelope.message)) {
         m_document.told(envelope.sender, pulse->document);
         m_health.leavingTold(pulse->leavingTargets);
+        m_document.confirm();
     } else if (const auto *ack = std::get_if<PulseAck>(&envelope.message)) {
         m_document.told(envelope.sender, ack->document);
         m_document.confirm();
@@ -86,6 +87,7 @@
 {
     m_leaving = true;
     m_membership.membership().leave();
+    m_limits.startLeaving();
     publish(RuntimeClock::now());
 }
 
--- a/src/net_control_limits.cpp
+++ b/src/net_control_limits.cpp
@@ -18,6 +18,7 @@
         const TimePoint now = RuntimeClock::now();
         m_owner.tick(now);
         carryOut(m_holder.tick(now));
+        sendHandOvers(now);
         const auto wake = m_holder.nextWake();
         const Duration pause = wake ? std::clamp<Duration>(*wake - now, std::chrono::milliseconds(1), config::LimitsTick) : Duration(config::LimitsTick);
         co_await sleepFor(pause);
@@ -130,16 +131,47 @@
     }
 }
 
-void LimitsPart::epochAdopted(std::uint64_t epoch)
+// The epochs known go back only so far, so the begin of a tenure is remembered from when it was first asked for.
+Tenure LimitsPart::tenureOf(const PartKey &key, TimePoint now)
 {
-    m_holder.adoptEpoch(epoch);
+    Tenure tenure = m_control.membership().ownership().tenure(key, now);
+    if (!tenure.mayAct) {
+        return tenure;
+    }
+    const auto [known, added] = m_tenures.emplace(key, tenure);
+    tenure.since = known->second.since;
+    tenure.from = known->second.from;
+    return tenure;
 }
 
-void LimitsPart::handOver()
+// Tenures end with the first epoch that gives the part to another; a skipped epoch may have been such a one.
+void LimitsPart::epochAdopted(std::uint64_t epoch)
 {
+    m_holder.adoptEpoch(epoch);
+    const auto &ownership = m_control.membership().ownership();
+    const bool skipped = m_control.membership().membership().history().size() < 2;
+    std::erase_if(m_tenures, [&](const auto &entry) { return skipped || !ownership.owns(entry.first); });
+    if (!m_leaving || m_handOverRounds > 0 || m_control.membership().membership().isMember()) {
+        return;
+    }
     const TimePoint now = RuntimeClock::now();
-    carryOut(m_holder.release(now));
     for (const auto &part : m_owner.handOver(now)) {
+        if (ownership.mayHandOver(PartKey {part.team, part.part}, now)) {
+            m_handOvers.push_back(part);
+        }
+    }
+    m_handOverRounds = config::HandOverRounds;
+    logInfo(LogPart::Limits, "handing over " + std::to_string(m_handOvers.size()) + " parts");
+}
+
+void LimitsPart::sendHandOvers(TimePoint now)
+{
+    if (m_handOverRounds == 0 || now < m_nextHandOver) {
+        return;
+    }
+    --m_handOverRounds;
+    m_nextHandOver = now + config::ControlTick;
+    for (const auto &part : m_handOvers) {
         toOwner({part.team, part.part}, part);
     }
 }
--- a/src/ownership.cpp
+++ b/src/ownership.cpp
@@ -156,7 +156,7 @@
     if (!sameId(epoch.predecessor.ownerOf(key), envelope.sender) || !ownedIn(epoch, key) || ready(key, m_epochs.size() - 1, now)) {
         return false;
     }
-    return epoch.handedOver.insert(hashOfKey(key)).second;
+    return epoch.handedOver.emplace(hashOfKey(key), now).second;
 }
 
 bool Ownership::current() const
@@ -169,21 +169,47 @@
     return sameId(epoch.table.ownerOf(key), m_membership.self().id);
 }
 
+// When no earlier owner's act could have effect any more, by what this epoch alone tells.
+std::optional<TimePoint> Ownership::readyAt(const OwnedKey &key, std::size_t index) const
+{
+    const EpochRecord &record = m_membership.history()[index];
+    if (record.roster.predecessor.empty()) {
+        return record.adoptedAt;
+    }
+    const auto handedOver = m_epochs[index].handedOver.find(hashOfKey(key));
+    if (handedOver != m_epochs[index].handedOver.end()) {
+        return handedOver->second;
+    }
+    if (record.predecessorAdoptedAt) {
+        return *record.predecessorAdoptedAt + config::ConfirmationLifetime + config::ClockDriftMargin + effectLifetime(key);
+    }
+    return std::nullopt;
+}
+
 // Ready in an epoch once no earlier owner's act can have effect any more. That stays true while the key stays here, so
 // readiness carries over from the epoch directly before, however short that was.
 bool Ownership::ready(const OwnedKey &key, std::size_t index, TimePoint now) const
 {
-    const EpochRecord &record = m_membership.history()[index];
-    const Duration wait = config::ConfirmationLifetime + config::ClockDriftMargin + effectLifetime(key);
-    if (record.roster.predecessor.empty() || m_epochs[index].handedOver.contains(hashOfKey(key))) {
-        return true;
-    }
-    if (record.predecessorAdoptedAt && now - *record.predecessorAdoptedAt >= wait) {
+    const auto at = readyAt(key, index);
+    if (at && now >= *at) {
         return true;
     }
     return index > 0 && ownedIn(m_epochs[index - 1], key) && ready(key, index - 1, now);
 }
 
+Tenure Ownership::tenure(const OwnedKey &key, TimePoint now) const
+{
+    Tenure tenure {mayAct(key, now), 0, now};
+    if (!tenure.mayAct) {
+        return tenure;
+    }
+    for (std::size_t index = m_epochs.size(); index > 0 && ownedIn(m_epochs[index - 1], key); --index) {
+        tenure.since = m_epochs[index - 1].number;
+        tenure.from = std::min(tenure.from, readyAt(key, index - 1).value_or(now));
+    }
+    return tenure;
+}
+
 Ownership::KeyHash Ownership::hashOfKey(const OwnedKey &key)
 {
     const auto *part = std::get_if<PartKey>(&key);
--- /dev/null
+++ b/tools/plumsilld.cpp
@@ -0,0 +1,126 @@
+#include "../src/daemon_p.h"
+
+#include <plumsill/log.h>
+
+#include <popt.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <memory>
+#include <optional>
+
+using namespace plumsill;
+
+namespace
+{
+constexpr int ExitFailure = 1;
+constexpr int ExitUsage = 2;
+constexpr std::size_t MinSecretBytes = 16;
+
+struct Arguments {
+    std::string config;
+    bool check = false;
+    bool version = false;
+};
+
+std::optional<Arguments> parseArguments(int argc, const char **argv)
+{
+    char *config = nullptr;
+    int check = 0;
+    int version = 0;
+    const poptOption options[] = {
+        {"config", 'c', POPT_ARG_STRING, &config, 0, "read the settings from FILE", "FILE"},
+        {"check", 0, POPT_ARG_NONE, &check, 0, "check the settings and exit", nullptr},
+        {"version", 'V', POPT_ARG_NONE, &version, 0, "print the version and exit", nullptr},
+        POPT_AUTOHELP POPT_TABLEEND,
+    };
+    const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(poptGetContext("plumsilld", argc, argv, options, 0), poptFreeContext);
+    const int result = poptGetNextOpt(context.get());
+    Arguments arguments {config == nullptr ? "" : config, check != 0, version != 0};
+    free(config);
+    if (result < -1) {
+        std::cerr << "plumsilld: " << poptBadOption(context.get(), 0) << ": " << poptStrerror(result) << "\n";
+        return std::nullopt;
+    }
+    if (poptPeekArg(context.get()) != nullptr || (arguments.config.empty() && !arguments.version)) {
+        std::cerr << "plumsilld: usage: plumsilld --config FILE [--check] [--version] [--help]\n";
+        return std::nullopt;
+    }
+    return arguments;
+}
+
+std::optional<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return std::nullopt;
+    }
+    return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+std::optional<std::string> readSecret(const std::string &path)
+{
+    auto secret = readFile(path);
+    if (!secret) {
+        std::cerr << "plumsilld: cannot read " << path << "\n";
+        return std::nullopt;
+    }
+    while (!secret->empty() && (secret->back() == '\n' || secret->back() == '\r')) {
+        secret->pop_back();
+    }
+    if (secret->size() < MinSecretBytes) {
+        std::cerr << "plumsilld: " << path << ": shorter than " << MinSecretBytes << " bytes\n";
+        return std::nullopt;
+    }
+    return secret;
+}
+
+int run(const Arguments &arguments)
+{
+    const auto text = readFile(arguments.config);
+    if (!text) {
+        std::cerr << "plumsilld: cannot read " << arguments.config << "\n";
+        return ExitUsage;
+    }
+    const ParsedSettings parsed = parseSettings(*text, arguments.config);
+    for (const auto &problem : parsed.problems) {
+        std::cerr << toString(problem) << "\n";
+    }
+    if (!parsed.valid()) {
+        return ExitUsage;
+    }
+    if (arguments.check) {
+        std::cout << "ok\n";
+        return 0;
+    }
+    const auto peerSecret = readSecret(parsed.settings.peerSecretFile);
+    const auto adminToken = readSecret(parsed.settings.adminTokenFile);
+    if (!peerSecret || !adminToken) {
+        return ExitUsage;
+    }
+    openLog(parsed.settings.logLevel, parsed.settings.logFormat, parsed.settings.logFile);
+    std::signal(SIGPIPE, SIG_IGN);
+    return runDaemon(parsed.settings, {*peerSecret, *adminToken});
+}
+}
+
+int main(int argc, const char **argv)
+{
+    const auto arguments = parseArguments(argc, argv);
+    if (!arguments) {
+        return ExitUsage;
+    }
+    if (arguments->version) {
+        std::cout << "plumsilld " << PLUMSILL_VERSION << "\n";
+        return 0;
+    }
+    try {
+        return run(*arguments);
+    } catch (const std::exception &error) {
+        std::cerr << "plumsilld: " << error.what() << "\n";
+        return ExitFailure;
+    }
+}
