Ownership tells tenures; parts are handed over with their balance

Cause: limits need to know since when a part was owned without a gap, also on the way out. Change: Ownership::tenure and handOverTenure; the codec takes floats.

--- a/include/plumsill/ownership.h
+++ b/include/plumsill/ownership.h
@@ -73,6 +73,8 @@
     Tenure tenure(const OwnedKey &key, TimePoint now) const;
     /// This member was ready for @p key in the epoch before and owns it no more: it may hand the key over.
     bool mayHandOver(const OwnedKey &key, TimePoint now) const;
+    /// Like tenure(), for a key that may be handed over: of the epoch before.
+    Tenure handOverTenure(const OwnedKey &key, TimePoint now) const;
     /// Takes a key over; false when the hand-over is not for this epoch, not from the owner before, or a repeat.
     bool acceptHandOver(const Envelope &envelope, TimePoint now);
     const OwnerTable &table() const;
@@ -97,6 +99,7 @@
 
     bool current() const;
     std::optional<TimePoint> readyAt(const OwnedKey &key, std::size_t index) const;
+    Tenure tenureUpTo(const OwnedKey &key, std::size_t count, TimePoint now) const;
     bool ready(const OwnedKey &key, std::size_t index, TimePoint now) const;
     bool ownedIn(const Epoch &epoch, const OwnedKey &key) const;
     static KeyHash hashOfKey(const OwnedKey &key);
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -129,12 +129,14 @@
     value = static_cast<std::int32_t>(archive.unsignedInteger(std::numeric_limits<std::int32_t>::max()));
 }
 
-void save(Output &archive, const double &value)
+template<std::floating_point T>
+void save(Output &archive, const T &value)
 {
     archive.raw(&value, sizeof(value));
 }
 
-void load(Input &archive, double &value)
+template<std::floating_point T>
+void load(Input &archive, T &value)
 {
     archive.raw(&value, sizeof(value));
 }
--- a/src/control_p.h
+++ b/src/control_p.h
@@ -119,6 +119,7 @@
     void resolve(WaiterId waiter, const TokenAnswer &answer);
     std::optional<TeamLimits> limitsOf(const TeamName &team) const;
     Tenure tenureOf(const PartKey &key, TimePoint now);
+    void giveUpParts();
     void sendHandOvers(TimePoint now);
 
     Control &m_control;
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -113,7 +113,7 @@
     m_documentReadAt = std::max(m_documentReadAt.value_or(startedAt), startedAt);
 }
 
-void Membership::leavingTargetsChanged(std::vector<TargetName> targets)
+void Membership::leavingTargetsChanged(std::vector<LeavingTarget> targets)
 {
     m_leavingTargets = std::move(targets);
 }
--- a/src/net_control_limits.cpp
+++ b/src/net_control_limits.cpp
@@ -148,18 +148,34 @@
 void LimitsPart::epochAdopted(std::uint64_t epoch)
 {
     m_holder.adoptEpoch(epoch);
+    if (m_leaving && m_handOverRounds == 0 && !m_control.membership().membership().isMember()) {
+        giveUpParts();
+    }
     const auto &ownership = m_control.membership().ownership();
     const bool skipped = m_control.membership().membership().history().size() < 2;
     std::erase_if(m_tenures, [&](const auto &entry) { return skipped || !ownership.owns(entry.first); });
-    if (!m_leaving || m_handOverRounds > 0 || m_control.membership().membership().isMember()) {
-        return;
-    }
+}
+
+void LimitsPart::giveUpParts()
+{
     const TimePoint now = RuntimeClock::now();
-    for (const auto &part : m_owner.handOver(now)) {
-        if (ownership.mayHandOver(PartKey {part.team, part.part}, now)) {
-            m_handOvers.push_back(part);
+    const auto &ownership = m_control.membership().ownership();
+    std::vector<OwnedPart> owned;
+    for (const auto &[team, limits] : m_limits) {
+        for (std::uint32_t part = 0; part < partCount(limits); ++part) {
+            const PartKey key {team, part};
+            Tenure tenure = ownership.handOverTenure(key, now);
+            const auto known = m_tenures.find(key);
+            if (known != m_tenures.end()) {
+                tenure.since = known->second.since;
+                tenure.from = known->second.from;
+            }
+            if (tenure.mayAct) {
+                owned.push_back({key, limits, tenure});
+            }
         }
     }
+    m_handOvers = m_owner.handOver(owned, now);
     m_handOverRounds = config::HandOverRounds;
     logInfo(LogPart::Limits, "handing over " + std::to_string(m_handOvers.size()) + " parts");
 }
--- a/src/ownership.cpp
+++ b/src/ownership.cpp
@@ -199,11 +199,19 @@
 
 Tenure Ownership::tenure(const OwnedKey &key, TimePoint now) const
 {
-    Tenure tenure {mayAct(key, now), 0, now};
-    if (!tenure.mayAct) {
-        return tenure;
-    }
-    for (std::size_t index = m_epochs.size(); index > 0 && ownedIn(m_epochs[index - 1], key); --index) {
+    return mayAct(key, now) ? tenureUpTo(key, m_epochs.size(), now) : Tenure {false, 0, now};
+}
+
+Tenure Ownership::handOverTenure(const OwnedKey &key, TimePoint now) const
+{
+    return mayHandOver(key, now) ? tenureUpTo(key, m_epochs.size() - 1, now) : Tenure {false, 0, now};
+}
+
+// Goes back from the epoch before @p count while the key was this member's.
+Tenure Ownership::tenureUpTo(const OwnedKey &key, std::size_t count, TimePoint now) const
+{
+    Tenure tenure {true, 0, now};
+    for (std::size_t index = count; index > 0 && ownedIn(m_epochs[index - 1], key); --index) {
         tenure.since = m_epochs[index - 1].number;
         tenure.from = std::min(tenure.from, readyAt(key, index - 1).value_or(now));
     }
