--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -20,7 +20,7 @@
 
 // Team limits.
 inline constexpr auto GrantLifetime = 500ms;
-inline constexpr double MaxClockDrift = 0.01; // share of a measured time
+inline constexpr double MaxClockDrift = 0.001; // share of a measured time; slewed clocks stay below it
 inline constexpr auto GrantExpiryMargin = 10ms; // drift over one lifetime, and rounding
 inline constexpr unsigned TeamParts = 12;
 inline constexpr double MinPartBurst = 4.0; // tokens; a team with less than two parts of this size has one part
--- a/include/plumsill/limits.h
+++ b/include/plumsill/limits.h
@@ -2,6 +2,7 @@
 
 #include <plumsill/allowance.h>
 #include <plumsill/clock.h>
+#include <plumsill/config.h>
 #include <plumsill/document.h>
 #include <plumsill/messages.h>
 
@@ -33,10 +34,10 @@
     auto operator<=>(const PartKey &) const = default;
 };
 
-/// Number of parts that a bucket is cut into.
-unsigned partCount(const TeamLimits &limits);
+/// Number of parts that a bucket is cut into, @p most at most; the same for all daemons.
+unsigned partCount(const TeamLimits &limits, unsigned most = config::TeamParts);
 /// Limits of one part, zero for one that doesn't exist; the parts' sum is the whole.
-TeamLimits partLimits(const TeamLimits &limits, std::uint32_t part);
+TeamLimits partLimits(const TeamLimits &limits, std::uint32_t part, unsigned most = config::TeamParts);
 
 /// A daemon's right to act as owner of one part.
 struct Tenure {
@@ -89,6 +90,7 @@
 
 private:
     void refill(double tokens, TimePoint from);
+    double refillRate() const { return m_limits.rate * (1 - config::MaxClockDrift); }
 
     TeamLimits m_limits;
     double m_filled; ///< level of the ideal bucket, fed with the spending known so far
@@ -110,6 +112,8 @@
 class LimitsOwner
 {
 public:
+    explicit LimitsOwner(unsigned mostParts = config::TeamParts);
+
     /// Answers a request; nothing for a stale or impossible one. @p limits are the whole team's, of the present document.
     std::optional<Grant> onGrantRequest(const MemberId &holder, const GrantRequest &request, const TeamLimits &limits, const Tenure &tenure, TimePoint now);
     /// Takes back what a holder didn't spend.
@@ -173,6 +177,7 @@
     static void settle(Part &part, const MemberId &holder, const std::vector<GrantReport> &reports);
     static void promise(Part &part, const GrantRequest &request, bool single, Grant &answer);
 
+    const unsigned m_mostParts;
     std::map<PartKey, Part> m_parts;
     std::map<TeamName, Change> m_changes;
     std::map<MemberId, Forgotten> m_forgotten; ///< newest request of each holder whose answer is no longer kept
@@ -227,8 +232,8 @@
 class LimitsHolder
 {
 public:
-    /// @p seed differs between daemons; spreads them over the parts.
-    explicit LimitsHolder(std::uint64_t seed);
+    /// @p seed differs between daemons and between their incarnations (a hash of MemberId).
+    explicit LimitsHolder(std::uint64_t seed, unsigned mostParts = config::TeamParts);
     ~LimitsHolder();
     LimitsHolder(const LimitsHolder &) = delete;
     LimitsHolder &operator=(const LimitsHolder &) = delete;
@@ -261,8 +266,9 @@
     void noteWake(const Team &team);
 
     const std::uint64_t m_seed;
+    const unsigned m_mostParts;
+    std::uint64_t m_nextId;
     std::uint64_t m_epoch = 0;
-    std::uint64_t m_nextId = 1;
     std::optional<TimePoint> m_wake;
     std::unordered_map<TeamName, std::unique_ptr<Team>> m_teams;
     std::vector<Team *> m_active;
--- a/src/limits_bucket.cpp
+++ b/src/limits_bucket.cpp
@@ -6,15 +6,15 @@
 
 namespace plumsill
 {
-unsigned partCount(const TeamLimits &limits)
+unsigned partCount(const TeamLimits &limits, unsigned most)
 {
     const double parts = std::floor(limits.burst / config::MinPartBurst);
-    return static_cast<unsigned>(std::clamp(parts, 1.0, double(config::TeamParts)));
+    return static_cast<unsigned>(std::clamp(parts, 1.0, double(most)));
 }
 
-TeamLimits partLimits(const TeamLimits &limits, std::uint32_t part)
+TeamLimits partLimits(const TeamLimits &limits, std::uint32_t part, unsigned most)
 {
-    const auto parts = partCount(limits);
+    const auto parts = partCount(limits, most);
     return part < parts ? TeamLimits {limits.rate / parts, limits.burst / parts} : TeamLimits {};
 }
 
@@ -43,6 +43,7 @@
 // granted in the window. A grant needs `outstanding + tokens <= filled` at the time from which it may be spent; that
 // is `tokens <= available`, and available grows by rate alone. So the admissions are at most
 // outstanding(x) + available(x) + rate * t = filled(x) + rate * t <= burst + rate * t.
+// The owner's clock may run fast, so the bucket refills a little slower than the rate.
 // Tokens that come back only move from outstanding to available. An early charge would break the first step, which is
 // why a grant that expires unreported counts as spent at its expiry and not when it was granted.
 PartBucket::PartBucket(const TeamLimits &limits, double filled, TimePoint now)
@@ -62,7 +63,7 @@
     }
     m_filled = m_limits.burst;
     if (!m_fullSince) {
-        m_fullSince = m_limits.rate > 0 ? from + fromSeconds(missing / m_limits.rate) : m_time;
+        m_fullSince = m_limits.rate > 0 ? from + fromSeconds(missing / refillRate()) : m_time;
     }
 }
 
@@ -74,7 +75,7 @@
     const auto from = m_time;
     m_time = now;
     if (!m_fullSince) {
-        refill(m_limits.rate * seconds(now - from), from);
+        refill(refillRate() * seconds(now - from), from);
     }
 }
 
@@ -104,7 +105,7 @@
     if (m_limits.rate <= 0) {
         return std::nullopt;
     }
-    return fromSeconds(missing / m_limits.rate);
+    return fromSeconds(missing / refillRate());
 }
 
 void PartBucket::grant(double tokens)
@@ -123,7 +124,7 @@
     }
     const auto from = std::max(*m_fullSince, m_time - age);
     m_fullSince.reset();
-    refill(m_limits.rate * seconds(m_time - from), from);
+    refill(refillRate() * seconds(m_time - from), from);
 }
 
 void PartBucket::giveBack(double tokens)
--- a/src/limits_holder.cpp
+++ b/src/limits_holder.cpp
@@ -6,8 +6,11 @@
 
 namespace plumsill
 {
-LimitsHolder::LimitsHolder(std::uint64_t seed)
+// Ids of one incarnation must not meet answers to an earlier one, which would count as fresh.
+LimitsHolder::LimitsHolder(std::uint64_t seed, unsigned mostParts)
     : m_seed(seed)
+    , m_mostParts(mostParts)
+    , m_nextId((seed << 32) + 1)
 { }
 
 LimitsHolder::~LimitsHolder() = default;
@@ -16,7 +19,7 @@
 {
     auto &team = m_teams[name];
     if (!team) {
-        team = std::make_unique<Team>(name, limits, m_seed, now);
+        team = std::make_unique<Team>(name, limits, m_seed, m_mostParts, now);
     }
     team->setLimits(limits);
     return *team;
--- a/src/limits_owner.cpp
+++ b/src/limits_owner.cpp
@@ -10,6 +10,12 @@
 {
 constexpr Duration AnswerLifetime = config::GrantLifetime + config::GrantExpiryMargin;
 
+// The estimate of what an ideal bucket would admit must not fall behind one: by a clock that runs fast or slow.
+TeamLimits demandLimits(const TeamLimits &limits)
+{
+    return {limits.rate * (1 + 3 * config::MaxClockDrift), limits.burst};
+}
+
 std::uint32_t wholeTokens(double tokens)
 {
     // Levels are sums of fractions: a token that is missing by rounding alone is whole.
@@ -56,15 +62,19 @@
 }
 }
 
+LimitsOwner::LimitsOwner(unsigned mostParts)
+    : m_mostParts(mostParts)
+{ }
+
 TeamLimits LimitsOwner::limitsOf(const PartKey &key, const TeamLimits &limits, TimePoint now) const
 {
-    auto result = partLimits(limits, key.part);
+    auto result = partLimits(limits, key.part, m_mostParts);
     const auto change = m_changes.find(key.team);
     // Owners that still act by the old document grant by the old limits. Until they have lapsed, the parts'
     // sum stays within the limits of either document only if each part takes the smaller of both.
     if (change != m_changes.end() && now < change->second.until) {
         for (const auto &limitsBefore : change->second.before) {
-            const auto before = partLimits(limitsBefore, key.part);
+            const auto before = partLimits(limitsBefore, key.part, m_mostParts);
             result = {std::min(result.rate, before.rate), std::min(result.burst, before.burst)};
         }
     }
@@ -81,11 +91,11 @@
         known->second.bucket.advance(now);
         known->second.bucket.setLimits(part);
         known->second.demand.advance(now);
-        known->second.demand.setLimits(part);
+        known->second.demand.setLimits(demandLimits(part));
         return known->second;
     }
     const double filled = part.rate * seconds(std::max(now - tenure.from, Duration(0)));
-    Part fresh {PartBucket(part, filled, now), PartBucket(part, part.burst, now), tenure.since, now, false, {}, {}, {}};
+    Part fresh {PartBucket(part, filled, now), PartBucket(demandLimits(part), part.burst, now), tenure.since, now, false, {}, {}, {}};
     return m_parts.insert_or_assign(key, std::move(fresh)).first->second;
 }
 
@@ -157,7 +167,7 @@
 {
     const PartKey key {request.team, request.part};
     Grant answer {request.id, request.team, request.part, GrantStatus::NotActing, 0, 0, 0};
-    const bool exists = partLimits(limits, key.part).burst > 0;
+    const bool exists = partLimits(limits, key.part, m_mostParts).burst > 0;
     if (!tenure.mayAct || m_stopped || !exists) {
         return answer;
     }
@@ -172,7 +182,7 @@
     if (const auto forgotten = m_forgotten.find(holder); forgotten != m_forgotten.end() && request.id <= forgotten->second.id) {
         return std::nullopt;
     }
-    promise(part, request, partCount(limits) == 1, answer);
+    promise(part, request, partCount(limits, m_mostParts) == 1, answer);
     part.lastUse = now;
     part.granted = part.granted || answer.tokens > 0;
     part.answers.emplace(id, Answer {answer, answer.tokens});
--- a/src/limits_p.h
+++ b/src/limits_p.h
@@ -17,7 +17,7 @@
 class LimitsHolder::Team
 {
 public:
-    Team(TeamName name, const TeamLimits &limits, std::uint64_t seed, TimePoint now);
+    Team(TeamName name, const TeamLimits &limits, std::uint64_t seed, unsigned mostParts, TimePoint now);
 
     void setLimits(const TeamLimits &limits);
     void want(WaiterId waiter, TimePoint deadline, LimitsCall &call);
@@ -111,6 +111,7 @@
     void prefetch(LimitsCall &call);
 
     const TeamName m_name;
+    const unsigned m_mostParts;
     TeamLimits m_limits;
     std::uint32_t m_parts = 1;
     std::uint32_t m_cursor; ///< part that the next request asks
--- a/src/limits_team.cpp
+++ b/src/limits_team.cpp
@@ -23,8 +23,9 @@
 }
 }
 
-LimitsHolder::Team::Team(TeamName name, const TeamLimits &limits, std::uint64_t seed, TimePoint now)
+LimitsHolder::Team::Team(TeamName name, const TeamLimits &limits, std::uint64_t seed, unsigned mostParts, TimePoint now)
     : m_name(std::move(name))
+    , m_mostParts(mostParts)
     , m_cursor(static_cast<std::uint32_t>(seed))
     , m_allowance(new TeamAllowance(m_name))
     , m_refusedUntil(now)
@@ -41,7 +42,7 @@
         return;
     }
     m_limits = limits;
-    m_parts = partCount(limits);
+    m_parts = partCount(limits, m_mostParts);
     m_suspectUntil.resize(m_parts);
 }
 
@@ -152,7 +153,8 @@
 
 void LimitsHolder::Team::onGrant(const Grant &grant, bool stale, LimitsCall &call)
 {
-    const auto batch = std::find_if(m_batches.begin(), m_batches.end(), [&grant](const auto &entry) { return entry.request.id == grant.id; });
+    const auto batch = std::find_if(m_batches.begin(), m_batches.end(),
+                                    [&grant](const auto &entry) { return entry.request.id == grant.id && entry.request.part == grant.part; });
     if (batch == m_batches.end()) {
         onLateGrant(grant, stale, call);
         return;
--- /dev/null
+++ b/tests/fuzz_limits.cpp
@@ -0,0 +1,143 @@
+#include "limits_fleet.h"
+
+#include <rapidcheck.h>
+
+// Last: it defines `new` as a macro.
+#include <CppUTest/TestHarness.h>
+
+using namespace plumsill;
+using namespace plumsill::limits_fleet;
+
+namespace
+{
+enum class Fault
+{
+    Crash,
+    Restart,
+    Pause,
+    Resume,
+    CutIncoming,
+    CutOutgoing,
+    CutBoth,
+    Heal,
+    Reassign,
+    HandOver,
+    ChangeLimits,
+    Lossy,
+    Reliable,
+    Burst,
+};
+
+struct Step {
+    Fault fault;
+    unsigned daemon;
+    unsigned other;
+    unsigned team;
+    unsigned value;
+};
+
+void showValue(const Step &step, std::ostream &out)
+{
+    out << "{fault " << int(step.fault) << " daemon " << step.daemon << " other " << step.other << " team " << step.team << " value " << step.value << "}";
+}
+
+constexpr unsigned Daemons = 5;
+
+std::vector<FleetTeam> teams()
+{
+    return {{{"large"}, {40, 20}}, {{"middle"}, {20, 10}}, {{"small"}, {5, 3}}, {{"single"}, {1, 1}}};
+}
+
+// All requests come at 1.5 times the rate and change daemons, so that the bound is always pressed.
+void offerLoad(LimitsFleet &fleet, std::size_t team, double rate, TimePoint end)
+{
+    const auto next = fleet.now() + fromSeconds(-std::log(fleet.uniform(1e-9, 1)) / rate);
+    if (next < end) {
+        fleet.schedule(next, [&fleet, team, rate, end] {
+            fleet.arrive(team, fleet.pick(Daemons));
+            offerLoad(fleet, team, rate, end);
+        });
+    }
+}
+
+void doStep(LimitsFleet &fleet, const Step &step)
+{
+    switch (step.fault) {
+    case Fault::Crash:
+        return fleet.crash(step.daemon);
+    case Fault::Restart:
+        return fleet.restart(step.daemon);
+    case Fault::Pause:
+        return fleet.pause(step.daemon);
+    case Fault::Resume:
+        return fleet.resume(step.daemon);
+    case Fault::CutIncoming:
+        return fleet.isolate(step.daemon, true, false);
+    case Fault::CutOutgoing:
+        return fleet.isolate(step.daemon, false, true);
+    case Fault::CutBoth:
+        return fleet.isolate(step.daemon, true, true);
+    case Fault::Heal:
+        return fleet.isolate(step.daemon, false, false);
+    case Fault::Reassign:
+        return fleet.reassign({teams()[step.team].name, step.value % 5}, step.other);
+    case Fault::HandOver:
+        if (fleet.usable(step.daemon)) {
+            fleet.handOver(step.daemon, step.other);
+        }
+        return;
+    case Fault::ChangeLimits:
+        return fleet.changeLimits(step.team, {1.0 + step.value, 1.0 + step.value * 7 % 40});
+    case Fault::Lossy:
+        fleet.options().loss = 0.1;
+        fleet.options().duplicate = 0.2;
+        fleet.options().late = 0.3;
+        return;
+    case Fault::Reliable:
+        fleet.options().loss = fleet.options().duplicate = fleet.options().late = 0;
+        return;
+    case Fault::Burst:
+        for (unsigned i = 0; i < step.value; ++i) {
+            fleet.arrive(step.team, i % Daemons);
+        }
+    }
+}
+
+rc::Gen<Step> anyStep()
+{
+    return rc::gen::build<Step>(rc::gen::set(&Step::fault, rc::gen::map(rc::gen::inRange(0, int(Fault::Burst) + 1), [](int value) { return Fault(value); })),
+                                rc::gen::set(&Step::daemon, rc::gen::inRange(0U, Daemons)), rc::gen::set(&Step::other, rc::gen::inRange(0U, Daemons)),
+                                rc::gen::set(&Step::team, rc::gen::inRange(0U, 4U)), rc::gen::set(&Step::value, rc::gen::inRange(0U, 40U)));
+}
+}
+
+TEST_GROUP(FuzzLimits) {};
+
+// Whatever fails, no window of any length sees more admissions than burst + rate * t, and no request waits for ever.
+TEST(FuzzLimits, AdmissionsStayWithinEveryWindow)
+{
+    const bool held = rc::check("admissions stay within burst + rate * t", [] {
+        const auto steps = *rc::gen::container<std::vector<Step>>(anyStep());
+        FleetOptions options;
+        options.daemons = Daemons;
+        options.seed = *rc::gen::arbitrary<std::uint64_t>();
+        options.drift = config::MaxClockDrift * 0.9;
+        LimitsFleet fleet(options, teams());
+        const auto length = 300ms * (steps.size() + 4);
+        for (std::size_t team = 0; team < teams().size(); ++team) {
+            offerLoad(fleet, team, teams()[team].limits.rate * 1.5, fleet.now() + length);
+        }
+        fleet.run(600ms);
+        for (const auto &step : steps) {
+            doStep(fleet, step);
+            fleet.run(fromSeconds(fleet.uniform(0, 0.6)));
+        }
+        for (unsigned i = 0; i < Daemons; ++i) {
+            fleet.resume(i);
+        }
+        fleet.run(length + 1s);
+        RC_ASSERT(fleet.overshoot() <= 1e-6);
+        RC_ASSERT(fleet.waiting() == 0U);
+    });
+    CHECK(held);
+}
--- /dev/null
+++ b/tests/limits_fleet.h
@@ -0,0 +1,557 @@
+#pragma once
+
+#include <plumsill/limits.h>
+
+#include <cereal/archives/binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <sstream>
+
+/// Daemons with their limits' state machines on simulated time; network, clocks and ownership are modelled.
+namespace plumsill::limits_fleet
+{
+using namespace std::chrono_literals;
+
+/// Ideal token bucket.
+struct IdealBucket {
+    TeamLimits limits;
+    double level = limits.burst;
+    TimePoint time;
+
+    void advance(TimePoint now)
+    {
+        level = std::min(limits.burst, level + limits.rate * seconds(now - time));
+        time = now;
+    }
+    bool take(TimePoint now)
+    {
+        advance(now);
+        if (level < 1) {
+            return false;
+        }
+        level -= 1;
+        return true;
+    }
+};
+
+/// Highest number of admissions beyond burst + rate * t over every window; limits may change.
+struct WindowOracle {
+    IdealBucket bucket;
+    double overshoot = -1e9;
+
+    void admit(TimePoint now)
+    {
+        bucket.advance(now);
+        bucket.level -= 1;
+        overshoot = std::max(overshoot, -bucket.level);
+    }
+    void setLimits(const TeamLimits &limits, TimePoint now)
+    {
+        bucket.advance(now);
+        // A larger burst allows windows that began before the change.
+        bucket.level += std::max(0.0, limits.burst - bucket.limits.burst);
+        bucket.limits = limits;
+        bucket.level = std::min(bucket.level, limits.burst);
+    }
+};
+
+struct FleetTeam {
+    TeamName name;
+    TeamLimits limits;
+};
+
+struct FleetOptions {
+    unsigned daemons = 4;
+    std::uint64_t seed = 1;
+    Duration delayMin = 500us;
+    Duration delayMax = 1500us;
+    double loss = 0;
+    double duplicate = 0;
+    double late = 0; ///< share of datagrams that are delayed by up to lateMax
+    Duration lateMax = 800ms;
+    double drift = 0; ///< each clock runs up to this share fast or slow
+    unsigned mostParts = config::TeamParts;
+    bool countBytes = false;
+};
+
+struct TeamStats {
+    std::uint64_t arrived = 0;
+    std::uint64_t admitted = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t wrongful = 0; ///< refused where an ideal bucket for the whole fleet admits
+    std::uint64_t idealAdmitted = 0;
+    std::uint64_t lost = 0; ///< waited at a daemon that crashed
+    std::vector<Duration> waits; ///< of admitted requests
+};
+
+struct DaemonStats {
+    std::uint64_t messagesSent = 0;
+    std::uint64_t bytesSent = 0;
+    std::uint64_t bytesReceived = 0;
+};
+
+class LimitsFleet
+{
+public:
+    LimitsFleet(const FleetOptions &options, std::vector<FleetTeam> teams)
+        : m_options(options)
+        , m_random(options.seed)
+        , m_teams(std::move(teams))
+        , m_stats(m_teams.size())
+    {
+        m_daemons.resize(options.daemons);
+        for (unsigned i = 0; i < options.daemons; ++i) {
+            auto &daemon = m_daemons[i];
+            daemon.rate = 1 + options.drift * uniform(-1, 1);
+            daemon.offset = fromSeconds(1000 + uniform(0, 50));
+            start(i);
+            schedule(m_now + fromSeconds(uniform(0, 0.01)), [this, i] { tickDaemon(i); });
+        }
+        for (std::size_t i = 0; i < m_teams.size(); ++i) {
+            m_current.push_back(m_teams[i].limits);
+            m_ideal.push_back({m_teams[i].limits, m_teams[i].limits.burst, m_now});
+            m_oracle.push_back({{m_teams[i].limits, m_teams[i].limits.burst, m_now}, -1e9});
+        }
+        for (auto &daemon : m_daemons) {
+            daemon.limits = m_current;
+        }
+    }
+
+    TimePoint now() const { return m_now; }
+    const FleetOptions &options() const { return m_options; }
+    FleetOptions &options() { return m_options; }
+    std::vector<TeamStats> &stats() { return m_stats; }
+    const DaemonStats &daemonStats(unsigned i) const { return m_daemons[i].stats; }
+    LimitsOwner &owner(unsigned i) { return *m_daemons[i].owner; }
+    LimitsHolder &holder(unsigned i) { return *m_daemons[i].holder; }
+    std::size_t waiting() const { return m_waiters.size(); }
+    double overshoot() const
+    {
+        double worst = -1e9;
+        for (const auto &oracle : m_oracle) {
+            worst = std::max(worst, oracle.overshoot);
+        }
+        return worst;
+    }
+    double uniform(double low, double high) { return std::uniform_real_distribution<double>(low, high)(m_random); }
+    bool chance(double probability) { return uniform(0, 1) < probability; }
+    unsigned pick(std::size_t count) { return static_cast<unsigned>(std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random)); }
+
+    void schedule(TimePoint at, std::function<void()> action) { m_events.push({at, m_sequence++, std::move(action)}); }
+    void runUntil(TimePoint end)
+    {
+        while (!m_events.empty() && m_events.top().at <= end) {
+            const auto event = m_events.top();
+            m_events.pop();
+            m_now = std::max(m_now, event.at);
+            event.action();
+        }
+        m_now = end;
+    }
+    void run(Duration duration) { runUntil(m_now + duration); }
+
+    /// One request of a team at a daemon.
+    void arrive(std::size_t team, unsigned i)
+    {
+        auto &daemon = m_daemons[i];
+        if (!daemon.alive || daemon.paused) {
+            return;
+        }
+        const bool ideal = m_ideal[team].take(m_now);
+        ++m_stats[team].arrived;
+        m_stats[team].idealAdmitted += ideal ? 1 : 0;
+        const auto local = localTime(i);
+        const auto allowance = daemon.holder->allowance(m_teams[team].name, daemon.limits[team], local);
+        if (allowance->takeAt(local)) {
+            admit(team, m_now);
+            return;
+        }
+        const auto waiter = m_nextWaiter++;
+        m_waiters[waiter] = {team, i, ideal, m_now};
+        apply(i, daemon.holder->wantToken(m_teams[team].name, daemon.limits[team], waiter, local + config::TokenWaitMax, local));
+    }
+
+    void cut(unsigned from, unsigned to, bool cut) { cut ? void(m_cuts.insert({from, to})) : void(m_cuts.erase({from, to})); }
+    void isolate(unsigned i, bool incoming, bool outgoing)
+    {
+        for (unsigned other = 0; other < m_daemons.size(); ++other) {
+            if (other != i) {
+                cut(other, i, incoming);
+                cut(i, other, outgoing);
+            }
+        }
+    }
+    bool usable(unsigned i) const { return m_daemons[i].alive && !m_daemons[i].paused; }
+    void pause(unsigned i) { m_daemons[i].paused = true; }
+    void resume(unsigned i)
+    {
+        m_daemons[i].paused = false;
+        auto backlog = std::move(m_daemons[i].backlog);
+        m_daemons[i].backlog.clear();
+        for (auto &action : backlog) {
+            action();
+        }
+    }
+    void crash(unsigned i)
+    {
+        m_daemons[i].alive = false;
+        m_daemons[i].backlog.clear();
+        std::erase_if(m_waiters, [&](const auto &entry) {
+            m_stats[entry.second.team].lost += entry.second.daemon == i ? 1 : 0;
+            return entry.second.daemon == i;
+        });
+    }
+    void restart(unsigned i)
+    {
+        crash(i);
+        m_daemons[i].paused = false;
+        start(i);
+    }
+
+    /// Present owner of a part.
+    unsigned ownerOf(const PartKey &key) const
+    {
+        const auto known = m_terms.find(key);
+        return known == m_terms.end() ? firstOwner(key) : known->second.back().owner;
+    }
+    /// Another daemon becomes owner: the old one stops acting now, the new one may act after @p wait.
+    void reassign(const PartKey &key, unsigned owner, Duration wait = config::GrantLifetime + config::GrantExpiryMargin)
+    {
+        if (ownerOf(key) == owner) {
+            return;
+        }
+        ++m_epoch;
+        auto &terms = termsOf(key);
+        const bool waiting = m_now < terms.back().from;
+        terms.push_back({owner, m_epoch, waiting ? std::max(terms.back().from, m_now + wait) : m_now + wait});
+        adoptLater(owner);
+    }
+    /// Planned stop of the owner: its parts go to @p successor without a wait; the message may be lost.
+    void handOver(unsigned from, unsigned successor)
+    {
+        std::vector<OwnedPart> owned;
+        for (std::size_t team = 0; team < m_teams.size(); ++team) {
+            for (unsigned part = 0; part < partCount(m_daemons[from].limits[team], m_options.mostParts); ++part) {
+                const PartKey key {m_teams[team].name, part};
+                if (ownerOf(key) == from) {
+                    owned.push_back({key, m_daemons[from].limits[team], tenure(from, key)});
+                }
+            }
+        }
+        apply(from, m_daemons[from].holder->release(localTime(from)));
+        const auto messages = m_daemons[from].owner->handOver(owned, localTime(from));
+        for (const auto &entry : owned) {
+            reassign(entry.key, successor);
+        }
+        for (const auto &message : messages) {
+            send(from, successor, message);
+        }
+    }
+
+    /// A new document with other limits for one team. Until every owner with the old one has lapsed, the larger
+    /// limits of both bound the admissions.
+    void changeLimits(std::size_t team, const TeamLimits &limits)
+    {
+        const auto before = m_current[team];
+        if (before == limits || m_changing) {
+            return;
+        }
+        m_changing = true;
+        m_current[team] = limits;
+        const TeamLimits larger {std::max(before.rate, limits.rate), std::max(before.burst, limits.burst)};
+        m_oracle[team].setLimits(larger, m_now);
+        const auto confirmed = m_now + fromSeconds(uniform(0.1, 1));
+        const auto lapsed = confirmed + config::ConfirmationLifetime;
+        for (unsigned i = 0; i < m_daemons.size(); ++i) {
+            const auto adopted = chance(0.3) ? lapsed : confirmed + fromSeconds(uniform(0, 0.2));
+            schedule(adopted, [this, i, team, before, limits] { adoptLimits(i, {m_teams[team].name, before, limits}, team); });
+        }
+        schedule(lapsed + config::GrantLifetime + config::GrantExpiryMargin, [this, team, limits] {
+            m_oracle[team].setLimits(limits, m_now);
+            m_ideal[team].limits = limits;
+            m_changing = false;
+        });
+    }
+
+private:
+    struct Event {
+        TimePoint at;
+        std::uint64_t sequence;
+        std::function<void()> action;
+
+        bool operator<(const Event &other) const { return at != other.at ? at > other.at : sequence > other.sequence; }
+    };
+    struct Daemon {
+        bool alive = false;
+        bool paused = false;
+        double rate = 1; ///< of its clock
+        Duration offset {};
+        std::uint64_t incarnation = 0;
+        std::uint64_t epoch = 1;
+        std::unique_ptr<LimitsOwner> owner;
+        std::unique_ptr<LimitsHolder> holder;
+        std::vector<TeamLimits> limits;
+        std::vector<std::function<void()>> backlog;
+        std::set<PartKey> handedOver;
+        DaemonStats stats;
+    };
+    struct Term {
+        unsigned owner;
+        std::uint64_t since;
+        TimePoint from;
+    };
+    struct Waiter {
+        std::size_t team;
+        unsigned daemon;
+        bool ideal;
+        TimePoint arrival;
+    };
+    struct Link {
+        unsigned from;
+        unsigned to;
+
+        auto operator<=>(const Link &) const = default;
+    };
+
+    TimePoint localTime(unsigned i) const
+    {
+        const auto &daemon = m_daemons[i];
+        return TimePoint(daemon.offset + std::chrono::duration_cast<Duration>(m_now.time_since_epoch() * daemon.rate));
+    }
+    TimePoint toLocal(unsigned i, TimePoint time) const
+    {
+        const auto &daemon = m_daemons[i];
+        return TimePoint(daemon.offset + std::chrono::duration_cast<Duration>(time.time_since_epoch() * daemon.rate));
+    }
+    MemberId idOf(unsigned i) const { return {{"entry-" + std::to_string(i)}, m_daemons[i].incarnation}; }
+
+    void start(unsigned i)
+    {
+        auto &daemon = m_daemons[i];
+        daemon.alive = true;
+        ++daemon.incarnation;
+        daemon.epoch = m_epoch;
+        daemon.owner = std::make_unique<LimitsOwner>(m_options.mostParts);
+        daemon.holder = std::make_unique<LimitsHolder>(daemon.incarnation * m_daemons.size() + i, m_options.mostParts);
+        daemon.holder->adoptEpoch(m_epoch);
+        daemon.limits = m_current;
+        // What it owned is another incarnation's: it may act only after the wait.
+        for (auto &[key, terms] : m_terms) {
+            if (terms.back().owner == i) {
+                terms.push_back({i, ++m_epoch, m_now + config::GrantLifetime + config::GrantExpiryMargin});
+            }
+        }
+    }
+
+    // Spreads the parts over the daemons; every part starts with an owner that has been acting for long.
+    unsigned firstOwner(const PartKey &key) const
+    {
+        const auto hash = std::hash<std::string>()(key.team.value) % 1009 + key.part * 5;
+        return static_cast<unsigned>(hash % m_daemons.size());
+    }
+    std::vector<Term> &termsOf(const PartKey &key)
+    {
+        auto &terms = m_terms[key];
+        if (terms.empty()) {
+            terms.push_back({firstOwner(key), 1, TimePoint(-1000s)});
+        }
+        return terms;
+    }
+    Tenure tenure(unsigned i, const PartKey &key)
+    {
+        const auto &term = termsOf(key).back();
+        const bool handed = m_daemons[i].handedOver.contains(key);
+        const bool mine = term.owner == i && m_daemons[i].alive;
+        return {mine && (m_now >= term.from || handed), term.since, toLocal(i, handed ? std::max(term.from, m_now) : term.from)};
+    }
+    unsigned viewedOwner(unsigned i, const PartKey &key)
+    {
+        unsigned owner = termsOf(key).front().owner;
+        for (const auto &term : termsOf(key)) {
+            if (term.since <= m_daemons[i].epoch) {
+                owner = term.owner;
+            }
+        }
+        return owner;
+    }
+    void adoptLater(unsigned first)
+    {
+        const auto epoch = m_epoch;
+        for (unsigned i = 0; i < m_daemons.size(); ++i) {
+            const auto delay = i == first ? Duration(0) : fromSeconds(uniform(0, 0.3));
+            schedule(m_now + delay, [this, i, epoch] {
+                m_daemons[i].epoch = std::max(m_daemons[i].epoch, epoch);
+                m_daemons[i].holder->adoptEpoch(epoch);
+            });
+        }
+    }
+    void adoptLimits(unsigned i, const LimitsChange &change, std::size_t team)
+    {
+        m_daemons[i].limits[team] = change.after;
+        m_daemons[i].owner->limitsChanged(change, localTime(i));
+        m_daemons[i].holder->limitsChanged(change);
+    }
+
+    void tickDaemon(unsigned i)
+    {
+        schedule(m_now + config::LimitsTick, [this, i] { tickDaemon(i); });
+        if (usable(i)) {
+            wake(i);
+            m_daemons[i].owner->tick(localTime(i));
+        }
+    }
+    void wake(unsigned i) { apply(i, m_daemons[i].holder->tick(localTime(i))); }
+
+    void apply(unsigned i, const LimitsEffects &effects)
+    {
+        for (const auto &effect : effects) {
+            std::visit([this, i](const auto &entry) { applyOne(i, entry); }, effect);
+        }
+        const auto next = m_daemons[i].holder->nextWake();
+        if (next) {
+            const auto wait = std::max(*next - localTime(i), Duration(0));
+            schedule(m_now + wait + 1us, [this, i] {
+                const auto due = m_daemons[i].holder->nextWake();
+                if (usable(i) && due && *due <= localTime(i)) {
+                    wake(i);
+                }
+            });
+        }
+    }
+    void applyOne(unsigned i, const SendGrantRequest &effect) { send(i, viewedOwner(i, {effect.message.team, effect.message.part}), effect.message); }
+    void applyOne(unsigned i, const SendGiveBack &effect) { send(i, viewedOwner(i, {effect.message.team, effect.message.part}), effect.message); }
+    void applyOne(unsigned, const Admit &effect)
+    {
+        for (const auto id : effect.waiters) {
+            const auto waiter = m_waiters.extract(id).mapped();
+            admit(waiter.team, waiter.arrival);
+        }
+    }
+    void applyOne(unsigned, const Refuse &effect)
+    {
+        for (const auto id : effect.waiters) {
+            const auto waiter = m_waiters.extract(id).mapped();
+            ++m_stats[waiter.team].refused;
+            m_stats[waiter.team].wrongful += waiter.ideal ? 1 : 0;
+        }
+    }
+    void admit(std::size_t team, TimePoint arrival)
+    {
+        ++m_stats[team].admitted;
+        m_stats[team].waits.push_back(m_now - arrival);
+        m_oracle[team].admit(m_now);
+    }
+
+    template<class Body>
+    void send(unsigned from, unsigned to, const Body &body)
+    {
+        auto &stats = m_daemons[from].stats;
+        ++stats.messagesSent;
+        if (m_options.countBytes) {
+            const auto bytes = sizeOf(from, body);
+            stats.bytesSent += bytes;
+            m_daemons[to].stats.bytesReceived += bytes;
+        }
+        const auto epoch = m_daemons[from].epoch;
+        const auto sender = idOf(from);
+        const unsigned copies = chance(m_options.duplicate) ? 2 : 1;
+        for (unsigned copy = 0; copy < copies; ++copy) {
+            if (chance(m_options.loss) || m_cuts.contains({from, to})) {
+                continue;
+            }
+            const double late = chance(m_options.late) ? uniform(0, seconds(m_options.lateMax)) : 0;
+            const double delay = uniform(seconds(m_options.delayMin), seconds(m_options.delayMax)) + late;
+            schedule(m_now + fromSeconds(delay), [this, from, to, sender, epoch, body] { deliver(from, to, sender, epoch, body); });
+        }
+    }
+    template<class Body>
+    void deliver(unsigned from, unsigned to, const MemberId &sender, std::uint64_t epoch, const Body &body)
+    {
+        auto &daemon = m_daemons[to];
+        if (!daemon.alive) {
+            return;
+        }
+        if (daemon.paused) {
+            daemon.backlog.push_back([this, from, to, sender, epoch, body] { receive(from, to, sender, epoch, body); });
+            return;
+        }
+        receive(from, to, sender, epoch, body);
+    }
+    std::size_t teamIndex(const TeamName &name) const
+    {
+        return static_cast<std::size_t>(std::find_if(m_teams.begin(), m_teams.end(), [&](const auto &team) { return team.name == name; }) - m_teams.begin());
+    }
+    void receive(unsigned from, unsigned to, const MemberId &sender, std::uint64_t, const GrantRequest &message)
+    {
+        auto &daemon = m_daemons[to];
+        const auto &limits = daemon.limits[teamIndex(message.team)];
+        const auto answer = daemon.owner->onGrantRequest(sender, message, limits, tenure(to, {message.team, message.part}), localTime(to));
+        if (answer) {
+            send(to, from, *answer);
+        }
+    }
+    void receive(unsigned, unsigned to, const MemberId &, std::uint64_t epoch, const Grant &message)
+    {
+        apply(to, m_daemons[to].holder->onGrant(message, epoch, localTime(to)));
+    }
+    void receive(unsigned, unsigned to, const MemberId &sender, std::uint64_t, const GiveBack &message)
+    {
+        m_daemons[to].owner->onGiveBack(sender, message, localTime(to));
+    }
+    void receive(unsigned, unsigned to, const MemberId &, std::uint64_t epoch, const HandOver &message)
+    {
+        const PartKey key {message.team, message.part};
+        auto granted = tenure(to, key);
+        const auto &term = termsOf(key).back();
+        if (term.owner != to) {
+            return;
+        }
+        // The hand-over itself ends the wait.
+        if (!granted.mayAct) {
+            granted = {true, term.since, localTime(to)};
+        }
+        const auto &limits = m_daemons[to].limits[teamIndex(message.team)];
+        if (m_daemons[to].owner->acceptHandOver(message, epoch, limits, granted, localTime(to))) {
+            m_daemons[to].handedOver.insert(key);
+        }
+    }
+
+    template<class Body>
+    std::size_t sizeOf(unsigned from, const Body &body)
+    {
+        std::ostringstream stream;
+        cereal::BinaryOutputArchive archive(stream);
+        Envelope envelope {idOf(from), {"10.0.0.100", 7000}, m_daemons[from].epoch, body};
+        archive(envelope);
+        return static_cast<std::size_t>(stream.tellp()) + config::MacBytes;
+    }
+
+    FleetOptions m_options;
+    std::mt19937_64 m_random;
+    TimePoint m_now {};
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_epoch = 1;
+    std::uint64_t m_nextWaiter = 1;
+    bool m_changing = false;
+    std::priority_queue<Event> m_events;
+    std::vector<FleetTeam> m_teams;
+    std::vector<TeamLimits> m_current;
+    std::vector<Daemon> m_daemons;
+    std::vector<TeamStats> m_stats;
+    std::vector<IdealBucket> m_ideal;
+    std::vector<WindowOracle> m_oracle;
+    std::map<PartKey, std::vector<Term>> m_terms;
+    std::map<std::uint64_t, Waiter> m_waiters;
+    std::set<Link> m_cuts;
+};
+}
