--- a/src/control_p.h
+++ b/src/control_p.h
@@ -86,7 +86,6 @@
     Control &m_control;
     DocumentHolder m_holder;
     boost::intrusive_ptr<const CompiledDocument> m_compiled;
-    std::uint64_t m_storeRevision = 0;
 };
 
 /// Team limits: this daemon's grants, and the parts that it owns.
--- a/src/environment_p.h
+++ b/src/environment_p.h
@@ -29,6 +29,13 @@
 boost::asio::awaitable<StoreResult<Manifest>> readManifest(StoreCaller store, std::string environment);
 boost::asio::awaitable<StoreResult<StoredDocument>> readDocument(StoreCaller store, std::string environment);
 
+/// What a read of the environment's document told.
+struct Refreshed {
+    DocumentStamp stored; ///< the store's
+    TimePoint sent; ///< when the read was sent
+    HolderEffects effects;
+};
+
 /// Reads the environment's manifest, and the text only where it is news to @p holder.
-boost::asio::awaitable<StoreResult<HolderEffects>> refreshDocument(StoreCaller store, std::string environment, DocumentHolder &holder);
+boost::asio::awaitable<StoreResult<Refreshed>> refreshDocument(StoreCaller store, std::string environment, DocumentHolder &holder);
 }
--- a/src/net_control_document.cpp
+++ b/src/net_control_document.cpp
@@ -1,4 +1,5 @@
 #include "control_p.h"
+#include "environment_p.h"
 
 #include <plumsill/config.h>
 #include <plumsill/log.h>
@@ -21,9 +22,10 @@
             co_await sleepFor(config::PulseInterval);
             continue;
         }
-        if (co_await readFromStore()) {
+        const TimePoint began = RuntimeClock::now();
+        co_await watchStore();
+        if (RuntimeClock::now() - began > config::StoreBackoffMax) {
             backoff.reset();
-            co_await watchStore();
         }
         co_await sleepFor(backoff.next(0.5));
     }
@@ -31,32 +33,12 @@
 
 boost::asio::awaitable<bool> DocumentPart::readFromStore()
 {
-    const std::string &environment = m_control.settings().environment;
-    const TimePoint sent = RuntimeClock::now();
-    const auto stored = co_await m_control.store().read(manifestKey(environment));
-    if (!stored) {
-        co_return stored.error().fault == StoreFault::NotFound;
-    }
-    m_storeRevision = stored.value().version;
-    const auto manifest = parseManifest(stored.value().value);
-    if (!manifest) {
-        logError(LogPart::Document, "the stored manifest cannot be read");
-        co_return false;
-    }
-    m_control.membership().membership().documentRead(manifest->stamp, sent);
-    if (m_holder.confirmedByStore(manifest->stamp, sent)) {
-        co_return true;
-    }
-    TextAssembly assembly(environment, *manifest);
-    while (const auto call = assembly.next()) {
-        const auto chunk = co_await m_control.store().call(*call);
-        if (!chunk || !assembly.add(std::get<StoredObject>(chunk.value()).value)) {
-            co_return false;
-        }
-    }
-    if (const auto text = assembly.text()) {
-        carryOut(m_holder.offeredByStore(manifest->stamp, *text, sent));
+    const auto refreshed = co_await refreshDocument(callerOf(m_control.store()), m_control.settings().environment, m_holder);
+    if (!refreshed) {
+        co_return refreshed.error().fault == StoreFault::NotFound;
     }
+    m_control.membership().membership().documentRead(refreshed.value().stored, refreshed.value().sent);
+    carryOut(refreshed.value().effects);
     co_return true;
 }
 
@@ -64,7 +46,11 @@
 boost::asio::awaitable<void> DocumentPart::watchStore()
 {
     const std::string key = manifestKey(m_control.settings().environment);
-    const auto error = co_await m_control.store().watch(key, m_storeRevision, [this, key](const WatchEvent &event) {
+    const auto listed = co_await m_control.store().list(key);
+    if (!listed || !co_await readFromStore()) {
+        co_return;
+    }
+    const auto error = co_await m_control.store().watch(key, listed.value().revision, [this, key](const WatchEvent &event) {
         const auto *put = std::get_if<ObjectPut>(&event);
         if (put != nullptr && put->object.key == key) {
             boost::asio::co_spawn(
