--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -128,6 +128,14 @@
 // Administration.
 inline constexpr std::size_t MaxAdminBodyBytes = 64 * 1024 * 1024;
 
+// Burn report.
+inline constexpr auto BurnFineStep = 5s;
+inline constexpr auto BurnFineRange = 1h;
+inline constexpr auto BurnCoarseStep = 5min;
+inline constexpr auto BurnCoarseRange = 72h;
+inline constexpr std::size_t MaxBurnSeries = 512;
+inline constexpr double DefaultObjective = 0.999;
+
 // Control thread.
 inline constexpr auto ControlTick = 100ms;
 inline constexpr unsigned HandOverRounds = 3;
--- a/src/net_standin.cpp
+++ b/src/net_standin.cpp
@@ -1,5 +1,7 @@
 #include "standin_p.h"
 
+#include "http_common_p.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -8,7 +10,6 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <cerrno>
 #include <charconv>
 #include <iostream>
 #include <sstream>
@@ -30,14 +31,6 @@
 constexpr std::size_t FirstBytesOfAnswer = 12;
 constexpr Duration Forever = std::chrono::hours(24 * 365);
 
-// True once the other end has closed; never for one that only sent more.
-bool closedByPeer(tcp::socket &socket)
-{
-    char byte = 0;
-    const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 asio::awaitable<void> waitUntilClosed(tcp::socket &socket)
 {
     co_await socket.async_wait(tcp::socket::wait_read, use_awaitable);
@@ -59,16 +52,6 @@
     return result;
 }
 
-template<class Fields>
-std::vector<Field> copyFields(const Fields &fields)
-{
-    std::vector<Field> copy;
-    for (const auto &field : fields) {
-        copy.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
-    return copy;
-}
-
 Request toRequest(http::request<http::string_body> &&message, std::uint64_t connection)
 {
     Request request;
@@ -181,36 +164,6 @@
     }
     co_return std::nullopt;
 }
-
-tcp::endpoint toAsio(const Endpoint &endpoint)
-{
-    return {asio::ip::make_address(endpoint.address), endpoint.port};
-}
-
-http::request<http::string_body> toMessage(Request &&request)
-{
-    http::request<http::string_body> message;
-    message.method_string(request.method);
-    message.target(request.target);
-    for (const auto &field : request.fields) {
-        message.insert(field.name, field.value);
-    }
-    message.body() = std::move(request.body);
-    if (!message.body().empty() || request.method == "POST" || request.method == "PUT") {
-        message.prepare_payload();
-    }
-    return message;
-}
-}
-
-std::string fieldValue(const std::vector<Field> &fields, std::string_view name)
-{
-    for (const auto &field : fields) {
-        if (beast::iequals(field.name, name)) {
-            return field.value;
-        }
-    }
-    return {};
 }
 
 std::string queryValue(const Request &request, std::string_view name)
@@ -290,115 +243,6 @@
     // The other end went away or sent what isn't HTTP: the connection closes with this coroutine.
 }
 
-struct HttpClient::Connection {
-    explicit Connection(asio::io_context &context)
-        : socket(context)
-    { }
-
-    tcp::socket socket;
-    beast::flat_buffer buffer;
-};
-
-HttpClient::HttpClient(asio::io_context &context)
-    : m_connection(std::make_unique<Connection>(context))
-{ }
-
-HttpClient::~HttpClient() = default;
-
-bool HttpClient::usable()
-{
-    return m_connection->socket.is_open() && !closedByPeer(m_connection->socket);
-}
-
-void HttpClient::close()
-{
-    boost::system::error_code ignored;
-    m_connection->socket.close(ignored);
-    m_connection->buffer.clear();
-}
-
-asio::awaitable<bool> HttpClient::connect(Endpoint peer)
-{
-    close();
-    m_peer = std::move(peer);
-    boost::system::error_code error;
-    co_await m_connection->socket.async_connect(toAsio(m_peer), asio::redirect_error(use_awaitable, error));
-    if (error) {
-        close();
-        co_return false;
-    }
-    m_connection->socket.set_option(tcp::no_delay(true));
-    co_return true;
-}
-
-namespace
-{
-ClientError toClientError(const boost::system::error_code &error, bool started)
-{
-    if (error.category() == http::make_error_code(http::error::end_of_stream).category() && error != http::error::end_of_stream
-        && error != http::error::partial_message) {
-        return ClientError::Malformed;
-    }
-    return started ? ClientError::Truncated : ClientError::Cut;
-}
-
-asio::awaitable<ClientResult> exchangeUntimed(tcp::socket &socket, beast::flat_buffer &buffer, http::request<http::string_body> message)
-{
-    boost::system::error_code error;
-    co_await http::async_write(socket, message, asio::redirect_error(use_awaitable, error));
-    // A server may answer and close before it has read the whole request, so an answer is looked for all the same.
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(BodyLimitBytes);
-    parser.skip(message.method() == http::verb::head);
-    const auto count = co_await http::async_read(socket, buffer, parser, asio::redirect_error(use_awaitable, error));
-    if (error) {
-        co_return toClientError(error, count > 0 || buffer.size() > 0);
-    }
-    auto response = parser.release();
-    ClientAnswer answer;
-    answer.status = response.result_int();
-    answer.fields = copyFields(response);
-    answer.keepAlive = response.keep_alive();
-    answer.body = std::move(response.body());
-    co_return answer;
-}
-}
-
-asio::awaitable<ClientResult> HttpClient::exchange(Request request, Duration timeout)
-{
-    auto message = toMessage(std::move(request));
-    auto first = co_await (exchangeUntimed(m_connection->socket, m_connection->buffer, std::move(message)) || sleepFor(timeout));
-    if (first.index() == 1) {
-        close();
-        co_return ClientError::TimedOut;
-    }
-    auto result = std::get<0>(std::move(first));
-    if (!result || !result.assume_value().keepAlive) {
-        close();
-    }
-    co_return result;
-}
-
-namespace
-{
-asio::awaitable<void> connectAndExchange(asio::io_context &context, Endpoint peer, Request request, Duration timeout, ClientResult &result)
-{
-    HttpClient client(context);
-    if (co_await client.connect(std::move(peer))) {
-        result = co_await client.exchange(std::move(request), timeout);
-    }
-}
-}
-
-ClientResult exchangeOnce(const Endpoint &peer, Request request, Duration timeout)
-{
-    asio::io_context context;
-    ClientResult result = ClientError::Refused;
-    asio::co_spawn(context, connectAndExchange(context, peer, std::move(request), timeout, result), asio::detached);
-    context.run();
-    return result;
-}
-
 void stopOnSignal(asio::io_context &context, std::function<void()> stop)
 {
     auto signals = std::make_shared<asio::signal_set>(context, SIGTERM, SIGINT);
--- a/src/standin_p.h
+++ b/src/standin_p.h
@@ -1,41 +1,21 @@
 #pragma once
 
-#include "clock_p.h"
+#include "http_client_p.h"
 
-#include <plumsill/types.h>
-
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/outcome/result.hpp>
 
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
-/// Small HTTP server and client for the test-only stand-ins; not used by the daemon.
+/// Small HTTP server for the test-only stand-ins; not used by the daemon.
 namespace plumsill::standin
 {
-/// One header field.
-struct Field {
-    std::string name;
-    std::string value;
-
-    auto operator<=>(const Field &) const = default;
-};
-
-/// Value of the first field of that name (any case), or an empty string.
-std::string fieldValue(const std::vector<Field> &fields, std::string_view name);
-
 /// A whole request as a stand-in's handler sees it.
-struct Request {
-    std::string method;
-    std::string target; ///< path and query as sent
+struct Request : HttpRequest {
     std::string path; ///< without the query, percent signs decoded
-    std::vector<Field> fields;
-    std::string body;
     std::uint64_t connection = 0; ///< serial number of the connection it came on
 };
 
@@ -57,7 +37,7 @@
 /// A handler's answer.
 struct Answer {
     unsigned status = 200;
-    std::vector<Field> fields = {};
+    std::vector<HttpField> fields = {};
     std::string body = {};
     bool close = false; ///< carries "Connection: close"
     Delivery delivery = Delivery::Whole;
@@ -100,51 +80,6 @@
     std::uint64_t m_connections = 0;
 };
 
-/// Why a request got no whole answer.
-enum class ClientError
-{
-    Refused, ///< no connection
-    Cut, ///< closed before the first byte of an answer
-    Truncated, ///< closed within the answer
-    Malformed,
-    TimedOut,
-};
-
-struct ClientAnswer {
-    unsigned status = 0;
-    std::vector<Field> fields;
-    std::string body;
-    bool keepAlive = false;
-};
-
-using ClientResult = boost::outcome_v2::result<ClientAnswer, ClientError>;
-
-/// One kept-alive client connection; one request at a time.
-class HttpClient
-{
-public:
-    explicit HttpClient(boost::asio::io_context &context);
-    ~HttpClient();
-    HttpClient(const HttpClient &) = delete;
-    HttpClient &operator=(const HttpClient &) = delete;
-
-    /// False also when the other end has closed the idle connection.
-    bool usable();
-    const Endpoint &peer() const { return m_peer; }
-    boost::asio::awaitable<bool> connect(Endpoint peer);
-    boost::asio::awaitable<ClientResult> exchange(Request request, Duration timeout);
-    void close();
-
-private:
-    struct Connection;
-
-    std::unique_ptr<Connection> m_connection;
-    Endpoint m_peer;
-};
-
-/// One request on a connection of its own; waits for the result on the calling thread.
-ClientResult exchangeOnce(const Endpoint &peer, Request request, Duration timeout);
-
 /// Calls @p stop on the first SIGTERM or SIGINT.
 void stopOnSignal(boost::asio::io_context &context, std::function<void()> stop);
 }
--- a/tests/process_standins.cpp
+++ b/tests/process_standins.cpp
@@ -26,10 +26,10 @@
 {
 constexpr auto CallTimeout = 20s;
 
-ClientResult call(const Endpoint &peer, const std::string &method, const std::string &target, const std::string &body = {}, std::vector<Field> fields = {},
-                  Duration timeout = CallTimeout)
+HttpResult call(const Endpoint &peer, const std::string &method, const std::string &target, const std::string &body = {}, std::vector<HttpField> fields = {},
+                Duration timeout = CallTimeout)
 {
-    Request request;
+    HttpRequest request;
     request.method = method;
     request.target = target;
     request.body = body;
@@ -37,22 +37,22 @@
     return exchangeOnce(peer, std::move(request), timeout);
 }
 
-unsigned status(const ClientResult &result)
+unsigned status(const HttpResult &result)
 {
     return result ? result.assume_value().status : 0;
 }
 
-std::string body(const ClientResult &result)
+std::string body(const HttpResult &result)
 {
     return result ? result.assume_value().body : "no answer";
 }
 
-std::string etag(const ClientResult &result)
+std::string etag(const HttpResult &result)
 {
     return result ? fieldValue(result.assume_value().fields, "ETag") : "no answer";
 }
 
-bool failedWith(const ClientResult &result, ClientError error)
+bool failedWith(const HttpResult &result, HttpError error)
 {
     return !result && result.assume_error() == error;
 }
@@ -117,12 +117,12 @@
     ChildProcess process {"standin-platform", {}};
     Endpoint http = readyEndpoint(process.line(), "http");
 
-    ClientResult put(const std::string &key, const std::string &value, const std::string &match)
+    HttpResult put(const std::string &key, const std::string &value, const std::string &match)
     {
-        const Field condition = match == "*" ? Field {"If-None-Match", "*"} : Field {"If-Match", match};
+        const HttpField condition = match == "*" ? HttpField {"If-None-Match", "*"} : HttpField {"If-Match", match};
         return call(http, "PUT", "/v1/objects/" + key, value, {condition});
     }
-    ClientResult read(const std::string &key)
+    HttpResult read(const std::string &key)
     {
         return call(http, "GET", "/v1/objects/" + key);
     }
@@ -166,7 +166,7 @@
 TEST(Platform, LostAnswerStillTakesEffect)
 {
     faults(R"({"lose_answers":1})");
-    CHECK(failedWith(put("a", "one", "*"), ClientError::Cut));
+    CHECK(failedWith(put("a", "one", "*"), HttpError::Cut));
     STRCMP_EQUAL("one", body(read("a")).c_str());
     LONGS_EQUAL(412, status(put("a", "one", "*")));
     LONGS_EQUAL(201, status(put("b", "one", "*")));
@@ -187,7 +187,7 @@
 TEST(Platform, DownMeansNoAnswerAndNoEffect)
 {
     faults(R"({"down":true})");
-    CHECK(failedWith(put("a", "one", "*"), ClientError::Cut));
+    CHECK(failedWith(put("a", "one", "*"), HttpError::Cut));
     faults(R"({"down":false})");
     LONGS_EQUAL(404, status(read("a")));
 }
@@ -241,12 +241,12 @@
     Endpoint http = readyEndpoint(ready, "http");
     Endpoint control = readyEndpoint(ready, "control");
 
-    ClientResult work(const std::string &id, std::vector<Field> fields = {}, Duration timeout = CallTimeout)
+    HttpResult work(const std::string &id, std::vector<HttpField> fields = {}, Duration timeout = CallTimeout)
     {
         fields.push_back({"X-Request-Id", id});
         return call(http, "POST", "/orders?x=1", "text", std::move(fields), timeout);
     }
-    std::future<ClientResult> workLater(const std::string &id)
+    std::future<HttpResult> workLater(const std::string &id)
     {
         return std::async(std::launch::async, [this, id] { return work(id); });
     }
@@ -277,11 +277,11 @@
 TEST(Target, FaultyDeliveryStillRan)
 {
     faults(R"({"truncate_share":1})");
-    CHECK(failedWith(work("half"), ClientError::Truncated));
+    CHECK(failedWith(work("half"), HttpError::Truncated));
     faults(R"({"truncate_share":0,"crash_after_first_byte_share":1})");
-    CHECK(failedWith(work("first"), ClientError::Truncated));
+    CHECK(failedWith(work("first"), HttpError::Truncated));
     faults(R"({"crash_after_first_byte_share":0,"crash_before_first_byte_share":1})");
-    CHECK(failedWith(work("none"), ClientError::Cut));
+    CHECK(failedWith(work("none"), HttpError::Cut));
     faults(R"({"crash_before_first_byte_share":0,"error_share":1})");
     LONGS_EQUAL(500, status(work("error")));
     STRCMP_EQUAL(R"({"error":1,"first":1,"half":1,"none":1})", runs().c_str());
@@ -306,7 +306,7 @@
     auto running = workLater("running");
     waitForCount(control, "in_flight", 1);
     LONGS_EQUAL(504, status(work("late", {{"Plumsill-Deadline-Ms", "10"}})));
-    CHECK(failedWith(work("gone", {}, 10ms), ClientError::TimedOut));
+    CHECK(failedWith(work("gone", {}, 10ms), HttpError::TimedOut));
     waitForCount(control, "queued", 0);
     LONGS_EQUAL(200, status(running.get()));
     LONGS_EQUAL(200, status(work("after")));
@@ -347,7 +347,7 @@
     STRCMP_EQUAL("1", fieldValue(answer.assume_value().fields, "Plumsill-Drain").c_str());
     CHECK(!answer.assume_value().keepAlive);
     const auto limit = RuntimeClock::now() + CallTimeout;
-    while (!failedWith(call(http, "GET", "/health"), ClientError::Refused)) {
+    while (!failedWith(call(http, "GET", "/health"), HttpError::Refused)) {
         CHECK(RuntimeClock::now() < limit);
     }
     LONGS_EQUAL(1, count(control, "runs"));
--- a/tools/standin_caller.cpp
+++ b/tools/standin_caller.cpp
@@ -93,7 +93,7 @@
 };
 
 // An answer of a target must name the request in its header and in its body; others may leave the name out.
-bool belongsTo(const std::string &id, const ClientAnswer &answer)
+bool belongsTo(const std::string &id, const HttpAnswer &answer)
 {
     const auto echoed = fieldValue(answer.fields, "X-Request-Id");
     if (answer.status != 200) {
@@ -137,14 +137,14 @@
     };
 
     asio::awaitable<void> send(std::unique_ptr<HttpClient> client, Waiting waiting);
-    asio::awaitable<ClientResult> exchange(HttpClient &client, const std::string &id);
+    asio::awaitable<HttpResult> exchange(HttpClient &client, const std::string &id);
     asio::awaitable<bool> connect(HttpClient &client);
     void start(Waiting waiting);
     void endWhenDone();
-    void record(const Waiting &waiting, const ClientResult &result);
-    void recordAnswer(const Waiting &waiting, const ClientAnswer &answer);
-    std::string recordError(ClientError error);
-    Request request(const std::string &id) const;
+    void record(const Waiting &waiting, const HttpResult &result);
+    void recordAnswer(const Waiting &waiting, const HttpAnswer &answer);
+    std::string recordError(HttpError error);
+    HttpRequest request(const std::string &id) const;
 
     asio::io_context &m_loop;
     Settings m_settings;
@@ -216,7 +216,7 @@
     endWhenDone();
 }
 
-asio::awaitable<ClientResult> Caller::exchange(HttpClient &client, const std::string &id)
+asio::awaitable<HttpResult> Caller::exchange(HttpClient &client, const std::string &id)
 {
     // One await a statement: the compiler mishandles an await behind "&&".
     bool connected = client.usable();
@@ -224,7 +224,7 @@
         connected = co_await connect(client);
     }
     if (!connected) {
-        co_return ClientError::Refused;
+        co_return HttpError::Refused;
     }
     co_return co_await client.exchange(request(id), m_settings.timeout);
 }
@@ -242,9 +242,9 @@
     co_return false;
 }
 
-Request Caller::request(const std::string &id) const
+HttpRequest Caller::request(const std::string &id) const
 {
-    Request request;
+    HttpRequest request;
     request.method = m_settings.method;
     request.target = m_settings.path;
     request.fields = {{"Host", m_settings.host}, {"X-Request-Id", id}};
@@ -257,7 +257,7 @@
     return request;
 }
 
-void Caller::record(const Waiting &waiting, const ClientResult &result)
+void Caller::record(const Waiting &waiting, const HttpResult &result)
 {
     unsigned status = 0;
     std::string outcome;
@@ -274,7 +274,7 @@
     }
 }
 
-void Caller::recordAnswer(const Waiting &waiting, const ClientAnswer &answer)
+void Caller::recordAnswer(const Waiting &waiting, const HttpAnswer &answer)
 {
     ++m_tally.answered;
     ++m_tally.statuses[answer.status];
@@ -286,22 +286,22 @@
     }
 }
 
-std::string Caller::recordError(ClientError error)
+std::string Caller::recordError(HttpError error)
 {
     switch (error) {
-    case ClientError::Refused:
+    case HttpError::Refused:
         ++m_tally.refused;
         return "refused";
-    case ClientError::Cut:
+    case HttpError::Cut:
         ++m_tally.cut;
         return "cut";
-    case ClientError::Truncated:
+    case HttpError::Truncated:
         ++m_tally.truncated;
         return "truncated";
-    case ClientError::Malformed:
+    case HttpError::Malformed:
         ++m_tally.malformed;
         return "malformed";
-    case ClientError::TimedOut:
+    case HttpError::TimedOut:
         ++m_tally.timedOut;
         return "timeout";
     }
--- a/tools/standin_target.cpp
+++ b/tools/standin_target.cpp
@@ -373,7 +373,7 @@
     return std::any_of(m_markers.begin(), m_markers.end(), [&](const std::string &marker) {
         return holds(request.target, marker) || holds(request.path, marker) || holds(request.body, marker)
             || std::any_of(request.fields.begin(), request.fields.end(),
-                           [&](const Field &field) { return holds(field.name, marker) || holds(field.value, marker); });
+                           [&](const HttpField &field) { return holds(field.name, marker) || holds(field.value, marker); });
     });
 }
 
