Time limits of sockets follow the runtime's clock

Cause: Beast's stream has timers of its own clock, so a test of a slow sender would have to wait for real. Ruled out: shorter limits in tests (the bound would differ from the product's). Change: TimedSocket cancels by a RuntimeTimer; sessions, targets and the admin port use it.

--- a/src/control_p.h
+++ b/src/control_p.h
@@ -80,6 +80,8 @@
 private:
     boost::asio::awaitable<bool> readFromStore();
     boost::asio::awaitable<void> watchStore();
+    boost::asio::awaitable<void> watchUntilFailure(std::string key, std::uint64_t revision);
+    boost::asio::awaitable<void> whileWatcher();
     boost::asio::awaitable<void> fetch(FetchDocument effect);
     void carryOut(const HolderEffects &effects);
 
--- a/src/net_admin.cpp
+++ b/src/net_admin.cpp
@@ -66,7 +66,7 @@
 
 boost::asio::awaitable<void> AdminPort::serve(Control &control, tcp::socket socket)
 {
-    boost::beast::tcp_stream stream(std::move(socket));
+    TimedSocket stream(std::move(socket));
     boost::beast::flat_buffer buffer;
     error_code error;
     bool keepAlive = true;
@@ -74,7 +74,7 @@
         http::request_parser<http::string_body> parser;
         parser.header_limit(config::MaxHeaderBytes);
         parser.body_limit(config::MaxAdminBodyBytes);
-        stream.expires_after(config::IdleTimeout);
+        stream.expiresAfter(config::IdleTimeout);
         co_await http::async_read(stream, buffer, parser, token(error));
         if (error) {
             break;
@@ -83,7 +83,7 @@
         keepAlive = parser.get().keep_alive();
         response.keep_alive(keepAlive);
         response.prepare_payload();
-        stream.expires_after(config::BodyTimeout);
+        stream.expiresAfter(config::BodyTimeout);
         co_await http::async_write(stream, response, token(error));
     }
     stream.socket().shutdown(tcp::socket::shutdown_send, error);
--- a/src/net_control_document.cpp
+++ b/src/net_control_document.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 
 namespace plumsill
 {
@@ -50,7 +51,20 @@
     if (!listed || !co_await readFromStore()) {
         co_return;
     }
-    const auto error = co_await m_control.store().watch(key, listed.value().revision, [this, key](const WatchEvent &event) {
+    using namespace boost::asio::experimental::awaitable_operators;
+    co_await (watchUntilFailure(key, listed.value().revision) || whileWatcher());
+}
+
+boost::asio::awaitable<void> DocumentPart::whileWatcher()
+{
+    do {
+        co_await sleepFor(config::PulseInterval);
+    } while (m_control.membership().membership().isWatcher(RuntimeClock::now()));
+}
+
+boost::asio::awaitable<void> DocumentPart::watchUntilFailure(std::string key, std::uint64_t revision)
+{
+    const auto error = co_await m_control.store().watch(key, revision, [this, key](const WatchEvent &event) {
         const auto *put = std::get_if<ObjectPut>(&event);
         if (put != nullptr && put->object.key == key) {
             boost::asio::co_spawn(
--- a/src/net_control_membership.cpp
+++ b/src/net_control_membership.cpp
@@ -27,6 +27,7 @@
     case StoreFault::NoAnswer:
     case StoreFault::Expired:
     case StoreFault::Malformed:
+    case StoreFault::Stale:
         return RosterWriteResult::Unknown;
     }
     return RosterWriteResult::Unknown;
--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -56,7 +56,7 @@
     bool leaving() const { return m_thread.snapshot()->leaving; }
 
     TrafficThread &m_thread;
-    boost::beast::tcp_stream m_stream;
+    TimedSocket m_stream;
     boost::beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     bool m_streamStarted = false;
@@ -76,14 +76,14 @@
         if (RuntimeClock::now() - quietSince >= allowed) {
             co_return false;
         }
-        m_stream.expires_after(config::IdleCheckInterval);
+        m_stream.expiresAfter(config::IdleCheckInterval);
         error_code error;
         const auto count = co_await m_stream.async_read_some(m_buffer.prepare(config::ReadBytes), token(error));
         m_buffer.commit(count);
         if (count > 0) {
             co_return true;
         }
-        if (error != boost::beast::error::timeout) {
+        if (m_stream.cause(error) != boost::beast::error::timeout) {
             co_return false;
         }
         if (!closing && leaving()) {
@@ -104,9 +104,10 @@
     m_parser.emplace();
     m_parser->header_limit(config::MaxHeaderBytes);
     m_parser->body_limit(boost::none);
-    m_stream.expires_after(config::HeaderTimeout);
+    m_stream.expiresAfter(config::HeaderTimeout);
     error_code error;
     co_await http::async_read_header(m_stream, m_buffer, *m_parser, token(error));
+    error = m_stream.cause(error);
     if (!error) {
         const auto refusal = checkFraming(m_parser->get().base());
         co_return refusal ? co_await refuse(*refusal) : ReadEnd::Whole;
@@ -135,8 +136,9 @@
         static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await boost::asio::async_write(m_stream, boost::asio::buffer(Continue), token(error));
     }
-    m_stream.expires_after(config::BodyTimeout);
+    m_stream.expiresAfter(config::BodyTimeout);
     co_await http::async_read(m_stream, m_buffer, *m_parser, token(error));
+    error = m_stream.cause(error);
     if (!error) {
         co_return ReadEnd::Whole;
     }
@@ -155,7 +157,7 @@
 boost::asio::awaitable<bool> CallerSession::sendAnswer(TargetAnswer answer, bool keepAlive)
 {
     answer.keep_alive(keepAlive);
-    m_stream.expires_after(config::BodyTimeout);
+    m_stream.expiresAfter(config::BodyTimeout);
     error_code error;
     http::response_serializer<http::string_body> serializer(answer);
     if (answer.body().empty()) {
@@ -179,7 +181,7 @@
     }
     m_streamStarted = true;
     m_streamChunked = chunked;
-    m_stream.expires_after(config::BodyTimeout);
+    m_stream.expiresAfter(config::BodyTimeout);
     http::response_serializer<http::empty_body> serializer(answer);
     error_code error;
     co_await http::async_write_header(m_stream, serializer, token(error));
@@ -188,7 +190,7 @@
 
 boost::asio::awaitable<bool> CallerSession::writeStream(std::string_view bytes)
 {
-    m_stream.expires_after(config::BodyTimeout);
+    m_stream.expiresAfter(config::BodyTimeout);
     error_code error;
     const boost::asio::const_buffer buffer(bytes.data(), bytes.size());
     if (m_streamChunked) {
@@ -251,7 +253,7 @@
     const AnswerSink answerSink = sink(keepAlive);
     const auto handle = std::make_shared<AttemptHandle>();
     error_code ignored;
-    m_stream.expires_never();
+    m_stream.expiresNever();
     m_streamStarted = false;
     watchCaller(handle);
     const auto address = m_stream.socket().remote_endpoint(ignored).address().to_string();
@@ -285,7 +287,7 @@
     // Closing with unread bytes would reset the connection and could take the answer with it.
     error_code error;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
-    m_stream.expires_after(config::CloseDrainTime);
+    m_stream.expiresAfter(config::CloseDrainTime);
     while (!error) {
         m_buffer.clear();
         co_await m_stream.async_read_some(m_buffer.prepare(config::ReadBytes), token(error));
--- a/src/net_upstream.cpp
+++ b/src/net_upstream.cpp
@@ -142,7 +142,7 @@
         startParser();
         co_await http::async_read_header(m_connection.stream, m_connection.buffer, *m_parser, token(error));
         if (error) {
-            co_return error;
+            co_return m_connection.stream.cause(error);
         }
         if (m_parser->get().result_int() >= 200) {
             co_return error_code();
@@ -188,7 +188,7 @@
         error_code error;
         co_await http::async_read_some(m_connection.stream, m_connection.buffer, *m_parser, token(error));
         if (error && error != http::error::need_buffer) {
-            co_return fail(bodyFailureOf(error));
+            co_return fail(bodyFailureOf(m_connection.stream.cause(error)));
         }
         const std::size_t count = chunk.size() - body.size;
         if (count > 0 && !co_await pass(std::string_view(chunk.data(), count))) {
@@ -307,14 +307,14 @@
 
 boost::asio::awaitable<TargetPool::Connection> TargetPool::open(Duration timeout, AttemptHandle *handle, AttemptFailure &failure)
 {
-    const Connection connection(new TargetConnection(boost::beast::tcp_stream(co_await boost::asio::this_coro::executor)));
+    const Connection connection(new TargetConnection(co_await boost::asio::this_coro::executor));
     if (handle != nullptr) {
         handle->attach(connection, true);
     }
     const boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address(m_endpoint.address), m_endpoint.port);
-    connection->stream.expires_after(std::min<Duration>(timeout, config::ConnectTimeout));
+    connection->stream.expiresAfter(std::min<Duration>(timeout, config::ConnectTimeout));
     error_code error;
-    co_await connection->stream.async_connect(address, token(error));
+    co_await connection->stream.socket().async_connect(address, token(error));
     if (error) {
         failure = AttemptFailure::ConnectFailed;
         co_return Connection();
@@ -342,9 +342,10 @@
         }
         options.handle->attach(connection, options.idempotent);
     }
-    connection->stream.expires_after(std::max<Duration>(options.timeout - (RuntimeClock::now() - start), std::chrono::milliseconds(1)));
+    connection->stream.expiresAfter(std::max<Duration>(options.timeout - (RuntimeClock::now() - start), std::chrono::milliseconds(1)));
     error_code error;
     co_await http::async_write(connection->stream, request, token(error));
+    error = connection->stream.cause(error);
     if (error) {
         // Some of it may have left, so it counts as sent.
         const auto failure = error == boost::beast::error::timeout ? AttemptFailure::TimedOut : AttemptFailure::ConnectionLost;
@@ -366,7 +367,7 @@
     m_lastAnswerAt = now;
     const bool reuse = reader.keepAlive() && connection->buffer.size() == 0;
     if (reuse && m_idle.size() < config::MaxConnectionsPerTarget) {
-        connection->stream.expires_never();
+        connection->stream.expiresNever();
         keep(connection, now);
     }
     co_return result;
--- /dev/null
+++ b/src/socket_p.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "clock_p.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/error.hpp>
+
+#include <memory>
+
+namespace plumsill
+{
+/// A TCP socket whose operations end when a time limit by the runtime's clock passes.
+class TimedSocket
+{
+public:
+    using executor_type = boost::asio::ip::tcp::socket::executor_type;
+
+    explicit TimedSocket(boost::asio::ip::tcp::socket socket);
+    explicit TimedSocket(const executor_type &executor);
+    ~TimedSocket();
+    TimedSocket(const TimedSocket &) = delete;
+    TimedSocket &operator=(const TimedSocket &) = delete;
+
+    executor_type get_executor() { return m_socket.get_executor(); }
+    boost::asio::ip::tcp::socket &socket() { return m_socket; }
+
+    /// Sets the limit for the operations that run now or start later.
+    void expiresAfter(Duration limit);
+    void expiresNever();
+    /// @p error, or error::timeout where the limit was the cause of it.
+    boost::system::error_code cause(const boost::system::error_code &error) const;
+    void close();
+
+    template<class Buffers, class Token>
+    auto async_read_some(const Buffers &buffers, Token &&token)
+    {
+        return m_socket.async_read_some(buffers, std::forward<Token>(token));
+    }
+    template<class Buffers, class Token>
+    auto async_write_some(const Buffers &buffers, Token &&token)
+    {
+        return m_socket.async_write_some(buffers, std::forward<Token>(token));
+    }
+
+private:
+    // Shared with the timer's handler, which may still run after the socket is gone.
+    struct Limit {
+        TimedSocket *owner = nullptr;
+        bool expired = false;
+    };
+
+    boost::asio::ip::tcp::socket m_socket;
+    RuntimeTimer m_timer;
+    std::shared_ptr<Limit> m_limit;
+};
+}
--- a/src/upstream_p.h
+++ b/src/upstream_p.h
@@ -1,12 +1,13 @@
 #pragma once
 
+#include "socket_p.h"
+
 #include <plumsill/attempt.h>
 #include <plumsill/config.h>
 #include <plumsill/types.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/intrusive/list.hpp>
@@ -52,10 +53,10 @@
 
 /// One connection to a target; carries one request at a time.
 struct TargetConnection : boost::intrusive_ref_counter<TargetConnection, boost::thread_unsafe_counter>, boost::intrusive::list_base_hook<> {
-    explicit TargetConnection(boost::beast::tcp_stream &&stream)
-        : stream(std::move(stream))
+    explicit TargetConnection(const TimedSocket::executor_type &executor)
+        : stream(executor)
     { }
-    boost::beast::tcp_stream stream;
+    TimedSocket stream;
     boost::beast::flat_buffer buffer;
     ConnectionFacts facts;
 };
