--- a/src/net_control_document.cpp
+++ b/src/net_control_document.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 
 namespace plumsill
 {
@@ -33,7 +34,9 @@
 
 boost::asio::awaitable<bool> DocumentPart::readFromStore()
 {
-    const auto refreshed = co_await refreshDocument(callerOf(m_control.store()), m_control.settings().environment, m_holder);
+    const StoreCaller caller = callerOf(m_control.store());
+    const std::string environment = m_control.settings().environment;
+    const auto refreshed = co_await refreshDocument(caller, environment, m_holder);
     if (!refreshed) {
         co_return refreshed.error().fault == StoreFault::NotFound;
     }
@@ -47,10 +50,27 @@
 {
     const std::string key = manifestKey(m_control.settings().environment);
     const auto listed = co_await m_control.store().list(key);
-    if (!listed || !co_await readFromStore()) {
+    if (!listed) {
         co_return;
     }
-    const auto error = co_await m_control.store().watch(key, listed.value().revision, [this, key](const WatchEvent &event) {
+    const bool read = co_await readFromStore();
+    if (!read) {
+        co_return;
+    }
+    using namespace boost::asio::experimental::awaitable_operators;
+    co_await (watchUntilFailure(key, listed.value().revision) || whileWatcher());
+}
+
+boost::asio::awaitable<void> DocumentPart::whileWatcher()
+{
+    do {
+        co_await sleepFor(config::PulseInterval);
+    } while (m_control.membership().membership().isWatcher(RuntimeClock::now()));
+}
+
+boost::asio::awaitable<void> DocumentPart::watchUntilFailure(std::string key, std::uint64_t revision)
+{
+    const auto error = co_await m_control.store().watch(key, revision, [this, key](const WatchEvent &event) {
         const auto *put = std::get_if<ObjectPut>(&event);
         if (put != nullptr && put->object.key == key) {
             boost::asio::co_spawn(
@@ -94,7 +114,8 @@
     if (!from) {
         co_return;
     }
-    const auto reply = co_await m_control.peers().request(*from, membership.envelope(DocumentRequest {m_holder.stamp()}));
+    const Envelope request = membership.envelope(DocumentRequest {m_holder.stamp()});
+    const auto reply = co_await m_control.peers().request(*from, request);
     if (!reply) {
         co_return;
     }
--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -23,6 +23,36 @@
     return boost::asio::redirect_error(boost::asio::use_awaitable, error);
 }
 
+const Refusal &tooSlow()
+{
+    static const Refusal refusal {408, "timeout", "the request came too slowly", std::nullopt, {}};
+    return refusal;
+}
+
+const Refusal &headerTooLarge()
+{
+    static const Refusal refusal {431, "header-too-large", "the header is too large", std::nullopt, {}};
+    return refusal;
+}
+
+const Refusal &malformedRequest()
+{
+    static const Refusal refusal {400, "bad-request", "the request is malformed", std::nullopt, {}};
+    return refusal;
+}
+
+const Refusal &bodyTooLarge()
+{
+    static const Refusal refusal {413, "body-too-large", "the body is too large", std::nullopt, {}};
+    return refusal;
+}
+
+const Refusal &malformedBody()
+{
+    static const Refusal refusal {400, "bad-request", "the body is malformed", std::nullopt, {}};
+    return refusal;
+}
+
 /// How the reading of a request ended.
 enum class ReadEnd : std::uint8_t
 {
@@ -46,8 +76,8 @@
     boost::asio::awaitable<bool> serveOne();
     boost::asio::awaitable<ReadEnd> readHeader();
     boost::asio::awaitable<ReadEnd> readBody(std::size_t limit);
-    boost::asio::awaitable<ReadEnd> refuse(Refusal refusal);
-    boost::asio::awaitable<bool> sendAnswer(TargetAnswer answer, bool keepAlive);
+    boost::asio::awaitable<ReadEnd> refuse(const Refusal &refusal);
+    boost::asio::awaitable<bool> sendAnswer(TargetAnswer &answer, bool keepAlive);
     AnswerSink sink(bool keepAlive);
     boost::asio::awaitable<bool> beginStream(const AnswerHeader &header, std::uint64_t length, bool chunked, bool keepAlive);
     boost::asio::awaitable<bool> writeStream(std::string_view bytes);
@@ -56,7 +86,7 @@
     bool leaving() const { return m_thread.snapshot()->leaving; }
 
     TrafficThread &m_thread;
-    boost::beast::tcp_stream m_stream;
+    TimedSocket m_stream;
     boost::beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     bool m_streamStarted = false;
@@ -76,14 +106,14 @@
         if (RuntimeClock::now() - quietSince >= allowed) {
             co_return false;
         }
-        m_stream.expires_after(config::IdleCheckInterval);
+        m_stream.expiresAfter(config::IdleCheckInterval);
         error_code error;
         const auto count = co_await m_stream.async_read_some(m_buffer.prepare(config::ReadBytes), token(error));
         m_buffer.commit(count);
         if (count > 0) {
             co_return true;
         }
-        if (error != boost::beast::error::timeout) {
+        if (m_stream.cause(error) != boost::beast::error::timeout) {
             co_return false;
         }
         if (!closing && leaving()) {
@@ -92,10 +122,11 @@
     }
 }
 
-boost::asio::awaitable<ReadEnd> CallerSession::refuse(Refusal refusal)
+boost::asio::awaitable<ReadEnd> CallerSession::refuse(const Refusal &refusal)
 {
     ++m_thread.report().rejected[refusal.status];
-    co_await sendAnswer(refusalAnswer(refusal), false);
+    TargetAnswer answer = refusalAnswer(refusal);
+    co_await sendAnswer(answer, false);
     co_return ReadEnd::Refused;
 }
 
@@ -104,58 +135,64 @@
     m_parser.emplace();
     m_parser->header_limit(config::MaxHeaderBytes);
     m_parser->body_limit(boost::none);
-    m_stream.expires_after(config::HeaderTimeout);
+    m_stream.expiresAfter(config::HeaderTimeout);
     error_code error;
     co_await http::async_read_header(m_stream, m_buffer, *m_parser, token(error));
+    error = m_stream.cause(error);
     if (!error) {
         const auto refusal = checkFraming(m_parser->get().base());
-        co_return refusal ? co_await refuse(*refusal) : ReadEnd::Whole;
+        if (refusal) {
+            co_return co_await refuse(*refusal);
+        }
+        co_return ReadEnd::Whole;
     }
     if (error == boost::beast::error::timeout) {
-        co_return co_await refuse({408, "timeout", "the request came too slowly", std::nullopt, {}});
+        co_return co_await refuse(tooSlow());
     }
     if (error == http::error::header_limit) {
-        co_return co_await refuse({431, "header-too-large", "the header is too large", std::nullopt, {}});
+        co_return co_await refuse(headerTooLarge());
     }
     if (error == http::error::end_of_stream || error.category() == boost::asio::error::get_system_category()) {
         co_return ReadEnd::Closed;
     }
-    co_return co_await refuse({400, "bad-request", "the request is malformed", std::nullopt, {}});
+    co_return co_await refuse(malformedRequest());
 }
 
 boost::asio::awaitable<ReadEnd> CallerSession::readBody(std::size_t limit)
 {
     const auto length = m_parser->content_length();
     if (length && *length > limit) {
-        co_return co_await refuse({413, "body-too-large", "the body is too large", std::nullopt, {}});
+        co_return co_await refuse(bodyTooLarge());
     }
     m_parser->body_limit(limit);
     error_code error;
     if (!m_parser->is_done() && boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
-        co_await boost::asio::async_write(m_stream, boost::asio::buffer(Continue), token(error));
+        const auto buffer = boost::asio::buffer(Continue);
+        co_await boost::asio::async_write(m_stream, buffer, token(error));
     }
-    m_stream.expires_after(config::BodyTimeout);
+    m_stream.expiresAfter(config::BodyTimeout);
     co_await http::async_read(m_stream, m_buffer, *m_parser, token(error));
+    error = m_stream.cause(error);
     if (!error) {
         co_return ReadEnd::Whole;
     }
     if (error == boost::beast::error::timeout) {
-        co_return co_await refuse({408, "timeout", "the request came too slowly", std::nullopt, {}});
+        co_return co_await refuse(tooSlow());
     }
     if (error == http::error::body_limit) {
-        co_return co_await refuse({413, "body-too-large", "the body is too large", std::nullopt, {}});
+        co_return co_await refuse(bodyTooLarge());
     }
     if (error == http::error::partial_message || error.category() == boost::asio::error::get_system_category()) {
         co_return ReadEnd::Closed;
     }
-    co_return co_await refuse({400, "bad-request", "the body is malformed", std::nullopt, {}});
+    co_return co_await refuse(malformedBody());
 }
 
-boost::asio::awaitable<bool> CallerSession::sendAnswer(TargetAnswer answer, bool keepAlive)
+boost::asio::awaitable<bool> CallerSession::sendAnswer(TargetAnswer &answer, bool keepAlive)
 {
     answer.keep_alive(keepAlive);
-    m_stream.expires_after(config::BodyTimeout);
+    m_stream.expiresAfter(config::BodyTimeout);
     error_code error;
     http::response_serializer<http::string_body> serializer(answer);
     if (answer.body().empty()) {
@@ -179,7 +216,7 @@
     }
     m_streamStarted = true;
     m_streamChunked = chunked;
-    m_stream.expires_after(config::BodyTimeout);
+    m_stream.expiresAfter(config::BodyTimeout);
     http::response_serializer<http::empty_body> serializer(answer);
     error_code error;
     co_await http::async_write_header(m_stream, serializer, token(error));
@@ -188,11 +225,12 @@
 
 boost::asio::awaitable<bool> CallerSession::writeStream(std::string_view bytes)
 {
-    m_stream.expires_after(config::BodyTimeout);
+    m_stream.expiresAfter(config::BodyTimeout);
     error_code error;
     const boost::asio::const_buffer buffer(bytes.data(), bytes.size());
     if (m_streamChunked) {
-        co_await boost::asio::async_write(m_stream, http::make_chunk(buffer), token(error));
+        const auto chunk = http::make_chunk(buffer);
+        co_await boost::asio::async_write(m_stream, chunk, token(error));
     } else {
         co_await boost::asio::async_write(m_stream, buffer, token(error));
     }
@@ -251,7 +289,7 @@
     const AnswerSink answerSink = sink(keepAlive);
     const auto handle = std::make_shared<AttemptHandle>();
     error_code ignored;
-    m_stream.expires_never();
+    m_stream.expiresNever();
     m_streamStarted = false;
     watchCaller(handle);
     const auto address = m_stream.socket().remote_endpoint(ignored).address().to_string();
@@ -265,11 +303,12 @@
     }
     if (std::holds_alternative<StreamedAnswer>(result)) {
         if (m_streamChunked) {
-            co_await boost::asio::async_write(m_stream, http::make_chunk_last(), token(ignored));
+            const auto last = http::make_chunk_last();
+            co_await boost::asio::async_write(m_stream, last, token(ignored));
         }
         co_return keepAlive && !ignored;
     }
-    co_return co_await sendAnswer(std::move(std::get<TargetAnswer>(result)), keepAlive && !leaving());
+    co_return co_await sendAnswer(std::get<TargetAnswer>(result), keepAlive && !leaving());
 }
 
 boost::asio::awaitable<void> CallerSession::run()
@@ -285,7 +324,7 @@
     // Closing with unread bytes would reset the connection and could take the answer with it.
     error_code error;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
-    m_stream.expires_after(config::CloseDrainTime);
+    m_stream.expiresAfter(config::CloseDrainTime);
     while (!error) {
         m_buffer.clear();
         co_await m_stream.async_read_some(m_buffer.prepare(config::ReadBytes), token(error));
