--- a/src/net_control.cpp
+++ b/src/net_control.cpp
@@ -109,6 +109,8 @@
             m_membership.membership().instancesListed(m_lists.instances, now);
             m_health.listsChanged();
             m_publishDue = true;
+        } else {
+            logWarning(LogPart::Store, "the platform's lists cannot be read: " + toString(targets ? instances.error() : targets.error()));
         }
         const bool often = !m_lists.readAt || m_membership.membership().isWatcher(now);
         co_await sleepFor(often ? Duration(config::ListIntervalWatcher) : Duration(config::ListInterval));
--- a/src/net_control_document.cpp
+++ b/src/net_control_document.cpp
@@ -70,16 +70,23 @@
 
 boost::asio::awaitable<void> DocumentPart::watchUntilFailure(std::string key, std::uint64_t revision)
 {
-    const auto error = co_await m_control.store().watch(key, revision, [this, key](const WatchEvent &event) {
+    // A named handler: g++ 12 destroys a temporary with captures twice when it stands in a co_await expression.
+    const std::function<void(const WatchEvent &)> handler = [this, key](const WatchEvent &event) {
         const auto *put = std::get_if<ObjectPut>(&event);
         if (put != nullptr && put->object.key == key) {
-            boost::asio::co_spawn(
-                m_control.context(), [this]() -> boost::asio::awaitable<void> { co_await readFromStore(); }, boost::asio::detached);
+            boost::asio::co_spawn(m_control.context(), readQuietly(), boost::asio::detached);
         }
-    });
+    };
+    const auto error = co_await m_control.store().watch(key, revision, handler);
     logDebug(LogPart::Document, "the watch ended: " + toString(error));
 }
 
+// A failed read shows in the next round of run().
+boost::asio::awaitable<void> DocumentPart::readQuietly()
+{
+    co_await readFromStore();
+}
+
 void DocumentPart::told(const MemberId &member, const DocumentStamp &stamp)
 {
     carryOut(m_holder.toldByMember(member, stamp, RuntimeClock::now()));
