--- /dev/null
+++ b/tools/bench_limits.cpp
@@ -0,0 +1,472 @@
+#include "limits_fleet.h"
+
+#include <plumsill/fairqueue.h>
+
+#include <popt.h>
+
+#include <array>
+#include <cstdio>
+#include <ctime>
+
+/// Measures the team limits on simulated time: wrongful refusals, overshoot, fairness and the cost of control.
+namespace
+{
+using namespace plumsill;
+using namespace plumsill::limits_fleet;
+
+constexpr unsigned Daemons = 48;
+constexpr double LoadShare = 0.9; ///< of every team's rate
+constexpr auto WarmUp = 5s;
+constexpr auto Measured = 30s;
+// From an owner's crash until its successor acts: suspicion, roster change, confirmation's end, drift, last grants.
+constexpr Duration OwnerGap = config::MemberSuspectAfter + (config::RosterChangeDelayMin + config::RosterChangeDelayMax) / 2 + config::ConfirmationLifetime
+    + config::ClockDriftMargin + config::GrantLifetime;
+
+void print(const std::string &name, double value, const std::string &unit)
+{
+    std::printf("%s %.6g %s\n", name.c_str(), value, unit.c_str());
+}
+
+std::vector<FleetTeam> teamsOfToday()
+{
+    return {{{"team400"}, {400, 200}}, {{"team100"}, {100, 50}}, {{"team20a"}, {20, 10}}, {{"team20b"}, {20, 10}},
+            {{"team5a"}, {5, 3}},      {{"team5b"}, {5, 3}},     {{"team1a"}, {1, 1}},    {{"team1b"}, {1, 1}}};
+}
+
+/// Draws daemons unevenly, each team with its own order.
+class UnevenLoad
+{
+public:
+    UnevenLoad(std::size_t teams, std::uint64_t seed)
+        : m_random(seed)
+    {
+        for (std::size_t team = 0; team < teams; ++team) {
+            std::vector<double> weights;
+            for (unsigned i = 1; i <= Daemons; ++i) {
+                weights.push_back(1.0 / i);
+            }
+            std::shuffle(weights.begin(), weights.end(), m_random);
+            m_daemon.emplace_back(weights.begin(), weights.end());
+        }
+    }
+    unsigned daemon(std::size_t team) { return m_daemon[team](m_random); }
+    Duration gap(double rate) { return fromSeconds(std::exponential_distribution<double>(rate)(m_random)); }
+
+private:
+    std::mt19937_64 m_random;
+    std::vector<std::discrete_distribution<unsigned>> m_daemon;
+};
+
+/// Sends Poisson arrivals of one team into the fleet until @p end.
+template<class Fleet>
+void offer(Fleet &fleet, UnevenLoad &load, std::size_t team, double rate, TimePoint end)
+{
+    const auto next = fleet.now() + load.gap(rate);
+    if (next < end) {
+        fleet.schedule(next, [&fleet, &load, team, rate, end] {
+            fleet.arrive(team, load.daemon(team));
+            offer(fleet, load, team, rate, end);
+        });
+    }
+}
+
+template<class Fleet>
+void offerAll(Fleet &fleet, UnevenLoad &load, double firstTeamShare, TimePoint end)
+{
+    const auto teams = teamsOfToday();
+    for (std::size_t team = 0; team < teams.size(); ++team) {
+        offer(fleet, load, team, teams[team].limits.rate * (team == 0 ? firstTeamShare : LoadShare), end);
+    }
+}
+
+void addStats(std::vector<TeamStats> &sum, const std::vector<TeamStats> &part)
+{
+    sum.resize(part.size());
+    for (std::size_t team = 0; team < part.size(); ++team) {
+        sum[team].arrived += part[team].arrived;
+        sum[team].admitted += part[team].admitted;
+        sum[team].refused += part[team].refused;
+        sum[team].wrongful += part[team].wrongful;
+        sum[team].idealAdmitted += part[team].idealAdmitted;
+        sum[team].waits.insert(sum[team].waits.end(), part[team].waits.begin(), part[team].waits.end());
+    }
+}
+
+double percent(std::uint64_t part, std::uint64_t whole)
+{
+    return whole == 0 ? 0 : 100.0 * double(part) / double(whole);
+}
+
+void printRefusals(const std::string &name, const std::vector<TeamStats> &stats, double overshoot)
+{
+    const auto teams = teamsOfToday();
+    std::uint64_t wrongful = 0;
+    std::uint64_t arrived = 0;
+    double worst = 0;
+    for (std::size_t team = 0; team < stats.size(); ++team) {
+        const auto &entry = stats[team];
+        const auto prefix = name + "_" + teams[team].name.value;
+        wrongful += entry.wrongful;
+        arrived += entry.arrived;
+        worst = std::max(worst, percent(entry.wrongful, entry.arrived));
+        print(prefix + "_refused", percent(entry.refused, entry.arrived), "%");
+        print(prefix + "_refused_by_ideal", percent(entry.arrived - entry.idealAdmitted, entry.arrived), "%");
+        print(prefix + "_wrongful", percent(entry.wrongful, entry.arrived), "%");
+    }
+    print(name + "_wrongful_refusals", percent(wrongful, arrived), "%");
+    print(name + "_wrongful_refusals_worst_team", worst, "%");
+    print(name + "_limit_overshoot", overshoot, "requests");
+}
+
+double percentile(std::vector<Duration> &values, double share)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    const auto at = values.begin() + static_cast<std::ptrdiff_t>(share * double(values.size() - 1));
+    std::nth_element(values.begin(), at, values.end());
+    return seconds(*at) * 1000;
+}
+
+void printWaits(const std::string &name, std::vector<TeamStats> &stats)
+{
+    std::vector<Duration> waits;
+    const auto teams = teamsOfToday();
+    for (std::size_t team = 0; team < stats.size(); ++team) {
+        auto &own = stats[team].waits;
+        waits.insert(waits.end(), own.begin(), own.end());
+        print(name + "_" + teams[team].name.value + "_admission_wait_p99", percentile(own, 0.99), "ms");
+    }
+    print(name + "_admission_wait_p50", percentile(waits, 0.5), "ms");
+    print(name + "_admission_wait_p99", percentile(waits, 0.99), "ms");
+    print(name + "_admission_wait_p999", percentile(waits, 0.999), "ms");
+}
+
+struct Traffic {
+    double messages = 0;
+    double bytes = 0;
+    double worstBytes = 0; ///< sent and received by the busiest daemon
+};
+
+Traffic trafficOf(const LimitsFleet &fleet, const std::vector<DaemonStats> &before)
+{
+    Traffic traffic;
+    for (unsigned i = 0; i < fleet.options().daemons; ++i) {
+        const auto &after = fleet.daemonStats(i);
+        const double sent = double(after.bytesSent - before[i].bytesSent);
+        traffic.messages += double(after.messagesSent - before[i].messagesSent);
+        traffic.bytes += sent;
+        traffic.worstBytes = std::max(traffic.worstBytes, sent + double(after.bytesReceived - before[i].bytesReceived));
+    }
+    return traffic;
+}
+
+std::vector<DaemonStats> daemonStats(const LimitsFleet &fleet)
+{
+    std::vector<DaemonStats> stats;
+    for (unsigned i = 0; i < fleet.options().daemons; ++i) {
+        stats.push_back(fleet.daemonStats(i));
+    }
+    return stats;
+}
+
+FleetOptions fleetOptions(std::uint64_t seed, unsigned mostParts)
+{
+    FleetOptions options;
+    options.daemons = Daemons;
+    options.seed = seed;
+    options.mostParts = mostParts;
+    options.countBytes = true;
+    return options;
+}
+
+/// Crashes the owner of one part and gives all its parts to others after the gap.
+void crashOwner(LimitsFleet &fleet, const PartKey &key)
+{
+    const auto victim = fleet.ownerOf(key);
+    fleet.crash(victim);
+    fleet.schedule(fleet.now() + OwnerGap - config::GrantLifetime, [&fleet, victim] {
+        for (const auto &team : teamsOfToday()) {
+            for (unsigned part = 0; part < partCount(team.limits, fleet.options().mostParts); ++part) {
+                if (fleet.ownerOf({team.name, part}) == victim) {
+                    fleet.reassign({team.name, part}, (victim + 1 + part) % Daemons, config::GrantLifetime);
+                }
+            }
+        }
+    });
+}
+
+/// Runs the fleet at 90 % of every rate; with a crash, the owner that crashes rotates over the teams from run to run.
+void measureFleet(const std::string &name, std::uint64_t seed, unsigned mostParts, bool crash, unsigned runs)
+{
+    std::vector<TeamStats> sum;
+    Traffic traffic;
+    double overshoot = -1e9;
+    const auto teams = teamsOfToday();
+    for (unsigned run = 0; run < runs; ++run) {
+        LimitsFleet fleet(fleetOptions(seed + run, mostParts), teams);
+        UnevenLoad load(teams.size(), seed + run);
+        const auto end = TimePoint {} + WarmUp + Measured;
+        offerAll(fleet, load, LoadShare, end);
+        fleet.run(WarmUp);
+        fleet.stats().assign(teams.size(), {});
+        const auto before = daemonStats(fleet);
+        if (crash) {
+            const auto &team = teams[run % teams.size()];
+            crashOwner(fleet, {team.name, run % partCount(team.limits, mostParts)});
+        }
+        fleet.runUntil(end + 1s);
+        addStats(sum, fleet.stats());
+        overshoot = std::max(overshoot, fleet.overshoot());
+        const auto added = trafficOf(fleet, before);
+        traffic = {traffic.messages + added.messages, traffic.bytes + added.bytes, std::max(traffic.worstBytes, added.worstBytes)};
+    }
+    const double daemonSeconds = Daemons * runs * seconds(Measured);
+    printRefusals(name, sum, overshoot);
+    printWaits(name, sum);
+    print(name + "_messages_sent_per_daemon", traffic.messages / daemonSeconds, "1/s");
+    print(name + "_bytes_sent_per_daemon", traffic.bytes / daemonSeconds, "B/s");
+    print(name + "_bytes_sent_and_received_busiest_daemon", traffic.worstBytes / seconds(Measured), "B/s");
+}
+
+/// Baselines without owners: rate/N and burst/N in each daemon, or counters that spread by gossip once a second.
+class BaselineFleet
+{
+public:
+    BaselineFleet(const std::vector<FleetTeam> &teams, bool gossip, bool wholeToken)
+        : stats(teams.size())
+        , m_gossip(gossip)
+    {
+        for (const auto &team : teams) {
+            const double burst = team.limits.burst / Daemons;
+            const TeamLimits share {team.limits.rate / Daemons, wholeToken ? std::max(1.0, burst) : burst};
+            const auto &local = gossip ? team.limits : share;
+            m_ideal.push_back({team.limits, team.limits.burst, m_now});
+            m_oracle.push_back({{team.limits, team.limits.burst, m_now}, -1e9});
+            m_local.emplace_back(Daemons, IdealBucket {local, local.burst, m_now});
+        }
+    }
+    TimePoint now() const { return m_now; }
+    void schedule(TimePoint at, std::function<void()> action) { m_events.emplace(at, std::move(action)); }
+    void runUntil(TimePoint end)
+    {
+        while (!m_events.empty() && m_events.begin()->first <= end) {
+            auto event = m_events.extract(m_events.begin());
+            m_now = event.key();
+            event.mapped()();
+        }
+        m_now = end;
+    }
+    void arrive(std::size_t team, unsigned daemon)
+    {
+        const bool ideal = m_ideal[team].take(m_now);
+        ++stats[team].arrived;
+        stats[team].idealAdmitted += ideal ? 1 : 0;
+        if (!m_local[team][daemon].take(m_now)) {
+            ++stats[team].refused;
+            stats[team].wrongful += ideal ? 1 : 0;
+            return;
+        }
+        ++stats[team].admitted;
+        m_oracle[team].admit(m_now);
+        if (m_gossip) {
+            schedule(m_now + config::PulseInterval, [this, team, daemon] { learn(team, daemon); });
+        }
+    }
+    double overshoot() const
+    {
+        double worst = -1e9;
+        for (const auto &oracle : m_oracle) {
+            worst = std::max(worst, oracle.overshoot);
+        }
+        return worst;
+    }
+
+    std::vector<TeamStats> stats;
+
+private:
+    void learn(std::size_t team, unsigned daemon)
+    {
+        for (unsigned other = 0; other < Daemons; ++other) {
+            if (other != daemon) {
+                m_local[team][other].advance(m_now);
+                m_local[team][other].level -= 1;
+            }
+        }
+    }
+
+    const bool m_gossip;
+    TimePoint m_now {};
+    std::multimap<TimePoint, std::function<void()>> m_events;
+    std::vector<IdealBucket> m_ideal;
+    std::vector<WindowOracle> m_oracle;
+    std::vector<std::vector<IdealBucket>> m_local;
+};
+
+void measureBaseline(const std::string &name, std::uint64_t seed, bool gossip, bool wholeToken)
+{
+    const auto teams = teamsOfToday();
+    BaselineFleet fleet(teams, gossip, wholeToken);
+    UnevenLoad load(teams.size(), seed);
+    const auto end = TimePoint {} + WarmUp + Measured;
+    offerAll(fleet, load, LoadShare, end);
+    fleet.runUntil(TimePoint {} + WarmUp);
+    fleet.stats.assign(teams.size(), {});
+    fleet.runUntil(end);
+    printRefusals(name, fleet.stats, fleet.overshoot());
+}
+
+/// One team sends 5 times its rate, the others 90 % of theirs.
+void measureGreedyTeam(std::uint64_t seed)
+{
+    const auto teams = teamsOfToday();
+    LimitsFleet fleet(fleetOptions(seed, config::TeamParts), teams);
+    UnevenLoad load(teams.size(), seed);
+    const auto end = TimePoint {} + WarmUp + Measured;
+    offerAll(fleet, load, 5, end);
+    fleet.run(WarmUp);
+    fleet.stats().assign(teams.size(), {});
+    const auto before = daemonStats(fleet);
+    fleet.runUntil(end);
+    double worst = 100;
+    for (std::size_t team = 1; team < teams.size(); ++team) {
+        const auto &entry = fleet.stats()[team];
+        worst = std::min(worst, 100 - percent(entry.wrongful, entry.idealAdmitted));
+    }
+    const auto traffic = trafficOf(fleet, before);
+    print("greedy_team_worst_share_of_others", worst, "%");
+    print("greedy_team_admitted_share_of_its_rate", 100 * double(fleet.stats()[0].admitted) / seconds(Measured) / teams[0].limits.rate, "%");
+    print("greedy_team_bytes_sent_per_daemon", traffic.bytes / Daemons / seconds(Measured), "B/s");
+    print("greedy_team_bytes_sent_and_received_busiest_daemon", traffic.worstBytes / seconds(Measured), "B/s");
+    print("greedy_team_limit_overshoot", fleet.overshoot(), "requests");
+}
+
+/// First come, first served, with the same deadlines: the baseline of the fair queue.
+class FifoQueue
+{
+public:
+    void push(const QueuedRequest &request, TimePoint) { m_requests.push_back(request); }
+    void expire(TimePoint now)
+    {
+        while (!m_requests.empty() && m_requests.front().deadline <= now) {
+            m_requests.pop_front();
+        }
+    }
+    std::optional<QueuedRequest> pop(TimePoint)
+    {
+        if (m_requests.empty()) {
+            return std::nullopt;
+        }
+        const auto request = m_requests.front();
+        m_requests.pop_front();
+        return request;
+    }
+
+private:
+    std::deque<QueuedRequest> m_requests;
+};
+
+/// Short targets before 8 teams with equal shares, of which one sends 5 times its share and the others all of theirs.
+template<class Queue>
+void measureQueue(const std::string &name, Queue queue, std::uint64_t seed)
+{
+    constexpr double ServiceRate = 100;
+    constexpr unsigned Teams = 8;
+    constexpr auto Length = 60s;
+    std::mt19937_64 random(seed);
+    std::array<double, Teams> served {};
+    std::array<double, Teams> offered {};
+    std::array<TimePoint, Teams> next {};
+    std::uint64_t id = 0;
+    for (TimePoint slot {}; slot < TimePoint {} + Length; slot += fromSeconds(1 / ServiceRate)) {
+        for (unsigned team = 0; team < Teams; ++team) {
+            const double rate = ServiceRate / Teams * (team == 0 ? 5 : 1);
+            for (; next[team] <= slot; next[team] += fromSeconds(std::exponential_distribution<double>(rate)(random))) {
+                ++offered[team];
+                queue.push({++id, {std::to_string(team)}, slot + 2s, 1}, slot);
+            }
+        }
+        queue.expire(slot);
+        if (const auto request = queue.pop(slot)) {
+            ++served[std::stoul(request->team.value)];
+        }
+    }
+    double worst = 100;
+    for (unsigned team = 0; team < Teams; ++team) {
+        const double share = std::min(offered[team], ServiceRate / Teams * seconds(Length));
+        worst = std::min(worst, 100 * served[team] / share);
+    }
+    print(name + "_worst_team_share", worst, "%");
+}
+
+/// Cost of one daemon against its active teams: each asks one owner, and as many parts are owned.
+void measureCost(std::uint64_t seed, unsigned teams)
+{
+    constexpr unsigned Few = 8;
+    constexpr double RatePerTeam = 0.5;
+    constexpr auto Length = 10s;
+    FleetOptions options;
+    options.daemons = Few;
+    options.seed = seed;
+    options.countBytes = true;
+    std::vector<FleetTeam> list;
+    for (unsigned i = 0; i < teams * Few; ++i) {
+        list.push_back({{"team-" + std::to_string(i)}, {RatePerTeam * 1.2, 5}});
+    }
+    LimitsFleet fleet(options, list);
+    std::mt19937_64 random(seed);
+    std::exponential_distribution<double> gap(RatePerTeam);
+    const auto end = TimePoint {} + Length;
+    for (std::size_t team = 0; team < list.size(); ++team) {
+        for (auto at = TimePoint {} + fromSeconds(gap(random)); at < end; at += fromSeconds(gap(random))) {
+            fleet.schedule(at, [&fleet, team] { fleet.arrive(team, static_cast<unsigned>(team % Few)); });
+        }
+    }
+    const auto before = daemonStats(fleet);
+    const auto clockBefore = std::clock();
+    fleet.runUntil(end);
+    const double cpu = double(std::clock() - clockBefore) / CLOCKS_PER_SEC;
+    const auto traffic = trafficOf(fleet, before);
+    const double daemonSeconds = Few * seconds(Length);
+    const auto name = "cost_" + std::to_string(teams) + "_active_teams_per_daemon";
+    print(name + "_messages_sent", traffic.messages / daemonSeconds, "1/s");
+    print(name + "_bytes_sent", traffic.bytes / daemonSeconds, "B/s");
+    print(name + "_cpu_with_model", 100 * cpu / daemonSeconds, "%core");
+}
+}
+
+int main(int argc, const char **argv)
+{
+    long seed = 1;
+    int runs = 4;
+    const std::array<poptOption, 4> options {{{"seed", 's', POPT_ARG_LONG, &seed, 0, "seed of every random choice", "SEED"},
+                                              {"runs", 'r', POPT_ARG_INT, &runs, 0, "runs of 30 simulated seconds for each figure", "RUNS"},
+                                              POPT_AUTOHELP POPT_TABLEEND}};
+    const auto context = poptGetContext("bench-limits", argc, argv, options.data(), 0);
+    const int status = poptGetNextOpt(context);
+    poptFreeContext(context);
+    if (status < -1 || runs < 1) {
+        std::fprintf(stderr, "bench-limits: bad option\n");
+        return 2;
+    }
+    const auto base = static_cast<std::uint64_t>(seed);
+    const auto count = static_cast<unsigned>(runs);
+    std::printf("seed %ld -\n", seed);
+    print("owner_gap_after_crash", seconds(OwnerGap), "s");
+    measureFleet("owners", base, config::TeamParts, false, count);
+    measureFleet("owners_crash", base, config::TeamParts, true, 2 * count);
+    measureFleet("three_parts", base, 3, false, count);
+    measureFleet("three_parts_crash", base, 3, true, 2 * count);
+    measureFleet("one_owner", base, 1, false, count);
+    measureFleet("one_owner_crash", base, 1, true, 2 * count);
+    measureBaseline("rate_by_n", base, false, false);
+    measureBaseline("rate_by_n_whole_token", base, false, true);
+    measureBaseline("gossip", base, true, false);
+    measureGreedyTeam(base);
+    measureQueue("fair_queue", FairQueue(400), base);
+    measureQueue("fifo_queue", FifoQueue(), base);
+    for (const unsigned teams : {10U, 100U, 400U}) {
+        measureCost(base, teams);
+    }
+    return 0;
+}
