Fault matrix of the team limits; prefetch mended

Cause: prefetch asked for nothing, because its own pause hid the demand; p50 of the wait was 2 ms. The pause now follows an owner that had nothing to spare.

--- a/src/limits_owner.cpp
+++ b/src/limits_owner.cpp
@@ -13,7 +13,7 @@
 // The estimate of what an ideal bucket would admit must not fall behind one: by a clock that runs fast or slow.
 TeamLimits demandLimits(const TeamLimits &limits)
 {
-    return {limits.rate * (1 + 3 * config::MaxClockDrift), limits.burst};
+    return {limits.rate * (1 + config::MaxClockDrift), limits.burst};
 }
 
 std::uint32_t wholeTokens(double tokens)
--- a/src/limits_p.h
+++ b/src/limits_p.h
@@ -124,6 +124,7 @@
     std::vector<Report> m_reports;
     std::vector<Late> m_late;
     TimePoint m_refusedUntil;
+    TimePoint m_patientUntil; ///< all parts refused lately
     RefusalReason m_refusal = RefusalReason::OverRate;
     double m_demandRate = 0; ///< requests a second, recent mean
     TimePoint m_demandTime;
--- a/src/limits_stock.cpp
+++ b/src/limits_stock.cpp
@@ -180,7 +180,6 @@
 void LimitsHolder::Team::prefetch(LimitsCall &call)
 {
     if (aheadWanted(call.now) > 0) {
-        m_prefetchFrom = call.now + config::PrefetchPause;
         start({}, call);
     }
 }
--- a/src/limits_team.cpp
+++ b/src/limits_team.cpp
@@ -29,6 +29,7 @@
     , m_cursor(static_cast<std::uint32_t>(seed))
     , m_allowance(new TeamAllowance(m_name))
     , m_refusedUntil(now)
+    , m_patientUntil(now)
     , m_demandTime(now)
     , m_lastDemand(now)
     , m_prefetchFrom(now)
@@ -111,6 +112,8 @@
         batch.deadline = std::min(batch.deadline, waiter.deadline);
     }
     batch.waiters = std::move(waiters);
+    // While all parts refuse, asking each of them would only cost messages: one is asked for what it can still promise.
+    batch.patient = !batch.waiters.empty() && call.now < m_patientUntil;
     m_batches.push_back(std::move(batch));
     const auto entry = std::prev(m_batches.end());
     if (const auto part = pickPart(call.now)) {
@@ -168,6 +171,7 @@
     }
     if (batch->request.ahead > 0) {
         m_aheadAsked = false;
+        m_prefetchFrom = grant.tokens > batch->request.waiting ? call.now : call.now + config::PrefetchPause;
     }
     distribute(*batch, grant, call);
     if (batch->waiters.empty()) {
@@ -216,6 +220,7 @@
     }
     const bool answered = batch->refusals > 0;
     if (batch->patient) {
+        m_patientUntil = call.now + config::OverRateMemory;
         refuse(batch, RefusalReason::OverRate, config::OverRatePause, std::max<Duration>(batch->bestRetry, config::OverRatePause), call);
         return;
     }
--- /dev/null
+++ b/tests/matrix_limits.cpp
@@ -0,0 +1,233 @@
+#include "limits_fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <array>
+#include <cstdio>
+
+using namespace plumsill;
+using namespace plumsill::limits_fleet;
+
+namespace
+{
+enum class Party
+{
+    Owner,
+    Holder,
+};
+
+enum class Fault
+{
+    Crash,
+    Pause,
+    CutIncoming,
+    CutOutgoing,
+    CutBoth,
+    Lost,
+    Duplicated,
+    Reordered,
+    TwoAtOnce,
+};
+
+enum class Step
+{
+    Grant,
+    GiveBack,
+    HandOver,
+    Spend,
+    Expire,
+};
+
+constexpr std::array<const char *, 2> PartyNames {"owner", "holder"};
+constexpr std::array<const char *, 9> FaultNames {
+    "crash", "pause", "one-way cut, incoming", "one-way cut, outgoing", "cut both ways", "lost", "duplicated", "reordered", "two at once"};
+constexpr std::array<const char *, 5> StepNames {"grant", "give back", "hand over", "spend", "expire"};
+
+constexpr unsigned Daemons = 5;
+constexpr auto FaultTime = 3s;
+constexpr auto Recovery = 4s;
+
+/// One row: the fault strikes one party of the first such step after a second of load.
+class Row
+{
+public:
+    Row(Party party, Fault fault, Step step)
+        : m_party(party)
+        , m_fault(fault)
+        , m_step(step)
+        , m_fleet(options(party, fault, step), {{{"large"}, {60, 48}}, {{"small"}, {8, 4}}})
+    { }
+
+    void run()
+    {
+        const auto end = m_fleet.now() + 1s + FaultTime + Recovery;
+        for (std::size_t team = 0; team < 2; ++team) {
+            offer(team, team == 0 ? 72 : 10, end);
+        }
+        m_fleet.run(1s);
+        m_fleet.onStep = [this](FleetStep step, unsigned owner, unsigned holder) { strike(step, owner, holder); };
+        if (m_step == Step::HandOver) {
+            const auto owner = m_fleet.ownerOf({{"large"}, 0});
+            m_fleet.handOver(owner, (owner + 2) % Daemons);
+        }
+        m_fleet.run(FaultTime);
+        heal();
+        m_fleet.run(Recovery / 2);
+        const auto before = m_fleet.stats()[0].admitted;
+        m_fleet.runUntil(end);
+        recovered = seconds(Recovery / 2) * 60 * 0.5 < double(m_fleet.stats()[0].admitted - before);
+        m_fleet.run(1s);
+        struck = m_struck;
+        overshoot = m_fleet.overshoot();
+        waiting = m_fleet.waiting();
+    }
+
+    bool struck = false;
+    bool recovered = false;
+    double overshoot = 0;
+    std::size_t waiting = 0;
+
+private:
+    static FleetOptions options(Party party, Fault fault, Step step)
+    {
+        FleetOptions options;
+        options.daemons = Daemons;
+        options.seed = 1 + 100 * unsigned(party) + 10 * unsigned(fault) + unsigned(step);
+        options.drift = config::MaxClockDrift;
+        return options;
+    }
+    static bool matches(Step step, FleetStep seen)
+    {
+        switch (step) {
+        case Step::Grant:
+        case Step::Expire:
+            return seen == FleetStep::Grant;
+        case Step::GiveBack:
+            return seen == FleetStep::GiveBack;
+        case Step::HandOver:
+            return seen == FleetStep::HandOver;
+        case Step::Spend:
+            return seen == FleetStep::Spend;
+        }
+        return false;
+    }
+    void offer(std::size_t team, double rate, TimePoint end)
+    {
+        const auto next = m_fleet.now() + fromSeconds(-std::log(m_fleet.uniform(1e-9, 1)) / rate);
+        if (next < end) {
+            m_fleet.schedule(next, [this, team, rate, end] {
+                m_fleet.arrive(team, m_fleet.pick(Daemons));
+                offer(team, rate, end);
+            });
+        }
+    }
+    void strike(FleetStep seen, unsigned owner, unsigned holder)
+    {
+        if (m_struck || owner == holder || !matches(m_step, seen)) {
+            return;
+        }
+        m_struck = true;
+        m_victim = m_party == Party::Owner ? owner : holder;
+        m_second = m_party == Party::Owner ? holder : owner;
+        // Expiry: the fault begins shortly before the grant ends and lasts beyond it.
+        const Duration delay = m_step == Step::Expire ? config::GrantLifetime - 20ms : Duration(0);
+        m_fleet.schedule(m_fleet.now() + delay, [this] { begin(); });
+    }
+    void begin()
+    {
+        auto &fault = m_fleet.options();
+        fault.unreliable = m_victim;
+        switch (m_fault) {
+        case Fault::Crash:
+            return crash();
+        case Fault::Pause:
+            return m_fleet.pause(m_victim);
+        case Fault::CutIncoming:
+            return m_fleet.isolate(m_victim, true, false);
+        case Fault::CutOutgoing:
+            return m_fleet.isolate(m_victim, false, true);
+        case Fault::CutBoth:
+            return m_fleet.isolate(m_victim, true, true);
+        case Fault::Lost:
+            fault.loss = 0.5;
+            return;
+        case Fault::Duplicated:
+            fault.duplicate = 1;
+            fault.late = 0.5;
+            return;
+        case Fault::Reordered:
+            fault.late = 0.8;
+            return;
+        case Fault::TwoAtOnce:
+            crash();
+            m_fleet.isolate(m_second, true, false);
+            fault.unreliable.reset();
+            fault.duplicate = 0.5;
+            return;
+        }
+    }
+    // The crashed daemon's parts get another owner, which may act once the old grants have expired.
+    void crash()
+    {
+        m_fleet.crash(m_victim);
+        for (const auto *team : {"large", "small"}) {
+            for (unsigned part = 0; part < 8; ++part) {
+                if (m_fleet.ownerOf({{team}, part}) == m_victim) {
+                    m_fleet.reassign({{team}, part}, (m_victim + 1) % Daemons);
+                }
+            }
+        }
+    }
+    void heal()
+    {
+        m_fleet.options().loss = m_fleet.options().duplicate = m_fleet.options().late = 0;
+        if (!m_struck) {
+            return;
+        }
+        m_fleet.isolate(m_victim, false, false);
+        m_fleet.isolate(m_second, false, false);
+        if (m_fault == Fault::Crash || m_fault == Fault::TwoAtOnce) {
+            m_fleet.restart(m_victim);
+        } else {
+            m_fleet.resume(m_victim);
+        }
+    }
+
+    const Party m_party;
+    const Fault m_fault;
+    const Step m_step;
+    LimitsFleet m_fleet;
+    bool m_struck = false;
+    unsigned m_victim = 0;
+    unsigned m_second = 0;
+};
+
+void runRows(Party party)
+{
+    for (unsigned fault = 0; fault < FaultNames.size(); ++fault) {
+        for (unsigned step = 0; step < StepNames.size(); ++step) {
+            Row row(party, Fault(fault), Step(step));
+            row.run();
+            const bool good = row.struck && row.recovered && row.overshoot <= 1e-6 && row.waiting == 0;
+            std::printf("limits | %s | %s | %s | %s (overshoot %.3g, %s)\n", PartyNames.at(unsigned(party)), FaultNames.at(fault), StepNames.at(step),
+                        good ? "ok" : "FAILED", row.overshoot, row.recovered ? "recovered" : "not recovered");
+            CHECK(row.struck);
+            CHECK(row.recovered);
+            CHECK(row.overshoot <= 1e-6);
+            LONGS_EQUAL(0, row.waiting);
+        }
+    }
+}
+}
+
+TEST_GROUP(MatrixLimits) {};
+
+TEST(MatrixLimits, FaultsOfAnOwner)
+{
+    runRows(Party::Owner);
+}
+
+TEST(MatrixLimits, FaultsOfAHolder)
+{
+    runRows(Party::Holder);
+}
