--- a/include/plumsill/limits.h
+++ b/include/plumsill/limits.h
@@ -89,7 +89,8 @@
     void inherit(double balance, double outstanding);
 
 private:
-    void refill(double tokens, TimePoint from);
+    void fillTo(double level);
+    void refill(Duration passed, TimePoint from);
     double refillRate() const { return m_limits.rate * (1 - config::MaxClockDrift); }
 
     TeamLimits m_limits;
--- a/src/limits_bucket.cpp
+++ b/src/limits_bucket.cpp
@@ -51,20 +51,28 @@
     , m_filled(0)
     , m_time(now)
 {
-    refill(filled, now);
+    fillTo(filled);
 }
 
-void PartBucket::refill(double tokens, TimePoint from)
+void PartBucket::fillTo(double level)
 {
+    m_filled = std::min(level, m_limits.burst);
+    m_fullSince.reset();
+    if (m_filled == m_limits.burst) {
+        m_fullSince = m_time;
+    }
+}
+
+void PartBucket::refill(Duration passed, TimePoint from)
+{
+    const double tokens = refillRate() * seconds(passed);
     const double missing = m_limits.burst - m_filled;
-    if (tokens < missing) {
+    if (tokens < missing || refillRate() <= 0) {
         m_filled += tokens;
         return;
     }
     m_filled = m_limits.burst;
-    if (!m_fullSince) {
-        m_fullSince = m_limits.rate > 0 ? from + fromSeconds(missing / refillRate()) : m_time;
-    }
+    m_fullSince = from + fromSeconds(missing / refillRate());
 }
 
 void PartBucket::advance(TimePoint now)
@@ -75,7 +83,7 @@
     const auto from = m_time;
     m_time = now;
     if (!m_fullSince) {
-        refill(refillRate() * seconds(now - from), from);
+        refill(now - from, from);
     }
 }
 
@@ -85,11 +93,7 @@
         return;
     }
     m_limits = limits;
-    m_filled = std::min(m_filled, limits.burst);
-    m_fullSince.reset();
-    if (m_filled == limits.burst) {
-        m_fullSince = m_time;
-    }
+    fillTo(m_filled);
 }
 
 // A bucket that is full stops refilling until a spending is reported, so no more than the burst can be promised ahead.
@@ -102,7 +106,7 @@
     if (missing <= 0) {
         return Duration(0);
     }
-    if (m_limits.rate <= 0) {
+    if (refillRate() <= 0) {
         return std::nullopt;
     }
     return fromSeconds(missing / refillRate());
@@ -124,7 +128,7 @@
     }
     const auto from = std::max(*m_fullSince, m_time - age);
     m_fullSince.reset();
-    refill(refillRate() * seconds(m_time - from), from);
+    refill(m_time - from, from);
 }
 
 void PartBucket::giveBack(double tokens)
@@ -135,7 +139,6 @@
 void PartBucket::inherit(double balance, double outstanding)
 {
     m_outstanding += outstanding;
-    m_fullSince.reset();
-    refill(balance + outstanding, m_time);
+    fillTo(m_filled + balance + outstanding);
 }
 }
--- a/src/limits_owner.cpp
+++ b/src/limits_owner.cpp
@@ -94,8 +94,9 @@
         known->second.demand.setLimits(demandLimits(part));
         return known->second;
     }
-    const double filled = part.rate * seconds(std::max(now - tenure.from, Duration(0)));
-    Part fresh {PartBucket(part, filled, now), PartBucket(demandLimits(part), part.burst, now), tenure.since, now, false, {}, {}, {}};
+    PartBucket bucket(part, 0, std::min(tenure.from, now));
+    bucket.advance(now);
+    Part fresh {bucket, PartBucket(demandLimits(part), part.burst, now), tenure.since, now, false, {}, {}, {}};
     return m_parts.insert_or_assign(key, std::move(fresh)).first->second;
 }
 
--- a/tools/bench_limits.cpp
+++ b/tools/bench_limits.cpp
@@ -97,25 +97,33 @@
     return whole == 0 ? 0 : 100.0 * double(part) / double(whole);
 }
 
-void printRefusals(const std::string &name, const std::vector<TeamStats> &stats, double overshoot)
+/// Wrongful refusals among all requests.
+double wrongfulPercent(const std::vector<TeamStats> &stats)
 {
-    const auto teams = teamsOfToday();
     std::uint64_t wrongful = 0;
     std::uint64_t arrived = 0;
+    for (const auto &entry : stats) {
+        wrongful += entry.wrongful;
+        arrived += entry.arrived;
+    }
+    return percent(wrongful, arrived);
+}
+
+void printRefusals(const std::string &name, const std::vector<TeamStats> &stats, double overshoot)
+{
+    const auto teams = teamsOfToday();
     double worst = 0;
     for (std::size_t team = 0; team < stats.size(); ++team) {
         const auto &entry = stats[team];
         const auto prefix = name + "_" + teams[team].name.value;
-        wrongful += entry.wrongful;
-        arrived += entry.arrived;
         worst = std::max(worst, percent(entry.wrongful, entry.arrived));
         print(prefix + "_refused", percent(entry.refused, entry.arrived), "%");
         print(prefix + "_refused_by_ideal", percent(entry.arrived - entry.idealAdmitted, entry.arrived), "%");
         print(prefix + "_wrongful", percent(entry.wrongful, entry.arrived), "%");
     }
-    print(name + "_wrongful_refusals", percent(wrongful, arrived), "%");
+    print(name + "_wrongful_refusals", wrongfulPercent(stats), "%");
     print(name + "_wrongful_refusals_worst_team", worst, "%");
-    print(name + "_limit_overshoot", overshoot, "requests");
+    print(name + "_limit_overshoot", overshoot + 0.0, "requests");
 }
 
 double percentile(std::vector<Duration> &values, double share)
@@ -202,6 +210,8 @@
     std::vector<TeamStats> sum;
     Traffic traffic;
     double overshoot = -1e9;
+    double worstRun = 0;
+    double worstOwnTeam = 0;
     const auto teams = teamsOfToday();
     for (unsigned run = 0; run < runs; ++run) {
         LimitsFleet fleet(fleetOptions(seed + run, mostParts), teams);
@@ -217,12 +227,19 @@
         }
         fleet.runUntil(end + 1s);
         addStats(sum, fleet.stats());
+        const auto &own = fleet.stats()[run % teams.size()];
+        worstRun = std::max(worstRun, wrongfulPercent(fleet.stats()));
+        worstOwnTeam = std::max(worstOwnTeam, percent(own.wrongful, own.arrived));
         overshoot = std::max(overshoot, fleet.overshoot());
         const auto added = trafficOf(fleet, before);
         traffic = {traffic.messages + added.messages, traffic.bytes + added.bytes, std::max(traffic.worstBytes, added.worstBytes)};
     }
     const double daemonSeconds = Daemons * runs * seconds(Measured);
     printRefusals(name, sum, overshoot);
+    print(name + "_wrongful_refusals_worst_run", worstRun, "%");
+    if (crash) {
+        print(name + "_wrongful_refusals_worst_team_of_the_crashed_owner", worstOwnTeam, "%");
+    }
     printWaits(name, sum);
     print(name + "_messages_sent_per_daemon", traffic.messages / daemonSeconds, "1/s");
     print(name + "_bytes_sent_per_daemon", traffic.bytes / daemonSeconds, "B/s");
@@ -338,7 +355,7 @@
     print("greedy_team_admitted_share_of_its_rate", 100 * double(fleet.stats()[0].admitted) / seconds(Measured) / teams[0].limits.rate, "%");
     print("greedy_team_bytes_sent_per_daemon", traffic.bytes / Daemons / seconds(Measured), "B/s");
     print("greedy_team_bytes_sent_and_received_busiest_daemon", traffic.worstBytes / seconds(Measured), "B/s");
-    print("greedy_team_limit_overshoot", fleet.overshoot(), "requests");
+    print("greedy_team_limit_overshoot", fleet.overshoot() + 0.0, "requests");
 }
 
 /// First come, first served, with the same deadlines: the baseline of the fair queue.
