Hand-overs name the incarnation that may take them

Cause: a hand-over that was repeated or late could be taken again by the successor's next incarnation, which then granted the balance twice. Found by the stateful test (2.4 tokens too many; hand over to a daemon, restart it). The model of the tests also let a restarted daemon keep its right to act; mended. The load of the stateful test now alternates between twice the rate and nothing, and paused daemons serve requests before control runs.

--- a/include/plumsill/limits.h
+++ b/include/plumsill/limits.h
@@ -100,11 +100,12 @@
     std::optional<TimePoint> m_fullSince;
 };
 
-/// A part that this daemon owns.
+/// A part that this daemon owns, and who takes it over.
 struct OwnedPart {
     PartKey key;
     TeamLimits limits; ///< of the whole team
     Tenure tenure;
+    MemberId successor;
 
     auto operator<=>(const OwnedPart &) const = default;
 };
@@ -124,7 +125,9 @@
     /// Gives up every part for a planned stop: nothing more is granted by this daemon.
     std::vector<HandOver> handOver(const std::vector<OwnedPart> &owned, TimePoint now);
     /// Takes over a part's balance; false where this daemon has already granted in this tenure or the hand-over is stale.
-    bool acceptHandOver(const HandOver &message, std::uint64_t senderEpoch, const TeamLimits &limits, const Tenure &tenure, TimePoint now);
+    /// @p tenure has to be the one that begins with the hand-over, @p self this daemon's present incarnation.
+    bool acceptHandOver(const MemberId &self, const HandOver &message, std::uint64_t senderEpoch, const TeamLimits &limits, const Tenure &tenure,
+                        TimePoint now);
     /// Counts expired grants as spent and drops idle parts.
     void tick(TimePoint now);
 
--- a/include/plumsill/messages.h
+++ b/include/plumsill/messages.h
@@ -128,6 +128,7 @@
 
 /// One part that its owner gives up on a planned stop.
 struct HandOver {
+    MemberId successor; ///< no other incarnation may take it
     TeamName team;
     std::uint32_t part = 0;
     double balance = 0; ///< tokens free to grant
@@ -137,7 +138,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(team, part, balance, outstanding);
+        archive(successor, team, part, balance, outstanding);
     }
 };
 
--- a/src/limits_owner.cpp
+++ b/src/limits_owner.cpp
@@ -224,7 +224,7 @@
         }
         auto &part = partFor(entry.key, entry.limits, entry.tenure, now);
         expire(part, now);
-        parts.push_back({entry.key.team, entry.key.part, part.bucket.available(), part.bucket.outstanding()});
+        parts.push_back({entry.successor, entry.key.team, entry.key.part, part.bucket.available(), part.bucket.outstanding()});
     }
     m_stopped = true;
     m_parts.clear();
@@ -232,10 +232,13 @@
 }
 
 // The balance is only right as long as nothing was granted since the last owner gave it up. What that owner had granted
-// stays outstanding until it must have expired. A hand-over of an earlier term of this part is told by its epoch.
-bool LimitsOwner::acceptHandOver(const HandOver &message, std::uint64_t senderEpoch, const TeamLimits &limits, const Tenure &tenure, TimePoint now)
+// stays outstanding until it must have expired. A hand-over of an earlier term of this part is told by its epoch, and one
+// that an earlier incarnation may have used by the successor's name.
+bool LimitsOwner::acceptHandOver(const MemberId &self, const HandOver &message, std::uint64_t senderEpoch, const TeamLimits &limits, const Tenure &tenure,
+                                 TimePoint now)
 {
-    if (m_stopped || !tenure.mayAct || senderEpoch + 1 < tenure.since || message.outstanding < 0) {
+    const bool mine = message.successor == self && tenure.mayAct && !m_stopped;
+    if (!mine || senderEpoch + 1 < tenure.since || message.outstanding < 0) {
         return false;
     }
     auto &part = partFor({message.team, message.part}, limits, tenure, now);
--- a/tests/fuzz_limits.cpp
+++ b/tests/fuzz_limits.cpp
@@ -48,18 +48,31 @@
     return {{{"large"}, {40, 30}}, {{"middle"}, {20, 10}}, {{"small"}, {5, 3}}, {{"single"}, {1, 1}}};
 }
 
-// All requests come at 1.5 times the rate and change daemons, so that the bound is always pressed.
-void offerLoad(LimitsFleet &fleet, std::size_t team, double rate, TimePoint end)
+// Requests come at twice the rate for a while, so that the bound is pressed, then not at all, so that buckets fill.
+constexpr auto LoadPeriod = 700ms;
+
+void offerLoad(LimitsFleet &fleet, std::size_t team, TimePoint end)
 {
-    const auto next = fleet.now() + fromSeconds(-std::log(fleet.uniform(1e-9, 1)) / rate);
+    constexpr double Excess = 2;
+    const auto gap = fromSeconds(-std::log(fleet.uniform(1e-9, 1)) / (Excess * fleet.limits(team).rate));
+    const auto next = fleet.now() + std::min<Duration>(gap, 1s);
     if (next < end) {
-        fleet.schedule(next, [&fleet, team, rate, end] {
-            fleet.arrive(team, fleet.pick(Daemons));
-            offerLoad(fleet, team, rate, end);
+        fleet.schedule(next, [&fleet, team, end] {
+            if ((fleet.now().time_since_epoch() / LoadPeriod + std::int64_t(team)) % 2 == 0) {
+                fleet.arrive(team, fleet.pick(Daemons));
+            }
+            offerLoad(fleet, team, end);
         });
     }
 }
 
+void sendBurst(LimitsFleet &fleet, std::size_t team, unsigned daemon, unsigned count)
+{
+    for (unsigned i = 0; i < count; ++i) {
+        fleet.arrive(team, daemon);
+    }
+}
+
 void doStep(LimitsFleet &fleet, const Step &step)
 {
     switch (step.fault) {
@@ -70,7 +83,7 @@
     case Fault::Pause:
         return fleet.pause(step.daemon);
     case Fault::Resume:
-        return fleet.resume(step.daemon);
+        return fleet.resume(step.daemon, [&] { sendBurst(fleet, step.team, step.daemon, step.value); });
     case Fault::CutIncoming:
         return fleet.isolate(step.daemon, true, false);
     case Fault::CutOutgoing:
@@ -97,9 +110,7 @@
         fleet.options().loss = fleet.options().duplicate = fleet.options().late = 0;
         return;
     case Fault::Burst:
-        for (unsigned i = 0; i < step.value; ++i) {
-            fleet.arrive(step.team, i % Daemons);
-        }
+        return sendBurst(fleet, step.team, step.daemon, step.value);
     }
 }
 
@@ -125,7 +136,7 @@
         LimitsFleet fleet(options, teams());
         const auto length = 300ms * (steps.size() + 4);
         for (std::size_t team = 0; team < teams().size(); ++team) {
-            offerLoad(fleet, team, teams()[team].limits.rate * 1.5, fleet.now() + length);
+            offerLoad(fleet, team, fleet.now() + length);
         }
         fleet.run(600ms);
         for (const auto &step : steps) {
--- a/tests/limits_fleet.h
+++ b/tests/limits_fleet.h
@@ -144,6 +144,7 @@
     const DaemonStats &daemonStats(unsigned i) const { return m_daemons[i].stats; }
     LimitsOwner &owner(unsigned i) { return *m_daemons[i].owner; }
     LimitsHolder &holder(unsigned i) { return *m_daemons[i].holder; }
+    const TeamLimits &limits(std::size_t team) const { return m_current[team]; }
     std::size_t waiting() const { return m_waiters.size(); }
     double overshoot() const
     {
@@ -206,9 +207,15 @@
     }
     bool usable(unsigned i) const { return m_daemons[i].alive && !m_daemons[i].paused; }
     void pause(unsigned i) { m_daemons[i].paused = true; }
-    void resume(unsigned i)
+    /// @p first happens before anything that was held up: traffic threads may run before control does.
+    void resume(
+        unsigned i, const std::function<void()> &first = [] {})
     {
+        if (!m_daemons[i].paused) {
+            return;
+        }
         m_daemons[i].paused = false;
+        first();
         auto backlog = std::move(m_daemons[i].backlog);
         m_daemons[i].backlog.clear();
         for (auto &action : backlog) {
@@ -257,7 +264,7 @@
             for (unsigned part = 0; part < partCount(m_daemons[from].limits[team], m_options.mostParts); ++part) {
                 const PartKey key {m_teams[team].name, part};
                 if (ownerOf(key) == from) {
-                    owned.push_back({key, m_daemons[from].limits[team], tenure(from, key)});
+                    owned.push_back({key, m_daemons[from].limits[team], tenure(from, key), idOf(successor)});
                 }
             }
         }
@@ -315,7 +322,7 @@
         std::unique_ptr<LimitsHolder> holder;
         std::vector<TeamLimits> limits;
         std::vector<std::function<void()>> backlog;
-        std::set<PartKey> handedOver;
+        std::map<PartKey, std::uint64_t> handedOver; ///< term that began by a hand-over
         DaemonStats stats;
     };
     struct Term {
@@ -383,7 +390,8 @@
     Tenure tenure(unsigned i, const PartKey &key)
     {
         const auto &term = termsOf(key).back();
-        const bool handed = m_daemons[i].handedOver.contains(key);
+        const auto known = m_daemons[i].handedOver.find(key);
+        const bool handed = known != m_daemons[i].handedOver.end() && known->second == term.since;
         const bool mine = term.owner == i && m_daemons[i].alive;
         return {mine && (m_now >= term.from || handed), term.since, toLocal(i, handed ? std::max(term.from, m_now) : term.from)};
     }
@@ -547,8 +555,8 @@
             granted = {true, term.since, localTime(to)};
         }
         const auto &limits = m_daemons[to].limits[teamIndex(message.team)];
-        if (m_daemons[to].owner->acceptHandOver(message, epoch, limits, granted, localTime(to))) {
-            m_daemons[to].handedOver.insert(key);
+        if (m_daemons[to].owner->acceptHandOver(idOf(to), message, epoch, limits, granted, localTime(to))) {
+            m_daemons[to].handedOver[key] = term.since;
         }
     }
 
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -16,6 +16,7 @@
 const TimePoint T0 = TimePoint(1000s);
 const TeamName Acme {"acme"};
 const MemberId Holder {{"entry-1"}, 7};
+const MemberId Successor {{"entry-2"}, 4};
 const TeamLimits OnePart {1, 10};
 const TeamLimits TwoParts {20, 2 * config::MinPartBurst};
 const Tenure LongActing {true, 1, T0 - 100s};
@@ -180,25 +181,26 @@
 TEST(LimitsOwner, HandOverCarriesBalanceAndOutstandingTokens)
 {
     owner.onGrantRequest(Holder, request(1, 4), OnePart, LongActing, T0);
-    const auto parts = owner.handOver({{{Acme, 0}, OnePart, LongActing}}, T0);
+    const auto parts = owner.handOver({{{Acme, 0}, OnePart, LongActing, Successor}}, T0);
     LONGS_EQUAL(1, parts.size());
     CHECK(owner.onGrantRequest(Holder, request(2, 1), OnePart, LongActing, T0)->status == GrantStatus::NotActing);
     LimitsOwner successor;
     const Tenure term {true, 2, T0};
-    CHECK(successor.acceptHandOver(parts[0], 1, OnePart, term, T0));
+    CHECK(!successor.acceptHandOver({Successor.name, Successor.incarnation + 1}, parts[0], 1, OnePart, term, T0));
+    CHECK(successor.acceptHandOver(Successor, parts[0], 1, OnePart, term, T0));
     DOUBLES_EQUAL(6, *successor.available({Acme, 0}), 1e-9);
     successor.tick(T0 + 400ms);
     DOUBLES_EQUAL(6, *successor.available({Acme, 0}), 1e-9);
-    CHECK(!successor.acceptHandOver(parts[0], 1, OnePart, term, T0 + 1ms));
+    CHECK(!successor.acceptHandOver(Successor, parts[0], 1, OnePart, term, T0 + 1ms));
 }
 
 TEST(LimitsOwner, HandOverIsRefusedAfterAGrantAndWhenStale)
 {
-    const HandOver message {Acme, 0, 5, 0};
+    const HandOver message {Successor, Acme, 0, 5, 0};
     const Tenure term {true, 4, T0 - 2s};
-    CHECK(!owner.acceptHandOver(message, 2, OnePart, term, T0));
+    CHECK(!owner.acceptHandOver(Successor, message, 2, OnePart, term, T0));
     LONGS_EQUAL(1, owner.onGrantRequest(Holder, request(1, 1), OnePart, term, T0)->tokens);
-    CHECK(!owner.acceptHandOver(message, 3, OnePart, term, T0));
+    CHECK(!owner.acceptHandOver(Successor, message, 3, OnePart, term, T0));
 }
 
 TEST(LimitsOwner, GrowthWaitsForOwnersOfTheOldDocument)
@@ -207,10 +209,11 @@
     const TeamLimits after {1000, 10};
     LONGS_EQUAL(2, owner.onGrantRequest(Holder, request(1, 2), before, LongActing, T0)->tokens);
     owner.limitsChanged({Acme, before, after}, T0);
-    LONGS_EQUAL(0, owner.onGrantRequest(Holder, request(2, 1), after, LongActing, T0 + 100ms)->tokens);
+    owner.onGrantRequest(Holder, request(2, 0), after, LongActing, T0);
+    LONGS_EQUAL(0, owner.onGrantRequest(Holder, request(3, 1), after, LongActing, T0 + 100ms)->tokens);
     const auto later = T0 + config::LimitsChangeDelay;
-    owner.onGrantRequest(Holder, request(3, 0), after, LongActing, later);
-    LONGS_EQUAL(10, owner.onGrantRequest(Holder, request(4, 10), after, LongActing, later + 1s)->tokens);
+    owner.onGrantRequest(Holder, request(4, 0), after, LongActing, later);
+    LONGS_EQUAL(10, owner.onGrantRequest(Holder, request(5, 10), after, LongActing, later + 1s)->tokens);
 }
 
 TEST(LimitsOwner, SmallerLimitsHoldAtOnce)
@@ -387,6 +390,27 @@
     CHECK(waited < Requests / 20);
 }
 
+// An answer to an earlier incarnation must not look like one to a request of this one.
+TEST(LimitsHolder, IncarnationsShareNoIds)
+{
+    LimitsHolder other(2);
+    const auto first = wantOne(1, OnePart, T0);
+    const auto second = only<SendGrantRequest>(other.wantToken(Acme, OnePart, 1, T0 + 1s, T0))[0];
+    CHECK(first.message.id != second.message.id);
+}
+
+TEST(LimitsHolder, AgeInAReportCountsFromTheLastSpending)
+{
+    const auto sent = wantOne(1, TwoParts, T0);
+    holder.onGrant(answerTo(sent, 2), 1, T0 + 2ms);
+    const auto allowance = holder.allowance(Acme, TwoParts, T0);
+    holder.tick(T0 + 70ms);
+    CHECK(allowance->takeAt(T0 + 80ms).has_value());
+    holder.tick(T0 + 90ms);
+    const auto back = only<SendGiveBack>(holder.tick(T0 + 300ms));
+    LONGS_EQUAL(210, back.at(0).message.finished[0].ageMilliseconds);
+}
+
 TEST(LimitsHolder, IdleTeamsKeepNoState)
 {
     {
