--- a/tests/limits_fleet.h
+++ b/tests/limits_fleet.h
@@ -78,12 +78,22 @@
     double loss = 0;
     double duplicate = 0;
     double late = 0; ///< share of datagrams that are delayed by up to lateMax
+    std::optional<unsigned> unreliable; ///< only what this daemon sends suffers from the above
     Duration lateMax = 800ms;
     double drift = 0; ///< each clock runs up to this share fast or slow
     unsigned mostParts = config::TeamParts;
     bool countBytes = false;
 };
 
+/// What happens between an owner and a holder; tests inject faults at these.
+enum class FleetStep
+{
+    Grant,
+    GiveBack,
+    HandOver,
+    Spend,
+};
+
 struct TeamStats {
     std::uint64_t arrived = 0;
     std::uint64_t admitted = 0;
@@ -134,6 +144,7 @@
     const DaemonStats &daemonStats(unsigned i) const { return m_daemons[i].stats; }
     LimitsOwner &owner(unsigned i) { return *m_daemons[i].owner; }
     LimitsHolder &holder(unsigned i) { return *m_daemons[i].holder; }
+    const TeamLimits &limits(std::size_t team) const { return m_current[team]; }
     std::size_t waiting() const { return m_waiters.size(); }
     double overshoot() const
     {
@@ -173,7 +184,7 @@
         const auto local = localTime(i);
         const auto allowance = daemon.holder->allowance(m_teams[team].name, daemon.limits[team], local);
         if (allowance->takeAt(local)) {
-            admit(team, m_now);
+            admit(team, i, m_now);
             return;
         }
         const auto waiter = m_nextWaiter++;
@@ -181,6 +192,9 @@
         apply(i, daemon.holder->wantToken(m_teams[team].name, daemon.limits[team], waiter, local + config::TokenWaitMax, local));
     }
 
+    /// Called right after each step with the owner and the holder that take part.
+    std::function<void(FleetStep, unsigned owner, unsigned holder)> onStep;
+
     void cut(unsigned from, unsigned to, bool cut) { cut ? void(m_cuts.insert({from, to})) : void(m_cuts.erase({from, to})); }
     void isolate(unsigned i, bool incoming, bool outgoing)
     {
@@ -193,9 +207,15 @@
     }
     bool usable(unsigned i) const { return m_daemons[i].alive && !m_daemons[i].paused; }
     void pause(unsigned i) { m_daemons[i].paused = true; }
-    void resume(unsigned i)
+    /// @p first happens before anything that was held up: traffic threads may run before control does.
+    void resume(
+        unsigned i, const std::function<void()> &first = [] {})
     {
+        if (!m_daemons[i].paused) {
+            return;
+        }
         m_daemons[i].paused = false;
+        first();
         auto backlog = std::move(m_daemons[i].backlog);
         m_daemons[i].backlog.clear();
         for (auto &action : backlog) {
@@ -244,7 +264,7 @@
             for (unsigned part = 0; part < partCount(m_daemons[from].limits[team], m_options.mostParts); ++part) {
                 const PartKey key {m_teams[team].name, part};
                 if (ownerOf(key) == from) {
-                    owned.push_back({key, m_daemons[from].limits[team], tenure(from, key)});
+                    owned.push_back({key, m_daemons[from].limits[team], tenure(from, key), idOf(successor)});
                 }
             }
         }
@@ -302,7 +322,7 @@
         std::unique_ptr<LimitsHolder> holder;
         std::vector<TeamLimits> limits;
         std::vector<std::function<void()>> backlog;
-        std::set<PartKey> handedOver;
+        std::map<PartKey, std::uint64_t> handedOver; ///< term that began by a hand-over
         DaemonStats stats;
     };
     struct Term {
@@ -370,7 +390,8 @@
     Tenure tenure(unsigned i, const PartKey &key)
     {
         const auto &term = termsOf(key).back();
-        const bool handed = m_daemons[i].handedOver.contains(key);
+        const auto known = m_daemons[i].handedOver.find(key);
+        const bool handed = known != m_daemons[i].handedOver.end() && known->second == term.since;
         const bool mine = term.owner == i && m_daemons[i].alive;
         return {mine && (m_now >= term.from || handed), term.since, toLocal(i, handed ? std::max(term.from, m_now) : term.from)};
     }
@@ -434,7 +455,7 @@
     {
         for (const auto id : effect.waiters) {
             const auto waiter = m_waiters.extract(id).mapped();
-            admit(waiter.team, waiter.arrival);
+            admit(waiter.team, waiter.daemon, waiter.arrival);
         }
     }
     void applyOne(unsigned, const Refuse &effect)
@@ -445,12 +466,23 @@
             m_stats[waiter.team].wrongful += waiter.ideal ? 1 : 0;
         }
     }
-    void admit(std::size_t team, TimePoint arrival)
+    void admit(std::size_t team, unsigned daemon, TimePoint arrival)
     {
         ++m_stats[team].admitted;
         m_stats[team].waits.push_back(m_now - arrival);
         m_oracle[team].admit(m_now);
+        note(FleetStep::Spend, ownerOf({m_teams[team].name, 0}), daemon);
+    }
+    void note(FleetStep step, unsigned owner, unsigned holder)
+    {
+        if (onStep) {
+            onStep(step, owner, holder);
+        }
     }
+    void noteSent(unsigned, unsigned, const GrantRequest &) { }
+    void noteSent(unsigned from, unsigned to, const Grant &) { note(FleetStep::Grant, from, to); }
+    void noteSent(unsigned from, unsigned to, const GiveBack &) { note(FleetStep::GiveBack, to, from); }
+    void noteSent(unsigned from, unsigned to, const HandOver &) { note(FleetStep::HandOver, from, to); }
 
     template<class Body>
     void send(unsigned from, unsigned to, const Body &body)
@@ -464,15 +496,17 @@
         }
         const auto epoch = m_daemons[from].epoch;
         const auto sender = idOf(from);
-        const unsigned copies = chance(m_options.duplicate) ? 2 : 1;
+        const bool suffers = m_options.unreliable.value_or(from) == from;
+        const unsigned copies = suffers && chance(m_options.duplicate) ? 2 : 1;
         for (unsigned copy = 0; copy < copies; ++copy) {
-            if (chance(m_options.loss) || m_cuts.contains({from, to})) {
+            if ((suffers && chance(m_options.loss)) || m_cuts.contains({from, to})) {
                 continue;
             }
-            const double late = chance(m_options.late) ? uniform(0, seconds(m_options.lateMax)) : 0;
+            const double late = suffers && chance(m_options.late) ? uniform(0, seconds(m_options.lateMax)) : 0;
             const double delay = uniform(seconds(m_options.delayMin), seconds(m_options.delayMax)) + late;
             schedule(m_now + fromSeconds(delay), [this, from, to, sender, epoch, body] { deliver(from, to, sender, epoch, body); });
         }
+        noteSent(from, to, body);
     }
     template<class Body>
     void deliver(unsigned from, unsigned to, const MemberId &sender, std::uint64_t epoch, const Body &body)
@@ -521,8 +555,8 @@
             granted = {true, term.since, localTime(to)};
         }
         const auto &limits = m_daemons[to].limits[teamIndex(message.team)];
-        if (m_daemons[to].owner->acceptHandOver(message, epoch, limits, granted, localTime(to))) {
-            m_daemons[to].handedOver.insert(key);
+        if (m_daemons[to].owner->acceptHandOver(idOf(to), message, epoch, limits, granted, localTime(to))) {
+            m_daemons[to].handedOver[key] = term.since;
         }
     }
 
