--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -2,8 +2,10 @@
 
 #include <plumsill/store.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
+#include <utility>
 #include <vector>
 
 /// In-memory stand-in for the platform's object API, with faults per call.
@@ -37,11 +39,14 @@
         return fault == CallFault::LostAfter ? ObjectResult(StoreError {StoreFault::NoAnswer, "lost"}) : result;
     }
 
+    /// A call whose result doesn't matter.
+    void perform(const ObjectCall &what) { static_cast<void>(call(what)); }
+
     /// The calls that were delayed arrive now.
     void deliverDelayed()
     {
         for (const auto &what : std::exchange(m_delayed, {})) {
-            std::visit([&](const auto &typed) { return apply(typed, false); }, what);
+            perform(what);
         }
     }
 
--- /dev/null
+++ b/tests/matrix_environment.cpp
@@ -0,0 +1,447 @@
+#include "operator_run.h"
+
+#include <plumsill/config.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstdio>
+#include <deque>
+
+/// Fault matrix of the document: every fault at every step of an operator's change, and of its spread to daemons.
+using namespace plumsill;
+using namespace std::chrono_literals;
+
+namespace
+{
+enum class Fault
+{
+    Crash,
+    Pause,
+    CutToStore,
+    StoreDown,
+    Slow,
+    AnswerLost,
+    StaleRead,
+    TwoAtOnce, ///< another operator's change runs in between
+    LostThenStale,
+    SlowThenDown,
+};
+
+constexpr std::array<std::pair<Fault, const char *>, 10> OperatorFaults {{{Fault::Crash, "crash"},
+                                                                          {Fault::Pause, "pause"},
+                                                                          {Fault::CutToStore, "cut to the store"},
+                                                                          {Fault::StoreDown, "store down"},
+                                                                          {Fault::Slow, "store slow"},
+                                                                          {Fault::AnswerLost, "answer lost after the write"},
+                                                                          {Fault::StaleRead, "stale read"},
+                                                                          {Fault::TwoAtOnce, "two operators at once"},
+                                                                          {Fault::LostThenStale, "answer lost, then stale reads"},
+                                                                          {Fault::SlowThenDown, "store slow, then down"}}};
+
+enum class Step
+{
+    Put,
+    Prove,
+    Promote,
+};
+
+constexpr std::array<std::pair<Step, const char *>, 3> OperatorSteps {{{Step::Put, "put"}, {Step::Prove, "prove"}, {Step::Promote, "promote"}}};
+
+/// Watches every value written: versions only rise, and which write ids ever took effect.
+struct Oracle {
+    std::map<std::string, std::uint64_t> highest;
+    std::vector<std::string> values;
+    bool fellBack = false;
+
+    void see(const StoredObject &object)
+    {
+        values.push_back(object.value);
+        const auto manifest = parseManifest(object.value);
+        if (manifest) {
+            fellBack = fellBack || manifest->stamp.version <= highest[object.key];
+            highest[object.key] = manifest->stamp.version;
+        }
+    }
+    bool tookEffect(const std::string &writeId) const
+    {
+        return std::any_of(values.begin(), values.end(), [&](const std::string &value) { return value.find('"' + writeId + '"') != std::string::npos; });
+    }
+};
+
+struct OperatorWorld {
+    FakeStore store;
+    Oracle oracle;
+    TimePoint now {1000s};
+    const std::string first = documentWithTeam("first");
+    const std::string second = documentWithTeam("second");
+
+    // Trial holds the second document, proved; production the first.
+    explicit OperatorWorld(Step step)
+    {
+        store.written = [this](const StoredObject &object) { oracle.see(object); };
+        runToEnd(store, now, PutRequest {first, 0}, "setup-1");
+        runToEnd(store, now, ProveRequest {1}, "setup-2");
+        runToEnd(store, now, PromoteRequest {sha256Hex(first), 0}, "setup-3");
+        runToEnd(store, now, PutRequest {second, 1}, "setup-4");
+        if (step == Step::Promote) {
+            runToEnd(store, now, ProveRequest {2}, "setup-5");
+        }
+    }
+    ChangeRequest request(Step step, const std::string &team) const
+    {
+        if (step == Step::Put) {
+            return PutRequest {documentWithTeam(team), 2};
+        }
+        if (step == Step::Prove) {
+            return ProveRequest {2};
+        }
+        return PromoteRequest {sha256Hex(second), 1};
+    }
+};
+
+CallFault callFault(Fault fault, std::size_t since)
+{
+    switch (fault) {
+    case Fault::CutToStore:
+        return CallFault::LostBefore;
+    case Fault::StoreDown:
+        return CallFault::Down;
+    case Fault::Slow:
+        return since == 0 ? CallFault::Delayed : CallFault::None;
+    case Fault::AnswerLost:
+        return since == 0 ? CallFault::LostAfter : CallFault::None;
+    case Fault::StaleRead:
+        return since < 3 ? CallFault::Stale : CallFault::None;
+    case Fault::LostThenStale:
+        return since == 0 ? CallFault::LostAfter : CallFault::Stale;
+    case Fault::SlowThenDown:
+        return since == 0 ? CallFault::Delayed : CallFault::Down;
+    default:
+        return CallFault::None;
+    }
+}
+
+std::string verdict(OperatorWorld &world, const OperatorRun &run, bool crashed)
+{
+    world.store.deliverDelayed();
+    const bool effect = world.oracle.tookEffect(run.writeId());
+    const auto outcome = crashed ? ChangeOutcome::Unknown : run.reply().outcome;
+    if (outcome == ChangeOutcome::Accepted && !effect) {
+        return "accepted, but nothing was written";
+    }
+    if ((outcome == ChangeOutcome::Conflict || outcome == ChangeOutcome::Refused) && effect) {
+        return std::string(toString(outcome)) + ", but the write took effect";
+    }
+    if (world.oracle.fellBack) {
+        return "a version fell back";
+    }
+    if (!textIn(world.store, TrialEnvironment) || !textIn(world.store, ProductionEnvironment)) {
+        return "a document is damaged";
+    }
+    return {};
+}
+
+/// Result of one run with the fault from the given step on; nothing once the run has no such step.
+std::optional<std::string> runWithFault(Step step, Fault fault, std::size_t at)
+{
+    OperatorWorld world(step);
+    OperatorRun run(orderOf(world.request(step, "mine"), "mine"), world.now);
+    std::size_t steps = 0;
+    bool crashed = false;
+    for (; !run.done() && !crashed; ++steps) {
+        if (steps == at && fault == Fault::Pause) {
+            world.now += 30s;
+        }
+        if (steps == at && fault == Fault::TwoAtOnce) {
+            runToEnd(world.store, world.now, world.request(step, "other"), "other");
+        }
+        crashed = steps >= at && fault == Fault::Crash;
+        if (!crashed) {
+            run.advance(world.store, world.now, steps >= at ? callFault(fault, steps - at) : CallFault::None, {3, 4});
+        }
+    }
+    if (steps <= at) {
+        return std::nullopt;
+    }
+    if (!crashed) {
+        run.finish(world.store, world.now);
+    }
+    return verdict(world, run, crashed);
+}
+
+std::size_t runRow(Step step, Fault fault, std::string &failure)
+{
+    std::size_t at = 0;
+    while (true) {
+        const auto result = runWithFault(step, fault, at);
+        if (!result) {
+            return at;
+        }
+        if (!result->empty()) {
+            failure = "at step " + std::to_string(at) + ": " + *result;
+            return at;
+        }
+        ++at;
+    }
+}
+
+/// Store, members and the links between them, for the spread of a document.
+class Fleet
+{
+public:
+    static constexpr std::size_t Size = 5;
+
+    struct Daemon {
+        std::optional<DocumentHolder> holder = DocumentHolder();
+        bool running = true;
+        bool storeReachable = true;
+        bool storeStale = false;
+        bool hears = true;
+        bool isHeard = true;
+        Duration storeDelay {};
+        std::map<std::size_t, std::pair<DocumentStamp, TimePoint>> acks; ///< by member: stamp told, when the pulse was sent
+    };
+
+    struct StoreAnswer {
+        std::size_t daemon;
+        TimePoint due;
+        TimePoint sent;
+        std::pair<DocumentStamp, std::string> document;
+    };
+
+    std::array<Daemon, Size> daemons;
+    bool storeUp = true;
+    TimePoint now {1000s};
+
+    Fleet() { publish(1, documentWithTeam("withdrawn")); }
+
+    void publish(std::uint64_t version, const std::string &text)
+    {
+        m_previous = m_present.second.empty() ? std::pair {DocumentStamp {version, sha256Hex(text)}, text} : m_present;
+        m_present = {{version, sha256Hex(text)}, text};
+    }
+    void run(Duration duration)
+    {
+        for (const auto end = now + duration; now < end; now += 100ms) {
+            tick();
+        }
+    }
+    bool majorityHolds(std::uint64_t version) const
+    {
+        const auto holds = [&](const Daemon &daemon) { return daemon.holder->stamp().version >= version; };
+        return 2 * std::count_if(daemons.begin(), daemons.end(), holds) > static_cast<long>(Size);
+    }
+
+private:
+    void tick()
+    {
+        deliver();
+        for (std::size_t i = 0; i < Size; ++i) {
+            if (daemons[i].running && (now - TimePoint()) % 1s == 100ms * i) {
+                readStore(i);
+                pulse(i);
+            }
+        }
+    }
+    void readStore(std::size_t i)
+    {
+        const auto &daemon = daemons[i];
+        if (storeUp && daemon.storeReachable) {
+            m_answers.push_back({i, now + daemon.storeDelay, now, daemon.storeStale ? m_previous : m_present});
+        }
+    }
+    void deliver()
+    {
+        for (auto &answer : std::exchange(m_answers, {})) {
+            if (answer.due > now || !daemons[answer.daemon].running) {
+                m_answers.push_back(answer);
+            } else {
+                daemons[answer.daemon].holder->offeredByStore(answer.document.first, answer.document.second, answer.sent);
+            }
+        }
+    }
+    bool linked(std::size_t from, std::size_t to) const { return daemons[from].isHeard && daemons[to].hears && daemons[from].running && daemons[to].running; }
+    // A pulse, its acknowledgement, and a fetch over TCP, which needs both directions.
+    void pulse(std::size_t i)
+    {
+        auto &daemon = daemons[i];
+        daemon.acks[i] = {daemon.holder->stamp(), now};
+        for (std::size_t j = 0; j < Size; ++j) {
+            if (j != i && linked(i, j)) {
+                tell(j, i);
+                if (linked(j, i)) {
+                    tell(i, j);
+                    daemon.acks[j] = {daemons[j].holder->stamp(), now};
+                }
+            }
+        }
+        confirm(daemon);
+    }
+    void tell(std::size_t to, std::size_t from)
+    {
+        const auto effects = daemons[to].holder->toldByMember({{std::to_string(from)}, 1}, daemons[from].holder->stamp(), now);
+        if (!effects.empty() && linked(to, from) && linked(from, to)) {
+            const auto &held = daemons[from].holder->held();
+            daemons[to].holder->offeredByMember(held->stamp, held->text);
+        }
+    }
+    // The rule of membership: a majority answered within the lifetime, and none with a later document.
+    void confirm(Daemon &daemon)
+    {
+        std::vector<TimePoint> sent;
+        const auto stamp = daemon.holder->stamp();
+        for (const auto &[member, ack] : daemon.acks) {
+            if (ack.first.version > stamp.version) {
+                return;
+            }
+            if (now - ack.second <= config::ConfirmationLifetime) {
+                sent.push_back(ack.second);
+            }
+        }
+        std::sort(sent.rbegin(), sent.rend());
+        if (sent.size() > Size / 2) {
+            daemon.holder->confirmedByMembers(stamp, sent[Size / 2]);
+        }
+    }
+
+    std::pair<DocumentStamp, std::string> m_present;
+    std::pair<DocumentStamp, std::string> m_previous;
+    std::vector<StoreAnswer> m_answers;
+};
+
+struct SpreadFault {
+    const char *name;
+    std::function<void(Fleet &, Fleet::Daemon &)> begin;
+    std::function<void(Fleet &, Fleet::Daemon &)> end;
+    bool reachesPeers = true;
+};
+
+void restart(Fleet &fleet, Fleet::Daemon &daemon)
+{
+    daemon = Fleet::Daemon();
+    static_cast<void>(fleet);
+}
+
+std::vector<SpreadFault> spreadFaults()
+{
+    using Daemon = Fleet::Daemon;
+    const auto healed = [](Fleet &fleet, Daemon &daemon) {
+        fleet.storeUp = daemon.running = daemon.storeReachable = daemon.hears = daemon.isHeard = true;
+        daemon.storeStale = false;
+        daemon.storeDelay = 0s;
+    };
+    const auto cutPeers = [](Fleet & /*fleet*/, Daemon &daemon) { daemon.hears = daemon.isHeard = false; };
+    return {
+        {"crash", restart, healed},
+        {"pause", [](Fleet &, Daemon &daemon) { daemon.running = false; }, healed, false},
+        {"cut to the store", [](Fleet &, Daemon &daemon) { daemon.storeReachable = false; }, healed},
+        {"cut one way, from peers", [](Fleet &, Daemon &daemon) { daemon.hears = false; }, healed, false},
+        {"cut one way, to peers", [](Fleet &, Daemon &daemon) { daemon.isHeard = false; }, healed, false},
+        {"cut both ways", cutPeers, healed, false},
+        {"store down", [](Fleet &fleet, Daemon &) { fleet.storeUp = false; }, healed},
+        {"store slow", [](Fleet &, Daemon &daemon) { daemon.storeDelay = 3s; }, healed},
+        {"stale read", [](Fleet &, Daemon &daemon) { daemon.storeStale = true; }, healed},
+        {"cut both ways and store down",
+         [cutPeers](Fleet &fleet, Daemon &daemon) {
+             cutPeers(fleet, daemon);
+             daemon.storeReachable = false;
+         },
+         healed, false},
+        {"crash and store down",
+         [](Fleet &fleet, Daemon &daemon) {
+             restart(fleet, daemon);
+             fleet.storeUp = false;
+         },
+         healed},
+    };
+}
+
+/// A joiner starts with nothing at the moment of the fault.
+std::string spreadRow(const SpreadFault &fault, bool joiner, Duration beforeFault)
+{
+    Fleet fleet;
+    auto &subject = fleet.daemons[Fleet::Size - 1];
+    fleet.run(5s);
+    const std::string kept = documentWithTeam("kept");
+    const auto breakIt = [&] {
+        if (joiner) {
+            restart(fleet, subject);
+        }
+        fault.begin(fleet, subject);
+    };
+    if (beforeFault < 0s) {
+        breakIt();
+        fleet.run(-beforeFault);
+    }
+    // The withdrawal: written while the store is up, and read by one daemon at least.
+    const bool storeUp = std::exchange(fleet.storeUp, true);
+    fleet.publish(2, kept);
+    fleet.daemons[0].holder->offeredByStore({2, sha256Hex(kept)}, kept, fleet.now);
+    fleet.storeUp = storeUp;
+    if (beforeFault >= 0s) {
+        fleet.run(beforeFault);
+        breakIt();
+    }
+    while (!fleet.majorityHolds(2)) {
+        fleet.run(100ms);
+    }
+    fleet.run(5s);
+    for (auto &daemon : fleet.daemons) {
+        if (daemon.holder->stamp().version < 2 && daemon.running && daemon.holder->trusted(fleet.now)) {
+            return "a withdrawn key is trusted 5 s after acceptance";
+        }
+    }
+    if (fault.reachesPeers && subject.holder->stamp().version != 2) {
+        return "not in force 5 s after acceptance";
+    }
+    if (fault.reachesPeers && !subject.holder->trusted(fleet.now)) {
+        return "keyed routes refused although peers are in reach";
+    }
+    fleet.run(10s);
+    subject.running = true;
+    if (subject.holder->stamp().version < 2 && subject.holder->trusted(fleet.now)) {
+        return "a withdrawn key is trusted after a pause";
+    }
+    fault.end(fleet, subject);
+    fleet.run(5s);
+    const bool recovered = subject.holder->stamp().version == 2 && subject.holder->trusted(fleet.now);
+    return recovered ? std::string() : "not in force 5 s after the fault ended";
+}
+
+void printRow(const char *who, const char *fault, const char *step, std::size_t cases, const std::string &failure)
+{
+    std::printf("matrix document: %-8s | %-30s | %-8s | %3zu cases | %s\n", who, fault, step, cases, failure.empty() ? "ok" : failure.c_str());
+}
+}
+
+TEST_GROUP(MatrixEnvironment) {};
+
+TEST(MatrixEnvironment, OperatorUnderEveryFaultAtEveryStep)
+{
+    for (const auto &[step, stepName] : OperatorSteps) {
+        for (const auto &[fault, faultName] : OperatorFaults) {
+            std::string failure;
+            const auto cases = runRow(step, fault, failure);
+            printRow("operator", faultName, stepName, cases, failure);
+            STRCMP_EQUAL("", failure.c_str());
+            CHECK(cases >= 4);
+        }
+    }
+}
+
+TEST(MatrixEnvironment, SpreadAndWithdrawalReachMembersAndJoiners)
+{
+    for (const bool joiner : {false, true}) {
+        for (const auto &fault : spreadFaults()) {
+            std::string failure;
+            std::size_t cases = 0;
+            for (const Duration beforeFault : {Duration(-10s), Duration(-1s), Duration(0s), Duration(100ms), Duration(300ms), Duration(1s), Duration(2s)}) {
+                const auto result = spreadRow(fault, joiner, beforeFault);
+                ++cases;
+                failure = failure.empty() ? result : failure;
+            }
+            printRow(joiner ? "joiner" : "member", fault.name, "spread, withdraw", cases, failure);
+            STRCMP_EQUAL("", failure.c_str());
+        }
+    }
+}
--- /dev/null
+++ b/tests/test_environment.cpp
@@ -0,0 +1,264 @@
+#include "operator_run.h"
+
+#include <plumsill/config.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plumsill;
+using namespace std::chrono_literals;
+
+namespace
+{
+struct World {
+    FakeStore store;
+    TimePoint now {1000s};
+    unsigned writes = 0;
+
+    ChangeReply change(ChangeRequest request, Holders holders = {3, 4})
+    {
+        return runToEnd(store, now, std::move(request), "write-" + std::to_string(++writes), holders);
+    }
+    ChangeReply putTrial(const std::string &text, std::uint64_t replaces) { return change(PutRequest {text, replaces}); }
+};
+
+void checkOutcome(ChangeOutcome expected, const ChangeReply &reply)
+{
+    STRCMP_EQUAL_TEXT(toString(expected), toString(reply.outcome), reply.reason.c_str());
+}
+
+std::string largeDocument(unsigned teams)
+{
+    std::string text = SmallDocument;
+    for (unsigned i = 0; i < teams; ++i) {
+        text += "[team t" + std::to_string(i) + "]\nrate = 1/s\nburst = 1\n# " + std::string(150, 'x') + "\n";
+    }
+    return text;
+}
+
+DocumentStamp stampOf(std::uint64_t version, const std::string &text)
+{
+    return {version, sha256Hex(text)};
+}
+}
+
+TEST_GROUP(Manifest) {};
+
+TEST(Manifest, ReadsBackAsWritten)
+{
+    const Manifest manifest {{7, "d"}, {{"c1", 3}, {"c2", 4}}, {{7, "d", "ann", "put", "now", "w"}}};
+    CHECK(parseManifest(toJson(manifest)) == std::optional(manifest));
+    CHECK(!parseManifest("{}"));
+    CHECK(!parseManifest("not json"));
+    const Proof proof {{7, "d"}, "ann", "now", "w"};
+    CHECK(parseProof(toJson(proof)) == std::optional(proof));
+}
+
+TEST(Manifest, ChunksAreBoundedAndGiveTheText)
+{
+    const auto text = largeDocument(9000);
+    std::string whole;
+    for (const auto &chunk : splitText(text, 100'000)) {
+        CHECK(chunk.size() <= 100'000);
+        whole += chunk;
+    }
+    CHECK(whole == text);
+    CHECK(splitText("", 10).empty());
+    CHECK((splitText("abcdefgh", 3) == std::vector<std::string> {"abc", "def", "gh"}));
+}
+
+TEST(Manifest, EditChangesFewChunks)
+{
+    auto text = largeDocument(30000);
+    const auto before = splitText(text, config::MaxChunkBytes);
+    text.insert(text.find("[team t100]"), "[team fresh]\nrate = 1/s\nburst = 1\n");
+    const auto after = splitText(text, config::MaxChunkBytes);
+    CHECK(before.size() > 10);
+    const auto isNew = [&](const std::string &chunk) { return std::find(before.begin(), before.end(), chunk) == before.end(); };
+    // An edit may move the cuts by size up to the next cut by content.
+    CHECK(std::count_if(after.begin(), after.end(), isNew) * 4 <= static_cast<long>(after.size()));
+}
+
+TEST_GROUP(Environment) {};
+
+TEST(Environment, DocumentGoesFromTrialToProduction)
+{
+    World world;
+    checkOutcome(ChangeOutcome::Accepted, world.putTrial(SmallDocument, 0));
+    checkOutcome(ChangeOutcome::Accepted, world.change(ProveRequest {1}));
+    const auto reply = world.change(PromoteRequest {sha256Hex(SmallDocument), 0});
+    checkOutcome(ChangeOutcome::Accepted, reply);
+    CHECK(reply.stamp == stampOf(1, SmallDocument));
+    CHECK(textIn(world.store, ProductionEnvironment) == SmallDocument);
+    const auto history = manifestIn(world.store, ProductionEnvironment)->history;
+    STRCMP_EQUAL("promote", history.at(0).action.c_str());
+    STRCMP_EQUAL("ann", history.at(0).author.c_str());
+}
+
+TEST(Environment, InvalidDocumentIsRefusedWithItsProblems)
+{
+    World world;
+    const auto reply = world.putTrial("[team x]\n", 0);
+    checkOutcome(ChangeOutcome::Refused, reply);
+    LONGS_EQUAL(2, reply.problems.size());
+    LONGS_EQUAL(0, world.store.count(""));
+}
+
+TEST(Environment, ReplacedVersionMustBeThePresentOne)
+{
+    World world;
+    world.putTrial(SmallDocument, 0);
+    checkOutcome(ChangeOutcome::Conflict, world.putTrial(documentWithTeam("a"), 0));
+    checkOutcome(ChangeOutcome::Conflict, world.putTrial(documentWithTeam("a"), 2));
+    checkOutcome(ChangeOutcome::Accepted, world.putTrial(documentWithTeam("a"), 1));
+    CHECK(textIn(world.store, TrialEnvironment) == documentWithTeam("a"));
+}
+
+TEST(Environment, OnlyTheProvedDigestIsPromoted)
+{
+    World world;
+    world.putTrial(SmallDocument, 0);
+    checkOutcome(ChangeOutcome::Conflict, world.change(PromoteRequest {sha256Hex(SmallDocument), 0}));
+    checkOutcome(ChangeOutcome::Conflict, world.change(ProveRequest {2}));
+    world.change(ProveRequest {1});
+    const auto later = documentWithTeam("a");
+    world.putTrial(later, 1);
+    checkOutcome(ChangeOutcome::Conflict, world.change(PromoteRequest {sha256Hex(later), 0}));
+    checkOutcome(ChangeOutcome::Conflict, world.change(PromoteRequest {sha256Hex(SmallDocument), 0}));
+    CHECK(!manifestIn(world.store, ProductionEnvironment));
+}
+
+TEST(Environment, AcceptedNeedsAMajority)
+{
+    World world;
+    const auto reply = world.change(PutRequest {SmallDocument, 0}, {2, 4});
+    checkOutcome(ChangeOutcome::Unknown, reply);
+    STRCMP_EQUAL("held by 2 of 4 daemons", reply.reason.c_str());
+    checkOutcome(ChangeOutcome::Refused, world.change(ProveRequest {1}, {2, 4}));
+    checkOutcome(ChangeOutcome::Unknown, world.change(PutRequest {SmallDocument, 1}, {0, 0}));
+}
+
+TEST(Environment, DaemonOfAnotherEnvironmentClaimsNoMore)
+{
+    World world;
+    auto order = orderOf(PutRequest {SmallDocument, 0}, "w");
+    order.environment = ProductionEnvironment;
+    OperatorRun run(order, world.now);
+    run.finish(world.store, world.now, {4, 4});
+    checkOutcome(ChangeOutcome::Stored, run.reply());
+}
+
+TEST(Environment, VersionRisesAboveWhatDaemonsHold)
+{
+    World world;
+    auto order = orderOf(PutRequest {SmallDocument, 0}, "w");
+    order.highestSeen = 41; // the store was restored from a backup
+    OperatorRun run(order, world.now);
+    run.finish(world.store, world.now);
+    LONGS_EQUAL(42, run.reply().stamp.version);
+}
+
+TEST(Environment, LargeDocumentIsSplitAndOldChunksAreRemoved)
+{
+    World world;
+    const auto large = largeDocument(9000);
+    checkOutcome(ChangeOutcome::Accepted, world.putTrial(large, 0));
+    CHECK(manifestIn(world.store, TrialEnvironment)->chunks.size() >= 4);
+    CHECK(textIn(world.store, TrialEnvironment) == large);
+    checkOutcome(ChangeOutcome::Accepted, world.putTrial(SmallDocument, 1));
+    LONGS_EQUAL(1, world.store.count(chunkKey(TrialEnvironment, "")));
+}
+
+TEST(Environment, ChunkInUseAgainSurvivesALateRemoval)
+{
+    World world;
+    world.putTrial(SmallDocument, 0);
+    OperatorRun second(orderOf(PutRequest {documentWithTeam("a"), 1}, "late"), world.now);
+    while (!second.done()) {
+        second.advance(world.store, world.now, CallFault::None, {3, 4});
+    }
+    // The first text comes back before the second writer has removed its chunk.
+    checkOutcome(ChangeOutcome::Accepted, world.putTrial(SmallDocument, 2));
+    second.finish(world.store, world.now);
+    CHECK(textIn(world.store, TrialEnvironment) == SmallDocument);
+}
+
+TEST(Environment, HistoryIsBounded)
+{
+    World world;
+    for (std::uint64_t i = 0; i < config::MaxHistoryEntries + 5; ++i) {
+        checkOutcome(ChangeOutcome::Accepted, world.putTrial(SmallDocument, i));
+    }
+    LONGS_EQUAL(config::MaxHistoryEntries, manifestIn(world.store, TrialEnvironment)->history.size());
+}
+
+TEST_GROUP(Holder)
+{
+    const std::string second = documentWithTeam("a");
+    const MemberId peer {{"peer"}, 1};
+    DocumentHolder holder;
+
+    void hold(std::uint64_t version, const std::string &text, TimePoint sent)
+    {
+        holder.offeredByStore(stampOf(version, text), text, sent);
+    }
+};
+
+TEST(Holder, AdoptsHigherVersionsOnly)
+{
+    hold(2, SmallDocument, TimePoint(1s));
+    LONGS_EQUAL(2, holder.stamp().version);
+    CHECK(holder.offeredByMember(stampOf(1, second), second).empty());
+    CHECK(holder.offeredByMember(stampOf(2, second), second).empty());
+    LONGS_EQUAL(2, holder.stamp().version);
+    CHECK(holder.held()->text == SmallDocument);
+    const auto effects = holder.offeredByMember(stampOf(3, second), second);
+    CHECK(std::holds_alternative<AdoptDocument>(effects.at(0)));
+    LONGS_EQUAL(3, holder.stamp().version);
+}
+
+TEST(Holder, BadTextChangesNothing)
+{
+    hold(1, SmallDocument, TimePoint(1s));
+    const auto damaged = holder.offeredByMember(stampOf(2, second), second + "x");
+    CHECK(std::holds_alternative<RejectOffer>(damaged.at(0)));
+    const std::string invalid = "[team x]\n";
+    CHECK(std::holds_alternative<RejectOffer>(holder.offeredByStore(stampOf(2, invalid), invalid, TimePoint(2s)).at(0)));
+    LONGS_EQUAL(1, holder.stamp().version);
+    CHECK_TEXT(holder.trusted(TimePoint(7s)), "an invalid document in the store doesn't make the held one doubtful");
+    CHECK_TEXT(holder.confirmedByStore(stampOf(2, invalid), TimePoint(3s)), "it is not read again");
+}
+
+TEST(Holder, TrustLapsesWithoutConfirmation)
+{
+    CHECK(!holder.trusted(TimePoint(1s)));
+    hold(1, SmallDocument, TimePoint(1s));
+    CHECK(holder.trusted(TimePoint(6s)));
+    CHECK(!holder.trusted(TimePoint(6001ms)));
+    holder.confirmedByMembers(holder.stamp(), TimePoint(5s));
+    CHECK(holder.trusted(TimePoint(10s)));
+    holder.confirmedByMembers(stampOf(2, second), TimePoint(20s));
+    CHECK_TEXT(!holder.trusted(TimePoint(20s)), "a later document was confirmed, not the held one");
+}
+
+TEST(Holder, OlderDocumentInTheStoreConfirmsNothing)
+{
+    hold(2, SmallDocument, TimePoint(1s));
+    CHECK(holder.confirmedByStore(stampOf(1, second), TimePoint(9s)));
+    CHECK(!holder.trusted(TimePoint(9s)));
+    CHECK(!holder.confirmedByStore(stampOf(3, second), TimePoint(9s)));
+    CHECK(!holder.trusted(TimePoint(9s)));
+}
+
+TEST(Holder, PeersDocumentIsFetchedOnceAndTrustedOnceConfirmed)
+{
+    const auto stamp = stampOf(4, SmallDocument);
+    CHECK(std::holds_alternative<FetchDocument>(holder.toldByMember(peer, stamp, TimePoint(1s)).at(0)));
+    CHECK(holder.toldByMember(peer, stamp, TimePoint(1400ms)).empty());
+    LONGS_EQUAL(1, holder.toldByMember(peer, stamp, TimePoint(1600ms)).size());
+    LONGS_EQUAL(1, holder.toldByMember(peer, stampOf(5, second), TimePoint(1700ms)).size());
+    holder.offeredByMember(stamp, SmallDocument);
+    CHECK(!holder.trusted(TimePoint(2s)));
+    holder.confirmedByMembers(stamp, TimePoint(2s));
+    CHECK(holder.trusted(TimePoint(2s)));
+    CHECK(holder.toldByMember(peer, stamp, TimePoint(3s)).empty());
+}
--- /dev/null
+++ b/tests/test_store.cpp
@@ -0,0 +1,193 @@
+#include "fake_store.h"
+
+#include <plumsill/config.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plumsill;
+using namespace std::chrono_literals;
+
+namespace
+{
+constexpr const char *Key = "k";
+const std::string Mine = toJson(TaggedValue {"id-1", "mine"});
+const std::string Other = toJson(TaggedValue {"id-2", "other"});
+
+struct WriteRun {
+    FakeStore store;
+    TimePoint now {};
+    std::vector<CallFault> faults; ///< of the calls in order; none after the last
+    std::size_t calls = 0;
+    std::function<void(std::size_t)> beforeCall = [](std::size_t) {};
+
+    CallFault nextFault() { return calls < faults.size() ? faults[calls] : CallFault::None; }
+
+    WriteStep run(std::uint64_t expected)
+    {
+        ConditionalWrite write({Key, Mine, "id-1", expected}, now + 5s);
+        auto step = write.start();
+        while (std::holds_alternative<ObjectCall>(step) || std::holds_alternative<WritePause>(step)) {
+            if (std::holds_alternative<WritePause>(step)) {
+                now += 100ms;
+                step = write.resume();
+                continue;
+            }
+            beforeCall(calls);
+            const auto fault = nextFault();
+            ++calls;
+            now += 100ms;
+            step = write.answered(store.call(std::get<ObjectCall>(step), fault), now);
+        }
+        return step;
+    }
+    std::uint64_t version() const { return store.find(Key)->version; }
+};
+}
+
+TEST_GROUP(StoreClient) {};
+
+TEST(StoreClient, BudgetBoundsTheRate)
+{
+    CallBudget budget(2, 10);
+    TimePoint now {};
+    unsigned calls = 0;
+    for (; now < TimePoint(100s); now += 10ms) {
+        calls += budget.take(now) ? 0 : 1;
+    }
+    CHECK(calls <= 2 * 100 + 10);
+    CHECK(calls >= 2 * 100);
+    budget.take(now); // at most one token has come since the last call
+    const auto wait = budget.take(now);
+    CHECK(wait && *wait > 0s && *wait <= 501ms);
+}
+
+TEST(StoreClient, BackoffGrowsToItsLimit)
+{
+    Backoff backoff(100ms, 1s);
+    CHECK(backoff.next(0.5) == 50ms);
+    CHECK(backoff.next(0.5) == 100ms);
+    for (int i = 0; i < 10; ++i) {
+        backoff.next(0);
+    }
+    CHECK(backoff.next(0.5) == 500ms);
+    backoff.reset();
+    CHECK(backoff.next(0.5) == 50ms);
+}
+
+TEST(StoreClient, OlderVersionIsDiscarded)
+{
+    VersionFilter filter;
+    CHECK(filter.accept("a", 5));
+    CHECK(filter.accept("a", 5));
+    CHECK(!filter.accept("a", 4));
+    CHECK(filter.accept("b", 1));
+    CHECK(filter.accept("a", 6));
+}
+
+TEST(StoreClient, SilentWatchDiesAfterThreeIntervals)
+{
+    WatchMonitor watch(TimePoint(0s));
+    CHECK(!watch.dead(TimePoint(2999ms)));
+    CHECK(watch.dead(TimePoint(3s)));
+    watch.heard(TimePoint(2s));
+    CHECK(!watch.dead(TimePoint(4999ms)));
+    CHECK(watch.dead(TimePoint(5s)));
+}
+
+TEST(StoreClient, WriteIsDoneOrInConflict)
+{
+    WriteRun run;
+    CHECK(run.run(0) == WriteStep(WriteDone {1}));
+    CHECK(run.run(0) == WriteStep(WriteConflict {}));
+    CHECK(run.run(1) == WriteStep(WriteDone {2}));
+    CHECK(run.run(1) == WriteStep(WriteConflict {}));
+}
+
+TEST(StoreClient, LostAnswerIsResolvedByReadingBack)
+{
+    WriteRun run;
+    run.faults = {CallFault::LostAfter};
+    CHECK(run.run(0) == WriteStep(WriteDone {1}));
+    LONGS_EQUAL(2, run.calls);
+}
+
+TEST(StoreClient, LostCallIsRepeatedUnderTheSameCondition)
+{
+    WriteRun run;
+    run.faults = {CallFault::LostBefore};
+    CHECK(run.run(0) == WriteStep(WriteDone {1}));
+}
+
+TEST(StoreClient, DelayedCopyHasNoSecondEffect)
+{
+    WriteRun run;
+    run.faults = {CallFault::Delayed};
+    CHECK(run.run(0) == WriteStep(WriteDone {1}));
+    run.store.deliverDelayed();
+    LONGS_EQUAL(1, run.version());
+}
+
+TEST(StoreClient, StaleReadBackIsNoProofOfFailure)
+{
+    WriteRun run;
+    run.store.perform(CreateCall {Key, Other});
+    run.faults = {CallFault::LostAfter, CallFault::Stale};
+    CHECK(run.run(1) == WriteStep(WriteDone {2}));
+}
+
+TEST(StoreClient, ConflictAfterALostAnswerIsNotTakenAtItsWord)
+{
+    WriteRun run;
+    run.faults = {CallFault::Delayed, CallFault::None, CallFault::None};
+    // The first copy arrives between the read back and the second copy, which then meets it.
+    run.beforeCall = [&](std::size_t call) {
+        if (call == 2) {
+            run.store.deliverDelayed();
+        }
+    };
+    CHECK(run.run(0) == WriteStep(WriteDone {1}));
+}
+
+TEST(StoreClient, AnotherWriteInBetweenIsSeen)
+{
+    WriteRun run;
+    run.faults = {CallFault::LostBefore};
+    run.beforeCall = [&](std::size_t call) {
+        if (call == 1) {
+            run.store.perform(CreateCall {Key, Other});
+        }
+    };
+    CHECK(run.run(0) == WriteStep(WriteSuperseded {}));
+}
+
+TEST(StoreClient, OutcomeStaysUnknownWhileTheStoreIsAway)
+{
+    WriteRun run;
+    run.faults.assign(1000, CallFault::Down);
+    run.faults[0] = CallFault::LostAfter;
+    CHECK(run.run(0) == WriteStep(WriteUnknown {}));
+    CHECK(run.now >= TimePoint(5s));
+}
+
+TEST(StoreClient, CallThatWasNotSentIsSurelyNotDone)
+{
+    WriteRun run;
+    run.faults = {CallFault::Down};
+    CHECK(std::holds_alternative<WriteNotDone>(run.run(0)));
+}
+
+TEST(StoreClient, AnswersAreReadOrRefused)
+{
+    const auto targets = parseTargets(R"([{"name":"t","service":"s","zone":"z","endpoint":"127.0.0.1:80","state":"leaving"}])");
+    CHECK(targets.value() == (std::vector<Target> {{{"t"}, {"s"}, {"z"}, {"127.0.0.1", 80}, true}}));
+    CHECK(parseTargets(R"([{"name":"t","service":"s","zone":"z","endpoint":"host:80","state":"live"}])").error().fault == StoreFault::Malformed);
+    CHECK(parseInstances("[{\"name\":\"i\",\"state\":\"live\"}]").value().front() == (ListedInstance {{"i"}, false}));
+    CHECK(parseInstances("{").has_error());
+    const auto list = parseObjectList(R"({"revision":7,"objects":[{"key":"a","version":3,"value":"v"}]})");
+    CHECK(list.value() == (ObjectList {7, {{"a", 3, "v"}}}));
+    CHECK(std::holds_alternative<WatchBookmark>(parseWatchEvent(R"({"type":"bookmark","version":9})").value()));
+    CHECK(std::holds_alternative<ObjectDeleted>(parseWatchEvent(R"({"type":"delete","key":"a","version":9})").value()));
+    CHECK(parseWatchEvent(R"({"type":"put","key":"a"})").has_error());
+    CHECK(parseTaggedValue(Mine) == std::optional(TaggedValue {"id-1", "mine"}));
+    CHECK(!parseTaggedValue("[]"));
+}
