--- a/tests/matrix_environment.cpp
+++ b/tests/matrix_environment.cpp
@@ -382,7 +382,10 @@
         fleet.run(beforeFault);
         breakIt();
     }
-    while (!fleet.majorityHolds(2)) {
+    for (unsigned ticks = 0; !fleet.majorityHolds(2); ++ticks) {
+        if (ticks > 100) {
+            return "not accepted within 10 s";
+        }
         fleet.run(100ms);
     }
     fleet.run(5s);
