--- a/src/document_check.cpp
+++ b/src/document_check.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
@@ -24,15 +25,20 @@
     std::size_t entries = 0;
 };
 
-// Where each key of the item being read stands, to name it in a problem found later.
-using KeyLines = std::map<std::string, unsigned>;
+using Entries = std::vector<IniEntry>::const_iterator;
+
+/// Where an item stands, to name the line of one of its keys in a problem found later.
+struct Place {
+    unsigned line = 0;
+    Entries first;
+    Entries last;
+};
 
 struct Checker {
     const std::string &file;
     ParsedDocument &result;
-    std::vector<KeyLines> serviceLines {};
-    std::vector<KeyLines> teamLines {};
-    std::vector<KeyLines> routeLines {};
+    std::vector<Place> teamPlaces {};
+    std::vector<Place> routePlaces {};
 
     void problem(unsigned line, const std::string &section, const std::string &key, const std::string &reason)
     {
@@ -271,51 +277,54 @@
     return key == "key" && section.starts_with("team ");
 }
 
-using Entries = std::vector<IniEntry>::const_iterator;
-
 template<class Item>
-KeyLines readItem(Checker &checker, Item &item, const Header &header, Entries first, const std::vector<std::string> &needed)
+void readItem(Checker &checker, Item &item, const Header &header, const Place &place, const std::vector<std::string> &needed)
 {
-    KeyLines lines {{"", header.line}};
-    for (auto entry = first; entry != first + static_cast<std::ptrdiff_t>(header.entries); ++entry) {
+    std::set<std::string_view> seen;
+    for (auto entry = place.first; entry != place.last; ++entry) {
         const auto reason = setKey(item, entry->key, entry->value);
         if (!reason.empty()) {
             checker.problem(entry->line, header.section, entry->key, reason);
         }
-        if (!lines.emplace(entry->key, entry->line).second && !repeatable(header.section, entry->key)) {
+        if (!seen.insert(entry->key).second && !repeatable(header.section, entry->key)) {
             checker.problem(entry->line, header.section, entry->key, "given twice");
         }
     }
     for (const auto &key : needed) {
-        if (!lines.contains(key)) {
+        if (!seen.contains(key)) {
             checker.problem(header.line, header.section, key, "missing");
         }
     }
-    return lines;
 }
 
-void readSection(Checker &checker, const Header &header, Entries first)
+template<class Item>
+void addItem(Checker &checker, std::vector<Item> &items, const Header &header, const Place &place, const std::vector<std::string> &needed)
+{
+    auto &item = items.emplace_back();
+    item.name = {header.section.substr(header.section.find(' ') + 1)};
+    readItem(checker, item, header, place, needed);
+}
+
+void readSection(Checker &checker, const Header &header, const Place &place)
 {
+    static const std::vector<std::string> serviceKeys {"floor"};
+    static const std::vector<std::string> teamKeys {"rate", "burst"};
+    static const std::vector<std::string> routeKeys {"prefix", "service", "idempotent", "access"};
     const auto space = header.section.find(' ');
     const std::string kind = header.section.substr(0, space);
-    const std::string name = space == std::string::npos ? std::string() : header.section.substr(space + 1);
     auto &document = checker.result.document;
     if (kind != "service" && kind != "team" && kind != "route") {
         checker.problem(header.line, header.section, "section", "unknown section");
-    } else if (!isName(name)) {
+    } else if (space == std::string::npos || !isName(header.section.substr(space + 1))) {
         checker.problem(header.line, header.section, "section", "needs a name of letters, digits, '-', '_' and '.'");
     } else if (kind == "service") {
-        auto &service = document.services.emplace_back();
-        service.name = {name};
-        checker.serviceLines.push_back(readItem(checker, service, header, first, {"floor"}));
+        addItem(checker, document.services, header, place, serviceKeys);
     } else if (kind == "team") {
-        auto &team = document.teams.emplace_back();
-        team.name = {name};
-        checker.teamLines.push_back(readItem(checker, team, header, first, {"rate", "burst"}));
+        addItem(checker, document.teams, header, place, teamKeys);
+        checker.teamPlaces.push_back(place);
     } else {
-        auto &route = document.routes.emplace_back();
-        route.name = {name};
-        checker.routeLines.push_back(readItem(checker, route, header, first, {"prefix", "service", "idempotent", "access"}));
+        addItem(checker, document.routes, header, place, routeKeys);
+        checker.routePlaces.push_back(place);
     }
 }
 
@@ -332,15 +341,16 @@
         if (!fresh) {
             checker.problem(header.line, header.section, "section", "already given in line " + std::to_string(first->second));
         }
-        readSection(checker, header, entry);
-        entry += static_cast<std::ptrdiff_t>(header.entries);
+        const auto last = entry + static_cast<std::ptrdiff_t>(header.entries);
+        readSection(checker, header, {header.line, entry, last});
+        entry = last;
     }
 }
 
-unsigned lineOf(const KeyLines &lines, const std::string &key)
+unsigned lineOf(const Place &place, const std::string &key)
 {
-    const auto found = lines.find(key);
-    return found == lines.end() ? lines.at("") : found->second;
+    const auto found = std::find_if(place.first, place.last, [&](const IniEntry &entry) { return entry.key == key; });
+    return found == place.last ? place.line : found->line;
 }
 
 void checkKeys(Checker &checker)
@@ -351,7 +361,7 @@
         for (const auto &digest : teams[i].keyDigests) {
             const auto [owner, fresh] = owners.emplace(digest, &teams[i]);
             if (!fresh) {
-                const auto line = lineOf(checker.teamLines[i], "key");
+                const auto line = lineOf(checker.teamPlaces[i], "key");
                 checker.problem(line, "team " + teams[i].name.value, "key", "the same key is already given to team " + owner->second->name.value);
             }
         }
@@ -371,18 +381,18 @@
     }
     for (std::size_t i = 0; i < document.routes.size(); ++i) {
         const auto &route = document.routes[i];
-        const auto &lines = checker.routeLines[i];
+        const auto &place = checker.routePlaces[i];
         const std::string section = "route " + route.name.value;
         if (!route.service.empty() && !services.contains(route.service.value)) {
-            checker.problem(lineOf(lines, "service"), section, "service", "unknown service " + route.service.value);
+            checker.problem(lineOf(place, "service"), section, "service", "unknown service " + route.service.value);
         }
         for (const auto &team : route.teams) {
             if (!teams.contains(team.value)) {
-                checker.problem(lineOf(lines, "teams"), section, "teams", "unknown team " + team.value);
+                checker.problem(lineOf(place, "teams"), section, "teams", "unknown team " + team.value);
             }
         }
         if (route.open && !route.teams.empty()) {
-            checker.problem(lineOf(lines, "teams"), section, "teams", "an open route takes no teams");
+            checker.problem(lineOf(place, "teams"), section, "teams", "an open route takes no teams");
         }
     }
 }
@@ -404,7 +414,7 @@
         auto &others = places[routes[i].host + routes[i].prefix];
         const auto same = std::find_if(others.begin(), others.end(), [&](const Route *other) { return shareMethod(*other, routes[i]); });
         if (same != others.end() && !routes[i].prefix.empty()) {
-            const auto line = lineOf(checker.routeLines[i], "prefix");
+            const auto line = lineOf(checker.routePlaces[i], "prefix");
             checker.problem(line, "route " + routes[i].name.value, "prefix", "same host, prefix and method as route " + (*same)->name.value);
         }
         others.push_back(&routes[i]);
--- a/src/net_admin_api.cpp
+++ b/src/net_admin_api.cpp
@@ -322,7 +322,7 @@
     if (!authorized(request, context.token)) {
         co_return unauthorized();
     }
-    co_return co_await putDocument(context, request, std::move(environment));
+    co_return co_await putDocument(context, request, environment);
 }
 
 asio::awaitable<AdminResponse> answerChangingCall(const AdminContext &context, const AdminRequest &request, bool proves)
--- a/tests/operator_run.h
+++ b/tests/operator_run.h
@@ -9,11 +9,11 @@
 /// Drives one operator's change step by step against the fake store, on a clock of its own.
 namespace plumsill
 {
-inline const std::string SmallDocument = "[service s]\nfloor = 50%\n[route r]\nprefix = /\nservice = s\nidempotent = yes\naccess = open\n";
+inline const std::string smallDocument = "[service s]\nfloor = 50%\n[route r]\nprefix = /\nservice = s\nidempotent = yes\naccess = open\n";
 
 inline std::string documentWithTeam(const std::string &team)
 {
-    return SmallDocument + "[team " + team + "]\nrate = 1/s\nburst = 1\n";
+    return smallDocument + "[team " + team + "]\nrate = 1/s\nburst = 1\n";
 }
 
 class OperatorRun
--- a/tests/test_document.cpp
+++ b/tests/test_document.cpp
@@ -8,12 +8,12 @@
 
 namespace
 {
-const std::string DigestA(64, 'a');
-const std::string DigestB(64, 'b');
+const std::string digestA(64, 'a');
+const std::string digestB(64, 'b');
 
-const std::string Good = "[service orders]\nfloor = 60%\nslots = 3\nprofile = few-false-ejections\nobjective = 0.999\n"
+const std::string good = "[service orders]\nfloor = 60%\nslots = 3\nprofile = few-false-ejections\nobjective = 0.999\n"
                          "[team clerks]\nrate = 50/s\nburst = 20\nkey = "
-    + DigestA + "\nkey = " + DigestB
+    + digestA + "\nkey = " + digestB
     + "\n[route order]\nhost = Example.org\nprefix = /orders/\nmethods = POST\nservice = orders\nidempotent = no\naccess = team\nteams = clerks\n"
       "timeout = 2s\nbody-limit = 64KB\n"
       "[route list]\nprefix = /orders\nmethods = GET, HEAD\nservice = orders\nidempotent = yes\naccess = open\n";
@@ -27,7 +27,7 @@
 
 std::string problemsAfter(const Fault &fault)
 {
-    std::string text = Good;
+    std::string text = good;
     text.replace(text.find(fault.old), fault.old.size(), fault.fresh);
     std::string problems;
     for (const auto &problem : parseDocument(text, "f").problems) {
@@ -41,7 +41,7 @@
 
 TEST(Document, GoodTextIsReadWhole)
 {
-    const auto parsed = parseDocument(Good, "f");
+    const auto parsed = parseDocument(good, "f");
     CHECK(parsed.valid());
     const auto &service = parsed.document.services.at(0);
     DOUBLES_EQUAL(0.6, service.floor, 1e-9);
@@ -72,8 +72,8 @@
         {"rate = 50/s", "rate = 1/s\nrates = 1", "f:8: team clerks.rates: unknown key"},
         {"rate = 50/s", "rate = 1/s\nrate = 2/s", "f:8: team clerks.rate: given twice"},
         {"rate = 50/s\n", "", "f:6: team clerks.rate: missing"},
-        {DigestB, "key-in-clear", "f:10: team clerks.key: not a SHA-256 digest of 64 lower-case hexadecimal digits"},
-        {DigestB, DigestA, "f:9: team clerks.key: the same key is already given to team clerks"},
+        {digestB, "key-in-clear", "f:10: team clerks.key: not a SHA-256 digest of 64 lower-case hexadecimal digits"},
+        {digestB, digestA, "f:9: team clerks.key: the same key is already given to team clerks"},
         {"/orders/", "/a/../orders", "f:13: route order.prefix: not a plain path that starts with '/'"},
         {"methods = POST", "methods = post", "f:14: route order.methods: not a list of different methods in capitals"},
         {"service = orders\nidempotent = no", "service = x\nidempotent = no", "f:15: route order.service: unknown service x"},
@@ -124,14 +124,14 @@
 
 TEST(Document, TwoTeamsCannotShareAKey)
 {
-    const auto parsed = parseDocument(Good + "[team cooks]\nrate = 1/s\nburst = 1\nkey = " + DigestA + "\n", "f");
+    const auto parsed = parseDocument(good + "[team cooks]\nrate = 1/s\nburst = 1\nkey = " + digestA + "\n", "f");
     LONGS_EQUAL(1, parsed.problems.size());
     STRCMP_EQUAL("f:30: team cooks.key: the same key is already given to team clerks", toString(parsed.problems[0]).c_str());
 }
 
 TEST(Document, CanonicalTextReadsBackAsTheSameDocument)
 {
-    const auto document = parseDocument(Good, "f").document;
+    const auto document = parseDocument(good, "f").document;
     const auto again = parseDocument(canonicalText(document), "f");
     CHECK(again.valid());
     CHECK(diffDocuments(document, again.document).empty());
@@ -140,7 +140,7 @@
 
 TEST(Document, DifferencesAreTyped)
 {
-    const auto before = parseDocument(Good, "f").document;
+    const auto before = parseDocument(good, "f").document;
     auto after = before;
     after.teams[0].keyDigests.pop_back();
     after.routes.pop_back();
--- a/tests/test_environment.cpp
+++ b/tests/test_environment.cpp
@@ -28,7 +28,7 @@
 
 std::string largeDocument(unsigned teams)
 {
-    std::string text = SmallDocument;
+    std::string text = smallDocument;
     for (unsigned i = 0; i < teams; ++i) {
         text += "[team t" + std::to_string(i) + "]\nrate = 1/s\nburst = 1\n# " + std::string(150, 'x') + "\n";
     }
@@ -83,12 +83,12 @@
 TEST(Environment, DocumentGoesFromTrialToProduction)
 {
     World world;
-    checkOutcome(ChangeOutcome::Accepted, world.putTrial(SmallDocument, 0));
+    checkOutcome(ChangeOutcome::Accepted, world.putTrial(smallDocument, 0));
     checkOutcome(ChangeOutcome::Accepted, world.change(ProveRequest {1}));
-    const auto reply = world.change(PromoteRequest {sha256Hex(SmallDocument), 0});
+    const auto reply = world.change(PromoteRequest {sha256Hex(smallDocument), 0});
     checkOutcome(ChangeOutcome::Accepted, reply);
-    CHECK(reply.stamp == stampOf(1, SmallDocument));
-    CHECK(textIn(world.store, ProductionEnvironment) == SmallDocument);
+    CHECK(reply.stamp == stampOf(1, smallDocument));
+    CHECK(textIn(world.store, ProductionEnvironment) == smallDocument);
     const auto history = manifestIn(world.store, ProductionEnvironment)->history;
     STRCMP_EQUAL("promote", history.at(0).action.c_str());
     STRCMP_EQUAL("ann", history.at(0).author.c_str());
@@ -106,7 +106,7 @@
 TEST(Environment, ReplacedVersionMustBeThePresentOne)
 {
     World world;
-    world.putTrial(SmallDocument, 0);
+    world.putTrial(smallDocument, 0);
     checkOutcome(ChangeOutcome::Conflict, world.putTrial(documentWithTeam("a"), 0));
     checkOutcome(ChangeOutcome::Conflict, world.putTrial(documentWithTeam("a"), 2));
     checkOutcome(ChangeOutcome::Accepted, world.putTrial(documentWithTeam("a"), 1));
@@ -116,31 +116,31 @@
 TEST(Environment, OnlyTheProvedDigestIsPromoted)
 {
     World world;
-    world.putTrial(SmallDocument, 0);
-    checkOutcome(ChangeOutcome::Conflict, world.change(PromoteRequest {sha256Hex(SmallDocument), 0}));
+    world.putTrial(smallDocument, 0);
+    checkOutcome(ChangeOutcome::Conflict, world.change(PromoteRequest {sha256Hex(smallDocument), 0}));
     checkOutcome(ChangeOutcome::Conflict, world.change(ProveRequest {2}));
     world.change(ProveRequest {1});
     const auto later = documentWithTeam("a");
     world.putTrial(later, 1);
     checkOutcome(ChangeOutcome::Conflict, world.change(PromoteRequest {sha256Hex(later), 0}));
-    checkOutcome(ChangeOutcome::Conflict, world.change(PromoteRequest {sha256Hex(SmallDocument), 0}));
+    checkOutcome(ChangeOutcome::Conflict, world.change(PromoteRequest {sha256Hex(smallDocument), 0}));
     CHECK(!manifestIn(world.store, ProductionEnvironment));
 }
 
 TEST(Environment, AcceptedNeedsAMajority)
 {
     World world;
-    const auto reply = world.change(PutRequest {SmallDocument, 0}, {2, 4});
+    const auto reply = world.change(PutRequest {smallDocument, 0}, {2, 4});
     checkOutcome(ChangeOutcome::Unknown, reply);
     STRCMP_EQUAL("held by 2 of 4 daemons", reply.reason.c_str());
     checkOutcome(ChangeOutcome::Refused, world.change(ProveRequest {1}, {2, 4}));
-    checkOutcome(ChangeOutcome::Unknown, world.change(PutRequest {SmallDocument, 1}, {0, 0}));
+    checkOutcome(ChangeOutcome::Unknown, world.change(PutRequest {smallDocument, 1}, {0, 0}));
 }
 
 TEST(Environment, DaemonOfAnotherEnvironmentClaimsNoMore)
 {
     World world;
-    auto order = orderOf(PutRequest {SmallDocument, 0}, "w");
+    auto order = orderOf(PutRequest {smallDocument, 0}, "w");
     order.environment = ProductionEnvironment;
     OperatorRun run(order, world.now);
     run.finish(world.store, world.now, {4, 4});
@@ -150,7 +150,7 @@
 TEST(Environment, VersionRisesAboveWhatDaemonsHold)
 {
     World world;
-    auto order = orderOf(PutRequest {SmallDocument, 0}, "w");
+    auto order = orderOf(PutRequest {smallDocument, 0}, "w");
     order.highestSeen = 41; // the store was restored from a backup
     OperatorRun run(order, world.now);
     run.finish(world.store, world.now);
@@ -164,29 +164,29 @@
     checkOutcome(ChangeOutcome::Accepted, world.putTrial(large, 0));
     CHECK(manifestIn(world.store, TrialEnvironment)->chunks.size() >= 4);
     CHECK(textIn(world.store, TrialEnvironment) == large);
-    checkOutcome(ChangeOutcome::Accepted, world.putTrial(SmallDocument, 1));
+    checkOutcome(ChangeOutcome::Accepted, world.putTrial(smallDocument, 1));
     LONGS_EQUAL(1, world.store.count(chunkKey(TrialEnvironment, "")));
 }
 
 TEST(Environment, ChunkInUseAgainSurvivesALateRemoval)
 {
     World world;
-    world.putTrial(SmallDocument, 0);
+    world.putTrial(smallDocument, 0);
     OperatorRun second(orderOf(PutRequest {documentWithTeam("a"), 1}, "late"), world.now);
     while (!second.done()) {
         second.advance(world.store, world.now, CallFault::None, {3, 4});
     }
     // The first text comes back before the second writer has removed its chunk.
-    checkOutcome(ChangeOutcome::Accepted, world.putTrial(SmallDocument, 2));
+    checkOutcome(ChangeOutcome::Accepted, world.putTrial(smallDocument, 2));
     second.finish(world.store, world.now);
-    CHECK(textIn(world.store, TrialEnvironment) == SmallDocument);
+    CHECK(textIn(world.store, TrialEnvironment) == smallDocument);
 }
 
 TEST(Environment, HistoryIsBounded)
 {
     World world;
     for (std::uint64_t i = 0; i < config::MaxHistoryEntries + 5; ++i) {
-        checkOutcome(ChangeOutcome::Accepted, world.putTrial(SmallDocument, i));
+        checkOutcome(ChangeOutcome::Accepted, world.putTrial(smallDocument, i));
     }
     LONGS_EQUAL(config::MaxHistoryEntries, manifestIn(world.store, TrialEnvironment)->history.size());
 }
@@ -205,12 +205,12 @@
 
 TEST(Holder, AdoptsHigherVersionsOnly)
 {
-    hold(2, SmallDocument, TimePoint(1s));
+    hold(2, smallDocument, TimePoint(1s));
     LONGS_EQUAL(2, holder.stamp().version);
     CHECK(holder.offeredByMember(stampOf(1, second), second).empty());
     CHECK(holder.offeredByMember(stampOf(2, second), second).empty());
     LONGS_EQUAL(2, holder.stamp().version);
-    CHECK(holder.held()->text == SmallDocument);
+    CHECK(holder.held()->text == smallDocument);
     const auto effects = holder.offeredByMember(stampOf(3, second), second);
     CHECK(std::holds_alternative<AdoptDocument>(effects.at(0)));
     LONGS_EQUAL(3, holder.stamp().version);
@@ -218,7 +218,7 @@
 
 TEST(Holder, BadTextChangesNothing)
 {
-    hold(1, SmallDocument, TimePoint(1s));
+    hold(1, smallDocument, TimePoint(1s));
     const auto damaged = holder.offeredByMember(stampOf(2, second), second + "x");
     CHECK(std::holds_alternative<RejectOffer>(damaged.at(0)));
     const std::string invalid = "[team x]\n";
@@ -231,7 +231,7 @@
 TEST(Holder, TrustLapsesWithoutConfirmation)
 {
     CHECK(!holder.trusted(TimePoint(1s)));
-    hold(1, SmallDocument, TimePoint(1s));
+    hold(1, smallDocument, TimePoint(1s));
     CHECK(holder.trusted(TimePoint(6s)));
     CHECK(!holder.trusted(TimePoint(6001ms)));
     holder.confirmedByMembers(holder.stamp(), TimePoint(5s));
@@ -242,7 +242,7 @@
 
 TEST(Holder, OlderDocumentInTheStoreConfirmsNothing)
 {
-    hold(2, SmallDocument, TimePoint(1s));
+    hold(2, smallDocument, TimePoint(1s));
     CHECK(holder.confirmedByStore(stampOf(1, second), TimePoint(9s)));
     CHECK(!holder.trusted(TimePoint(9s)));
     CHECK(!holder.confirmedByStore(stampOf(3, second), TimePoint(9s)));
@@ -251,12 +251,12 @@
 
 TEST(Holder, PeersDocumentIsFetchedOnceAndTrustedOnceConfirmed)
 {
-    const auto stamp = stampOf(4, SmallDocument);
+    const auto stamp = stampOf(4, smallDocument);
     CHECK(std::holds_alternative<FetchDocument>(holder.toldByMember(peer, stamp, TimePoint(1s)).at(0)));
     CHECK(holder.toldByMember(peer, stamp, TimePoint(1400ms)).empty());
     LONGS_EQUAL(1, holder.toldByMember(peer, stamp, TimePoint(1600ms)).size());
     LONGS_EQUAL(1, holder.toldByMember(peer, stampOf(5, second), TimePoint(1700ms)).size());
-    holder.offeredByMember(stamp, SmallDocument);
+    holder.offeredByMember(stamp, smallDocument);
     CHECK(!holder.trusted(TimePoint(2s)));
     holder.confirmedByMembers(stamp, TimePoint(2s));
     CHECK(holder.trusted(TimePoint(2s)));
--- a/tests/test_store.cpp
+++ b/tests/test_store.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 constexpr const char *Key = "k";
-const std::string Mine = toJson(TaggedValue {"id-1", "mine"});
-const std::string Other = toJson(TaggedValue {"id-2", "other"});
+const std::string mine = toJson(TaggedValue {"id-1", "mine"});
+const std::string other = toJson(TaggedValue {"id-2", "other"});
 
 struct WriteRun {
     FakeStore store;
@@ -24,7 +24,7 @@
 
     WriteStep run(std::uint64_t expected)
     {
-        ConditionalWrite write({Key, Mine, "id-1", expected}, now + 5s);
+        ConditionalWrite write({Key, mine, "id-1", expected}, now + 5s);
         auto step = write.start();
         while (std::holds_alternative<ObjectCall>(step) || std::holds_alternative<WritePause>(step)) {
             if (std::holds_alternative<WritePause>(step)) {
@@ -130,7 +130,7 @@
 TEST(StoreClient, StaleReadBackIsNoProofOfFailure)
 {
     WriteRun run;
-    run.store.perform(CreateCall {Key, Other});
+    run.store.perform(CreateCall {Key, other});
     run.faults = {CallFault::LostAfter, CallFault::Stale};
     CHECK(run.run(1) == WriteStep(WriteDone {2}));
 }
@@ -154,7 +154,7 @@
     run.faults = {CallFault::LostBefore};
     run.beforeCall = [&](std::size_t call) {
         if (call == 1) {
-            run.store.perform(CreateCall {Key, Other});
+            run.store.perform(CreateCall {Key, other});
         }
     };
     CHECK(run.run(0) == WriteStep(WriteSuperseded {}));
@@ -188,6 +188,6 @@
     CHECK(std::holds_alternative<WatchBookmark>(parseWatchEvent(R"({"type":"bookmark","version":9})").value()));
     CHECK(std::holds_alternative<ObjectDeleted>(parseWatchEvent(R"({"type":"delete","key":"a","version":9})").value()));
     CHECK(parseWatchEvent(R"({"type":"put","key":"a"})").has_error());
-    CHECK(parseTaggedValue(Mine) == std::optional(TaggedValue {"id-1", "mine"}));
+    CHECK(parseTaggedValue(mine) == std::optional(TaggedValue {"id-1", "mine"}));
     CHECK(!parseTaggedValue("[]"));
 }
