--- a/src/document_check.cpp
+++ b/src/document_check.cpp
@@ -355,7 +355,7 @@
 
 void checkKeys(Checker &checker)
 {
-    std::unordered_map<std::string, const Team *> owners;
+    std::unordered_map<std::string_view, const Team *> owners;
     const auto &teams = checker.result.document.teams;
     for (std::size_t i = 0; i < teams.size(); ++i) {
         for (const auto &digest : teams[i].keyDigests) {
@@ -371,8 +371,8 @@
 void checkReferences(Checker &checker)
 {
     const auto &document = checker.result.document;
-    std::unordered_set<std::string> services;
-    std::unordered_set<std::string> teams;
+    std::unordered_set<std::string_view> services;
+    std::unordered_set<std::string_view> teams;
     for (const auto &service : document.services) {
         services.insert(service.name.value);
     }
