--- a/src/store_client.cpp
+++ b/src/store_client.cpp
@@ -281,8 +281,7 @@
     if (object->version > m_request.expected) {
         return WriteSuperseded {};
     }
-    const bool same = object->version == m_request.expected;
-    return same && now < m_deadline ? write() : unsettled(now);
+    return now < m_deadline ? write() : WriteStep(WriteUnknown {});
 }
 
 WriteStep ConditionalWrite::unsettled(TimePoint now)
--- a/tests/fuzz_environment.cpp
+++ b/tests/fuzz_environment.cpp
@@ -123,8 +123,8 @@
         const auto manifest = result.has_value() ? parseManifest(std::get<StoredObject>(result.value()).value) : std::nullopt;
         const auto text = manifest ? textIn(store, TrialEnvironment) : std::nullopt;
         if (text) {
-            // A stale manifest comes with the text of the present one: that is a damaged offer.
-            holder.offeredByStore(manifest->stamp, *text, now);
+            // A stale manifest comes with the text of the present one: that is a damaged offer too.
+            holder.offeredByStore(manifest->stamp, move.deliver ? *text + "# damaged\n" : *text, now);
         }
         const auto &peer = holders[(move.choice + 1) % holders.size()];
         if (peer.held()) {
--- a/tests/test_environment.cpp
+++ b/tests/test_environment.cpp
@@ -219,7 +219,7 @@
 TEST(Holder, BadTextChangesNothing)
 {
     hold(1, smallDocument, TimePoint(1s));
-    const auto damaged = holder.offeredByMember(stampOf(2, second), second + "x");
+    const auto damaged = holder.offeredByMember(stampOf(2, second), second + "# valid, but another text\n");
     CHECK(std::holds_alternative<RejectOffer>(damaged.at(0)));
     const std::string invalid = "[team x]\n";
     CHECK(std::holds_alternative<RejectOffer>(holder.offeredByStore(stampOf(2, invalid), invalid, TimePoint(2s)).at(0)));
