--- a/include/plumsill/balancer.h
+++ b/include/plumsill/balancer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <plumsill/types.h>
+#include <plumsill/clock.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -16,26 +16,29 @@
     unsigned inFlight = 0; ///< this daemon's requests on it
     unsigned slots = 1;
     double latency = 0; ///< recent latency in seconds; 0 while unknown
-    bool sameZone = false;
     bool excluded = false; ///< already tried, or no connection left
 
     auto operator<=>(const Candidate &) const = default;
 };
 
-/// Recent latency of one target as one traffic thread sees it.
+/// Recent latency of one target as one traffic thread sees it; fades, so that a target is tried again.
 class LatencyEstimate
 {
 public:
-    /// Adds an answer, or the age of a request that still waits if it is above the estimate.
-    void add(double latencySeconds);
-    void addWaiting(double ageSeconds);
-    double value() const { return m_seconds; }
+    void add(Duration latency, TimePoint now);
+    /// A request that has waited for @p age without an answer: counts once it is above the estimate.
+    void addWaiting(Duration age, TimePoint now);
+    /// An error, a truncated answer or a failed connection, however fast: makes the target look slower.
+    void addFailure(TimePoint now);
+    /// Seconds; 0 while unknown.
+    double value(TimePoint now) const;
 
 private:
     double m_seconds = 0;
+    TimePoint m_at;
 };
 
-/// Chooses the target of a request.
+/// Chooses the target of a request: the least expected latency, among targets of full weight.
 class Balancer
 {
 public:
@@ -45,7 +48,8 @@
     std::optional<std::size_t> pick(const std::vector<Candidate> &candidates);
 
 private:
-    std::optional<std::size_t> draw(const std::vector<Candidate> &candidates, std::optional<std::size_t> other);
+    std::optional<std::size_t> drawPartial(const std::vector<Candidate> &candidates);
+    std::optional<std::size_t> leastLatency(const std::vector<Candidate> &candidates);
 
     std::mt19937_64 m_random;
 };
--- a/include/plumsill/detector.h
+++ b/include/plumsill/detector.h
@@ -45,6 +45,8 @@
     double slowFactor = 0; ///< slow limit as a multiple of the usual latency
     double alarm = 0; ///< log-likelihood ratio at which a target counts as ill
     double recovered = 0; ///< log-likelihood ratio, sign changed, at which a target on trial counts as well
+    Duration errorTime = Duration::zero(); ///< shortest time in which failures lead to the alarm
+    Duration slowTime = Duration::zero(); ///< the same for slowness
 
     auto operator<=>(const DetectorThresholds &) const = default;
 };
@@ -116,13 +118,14 @@
 
     /// One-sided cumulative sum, as a whole and for each group of senders.
     struct CumulativeSum {
-        double whole = 0;
+        double raw = 0;
+        double whole = 0; ///< follows raw, at bounded speed upwards
         double sinceRestart = 0; ///< not held above zero, for trials
         std::map<std::string, double> byGroup;
 
         void add(const std::string &group, double ratio, double limit);
         void clear();
-        void fade(double keep);
+        void advance(double keep, double rise);
         double withoutWorstGroup() const;
     };
 
@@ -130,7 +133,7 @@
     struct Test {
         CumulativeSum sum;
         FadingCounts recent;
-        double usual = 0; ///< share of the peers
+        double usual = 0; ///< share that is usual among the peers
     };
 
     struct TargetRecord {
@@ -155,6 +158,7 @@
     void noteSource(const EvidenceSource &source, TimePoint now);
     void refresh(TimePoint now);
     void forgetSources(TimePoint now);
+    void advanceSums(TestField field, double age, Duration alarmTime);
     void refreshUsual(TestField field, TimePoint now);
     void refreshSlowLimit(TimePoint now);
     void addSample(Test &test, const Sample &sample, double illShare, const std::string &group, TimePoint now) const;
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -1,74 +1,122 @@
 #include <plumsill/balancer.h>
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace plumsill
 {
 namespace
 {
-// Weight of one answer in the latency estimate.
+using namespace std::chrono_literals;
+
+// Weight of one answer in the estimate.
 constexpr double AnswerWeight = 0.2;
+// Time constant in which an estimate falls while its target gets no requests; without it one slow answer would keep a
+// daemon off a healthy target for good.
+constexpr auto FadeTime = 10s;
+// A failure counts as an answer that took this many times the estimate, and at least the least penalty.
+constexpr double FailureFactor = 2;
+constexpr double FailureLeast = 0.05; // seconds
+
+bool usable(const Candidate &candidate)
+{
+    return !candidate.excluded && candidate.weight > 0;
+}
+
+// Targets that nothing is known of count as average ones, or a new target would draw every daemon at once.
+double averageLatency(const std::vector<Candidate> &candidates)
+{
+    double sum = 0;
+    double known = 0;
+    for (const auto &candidate : candidates) {
+        if (usable(candidate) && candidate.latency > 0) {
+            sum += candidate.latency;
+            known += 1;
+        }
+    }
+    return known > 0 ? sum / known : 1;
+}
+}
+
+double LatencyEstimate::value(TimePoint now) const
+{
+    return m_seconds * std::exp(-seconds(std::max(now - m_at, Duration::zero())) / seconds(FadeTime));
 }
 
-void LatencyEstimate::add(double latencySeconds)
+void LatencyEstimate::add(Duration latency, TimePoint now)
 {
-    m_seconds = m_seconds > 0 ? m_seconds + AnswerWeight * (latencySeconds - m_seconds) : latencySeconds;
+    const double present = value(now);
+    m_seconds = present > 0 ? present + AnswerWeight * (seconds(latency) - present) : seconds(latency);
+    m_at = now;
 }
 
-void LatencyEstimate::addWaiting(double ageSeconds)
+void LatencyEstimate::addWaiting(Duration age, TimePoint now)
 {
-    if (ageSeconds > m_seconds) {
-        add(ageSeconds);
+    if (seconds(age) > value(now)) {
+        add(age, now);
     }
 }
 
+void LatencyEstimate::addFailure(TimePoint now)
+{
+    add(fromSeconds(std::max(FailureLeast, FailureFactor * value(now))), now);
+}
+
 Balancer::Balancer(std::uint64_t seed)
     : m_random(seed)
 { }
 
-std::optional<std::size_t> Balancer::draw(const std::vector<Candidate> &candidates, std::optional<std::size_t> other)
+// Targets of part weight get exactly their share, however fast they look.
+std::optional<std::size_t> Balancer::drawPartial(const std::vector<Candidate> &candidates)
 {
-    const auto share = [&](std::size_t index) {
-        const Candidate &candidate = candidates[index];
-        return candidate.excluded || index == other ? 0.0 : candidate.weight;
-    };
     double total = 0;
-    for (std::size_t index = 0; index < candidates.size(); ++index) {
-        total += share(index);
-    }
-    if (total <= 0) {
-        return std::nullopt;
+    for (const auto &candidate : candidates) {
+        total += usable(candidate) ? candidate.weight : 0;
     }
     double point = std::uniform_real_distribution<double>(0, total)(m_random);
-    std::optional<std::size_t> last;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
-        if (share(index) <= 0) {
+        if (!usable(candidates[index]) || candidates[index].weight >= 1) {
             continue;
         }
-        last = index;
-        point -= share(index);
+        point -= candidates[index].weight;
         if (point < 0) {
-            break;
+            return index;
         }
     }
-    return last;
+    return std::nullopt;
 }
 
-// Power of two choices: the better of two drawn by weight.
-std::optional<std::size_t> Balancer::pick(const std::vector<Candidate> &candidates)
+std::optional<std::size_t> Balancer::leastLatency(const std::vector<Candidate> &candidates)
 {
-    const auto first = draw(candidates, std::nullopt);
-    if (!first) {
-        return std::nullopt;
+    const double average = averageLatency(candidates);
+    double least = std::numeric_limits<double>::infinity();
+    unsigned ties = 0;
+    std::optional<std::size_t> found;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const Candidate &candidate = candidates[index];
+        if (!usable(candidate)) {
+            continue;
+        }
+        const double latency = candidate.latency > 0 ? candidate.latency : average;
+        const double cost = (candidate.inFlight + 1.0) * latency / candidate.weight;
+        if (cost > least) {
+            continue;
+        }
+        ties = cost < least ? 1 : ties + 1;
+        least = cost;
+        if (m_random() % ties == 0) {
+            found = index;
+        }
     }
-    const auto second = draw(candidates, first);
-    if (!second) {
-        return first;
+    return found;
+}
+
+std::optional<std::size_t> Balancer::pick(const std::vector<Candidate> &candidates)
+{
+    if (const auto partial = drawPartial(candidates)) {
+        return partial;
     }
-    const auto cost = [&](std::size_t index) {
-        const Candidate &candidate = candidates[index];
-        return (candidate.inFlight + 1.0) / candidate.slots;
-    };
-    return cost(*second) < cost(*first) ? second : first;
+    return leastLatency(candidates);
 }
 }
--- a/src/detector.cpp
+++ b/src/detector.cpp
@@ -8,18 +8,21 @@
 
 namespace plumsill
 {
+using namespace std::chrono_literals;
+
 namespace
 {
 // Above this share of bad requests among the peers the whole service is ill, and the test says nothing about one target.
 constexpr double MaxUsualShare = 0.25;
-// The peers' share is an estimate; the test takes it this much higher.
+// The peers' share is an estimate; the test takes it this much higher, and their spread on top.
 constexpr double UsualShareMargin = 1.5;
+constexpr double SpreadMargin = 3;
 // Shares of targets with fewer recent requests are noise.
 constexpr double MinRecentRequests = 4;
 // Answers of one target before its latency counts for the slow limit.
 constexpr double MinLatencyAnswers = 8;
 // A sum above this multiple of the alarm tells no more, and would only take longer to fall.
-constexpr double SumLimit = 3;
+constexpr double SumLimit = 1.25;
 // Part of the alarm that the evidence must reach without the group of senders that accuses most.
 constexpr double CorroborationShare = 0.25;
 // Part of the alarm from which a target counts as suspected, when the service as a whole is judged.
@@ -32,11 +35,11 @@
     // run length of the cumulative sum); healthy shares are far below usualShare, which makes it far rarer.
     DetectorThresholds operator()(const FewFalseEjections &) const
     {
-        return {.usualShare = 0.02, .errorShare = 0.2, .slowShare = 0.5, .slowFactor = 5, .alarm = 18, .recovered = 3};
+        return {.usualShare = 0.02, .errorShare = 0.2, .slowShare = 0.75, .slowFactor = 5, .alarm = 16, .recovered = 3, .errorTime = 400ms, .slowTime = 1200ms};
     }
     DetectorThresholds operator()(const FastDetection &) const
     {
-        return {.usualShare = 0.02, .errorShare = 0.15, .slowShare = 0.4, .slowFactor = 4, .alarm = 14, .recovered = 3};
+        return {.usualShare = 0.02, .errorShare = 0.15, .slowShare = 0.75, .slowFactor = 5, .alarm = 12, .recovered = 3, .errorTime = 300ms, .slowTime = 900ms};
     }
 };
 
@@ -144,20 +147,25 @@
 void Detector::CumulativeSum::add(const std::string &group, double ratio, double limit)
 {
     sinceRestart += ratio;
-    whole = std::clamp(whole + ratio, 0.0, limit);
+    raw = std::clamp(raw + ratio, 0.0, limit);
+    whole = std::min(whole, raw);
     double &part = byGroup[group];
     part = std::clamp(part + ratio, 0.0, limit);
 }
 
 void Detector::CumulativeSum::clear()
 {
+    raw = 0;
     whole = 0;
     byGroup.clear();
 }
 
-void Detector::CumulativeSum::fade(double keep)
+// Requests that wait in one queue are late together, so many bad ones at once tell little more than one: the sum that
+// counts rises with bounded speed, and later good requests can still undo the rest.
+void Detector::CumulativeSum::advance(double keep, double rise)
 {
-    whole *= keep;
+    raw *= keep;
+    whole = std::min(raw, whole * keep + rise);
     for (auto &[group, part] : byGroup) {
         part *= keep;
     }
@@ -226,12 +234,10 @@
     if (m_refreshed && now - *m_refreshed < config::DetectorRefreshInterval) {
         return;
     }
-    const double keep = m_refreshed ? std::exp(-seconds(now - *m_refreshed) / seconds(config::SuspicionWindow)) : 1;
-    for (auto &[name, record] : m_targets) {
-        record.errors.sum.fade(keep);
-        record.slowness.sum.fade(keep);
-        record.connections.sum.fade(keep);
-    }
+    const double age = m_refreshed ? seconds(now - *m_refreshed) : 0;
+    advanceSums(&TargetRecord::errors, age, m_thresholds.errorTime);
+    advanceSums(&TargetRecord::slowness, age, m_thresholds.slowTime);
+    advanceSums(&TargetRecord::connections, age, m_thresholds.errorTime);
     m_refreshed = now;
     forgetSources(now);
     refreshUsual(&TargetRecord::errors, now);
@@ -240,6 +246,15 @@
     refreshSlowLimit(now);
 }
 
+void Detector::advanceSums(TestField field, double age, Duration alarmTime)
+{
+    const double keep = std::exp(-age / seconds(config::SuspicionWindow));
+    const double rise = m_thresholds.alarm * age / seconds(alarmTime);
+    for (auto &[name, record] : m_targets) {
+        (record.*field).sum.advance(keep, rise);
+    }
+}
+
 // Each target is compared with the median of the others: up to half of them may be ill without hiding it.
 void Detector::refreshUsual(TestField field, TimePoint now)
 {
@@ -252,10 +267,19 @@
             shares.emplace_back(test.recent.share(), &test);
         }
     }
+    if (shares.size() < 2) {
+        return;
+    }
     std::sort(shares.begin(), shares.end());
-    for (std::size_t rank = 0; rank < shares.size() && shares.size() > 1; ++rank) {
+    const double center = shares[(shares.size() - 1) / 2].first;
+    std::vector<double> distances;
+    for (const auto &[share, test] : shares) {
+        distances.push_back(std::abs(share - center));
+    }
+    const double spread = median(distances);
+    for (std::size_t rank = 0; rank < shares.size(); ++rank) {
         const std::size_t middle = (shares.size() - 2) / 2;
-        shares[rank].second->usual = shares[middle < rank ? middle : middle + 1].first;
+        shares[rank].second->usual = UsualShareMargin * shares[middle < rank ? middle : middle + 1].first + SpreadMargin * spread;
     }
 }
 
@@ -277,13 +301,13 @@
 void Detector::addSample(Test &test, const Sample &sample, double illShare, const std::string &group, TimePoint now) const
 {
     test.recent.add(sample.ok, sample.bad, now, config::EvidenceWindow);
-    const double usual = std::max(m_thresholds.usualShare, UsualShareMargin * test.usual);
+    const double usual = std::max(m_thresholds.usualShare, test.usual);
     if (usual > MaxUsualShare) {
         test.sum.clear();
         test.sum.sinceRestart -= IdleRecovery * (sample.ok + sample.bad);
         return;
     }
-    const double ill = std::max(illShare, 2 * usual);
+    const double ill = usual + illShare * (1 - usual);
     const double ratio = sample.bad * std::log(ill / usual) + sample.ok * std::log((1 - ill) / (1 - usual));
     test.sum.add(group, ratio, SumLimit * m_thresholds.alarm);
 }
