--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -87,7 +87,7 @@
     return std::nullopt;
 }
 
-std::optional<std::size_t> Balancer::leastLatency(const std::vector<Candidate> &candidates)
+std::optional<std::size_t> Balancer::leastLatency(const std::vector<Candidate> &candidates, double minWeight)
 {
     const double average = averageLatency(candidates);
     double least = std::numeric_limits<double>::infinity();
@@ -95,7 +95,7 @@
     std::optional<std::size_t> found;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const Candidate &candidate = candidates[index];
-        if (!usable(candidate)) {
+        if (!usable(candidate) || candidate.weight < minWeight) {
             continue;
         }
         const double latency = candidate.latency > 0 ? candidate.latency : average;
@@ -117,6 +117,7 @@
     if (const auto partial = drawPartial(candidates)) {
         return partial;
     }
-    return leastLatency(candidates);
+    const auto full = leastLatency(candidates, 1);
+    return full ? full : leastLatency(candidates, 0);
 }
 }
--- a/src/detector.cpp
+++ b/src/detector.cpp
@@ -39,7 +39,8 @@
     }
     DetectorThresholds operator()(const FastDetection &) const
     {
-        return {.usualShare = 0.02, .errorShare = 0.15, .slowShare = 0.75, .slowFactor = 5, .alarm = 12, .recovered = 3, .errorTime = 300ms, .slowTime = 900ms};
+        return {
+            .usualShare = 0.02, .errorShare = 0.15, .slowShare = 0.75, .slowFactor = 5, .alarm = 14, .recovered = 3, .errorTime = 300ms, .slowTime = 1100ms};
     }
 };
 
--- /dev/null
+++ b/tests/test_detector.cpp
@@ -0,0 +1,261 @@
+#include <plumsill/config.h>
+#include <plumsill/detector.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <cmath>
+
+using namespace plumsill;
+using namespace std::chrono_literals;
+
+namespace
+{
+TargetName target(std::size_t index)
+{
+    return {"t" + std::to_string(index)};
+}
+
+EvidenceSource daemonOf(std::size_t index, std::size_t zones = 3)
+{
+    return {{{"d" + std::to_string(index)}, 1}, {"z" + std::to_string(index % zones)}};
+}
+
+/// Answers per 100 ms of one target to one daemon.
+struct Share {
+    std::uint16_t fast = 4;
+    std::uint16_t slow = 0;
+    std::uint16_t errors = 0;
+    std::uint16_t timeouts = 0;
+    std::uint16_t truncated = 0;
+    std::uint16_t shed = 0;
+    std::uint16_t unreachable = 0;
+};
+}
+
+TEST_GROUP(Detector)
+{
+    static constexpr std::size_t Targets = 6;
+    static constexpr std::size_t Daemons = 3;
+    TimePoint now = TimePoint(1000s);
+    Detector detector {FewFalseEjections {}};
+    std::size_t zones = 3;
+
+    void setup() override
+    {
+        detector.setTargets(names(Targets), now);
+    }
+
+    static std::vector<TargetName> names(std::size_t count)
+    {
+        std::vector<TargetName> names;
+        for (std::size_t index = 0; index < count; ++index) {
+            names.push_back(target(index));
+        }
+        return names;
+    }
+
+    void add(std::size_t daemon, std::size_t index, const Share &share)
+    {
+        TargetEvidence evidence;
+        evidence.target = target(index);
+        evidence.good = share.fast + share.slow;
+        evidence.fast = share.fast;
+        evidence.slow = share.slow;
+        evidence.errors = share.errors;
+        evidence.timeouts = share.timeouts;
+        evidence.truncated = share.truncated;
+        evidence.shed = share.shed;
+        evidence.unreachable = share.unreachable;
+        evidence.logLatencySum = static_cast<float>(share.fast * std::log(0.04) + share.slow * std::log(0.4));
+        detector.add(daemonOf(daemon, zones), evidence, now);
+    }
+
+    /// Runs for @p length with @p odd for the first @p oddTargets targets, as the first @p oddDaemons daemons see them.
+    void run(Duration length, const Share &odd, std::size_t oddTargets = 1, std::size_t oddDaemons = Daemons)
+    {
+        for (const TimePoint end = now + length; now < end; now += 100ms) {
+            for (std::size_t daemon = 0; daemon < Daemons; ++daemon) {
+                for (std::size_t index = 0; index < Targets; ++index) {
+                    add(daemon, index, index < oddTargets && daemon < oddDaemons ? odd : Share {});
+                }
+            }
+        }
+    }
+
+    IllnessCause onlyCause()
+    {
+        const auto ill = detector.ill();
+        LONGS_EQUAL(1, ill.size());
+        STRCMP_EQUAL("t0", ill.at(0).target.value.c_str());
+        return ill.at(0).cause;
+    }
+};
+
+TEST(Detector, HealthyTargetsAreNotIll)
+{
+    run(30s, {});
+    CHECK(detector.ill().empty());
+}
+
+TEST(Detector, FailuresOfEachKindAreIllness)
+{
+    const Share failing[] = {{3, 0, 2}, {3, 0, 0, 2}, {3, 0, 0, 0, 2}};
+    for (const auto &share : failing) {
+        detector = Detector(FewFalseEjections {});
+        setup();
+        run(10s, {});
+        run(2s, share);
+        CHECK(onlyCause() == IllnessCause::Errors);
+    }
+}
+
+TEST(Detector, SlowAnswersAreIllness)
+{
+    run(10s, {});
+    CHECK(detector.slowAfter() > 150ms);
+    CHECK(detector.slowAfter() < 250ms);
+    run(2s, {0, 4});
+    CHECK(onlyCause() == IllnessCause::Slowness);
+}
+
+TEST(Detector, SheddingIsLoad)
+{
+    run(10s, {});
+    run(10s, {1, 0, 0, 0, 0, 20});
+    CHECK(detector.ill().empty());
+}
+
+TEST(Detector, SlownessOfTheWholeServiceIsNobodysIllness)
+{
+    run(10s, {});
+    run(10s, {0, 4}, Targets);
+    CHECK(detector.ill().empty());
+}
+
+TEST(Detector, HalfOfTheServiceCanBeIll)
+{
+    run(10s, {});
+    run(2s, {1, 0, 3}, Targets / 2);
+    LONGS_EQUAL(Targets / 2, detector.ill().size());
+}
+
+TEST(Detector, SlowAnswersThatAllTargetsHaveAreUsual)
+{
+    run(10s, {9, 1}, Targets);
+    run(60s, {8, 2}, 1);
+    CHECK(detector.ill().empty());
+}
+
+TEST(Detector, FewLateRequestsAtOnceAreNoProof)
+{
+    run(10s, {});
+    for (std::size_t daemon = 0; daemon < Daemons; ++daemon) {
+        add(daemon, 0, {0, 30});
+    }
+    CHECK(detector.ill().empty());
+    run(2s, {});
+    CHECK(detector.ill().empty());
+}
+
+TEST(Detector, OneDaemonsTroubleIsNoProof)
+{
+    run(10s, {});
+    run(10s, {0, 0, 0, 12}, 1, 1);
+    CHECK(detector.ill().empty());
+}
+
+TEST(Detector, OneZonesTroubleIsNoProof)
+{
+    zones = 2; // daemons 0 and 2 in one zone, 1 in the other
+    run(10s, {});
+    for (int round = 0; round < 100; ++round, now += 100ms) {
+        add(0, 0, {0, 0, 0, 12});
+        add(1, 0, {});
+        add(2, 0, {0, 0, 0, 12});
+    }
+    CHECK(detector.ill().empty());
+}
+
+TEST(Detector, OnlyDaemonJudgesAlone)
+{
+    for (int round = 0; round < 100; ++round, now += 100ms) {
+        for (std::size_t index = 0; index < Targets; ++index) {
+            add(0, index, index == 0 && round > 60 ? Share {0, 0, 4} : Share {});
+        }
+    }
+    CHECK(onlyCause() == IllnessCause::Errors);
+}
+
+TEST(Detector, ColdTargetMayBeSlowButNotFail)
+{
+    run(10s, {});
+    detector.setTargets(names(Targets + 1), now);
+    CHECK(detector.cold(target(Targets), now));
+    for (const TimePoint end = now + config::ColdStartGrace - 200ms; now < end;) {
+        for (std::size_t daemon = 0; daemon < Daemons; ++daemon) {
+            add(daemon, Targets, {0, 4});
+        }
+        run(100ms, {});
+    }
+    CHECK(detector.ill().empty());
+    for (int round = 0; round < 10; ++round) {
+        for (std::size_t daemon = 0; daemon < Daemons; ++daemon) {
+            add(daemon, Targets, {0, 0, 4});
+        }
+        run(100ms, {});
+    }
+    LONGS_EQUAL(1, detector.ill().size());
+}
+
+TEST(Detector, UnreachableNeedsSeveralZones)
+{
+    const Share lost {0, 0, 0, 0, 0, 0, 4};
+    run(5s, {});
+    run(4s, lost, 1, 1);
+    CHECK(!detector.unreachable(target(0), now));
+    run(4s, lost, 1, 3);
+    CHECK(detector.unreachable(target(0), now));
+    CHECK(onlyCause() == IllnessCause::Unreachable);
+    run(100ms, {});
+    CHECK(!detector.unreachable(target(0), now));
+}
+
+TEST(Detector, TrialDecidesBothWays)
+{
+    run(10s, {});
+    run(2s, {0, 0, 4});
+    detector.restart(target(0));
+    CHECK(detector.trialResult(target(0)) == TrialResult::Open);
+    add(0, 0, {0, 0, 4});
+    CHECK(detector.trialResult(target(0)) == TrialResult::StillIll);
+    detector.restart(target(0));
+    run(500ms, {});
+    CHECK(detector.trialResult(target(0)) == TrialResult::Recovered);
+}
+
+TEST(Detector, FastProfileDecidesOnLess)
+{
+    const auto fast = thresholdsOf(FastDetection {});
+    const auto few = thresholdsOf(FewFalseEjections {});
+    CHECK(fast.alarm < few.alarm);
+    CHECK(fast.errorShare < few.errorShare);
+    CHECK(fast.slowTime < few.slowTime);
+}
+
+TEST(Detector, AnswersAreCountedOnce)
+{
+    TargetEvidence evidence;
+    countOverdue(evidence);
+    countAnswer(evidence, AnswerKind::Good, 900ms, 200ms, true);
+    countAnswer(evidence, AnswerKind::Good, 300ms, 200ms, false);
+    countAnswer(evidence, AnswerKind::Good, 100ms, 200ms, false);
+    LONGS_EQUAL(3, evidence.good);
+    LONGS_EQUAL(1, evidence.fast);
+    LONGS_EQUAL(2, evidence.slow);
+    countAnswer(evidence, AnswerKind::Good, 900ms, 0ms, false);
+    LONGS_EQUAL(2, evidence.slow);
+    for (int count = 0; count < 70'000; ++count) {
+        countAnswer(evidence, AnswerKind::Error, 1ms, 0ms, false);
+    }
+    LONGS_EQUAL(65'535, evidence.errors);
+}
