--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -169,7 +169,6 @@
 // Peer datagrams.
 inline constexpr std::size_t MaxDatagramBytes = 1400;
 inline constexpr std::size_t MacBytes = 16;
-inline constexpr auto PeerRequestTimeout = 5000ms;
 inline constexpr std::size_t MaxStreamMessageBytes = 64 * 1024 * 1024;
 inline constexpr std::size_t MaxPeerStreams = 64;
 inline constexpr auto PeerRequestTimeout = 3000ms;
--- a/src/net_control_limits.cpp
+++ b/src/net_control_limits.cpp
@@ -115,7 +115,7 @@
     }
     const TimePoint now = RuntimeClock::now();
     const Tenure tenure = m_control.membership().ownership().tenure(PartKey {handOver.team, handOver.part}, now);
-    m_owner.acceptHandOver(handOver, envelope.epoch, *limits, tenure, now);
+    m_owner.acceptHandOver(m_control.membership().membership().self().id, handOver, envelope.epoch, *limits, tenure, now);
 }
 
 void LimitsPart::documentChanged(const Document &before, const Document &after)
@@ -170,8 +170,8 @@
                 tenure.since = known->second.since;
                 tenure.from = known->second.from;
             }
-            if (tenure.mayAct) {
-                owned.push_back({key, limits, tenure});
+            if (tenure.mayAct && ownership.ownerOf(key) != nullptr) {
+                owned.push_back({key, limits, tenure, ownership.ownerOf(key)->id});
             }
         }
     }
--- a/src/net_dispatch.cpp
+++ b/src/net_dispatch.cpp
@@ -62,6 +62,7 @@
     if (limitReached()) {
         return nullptr;
     }
+    const TimePoint now = RuntimeClock::now();
     std::vector<Candidate> candidates;
     candidates.reserve(m_view.targets.size());
     for (const auto &entry : m_view.targets) {
@@ -70,7 +71,7 @@
         candidate.weight = entry.weight;
         candidate.inFlight = runtime.inFlight;
         candidate.slots = std::max(m_view.slots, 1U);
-        candidate.latency = runtime.latency.value();
+        candidate.latency = runtime.latency.value(now);
         candidate.excluded = runtime.inFlight >= config::MaxConnectionsPerTarget || std::find(tried.begin(), tried.end(), entry.target.name) != tried.end();
         candidates.push_back(candidate);
     }
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -293,9 +293,10 @@
     RuntimeTimer slowTimer(co_await boost::asio::this_coro::executor);
     if (slowAfter > Duration::zero()) {
         slowTimer.expires_after(slowAfter);
-        slowTimer.async_wait([this, watch, &lease](const boost::system::error_code &error) {
+        slowTimer.async_wait([this, watch, slowAfter, &lease](const boost::system::error_code &error) {
             if (!error && watch->running) {
                 countOverdue(evidence(lease.name()));
+                lease.runtime().latency.addWaiting(slowAfter, RuntimeClock::now());
                 watch->counted = true;
             }
         });
@@ -327,7 +328,12 @@
     const auto *failed = std::get_if<FailedAttempt>(&result);
     const AnswerKind kind = failed == nullptr ? AnswerKind::Good : answerKind(failed->failed.failure);
     countAnswer(evidence(lease.name()), kind, latency, slowAfter, countedSlow);
-    lease.runtime().latency.add(seconds(latency));
+    const TimePoint now = RuntimeClock::now();
+    if (kind == AnswerKind::Good) {
+        lease.runtime().latency.add(latency, now);
+    } else if (kind != AnswerKind::Shed) {
+        lease.runtime().latency.addFailure(now);
+    }
     if (targetLeaving(result)) {
         m_thread.report().leavingTargets.push_back({lease.name(), lease.runtime().pool.endpoint()});
     }
--- a/tests/test_traffic.cpp
+++ b/tests/test_traffic.cpp
@@ -137,13 +137,13 @@
 {
     ScriptedTarget target({{okAnswer}});
     fixture.publish({target.endpoint()});
-    boost::asio::io_context context;
     Document without = testDocument();
     without.teams[0].keyDigests.clear();
     const std::string keptAlive = request("GET /listing", "X-Api-Key: red-key-0001\r\n");
-    CHECK(contains(fixture.talk(keptAlive, "hello"), "200 OK"));
+    CallerConnection caller(fixture.endpoint());
+    CHECK(contains(caller.talk(keptAlive, "hello"), "200 OK"));
     fixture.publish(without, {target.endpoint()}, TimePoint::max());
-    STRCMP_EQUAL("HTTP/1.1 401", statusOf(fixture.talk(keptAlive)).c_str());
+    STRCMP_EQUAL("HTTP/1.1 401", statusOf(caller.talk(keptAlive)).c_str());
     LONGS_EQUAL(1, target.runs());
 }
 
--- a/tests/traffic_fixture.h
+++ b/tests/traffic_fixture.h
@@ -114,6 +114,38 @@
     return document;
 }
 
+/// One caller's connection.
+class CallerConnection
+{
+public:
+    explicit CallerConnection(const Endpoint &endpoint)
+        : m_socket(m_context)
+    {
+        m_socket.connect({boost::asio::ip::make_address(endpoint.address), endpoint.port});
+    }
+
+    /// Sends bytes and reads until the connection is closed, or until @p until is seen.
+    std::string talk(const std::string &bytes, const std::string &until = {})
+    {
+        boost::asio::write(m_socket, boost::asio::buffer(bytes));
+        std::string answer;
+        boost::system::error_code error;
+        while (!error && (until.empty() || answer.find(until) == std::string::npos)) {
+            std::array<char, 4096> chunk {};
+            const auto count = m_socket.read_some(boost::asio::buffer(chunk), error);
+            answer.append(chunk.data(), count);
+        }
+        if (error && error != boost::asio::error::eof) {
+            answer += "[reset]";
+        }
+        return answer;
+    }
+
+private:
+    boost::asio::io_context m_context;
+    tcp::socket m_socket;
+};
+
 /// One running traffic thread; control's part is played by the test.
 class TrafficFixture
 {
@@ -156,25 +188,9 @@
     }
     void publish(const std::vector<Endpoint> &targets) { publish(testDocument(), targets, TimePoint::max()); }
 
+    const Endpoint &endpoint() const { return m_endpoint; }
     /// Sends bytes on a new connection and reads until it is closed, or until @p until is seen.
-    std::string talk(const std::string &bytes, const std::string &until = {})
-    {
-        boost::asio::io_context context;
-        tcp::socket socket(context);
-        socket.connect({boost::asio::ip::make_address(m_endpoint.address), m_endpoint.port});
-        boost::asio::write(socket, boost::asio::buffer(bytes));
-        std::string answer;
-        boost::system::error_code error;
-        while (!error && (until.empty() || answer.find(until) == std::string::npos)) {
-            std::array<char, 4096> chunk {};
-            const auto count = socket.read_some(boost::asio::buffer(chunk), error);
-            answer.append(chunk.data(), count);
-        }
-        if (error && error != boost::asio::error::eof) {
-            answer += "[reset]";
-        }
-        return answer;
-    }
+    std::string talk(const std::string &bytes, const std::string &until = {}) { return CallerConnection(m_endpoint).talk(bytes, until); }
 
     TokenAnswer tokenAnswer {true, {}, {}, nullptr};
 
