--- a/src/limits_owner.cpp
+++ b/src/limits_owner.cpp
@@ -13,7 +13,7 @@
 // The estimate of what an ideal bucket would admit must not fall behind one: by a clock that runs fast or slow.
 TeamLimits demandLimits(const TeamLimits &limits)
 {
-    return {limits.rate * (1 + 3 * config::MaxClockDrift), limits.burst};
+    return {limits.rate * (1 + config::MaxClockDrift), limits.burst};
 }
 
 std::uint32_t wholeTokens(double tokens)
@@ -94,8 +94,9 @@
         known->second.demand.setLimits(demandLimits(part));
         return known->second;
     }
-    const double filled = part.rate * seconds(std::max(now - tenure.from, Duration(0)));
-    Part fresh {PartBucket(part, filled, now), PartBucket(demandLimits(part), part.burst, now), tenure.since, now, false, {}, {}, {}};
+    PartBucket bucket(part, 0, std::min(tenure.from, now));
+    bucket.advance(now);
+    Part fresh {bucket, PartBucket(demandLimits(part), part.burst, now), tenure.since, now, false, {}, {}, {}};
     return m_parts.insert_or_assign(key, std::move(fresh)).first->second;
 }
 
@@ -223,7 +224,7 @@
         }
         auto &part = partFor(entry.key, entry.limits, entry.tenure, now);
         expire(part, now);
-        parts.push_back({entry.key.team, entry.key.part, part.bucket.available(), part.bucket.outstanding()});
+        parts.push_back({entry.successor, entry.key.team, entry.key.part, part.bucket.available(), part.bucket.outstanding()});
     }
     m_stopped = true;
     m_parts.clear();
@@ -231,10 +232,13 @@
 }
 
 // The balance is only right as long as nothing was granted since the last owner gave it up. What that owner had granted
-// stays outstanding until it must have expired. A hand-over of an earlier term of this part is told by its epoch.
-bool LimitsOwner::acceptHandOver(const HandOver &message, std::uint64_t senderEpoch, const TeamLimits &limits, const Tenure &tenure, TimePoint now)
+// stays outstanding until it must have expired. A hand-over of an earlier term of this part is told by its epoch, and one
+// that an earlier incarnation may have used by the successor's name.
+bool LimitsOwner::acceptHandOver(const MemberId &self, const HandOver &message, std::uint64_t senderEpoch, const TeamLimits &limits, const Tenure &tenure,
+                                 TimePoint now)
 {
-    if (m_stopped || !tenure.mayAct || senderEpoch + 1 < tenure.since || message.outstanding < 0) {
+    const bool mine = message.successor == self && tenure.mayAct && !m_stopped;
+    if (!mine || senderEpoch + 1 < tenure.since || message.outstanding < 0) {
         return false;
     }
     auto &part = partFor({message.team, message.part}, limits, tenure, now);
