Fault rows for stale tokens and for two documents side by side

Cause: taking out the expiry check of allowances, or the wait of grown limits, was seen by unit tests alone. Rows end with full buckets and a burst now.

--- a/tests/fuzz_limits.cpp
+++ b/tests/fuzz_limits.cpp
@@ -48,9 +48,9 @@
     return {{{"large"}, {40, 30}}, {{"middle"}, {20, 10}}, {{"small"}, {5, 3}}, {{"single"}, {1, 1}}};
 }
 
-// Requests come at twice the rate for a while, so that the bound is pressed, then not at all, so that buckets fill.
 constexpr auto LoadPeriod = 700ms;
 
+// Requests come at twice the rate for a while, so that the bound is pressed, then not at all, so that buckets fill.
 void offerLoad(LimitsFleet &fleet, std::size_t team, TimePoint end)
 {
     constexpr double Excess = 2;
@@ -58,7 +58,7 @@
     const auto next = fleet.now() + std::min<Duration>(gap, 1s);
     if (next < end) {
         fleet.schedule(next, [&fleet, team, end] {
-            if ((fleet.now().time_since_epoch() / LoadPeriod + std::int64_t(team)) % 2 == 0) {
+            if ((fleet.now().time_since_epoch() / LoadPeriod + std::int64_t(team)) % 3 == 0) {
                 fleet.arrive(team, fleet.pick(Daemons));
             }
             offerLoad(fleet, team, end);
@@ -83,7 +83,10 @@
     case Fault::Pause:
         return fleet.pause(step.daemon);
     case Fault::Resume:
-        return fleet.resume(step.daemon, [&] { sendBurst(fleet, step.team, step.daemon, step.value); });
+        return fleet.resume(step.daemon, [&] {
+            sendBurst(fleet, step.team, step.daemon, step.value);
+            sendBurst(fleet, step.team, (step.daemon + 1) % Daemons, step.value);
+        });
     case Fault::CutIncoming:
         return fleet.isolate(step.daemon, true, false);
     case Fault::CutOutgoing:
@@ -141,7 +144,7 @@
         fleet.run(600ms);
         for (const auto &step : steps) {
             doStep(fleet, step);
-            fleet.run(fromSeconds(fleet.uniform(0, 0.6)));
+            fleet.run(fromSeconds(fleet.uniform(0, 0.8)));
         }
         for (unsigned i = 0; i < Daemons; ++i) {
             fleet.resume(i);
--- a/tests/matrix_limits.cpp
+++ b/tests/matrix_limits.cpp
@@ -45,6 +45,7 @@
 
 constexpr unsigned Daemons = 5;
 constexpr auto FaultTime = 3s;
+constexpr auto Quiet = 1s; ///< without load before the fault ends: buckets are full then
 constexpr auto Recovery = 4s;
 
 /// One row: the fault strikes one party of the first such step after a second of load.
@@ -60,7 +61,8 @@
 
     void run()
     {
-        const auto end = m_fleet.now() + 1s + FaultTime + Recovery;
+        m_healAt = m_fleet.now() + 1s + FaultTime;
+        const auto end = m_healAt + Recovery;
         for (std::size_t team = 0; team < 2; ++team) {
             offer(team, team == 0 ? 72 : 10, end);
         }
@@ -116,7 +118,9 @@
         const auto next = m_fleet.now() + fromSeconds(-std::log(m_fleet.uniform(1e-9, 1)) / rate);
         if (next < end) {
             m_fleet.schedule(next, [this, team, rate, end] {
-                m_fleet.arrive(team, m_fleet.pick(Daemons));
+                if (m_fleet.now() < m_healAt - Quiet || m_fleet.now() >= m_healAt) {
+                    m_fleet.arrive(team, m_fleet.pick(Daemons));
+                }
                 offer(team, rate, end);
             });
         }
@@ -189,7 +193,17 @@
         if (m_fault == Fault::Crash || m_fault == Fault::TwoAtOnce) {
             m_fleet.restart(m_victim);
         } else {
-            m_fleet.resume(m_victim);
+            m_fleet.resume(m_victim, [this] { burst(); });
+        }
+        burst();
+    }
+    // Whatever tokens were left over from before the fault would be spent now, on top of full buckets.
+    void burst()
+    {
+        for (unsigned i = 0; i < Daemons; ++i) {
+            for (unsigned n = 0; n < 30; ++n) {
+                m_fleet.arrive(0, (m_victim + i) % Daemons);
+            }
         }
     }
 
@@ -197,6 +211,7 @@
     const Fault m_fault;
     const Step m_step;
     LimitsFleet m_fleet;
+    TimePoint m_healAt;
     bool m_struck = false;
     unsigned m_victim = 0;
     unsigned m_second = 0;
@@ -231,3 +246,25 @@
 {
     runRows(Party::Holder);
 }
+
+// Owners with the old document go on for a while beside owners with the new one, and the team's bucket is cut differently.
+TEST(MatrixLimits, DocumentVersionsSideBySide)
+{
+    const TeamLimits onePart {40, 5};
+    const TeamLimits manyParts {40, 40};
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        FleetOptions options;
+        options.daemons = Daemons;
+        options.seed = seed;
+        LimitsFleet fleet(options, {{{"team"}, seed % 2 == 0 ? onePart : manyParts}});
+        for (auto at = TimePoint {}; at < TimePoint {} + 7s; at += 5ms) {
+            fleet.schedule(at, [&fleet] { fleet.arrive(0, fleet.pick(Daemons)); });
+        }
+        fleet.run(1s);
+        fleet.changeLimits(0, seed % 2 == 0 ? manyParts : onePart);
+        fleet.run(8s);
+        std::printf("limits | document versions side by side, seed %u | overshoot %.3g\n", seed, fleet.overshoot());
+        CHECK(fleet.overshoot() <= 1e-6);
+        LONGS_EQUAL(0, fleet.waiting());
+    }
+}
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -192,6 +192,8 @@
     successor.tick(T0 + 400ms);
     DOUBLES_EQUAL(6, *successor.available({Acme, 0}), 1e-9);
     CHECK(!successor.acceptHandOver(Successor, parts[0], 1, OnePart, term, T0 + 1ms));
+    successor.tick(T0 + config::GrantLifetime + config::GrantExpiryMargin + 1s);
+    DOUBLES_EQUAL(7, *successor.available({Acme, 0}), Tolerance);
 }
 
 TEST(LimitsOwner, HandOverIsRefusedAfterAGrantAndWhenStale)
