--- a/tools/bench_limits.cpp
+++ b/tools/bench_limits.cpp
@@ -8,6 +8,8 @@
 #include <cstdio>
 #include <ctime>
 
+#include <malloc.h>
+
 /// Measures the team limits on simulated time: wrongful refusals, overshoot, fairness and the cost of control.
 namespace
 {
@@ -450,6 +452,58 @@
     print(name + "_bytes_sent", traffic.bytes / daemonSeconds, "B/s");
     print(name + "_cpu_with_model", 100 * cpu / daemonSeconds, "%core");
 }
+std::size_t heapBytes()
+{
+    return mallinfo2().uordblks;
+}
+
+double cpuSeconds()
+{
+    return double(std::clock()) / CLOCKS_PER_SEC;
+}
+
+/// Processor time and memory of one daemon's state machines alone, without the model around them.
+void measureState(unsigned teams)
+{
+    const TeamLimits limits {100, 5};
+    const MemberId self {{"entry-1"}, 1};
+    const Tenure tenure {true, 1, TimePoint {}};
+    LimitsOwner owner;
+    LimitsHolder holder(1);
+    const auto start = TimePoint {} + 1000s;
+    const auto heapBefore = heapBytes();
+    std::vector<SendGrantRequest> requests;
+    const auto holderBefore = cpuSeconds();
+    for (unsigned i = 0; i < teams; ++i) {
+        const TeamName team {"team-" + std::to_string(i)};
+        for (auto &effect : holder.wantToken(team, limits, i, start + 1s, start)) {
+            requests.push_back(std::get<SendGrantRequest>(std::move(effect)));
+        }
+    }
+    const auto holderHeap = heapBytes();
+    const auto ownerBefore = cpuSeconds();
+    std::vector<Grant> grants;
+    for (const auto &entry : requests) {
+        grants.push_back(*owner.onGrantRequest(self, entry.message, limits, tenure, start));
+    }
+    const auto ownerAfter = cpuSeconds();
+    const auto ownerHeap = heapBytes();
+    for (const auto &grant : grants) {
+        holder.onGrant(grant, 1, start + 1ms);
+    }
+    const auto tickBefore = cpuSeconds();
+    constexpr unsigned Ticks = 100;
+    for (unsigned i = 1; i <= Ticks; ++i) {
+        holder.tick(start + 10ms + 1us * i);
+    }
+    const auto tickAfter = cpuSeconds();
+    const auto name = "state_" + std::to_string(teams) + "_active_teams";
+    print(name + "_holder_cpu_per_request", 1e6 * (ownerBefore - holderBefore + tickBefore - ownerAfter) / teams, "us");
+    print(name + "_owner_cpu_per_request", 1e6 * (ownerAfter - ownerBefore) / teams, "us");
+    print(name + "_holder_cpu_per_team_and_tick", 1e9 * (tickAfter - tickBefore) / Ticks / teams, "ns");
+    print(name + "_holder_memory_per_team", double(holderHeap - heapBefore) / teams, "B");
+    print(name + "_owner_memory_per_part", double(ownerHeap - holderHeap) / teams, "B");
+}
 }
 
 int main(int argc, const char **argv)
@@ -485,5 +539,8 @@
     for (const unsigned teams : {10U, 100U, 400U}) {
         measureCost(base, teams);
     }
+    for (const unsigned teams : {1000U, 10000U}) {
+        measureState(teams);
+    }
     return 0;
 }
