A known later document ends the trust in the held one

A daemon that hears its peers' pulses but can't fetch, and reads a lagging replica of the store, went on trusting a withdrawn key. Found by the new row 'cut to peers and stale read'.

--- a/include/plumsill/environment.h
+++ b/include/plumsill/environment.h
@@ -167,6 +167,7 @@
     std::shared_ptr<const HeldDocument> m_held;
     std::optional<TimePoint> m_confirmed;
     std::set<DocumentStamp> m_invalid; ///< offers whose text was bad
+    std::optional<DocumentStamp> m_latest; ///< highest that a member told of
     std::optional<DocumentStamp> m_fetching;
     TimePoint m_fetchSent;
 };
--- a/src/document_holder.cpp
+++ b/src/document_holder.cpp
@@ -42,8 +42,13 @@
     return {AdoptDocument {m_held}};
 }
 
+// Who knows of a later document that it can't get must not go on trusting the keys of the one it holds,
+// whatever a lagging replica of the store says.
 void DocumentHolder::confirm(TimePoint since)
 {
+    if (m_latest && higher(*m_latest) && !m_invalid.contains(*m_latest)) {
+        return;
+    }
     m_confirmed = m_confirmed ? std::max(*m_confirmed, since) : since;
 }
 
@@ -69,6 +74,9 @@
     if (!higher(stamp) || m_invalid.contains(stamp)) {
         return {};
     }
+    if (!m_latest || stamp.version > m_latest->version) {
+        m_latest = stamp;
+    }
     const bool asked = m_fetching && m_fetching->version >= stamp.version && now < m_fetchSent + config::DocumentFetchRetry;
     if (asked) {
         return {};
--- a/tests/matrix_environment.cpp
+++ b/tests/matrix_environment.cpp
@@ -341,6 +341,12 @@
         {"store down", [](Fleet &fleet, Daemon &) { fleet.storeUp = false; }, healed},
         {"store slow", [](Fleet &, Daemon &daemon) { daemon.storeDelay = 3s; }, healed},
         {"stale read", [](Fleet &, Daemon &daemon) { daemon.storeStale = true; }, healed},
+        {"cut to peers and stale read",
+         [](Fleet &, Daemon &daemon) {
+             daemon.isHeard = false;
+             daemon.storeStale = true;
+         },
+         healed, false},
         {"cut both ways and store down",
          [cutPeers](Fleet &fleet, Daemon &daemon) {
              cutPeers(fleet, daemon);
