--- a/src/net_environment.cpp
+++ b/src/net_environment.cpp
@@ -93,7 +93,7 @@
     co_return StoredDocument {std::move(manifest.value()), std::move(text.value()), sent};
 }
 
-asio::awaitable<StoreResult<HolderEffects>> refreshDocument(StoreCaller store, std::string environment, DocumentHolder &holder)
+asio::awaitable<StoreResult<Refreshed>> refreshDocument(StoreCaller store, std::string environment, DocumentHolder &holder)
 {
     const auto sent = RuntimeClock::now();
     auto manifest = co_await readManifest(store, environment);
@@ -102,12 +102,12 @@
     }
     const auto stamp = manifest.value().stamp;
     if (holder.confirmedByStore(stamp, sent)) {
-        co_return HolderEffects {};
+        co_return Refreshed {stamp, sent, {}};
     }
     const auto text = co_await readText(store, environment, std::move(manifest.value()));
     if (text.has_error()) {
         co_return text.error();
     }
-    co_return holder.offeredByStore(stamp, text.value(), sent);
+    co_return Refreshed {stamp, sent, holder.offeredByStore(stamp, text.value(), sent)};
 }
 }
