Members say that they serve; larger store call budget

Cause: a watcher's list polls used up its whole call budget (2/s), so an operator's put waited 15 s. Change: 10 calls/s, burst 40 for one daemon; the fleet's idle rate is set by the polling intervals.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -105,8 +105,8 @@
 inline constexpr auto StoreCallTimeout = 2000ms;
 inline constexpr auto WatchBookmarkInterval = 1000ms;
 inline constexpr unsigned WatchBookmarksMissed = 3;
-inline constexpr double StoreCallsPerSecond = 2.0;
-inline constexpr double StoreCallBurst = 10.0;
+inline constexpr double StoreCallsPerSecond = 10.0;
+inline constexpr double StoreCallBurst = 40.0;
 inline constexpr unsigned WatchersPerCell = 3;
 
 // Requests.
--- a/src/control_p.h
+++ b/src/control_p.h
@@ -134,6 +134,7 @@
     unsigned m_handOverRounds = 0;
     TimePoint m_nextHandOver;
     bool m_leaving = false;
+    bool m_serving = false;
 };
 
 /// Health of targets: this daemon's evidence and view, and the services that it judges.
@@ -212,6 +213,7 @@
     void publishSoon() { m_publishDue = true; }
 
 private:
+    void noteServing(TimePoint now);
     void publish(TimePoint now);
 
     boost::asio::io_context &m_context;
@@ -228,5 +230,6 @@
     std::unordered_map<ServiceName, std::shared_ptr<const ServiceView>> m_views;
     bool m_publishDue = true;
     bool m_leaving = false;
+    bool m_serving = false;
 };
 }
--- a/src/net_control.cpp
+++ b/src/net_control.cpp
@@ -124,6 +124,7 @@
         co_await sleepFor(config::ControlTick);
         const TimePoint now = RuntimeClock::now();
         m_document.confirm();
+        noteServing(now);
         if (m_publishDue || now - lastAt >= config::PublishInterval) {
             publish(now);
             lastAt = now;
@@ -131,6 +132,16 @@
     }
 }
 
+// Serving once keys can be trusted: before that, callers would only be refused.
+void Control::noteServing(TimePoint now)
+{
+    if (!m_serving && ready(now)) {
+        m_serving = true;
+        m_membership.membership().serving();
+        logInfo(LogPart::Supervisor, "serving");
+    }
+}
+
 void Control::publish(TimePoint now)
 {
     m_publishDue = false;
