--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -21,9 +21,11 @@
 inline constexpr auto RosterPollInterval = 2000ms;
 inline constexpr auto RosterFetchTimeout = 1000ms;
 inline constexpr auto RosterWriteTimeout = 5000ms;
-inline constexpr auto MemberRemoveAfter = 10'000ms;
+inline constexpr auto MemberRemoveAfter = 5000ms;
 inline constexpr auto DelistedAfter = 5000ms;
 inline constexpr auto NeverListedAfter = 60'000ms;
+inline constexpr auto HandOverRepeat = 200ms;
+inline constexpr auto HandOverRepeatFor = 3000ms;
 inline constexpr auto CandidateLifetime = 3000ms;
 inline constexpr auto PeerForgetAfter = 60'000ms;
 inline constexpr auto AnswerNowAfter = 1500ms;
@@ -139,7 +141,6 @@
 
 // Control thread.
 inline constexpr auto ControlTick = 100ms;
-inline constexpr unsigned HandOverRounds = 3;
 inline constexpr auto PublishInterval = 1000ms;
 inline constexpr auto ListIntervalWatcher = 1000ms;
 inline constexpr auto ListInterval = 10'000ms;
--- a/src/control_p.h
+++ b/src/control_p.h
@@ -130,8 +130,8 @@
     std::unordered_map<TeamName, TeamLimits> m_limits;
     std::unordered_map<WaiterId, Waiting> m_waiting;
     std::map<PartKey, Tenure> m_tenures; ///< of parts asked for since they were last dropped
-    std::vector<HandOver> m_handOvers; ///< sent a few times, as datagrams get lost
-    unsigned m_handOverRounds = 0;
+    std::vector<HandOver> m_handOvers; ///< repeated until m_handOverUntil
+    std::optional<TimePoint> m_handOverUntil; ///< none before the parts were given up
     TimePoint m_nextHandOver;
     bool m_leaving = false;
     bool m_serving = false;
--- a/tests/test_codec.cpp
+++ b/tests/test_codec.cpp
@@ -57,21 +57,21 @@
     const ServiceName service {anyText()};
     switch (*rc::gen::inRange(0, 12)) {
     case 0:
-        return Pulse {anyNumber(), anyNumber(), true, anyState(), ZoneName {anyText()}, {anyText(), 1}, anyStamp(), true, anyNumber(), {{anyText()}}};
+        return Pulse {anyNumber(), anyNumber(), true, anyState(), ZoneName {anyText()}, {anyText(), 1}, anyStamp(), true, anyNumber(), {{TargetName {anyText()}, {anyText(), 8}}}};
     case 1:
         return PulseAck {anyNumber(), anyState(), anyStamp(), false, anyNumber()};
     case 2:
-        return GrantRequest {anyNumber(), team, anySmallNumber(), anySmallNumber(), anySmallNumber(), {anyNumber(), anyNumber()}};
+        return GrantRequest {anyNumber(), team, 1, anySmallNumber(), anySmallNumber(), anySmallNumber(), {{anyNumber(), anySmallNumber(), anySmallNumber()}}};
     case 3:
-        return Grant {anyNumber(), team, anySmallNumber(), anySmallNumber(), anySmallNumber()};
+        return Grant {anyNumber(), team, anySmallNumber(), GrantStatus::OverRate, anySmallNumber(), anySmallNumber(), anySmallNumber()};
     case 4:
-        return GiveBack {anyNumber(), team, anySmallNumber(), anySmallNumber()};
+        return GiveBack {team, anySmallNumber(), {{anyNumber(), anySmallNumber(), anySmallNumber()}}};
     case 5:
-        return HandOver {team, anySmallNumber(), *rc::gen::arbitrary<double>()};
+        return HandOver {{InstanceName {anyText()}, anyNumber()}, team, anySmallNumber(), *rc::gen::arbitrary<double>(), 2.5};
     case 6:
-        return HealthDigest {anyNumber(), service, {{TargetName {anyText()}, 1, 2, 3, 4, 5, anySmallNumber(), -1.5, 2.5}}};
+        return HealthDigest {anyNumber(), service, {{TargetName {anyText()}, 1, 2, 3, 4, 5, 6, 7, 65535, -1.5F}}};
     case 7:
-        return Verdict {anyNumber(), service, {{TargetName {anyText()}, anySmallNumber()}}};
+        return Verdict {anyNumber(), service, {{TargetName {anyText()}, anySmallNumber()}}, anySmallNumber()};
     case 8:
         return DocumentRequest {anyStamp()};
     case 9:
