Tokens for waiting requests are charged without a report

Cause: three datagrams for each request of a small team. Ruled out: charging at the grant (breaks the bound).

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -21,7 +21,8 @@
 // Team limits.
 inline constexpr auto GrantLifetime = 500ms;
 inline constexpr double MaxClockDrift = 0.001; // share of a measured time; slewed clocks stay below it
-inline constexpr auto GrantExpiryMargin = 10ms; // drift over one lifetime, and rounding
+inline constexpr auto GrantExpiryMargin = 2ms; // drift of two clocks over one lifetime, and rounding
+inline constexpr auto WaitingTokenLifetime = 50ms; // of tokens for requests that wait: used on receipt or not at all
 inline constexpr unsigned TeamParts = 8;
 inline constexpr double MinPartBurst = 6.0; // tokens; a team with less than two parts of this size has one part
 inline constexpr auto LimitsTick = 10ms;
--- a/include/plumsill/limits.h
+++ b/include/plumsill/limits.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -39,6 +40,9 @@
 /// Limits of one part, zero for one that doesn't exist; the parts' sum is the whole.
 TeamLimits partLimits(const TeamLimits &limits, std::uint32_t part, unsigned most = config::TeamParts);
 
+/// Time from the sending of a request to the expiry of the tokens granted for it.
+Duration grantLifetime(const GrantRequest &request, const Grant &grant);
+
 /// A daemon's right to act as owner of one part.
 struct Tenure {
     bool mayAct = false; ///< confirmed now, and the wait is over or the part was handed over
@@ -150,6 +154,8 @@
     struct Expiry {
         TimePoint at;
         GrantId id;
+
+        auto operator<=>(const Expiry &) const = default;
     };
     struct Inherited {
         double tokens = 0;
@@ -162,8 +168,9 @@
         TimePoint lastUse;
         bool granted = false;
         std::optional<Inherited> inherited;
-        std::map<GrantId, Answer> answers;
-        std::deque<Expiry> expiries;
+        std::map<GrantId, Answer> answers; ///< kept as long as a repeated request may come
+        std::deque<Expiry> forgetting; ///< of answers
+        std::set<Expiry> expiries; ///< of tokens
     };
     struct Change {
         std::vector<TeamLimits> before;
@@ -177,6 +184,7 @@
     TeamLimits limitsOf(const PartKey &key, const TeamLimits &limits, TimePoint now) const;
     Part &partFor(const PartKey &key, const TeamLimits &limits, const Tenure &tenure, TimePoint now);
     void expire(Part &part, TimePoint now);
+    static void expireTokens(Part &part, TimePoint now);
     static bool idle(const Part &part, TimePoint now);
     static void settle(Part &part, const MemberId &holder, const std::vector<GrantReport> &reports);
     static void promise(Part &part, const GrantRequest &request, bool single, Grant &answer);
--- a/include/plumsill/messages.h
+++ b/include/plumsill/messages.h
@@ -94,7 +94,7 @@
     NotActing, ///< this daemon doesn't act for the part now
 };
 
-/// Tokens that may be spent from `delayMilliseconds` after receipt until GrantLifetime after the request was sent.
+/// Tokens that may be spent from `delayMilliseconds` after receipt until grantLifetime() after the request was sent.
 struct Grant {
     std::uint64_t id = 0; ///< of the request
     TeamName team;
--- a/src/limits_bucket.cpp
+++ b/src/limits_bucket.cpp
@@ -18,6 +18,16 @@
     return part < parts ? TeamLimits {limits.rate / parts, limits.burst / parts} : TeamLimits {};
 }
 
+// Tokens that were granted for waiting requests alone are used on receipt. With a short lifetime they need no report: the
+// owner charges them soon by itself.
+Duration grantLifetime(const GrantRequest &request, const Grant &grant)
+{
+    if (grant.tokens > request.waiting) {
+        return config::GrantLifetime;
+    }
+    return config::WaitingTokenLifetime + std::chrono::milliseconds(grant.delayMilliseconds);
+}
+
 std::vector<LimitsChange> changedLimits(const Document &before, const Document &after)
 {
     std::map<TeamName, LimitsChange> teams;
--- a/src/limits_owner.cpp
+++ b/src/limits_owner.cpp
@@ -96,25 +96,35 @@
     }
     PartBucket bucket(part, 0, std::min(tenure.from, now));
     bucket.advance(now);
-    Part fresh {bucket, PartBucket(demandLimits(part), part.burst, now), tenure.since, now, false, {}, {}, {}};
+    Part fresh {bucket, PartBucket(demandLimits(part), part.burst, now), tenure.since, now, false, {}, {}, {}, {}};
     return m_parts.insert_or_assign(key, std::move(fresh)).first->second;
 }
 
-void LimitsOwner::expire(Part &part, TimePoint now)
+void LimitsOwner::expireTokens(Part &part, TimePoint now)
 {
-    part.bucket.advance(now);
     if (part.inherited && part.inherited->expiry <= now) {
         part.bucket.spent(part.inherited->tokens, now - part.inherited->expiry);
         part.inherited.reset();
     }
-    while (!part.expiries.empty() && part.expiries.front().at <= now) {
-        const auto &expiry = part.expiries.front();
-        const auto answer = part.answers.find(expiry.id);
-        part.bucket.spent(answer->second.open, now - expiry.at);
-        auto &forgotten = m_forgotten[expiry.id.holder];
-        forgotten = {std::max(forgotten.id, expiry.id.id), now};
-        part.answers.erase(answer);
-        part.expiries.pop_front();
+    while (!part.expiries.empty() && part.expiries.begin()->at <= now) {
+        const auto &expiry = *part.expiries.begin();
+        auto &answer = part.answers.at(expiry.id);
+        part.bucket.spent(answer.open, now - expiry.at);
+        answer.open = 0;
+        part.expiries.erase(part.expiries.begin());
+    }
+}
+
+void LimitsOwner::expire(Part &part, TimePoint now)
+{
+    part.bucket.advance(now);
+    expireTokens(part, now);
+    while (!part.forgetting.empty() && part.forgetting.front().at <= now) {
+        const auto &id = part.forgetting.front().id;
+        auto &forgotten = m_forgotten[id.holder];
+        forgotten = {std::max(forgotten.id, id.id), now};
+        part.answers.erase(id);
+        part.forgetting.pop_front();
     }
 }
 
@@ -187,7 +197,10 @@
     part.lastUse = now;
     part.granted = part.granted || answer.tokens > 0;
     part.answers.emplace(id, Answer {answer, answer.tokens});
-    part.expiries.push_back({now + AnswerLifetime, id});
+    part.forgetting.push_back({now + AnswerLifetime, id});
+    if (answer.tokens > 0) {
+        part.expiries.insert({now + grantLifetime(request, answer) + config::GrantExpiryMargin, id});
+    }
     return answer;
 }
 
--- a/src/limits_p.h
+++ b/src/limits_p.h
@@ -57,6 +57,7 @@
         std::uint32_t part = 0;
         TimePoint receivedAt;
         TimePoint expiry;
+        bool reported = true; ///< false: the owner charges it by itself unless tokens come back
         std::optional<std::size_t> slot;
         std::uint32_t delayed = 0;
         std::uint32_t unspent = 0;
--- a/src/limits_stock.cpp
+++ b/src/limits_stock.cpp
@@ -23,7 +23,9 @@
     if (grant.tokens == 0) {
         return;
     }
-    Held held {grant.id, grant.part, call.now, batch.sentAt + config::GrantLifetime, {}, 0, 0, call.now};
+    const auto lifetime = grantLifetime(batch.request, grant);
+    const bool reported = lifetime == config::GrantLifetime;
+    Held held {grant.id, grant.part, call.now, batch.sentAt + lifetime, reported, {}, 0, 0, call.now};
     auto tokens = grant.tokens;
     const Duration delay = std::chrono::milliseconds(grant.delayMilliseconds);
     const auto served = std::min<std::size_t>(tokens, batch.waiters.size());
@@ -94,6 +96,9 @@
 
 void LimitsHolder::Team::report(const Held &held, TimePoint now)
 {
+    if (!held.reported && held.unspent == 0) {
+        return;
+    }
     const auto delay = held.unspent > 0 ? Duration(config::GrantReportDelayMin) : reportDelay(m_limits);
     m_reports.push_back({held.part, {held.id, held.unspent, 0}, held.lastSpent, now + delay});
 }
--- a/src/limits_team.cpp
+++ b/src/limits_team.cpp
@@ -147,9 +147,13 @@
     call.effects.push_back(SendGrantRequest {batch.request});
 }
 
-// The owner repeats its answer to a repeated id, so a lost answer costs no token.
+// The owner repeats its answer to a repeated id, so a lost answer costs no token while that token is valid.
 void LimitsHolder::Team::resend(Batch &batch, LimitsCall &call)
 {
+    if (call.now >= batch.sentAt + config::WaitingTokenLifetime) {
+        send(batch, batch.request.part, call);
+        return;
+    }
     batch.timeout = call.now + config::GrantTimeout;
     call.effects.push_back(SendGrantRequest {batch.request});
 }
@@ -162,7 +166,7 @@
         onLateGrant(grant, stale, call);
         return;
     }
-    if (stale || grant.status == GrantStatus::NotActing || call.now >= batch->sentAt + config::GrantLifetime) {
+    if (stale || grant.status == GrantStatus::NotActing || call.now >= batch->sentAt + grantLifetime(batch->request, grant)) {
         fail(batch, config::NoOwnerPause, call);
         return;
     }
--- a/tools/bench_limits.cpp
+++ b/tools/bench_limits.cpp
@@ -483,6 +483,7 @@
     const auto holderHeap = heapBytes();
     const auto ownerBefore = cpuSeconds();
     std::vector<Grant> grants;
+    grants.reserve(requests.size());
     for (const auto &entry : requests) {
         grants.push_back(*owner.onGrantRequest(self, entry.message, limits, tenure, start));
     }
