--- a/tests/fuzz_environment.cpp
+++ b/tests/fuzz_environment.cpp
@@ -1,3 +1,4 @@
+#include "fuzz_settings.h"
 #include "operator_run.h"
 
 #include <rapidcheck.h>
@@ -179,6 +180,7 @@
 
 TEST(FuzzEnvironment, OneHighestVersionAndOneWinnerPerReplacedVersion)
 {
+    fuzzSettings(1000);
     const bool holds = rc::check("operators race under faults", [] {
         const auto moves = *rc::gen::resize(400, rc::gen::container<std::vector<Move>>(genMove()));
         Race race;
--- /dev/null
+++ b/tests/process_store.cpp
@@ -0,0 +1,109 @@
+#include "child_process.h"
+#include "environment_p.h"
+#include "standin_p.h"
+
+#include <boost/asio.hpp>
+
+#include <memory>
+
+// Last, since its macros replace "new".
+#include <CppUTest/TestHarness.h>
+
+using namespace plumsill;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+/// Store client and operators' changes against the stand-in for the platform's service, a process of its own.
+TEST_GROUP(ProcessStore)
+{
+    const std::string text = "[service s]\nfloor = 50%\n[route r]\nprefix = /\nservice = s\nidempotent = yes\naccess = open\n";
+    ChildProcess process {"standin-platform", {}};
+    Endpoint platform = standin::readyEndpoint(process.line(), "http");
+    asio::io_context loop;
+    StoreConnection store {StoreSettings {platform, 1000, 1000}};
+
+    void faults(const std::string &json)
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = "/control/faults";
+        request.body = json;
+        CHECK(exchangeOnce(platform, std::move(request), 5s).has_value());
+    }
+    void run(const std::function<asio::awaitable<void>()> &work)
+    {
+        asio::co_spawn(loop, work, [](std::exception_ptr error) { CHECK(!error); });
+        loop.restart();
+        loop.run();
+    }
+    ChangeReply put(std::uint64_t replaces)
+    {
+        ChangeReply reply;
+        run([&]() -> asio::awaitable<void> {
+            ChangeOrder order {PutRequest {text, replaces}, "ann", "now", "write-" + std::to_string(replaces), TrialEnvironment, 0};
+            const HoldersQuery holders = [](const DocumentStamp &) { return Holders {1, 1}; };
+            const StoreCaller caller = callerOf(store);
+            reply = co_await runChange(std::move(order), caller, holders);
+        });
+        return reply;
+    }
+};
+
+TEST(ProcessStore, ChangeIsAcceptedAlthoughAnswersAreLost)
+{
+    faults(R"({"lose_answers": 3})");
+    CHECK(put(0).outcome == ChangeOutcome::Accepted);
+    CHECK(put(0).outcome == ChangeOutcome::Conflict);
+    run([&]() -> asio::awaitable<void> {
+        const StoreCaller caller = callerOf(store);
+        const auto stored = co_await readDocument(caller, TrialEnvironment);
+        CHECK(stored.value().text == text);
+        LONGS_EQUAL(1, stored.value().manifest.stamp.version);
+    });
+}
+
+TEST(ProcessStore, OutageBeforeTheWriteIsARefusal)
+{
+    faults(R"({"down": true})");
+    CHECK(put(0).outcome == ChangeOutcome::Refused);
+    faults(R"({"down": false})");
+    CHECK(put(0).outcome == ChangeOutcome::Accepted);
+}
+
+TEST(ProcessStore, StaleReadIsDiscarded)
+{
+    put(0);
+    put(1);
+    run([&]() -> asio::awaitable<void> {
+        const auto fresh = co_await store.read(manifestKey(TrialEnvironment));
+        CHECK(fresh.has_value());
+    });
+    faults(R"({"stale_reads": true})");
+    run([&]() -> asio::awaitable<void> {
+        const auto stale = co_await store.read(manifestKey(TrialEnvironment));
+        CHECK(stale.error().fault == StoreFault::Stale);
+    });
+}
+
+TEST(ProcessStore, WatchTellsChangesAndEndsWhenItGoesSilent)
+{
+    std::vector<std::string> keys;
+    Duration silence {};
+    const std::function<void(const WatchEvent &)> handler = [&](const WatchEvent &event) {
+        if (const auto *put = std::get_if<ObjectPut>(&event)) {
+            keys.push_back(put->object.key);
+            faults(R"({"silent_watch": true})");
+            silence = -RuntimeClock::now().time_since_epoch();
+        }
+    };
+    run([&]() -> asio::awaitable<void> {
+        const auto created = co_await store.create("a/1", "x");
+        CHECK(created.has_value());
+        const auto end = co_await store.watch("a/", created.value().version - 1, handler);
+        CHECK(end.fault == StoreFault::NoAnswer);
+        silence += RuntimeClock::now().time_since_epoch();
+    });
+    CHECK((keys == std::vector<std::string> {"a/1"}));
+    const Duration limit = config::WatchBookmarksMissed * config::WatchBookmarkInterval;
+    CHECK_TEXT(silence >= limit - 100ms && silence <= limit + config::WatchBookmarkInterval, std::to_string(seconds(silence)).c_str());
+}
