--- a/include/plumsill/balancer.h
+++ b/include/plumsill/balancer.h
@@ -49,6 +49,7 @@
 
 private:
     std::optional<std::size_t> drawPartial(const std::vector<Candidate> &candidates);
+    std::optional<std::size_t> anyFull(const std::vector<Candidate> &candidates);
     std::optional<std::size_t> leastLatency(const std::vector<Candidate> &candidates, double minWeight);
 
     std::mt19937_64 m_random;
--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -38,7 +38,8 @@
 inline constexpr auto ColdStartGrace = 10'000ms; ///< slowness of a new target isn't counted
 inline constexpr std::uint32_t TrialPerMille = 100;
 inline constexpr auto EvidenceWindow = 3000ms; ///< time constant of the recent shares
-inline constexpr auto SuspicionWindow = 10'000ms; ///< time constant in which suspicion fades
+inline constexpr auto FailureSuspicionWindow = 10'000ms; ///< time constant in which suspicion of failures fades
+inline constexpr auto SlowSuspicionWindow = 4000ms; ///< the same for slowness: old lateness alone raises no alarm
 inline constexpr auto UnreachableMemory = 15'000ms; ///< longer than AvoidanceMax, so that a dead target stays known
 inline constexpr auto LatencyWindow = 20'000ms; ///< time constant of the usual latency
 inline constexpr auto DetectorRefreshInterval = 100ms;
@@ -48,7 +49,8 @@
 inline constexpr unsigned SilentRequestsBeforeAvoidance = 3;
 inline constexpr auto AvoidanceBase = 1000ms;
 inline constexpr auto AvoidanceMax = 10'000ms;
-inline constexpr auto LeavingAnnounceTime = 10'000ms;
+inline constexpr auto LeavingAnnounceTime = 30'000ms;
+inline constexpr std::size_t MaxLeavingInPulse = 16;
 inline constexpr auto LeavingForgetAfter = 30'000ms; ///< once the list no longer shows the target
 
 // Platform's service.
--- a/include/plumsill/detector.h
+++ b/include/plumsill/detector.h
@@ -158,7 +158,7 @@
     void noteSource(const EvidenceSource &source, TimePoint now);
     void refresh(TimePoint now);
     void forgetSources(TimePoint now);
-    void advanceSums(TestField field, double age, Duration alarmTime);
+    void advanceSums(TestField field, double age, Duration window, Duration alarmTime);
     void refreshUsual(TestField field, TimePoint now);
     void refreshSlowLimit(TimePoint now);
     void addSample(Test &test, const Sample &sample, double illShare, const std::string &group, TimePoint now) const;
--- a/include/plumsill/health.h
+++ b/include/plumsill/health.h
@@ -194,8 +194,8 @@
 
     /// A drain header, a refusal or a peer's pulse told that the target is leaving.
     void noteLeaving(const LeavingTarget &target, TimePoint now);
-    /// What the next pulse tells of leaving targets.
-    std::vector<LeavingTarget> leavingForPulse(TimePoint now) const;
+    /// What the next pulse tells of leaving targets; takes turns where they are many.
+    std::vector<LeavingTarget> leavingForPulse(TimePoint now);
     /// Listed targets of @p service with those seen leaving marked so, for HealthOwner.
     std::vector<Target> targets(const ServiceName &service) const;
 
@@ -247,6 +247,7 @@
     std::uint64_t m_epoch = 0;
     std::map<ServiceName, ServiceRecord> m_services;
     std::map<LeavingTarget, TimePoint> m_leaving; ///< to the first observation
+    std::size_t m_pulseTurn = 0;
     std::map<LeavingTarget, TimePoint> m_delisted; ///< leaving targets that the list no longer shows
 };
 }
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -19,6 +19,10 @@
 constexpr double FailureFactor = 2;
 constexpr double FailureLeast = 0.05; // seconds
 
+// Share of requests that go to any target: a target that looks slow must go on showing what it does, for the estimate
+// here and for the service's owner.
+constexpr double ExploreShare = 0.1;
+
 bool usable(const Candidate &candidate)
 {
     return !candidate.excluded && candidate.weight > 0;
@@ -87,6 +91,19 @@
     return std::nullopt;
 }
 
+std::optional<std::size_t> Balancer::anyFull(const std::vector<Candidate> &candidates)
+{
+    std::optional<std::size_t> found;
+    unsigned count = 0;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const bool full = usable(candidates[index]) && candidates[index].weight >= 1;
+        if (full && m_random() % ++count == 0) {
+            found = index;
+        }
+    }
+    return found;
+}
+
 std::optional<std::size_t> Balancer::leastLatency(const std::vector<Candidate> &candidates, double minWeight)
 {
     const double average = averageLatency(candidates);
@@ -117,6 +134,11 @@
     if (const auto partial = drawPartial(candidates)) {
         return partial;
     }
+    if (std::bernoulli_distribution(ExploreShare)(m_random)) {
+        if (const auto any = anyFull(candidates)) {
+            return any;
+        }
+    }
     const auto full = leastLatency(candidates, 1);
     return full ? full : leastLatency(candidates, 0);
 }
--- a/src/detector.cpp
+++ b/src/detector.cpp
@@ -236,9 +236,9 @@
         return;
     }
     const double age = m_refreshed ? seconds(now - *m_refreshed) : 0;
-    advanceSums(&TargetRecord::errors, age, m_thresholds.errorTime);
-    advanceSums(&TargetRecord::slowness, age, m_thresholds.slowTime);
-    advanceSums(&TargetRecord::connections, age, m_thresholds.errorTime);
+    advanceSums(&TargetRecord::errors, age, config::FailureSuspicionWindow, m_thresholds.errorTime);
+    advanceSums(&TargetRecord::slowness, age, config::SlowSuspicionWindow, m_thresholds.slowTime);
+    advanceSums(&TargetRecord::connections, age, config::FailureSuspicionWindow, m_thresholds.errorTime);
     m_refreshed = now;
     forgetSources(now);
     refreshUsual(&TargetRecord::errors, now);
@@ -247,9 +247,9 @@
     refreshSlowLimit(now);
 }
 
-void Detector::advanceSums(TestField field, double age, Duration alarmTime)
+void Detector::advanceSums(TestField field, double age, Duration window, Duration alarmTime)
 {
-    const double keep = std::exp(-age / seconds(config::SuspicionWindow));
+    const double keep = std::exp(-age / seconds(window));
     const double rise = m_thresholds.alarm * age / seconds(alarmTime);
     for (auto &[name, record] : m_targets) {
         (record.*field).sum.advance(keep, rise);
--- a/src/health_local.cpp
+++ b/src/health_local.cpp
@@ -146,7 +146,7 @@
     }
 }
 
-std::vector<LeavingTarget> LocalHealth::leavingForPulse(TimePoint now) const
+std::vector<LeavingTarget> LocalHealth::leavingForPulse(TimePoint now)
 {
     std::vector<LeavingTarget> recent;
     for (const auto &[target, since] : m_leaving) {
@@ -154,6 +154,11 @@
             recent.push_back(target);
         }
     }
+    if (recent.size() > config::MaxLeavingInPulse) {
+        m_pulseTurn = (m_pulseTurn + config::MaxLeavingInPulse) % recent.size();
+        std::rotate(recent.begin(), recent.begin() + static_cast<std::ptrdiff_t>(m_pulseTurn), recent.end());
+        recent.resize(config::MaxLeavingInPulse);
+    }
     return recent;
 }
 
--- /dev/null
+++ b/tests/test_health.cpp
@@ -0,0 +1,529 @@
+#include <plumsill/health.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <cmath>
+
+using namespace plumsill;
+using namespace std::chrono_literals;
+
+namespace
+{
+const ServiceName Orders {"orders"};
+
+TargetName named(std::size_t index)
+{
+    return {"t" + std::to_string(index)};
+}
+
+std::vector<Target> targetList(std::size_t count)
+{
+    std::vector<Target> targets;
+    for (std::size_t index = 0; index < count; ++index) {
+        targets.push_back({named(index), Orders, {"z"}, {"10.0.0.1", static_cast<std::uint16_t>(1 + index)}, false});
+    }
+    return targets;
+}
+
+Service serviceOf(double floor)
+{
+    Service service;
+    service.name = Orders;
+    service.floor = floor;
+    return service;
+}
+
+EvidenceSource daemonOf(std::size_t index)
+{
+    return {{{"d" + std::to_string(index)}, 1}, {"z" + std::to_string(index)}};
+}
+
+TargetEvidence evidenceOf(std::size_t target, bool ill)
+{
+    TargetEvidence evidence;
+    evidence.target = named(target);
+    evidence.good = ill ? 0 : 6;
+    evidence.fast = evidence.good;
+    evidence.errors = ill ? 6 : 0;
+    evidence.logLatencySum = static_cast<float>(evidence.good * std::log(0.04));
+    return evidence;
+}
+
+std::vector<std::string> namesOf(const std::vector<EjectionPermit> &permits)
+{
+    std::vector<std::string> names;
+    for (const auto &permit : permits) {
+        names.push_back(permit.target.value);
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+}
+
+TEST_GROUP(HealthOwner)
+{
+    static constexpr std::size_t Targets = 6;
+    TimePoint now = TimePoint(1000s);
+    HealthOwner owner;
+    std::set<std::size_t> ill;
+    std::uint64_t sequence = 0;
+    std::vector<HealthEvent> events;
+    Verdict last;
+
+    void setup() override
+    {
+        owner.setServices({serviceOf(0.5)});
+        owner.setTargets(Orders, targetList(Targets), now);
+    }
+
+    HealthDigest digest(bool empty = false)
+    {
+        HealthDigest made {sequence, Orders, {}};
+        for (std::size_t index = 0; index < Targets && !empty; ++index) {
+            const auto out = namesOf(last.ejected);
+            const bool trial = std::any_of(last.ejected.begin(), last.ejected.end(),
+                                           [&](const auto &permit) { return permit.target == named(index) && permit.trialPerMille > 0; });
+            if (trial || std::find(out.begin(), out.end(), named(index).value) == out.end()) {
+                made.targets.push_back(evidenceOf(index, ill.contains(index)));
+            }
+        }
+        return made;
+    }
+
+    void take(const std::vector<OwnerEffect> &effects)
+    {
+        for (const auto &effect : effects) {
+            if (const auto *verdict = std::get_if<SendVerdict>(&effect)) {
+                last = verdict->verdict;
+            } else {
+                events.push_back(std::get<HealthEvent>(effect));
+            }
+        }
+    }
+
+    void run(Duration length)
+    {
+        for (const TimePoint end = now + length; now < end; now += 100ms) {
+            ++sequence;
+            for (std::size_t daemon = 0; daemon < 3; ++daemon) {
+                take(owner.handleDigest(daemonOf(daemon), digest(), true, now));
+            }
+        }
+    }
+
+    std::size_t ejections() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(events.begin(), events.end(), [](const auto &event) { return std::holds_alternative<TargetEjected>(event); }));
+    }
+};
+
+TEST(HealthOwner, FloorRoundsInFavourOfCapacity)
+{
+    LONGS_EQUAL(3, outAllowed(0.5, 6));
+    LONGS_EQUAL(2, outAllowed(0.6, 7));
+    LONGS_EQUAL(3, outAllowed(0.7, 10));
+    LONGS_EQUAL(0, outAllowed(1, 6));
+    LONGS_EQUAL(6, outAllowed(0, 6));
+    LONGS_EQUAL(0, outAllowed(0.5, 1));
+}
+
+TEST(HealthOwner, IllTargetIsEjectedForAll)
+{
+    run(5s);
+    CHECK(last.ejected.empty());
+    CHECK(last.slowAfterMicroseconds > 0);
+    ill = {2};
+    run(2s);
+    CHECK(namesOf(last.ejected) == std::vector<std::string> {"t2"});
+    LONGS_EQUAL(1, ejections());
+}
+
+TEST(HealthOwner, FloorHoldsWhenMoreAreIll)
+{
+    owner.setServices({serviceOf(0.7)});
+    run(5s);
+    ill = {0, 1, 2};
+    run(5s);
+    LONGS_EQUAL(outAllowed(0.7, Targets), last.ejected.size());
+}
+
+TEST(HealthOwner, LeavingTargetTakesRoomFromEjections)
+{
+    run(5s);
+    ill = {0, 1, 2};
+    run(3s);
+    LONGS_EQUAL(3, last.ejected.size());
+    auto targets = targetList(Targets);
+    targets[5].leaving = true;
+    owner.setTargets(Orders, targets, now);
+    run(100ms);
+    LONGS_EQUAL(2, last.ejected.size());
+    CHECK(std::get<TargetReturned>(events.back()).forFloor);
+}
+
+TEST(HealthOwner, WithdrawnPermitCountsUntilItHasLapsedEverywhere)
+{
+    owner.setServices({serviceOf(0.8)}); // one of six
+    run(5s);
+    ill = {0};
+    run(2s);
+    LONGS_EQUAL(1, last.ejected.size());
+    // The only permit goes to t5's leaving; then t5 is listed as staying, and t1 turns ill at once.
+    auto targets = targetList(Targets);
+    targets[5].leaving = true;
+    owner.setTargets(Orders, targets, now);
+    run(100ms);
+    CHECK(last.ejected.empty());
+    const TimePoint withdrawn = now;
+    owner.setTargets(Orders, targetList(Targets), now);
+    ill = {1};
+    while (last.ejected.empty() && now - withdrawn < 10s) {
+        run(100ms);
+    }
+    CHECK(namesOf(last.ejected) == std::vector<std::string> {"t1"});
+    CHECK(now - withdrawn > config::EjectionPermitLifetime);
+}
+
+TEST(HealthOwner, RepeatedDigestCountsOnce)
+{
+    run(5s);
+    ill = {0};
+    ++sequence;
+    for (int repeat = 0; repeat < 50; ++repeat, now += 50ms) {
+        for (std::size_t daemon = 0; daemon < 3; ++daemon) {
+            take(owner.handleDigest(daemonOf(daemon), digest(), true, now));
+        }
+    }
+    CHECK(last.ejected.empty());
+    LONGS_EQUAL(sequence, last.sequence);
+}
+
+TEST(HealthOwner, DaemonThatMayNotActSaysNothing)
+{
+    ++sequence;
+    CHECK(owner.handleDigest(daemonOf(0), digest(), false, now).empty());
+    CHECK(owner.handleDigest(daemonOf(0), {1, {"unknown"}, {}}, true, now).empty());
+}
+
+TEST(HealthOwner, TrialReturnsRecoveredTarget)
+{
+    run(5s);
+    ill = {2};
+    run(2s);
+    LONGS_EQUAL(1, last.ejected.size());
+    ill = {};
+    run(config::EjectionBase + 3s);
+    CHECK(last.ejected.empty());
+    CHECK(std::holds_alternative<TargetReturned>(events.back()));
+}
+
+TEST(HealthOwner, EjectionTimeGrowsForFlappingTarget)
+{
+    run(5s);
+    std::vector<Duration> lengths;
+    for (int round = 0; round < 4; ++round) {
+        ill = {2};
+        while (last.ejected.empty()) {
+            run(100ms);
+        }
+        const TimePoint since = now;
+        ill = {};
+        while (!last.ejected.empty()) {
+            run(100ms);
+        }
+        lengths.push_back(now - since);
+    }
+    CHECK(lengths[1] > 1.7 * lengths[0]);
+    CHECK(lengths[2] > 1.7 * lengths[1]);
+    run(3 * config::EjectionForgetAfter);
+    run(config::EjectionForgetAfter);
+    ill = {2};
+    run(2s);
+    ill = {};
+    const TimePoint since = now;
+    while (!last.ejected.empty()) {
+        run(100ms);
+    }
+    CHECK(now - since < lengths[1]);
+}
+
+TEST(HealthOwner, TargetStillIllFailsItsTrial)
+{
+    run(5s);
+    ill = {2};
+    run(30s);
+    CHECK(namesOf(last.ejected) == std::vector<std::string> {"t2"});
+    LONGS_EQUAL(1, ejections());
+}
+
+TEST_GROUP(LocalHealth)
+{
+    static constexpr std::size_t Targets = 6;
+    TimePoint now = TimePoint(1000s);
+    LocalHealth local {daemonOf(0)};
+    std::vector<HealthDigest> digests;
+
+    void setup() override
+    {
+        local.setServices({serviceOf(0.5)});
+        local.setTargets(Orders, targetList(Targets), now);
+    }
+
+    void record(std::size_t target, bool ill)
+    {
+        local.record(Orders, {evidenceOf(target, ill)}, now);
+    }
+
+    void run(Duration length, const std::set<std::size_t> &ill = {}, bool used = true)
+    {
+        for (const TimePoint end = now + length; now < end; now += 100ms) {
+            for (std::size_t index = 0; index < Targets && used; ++index) {
+                if (weight(index) > 0) {
+                    record(index, ill.contains(index));
+                }
+            }
+            for (const auto &effect : local.tick(now)) {
+                if (const auto *digest = std::get_if<SendDigest>(&effect)) {
+                    digests.push_back(digest->digest);
+                }
+            }
+        }
+    }
+
+    TargetView viewOf(std::size_t target) const
+    {
+        for (const auto &seen : local.view(Orders, now).targets) {
+            if (seen.target.name == named(target)) {
+                return seen;
+            }
+        }
+        return {{}, TargetUse::Ejected, 0};
+    }
+    double weight(std::size_t target) const
+    {
+        return viewOf(target).weight;
+    }
+
+    /// Sends a digest and returns its sequence.
+    std::uint64_t newDigest()
+    {
+        const std::size_t before = digests.size();
+        while (digests.size() == before) {
+            run(100ms);
+        }
+        return digests.back().sequence;
+    }
+
+    Verdict verdict(std::uint64_t sequence, const std::vector<std::size_t> &ejected, std::uint32_t trial = 0) const
+    {
+        Verdict made {sequence, Orders, {}, 200'000};
+        for (const std::size_t index : ejected) {
+            made.ejected.push_back({named(index), trial});
+        }
+        return made;
+    }
+};
+
+TEST(LocalHealth, DigestTellsOnlyUsedTargetsOnce)
+{
+    record(3, false);
+    run(config::HealthDigestInterval, {}, false);
+    LONGS_EQUAL(1, digests.size());
+    LONGS_EQUAL(1, digests[0].targets.size());
+    LONGS_EQUAL(6, digests[0].targets[0].good);
+    run(config::HealthDigestInterval, {}, false);
+    CHECK(digests.back().targets.empty());
+    run(2 * config::EvidenceSenderForgetAfter, {}, false);
+    const std::size_t sent = digests.size();
+    run(5s, {}, false);
+    LONGS_EQUAL(sent, digests.size());
+}
+
+TEST(LocalHealth, VerdictIsTheWholeWord)
+{
+    CHECK(local.handleVerdict(1, verdict(newDigest(), {1, 2}), now));
+    CHECK(local.owned(Orders, now));
+    CHECK(viewOf(1).use == TargetUse::Ejected);
+    DOUBLES_EQUAL(0, weight(2), 0);
+    CHECK(local.view(Orders, now).slowAfter == 200ms);
+    CHECK(local.handleVerdict(1, verdict(newDigest(), {3}, 100), now));
+    CHECK(viewOf(1).use == TargetUse::SlowStart);
+    CHECK(viewOf(3).use == TargetUse::Trial);
+    DOUBLES_EQUAL(0.1, weight(3), 1e-9);
+}
+
+TEST(LocalHealth, VerdictLapsesByTheSendingOfItsDigest)
+{
+    const std::uint64_t sequence = newDigest();
+    const TimePoint sent = now - 100ms;
+    now = sent + config::EjectionPermitLifetime - 200ms;
+    CHECK(local.handleVerdict(1, verdict(sequence, {1}), now));
+    CHECK(local.owned(Orders, now));
+    now = sent + config::EjectionPermitLifetime;
+    CHECK(!local.owned(Orders, now));
+    CHECK(viewOf(1).use == TargetUse::Active);
+}
+
+TEST(LocalHealth, LateVerdictIsRefused)
+{
+    const std::uint64_t sequence = newDigest();
+    now += config::EjectionPermitLifetime;
+    CHECK(!local.handleVerdict(1, verdict(sequence, {1}), now));
+    CHECK(viewOf(1).use == TargetUse::Active);
+}
+
+TEST(LocalHealth, OlderEpochIsRefused)
+{
+    local.noteEpoch(5);
+    const std::uint64_t first = newDigest();
+    CHECK(!local.handleVerdict(4, verdict(first, {1}), now));
+    CHECK(local.handleVerdict(6, verdict(first, {2}), now));
+    CHECK(!local.handleVerdict(5, verdict(newDigest(), {1}), now));
+    CHECK(viewOf(1).use == TargetUse::Active);
+    CHECK(viewOf(2).use == TargetUse::Ejected);
+}
+
+TEST(LocalHealth, OvertakenAndUnaskedVerdictsAreRefused)
+{
+    const std::uint64_t first = newDigest();
+    const std::uint64_t second = newDigest();
+    CHECK(local.handleVerdict(1, verdict(second, {2}), now));
+    CHECK(!local.handleVerdict(1, verdict(first, {1}), now));
+    CHECK(!local.handleVerdict(1, verdict(second, {1}), now));
+    CHECK(!local.handleVerdict(1, verdict(second + 7, {1}), now));
+    CHECK(viewOf(1).use == TargetUse::Active);
+}
+
+TEST(LocalHealth, LeavingTargetsComeBeforeEjectionsUnderTheFloor)
+{
+    local.handleVerdict(1, verdict(newDigest(), {0, 1, 2}), now);
+    CHECK(viewOf(2).use == TargetUse::Ejected);
+    local.noteLeaving({named(5), targetList(Targets)[5].endpoint}, now);
+    CHECK(viewOf(5).use == TargetUse::Leaving);
+    CHECK(viewOf(1).use == TargetUse::Ejected);
+    CHECK(viewOf(2).use == TargetUse::Active); // least bad
+}
+
+TEST(LocalHealth, WithoutOwnerTheDaemonJudgesUnderItsFloor)
+{
+    run(10s);
+    run(10s, {0, 1, 2});
+    std::size_t out = 0;
+    for (std::size_t index = 0; index < Targets; ++index) {
+        out += weight(index) > 0 ? 0 : 1;
+    }
+    LONGS_EQUAL(outAllowed(0.5, Targets), out);
+}
+
+TEST(LocalHealth, LapsedVerdictIsCarriedOnLocally)
+{
+    run(5s);
+    local.handleVerdict(1, verdict(newDigest(), {1}), now);
+    run(config::EjectionPermitLifetime + 200ms);
+    CHECK(!local.owned(Orders, now));
+    CHECK(viewOf(1).use == TargetUse::Ejected);
+}
+
+TEST(LocalHealth, ReturnedTargetStartsSlowly)
+{
+    local.handleVerdict(1, verdict(newDigest(), {1}), now);
+    local.handleVerdict(1, verdict(newDigest(), {}), now);
+    CHECK(viewOf(1).use == TargetUse::SlowStart);
+    DOUBLES_EQUAL(config::SlowStartWeight, weight(1), 0.02);
+    now += config::SlowStart / 2;
+    DOUBLES_EQUAL(0.5, weight(1), 0.02);
+    now += config::SlowStart;
+    CHECK(viewOf(1).use == TargetUse::Active);
+}
+
+TEST(LocalHealth, NewTargetStartsSlowlyButNotTheFirstList)
+{
+    CHECK(viewOf(0).use == TargetUse::Active);
+    local.setTargets(Orders, targetList(Targets + 1), now);
+    CHECK(viewOf(Targets).use == TargetUse::SlowStart);
+    CHECK(viewOf(0).use == TargetUse::Active);
+}
+
+TEST(LocalHealth, UnreachableTargetIsAvoidedForAGrowingTime)
+{
+    TargetEvidence lost;
+    lost.target = named(2);
+    lost.unreachable = config::SilentRequestsBeforeAvoidance;
+    local.record(Orders, {lost}, now);
+    CHECK(viewOf(2).use == TargetUse::Avoided);
+    now += config::AvoidanceBase;
+    CHECK(viewOf(2).use == TargetUse::Active);
+    lost.unreachable = 1;
+    local.record(Orders, {lost}, now);
+    now += config::AvoidanceBase;
+    CHECK(viewOf(2).use == TargetUse::Avoided);
+    record(2, false);
+    CHECK(viewOf(2).use == TargetUse::Active);
+}
+
+TEST(LocalHealth, AvoidanceKeepsTheFloor)
+{
+    for (std::size_t index = 0; index < Targets; ++index) {
+        TargetEvidence lost;
+        lost.target = named(index);
+        lost.unreachable = 10;
+        local.record(Orders, {lost}, now);
+    }
+    std::size_t used = 0;
+    for (std::size_t index = 0; index < Targets; ++index) {
+        used += weight(index) > 0 ? 1 : 0;
+    }
+    LONGS_EQUAL(3, used);
+}
+
+TEST(LocalHealth, SlowAnswersAreNoReasonToAvoid)
+{
+    TargetEvidence slow;
+    slow.target = named(2);
+    slow.slow = 10;
+    local.record(Orders, {slow}, now);
+    CHECK(viewOf(2).use == TargetUse::Active);
+}
+
+TEST(LocalHealth, LeavingIsRememberedUntilDelisted)
+{
+    auto targets = targetList(Targets);
+    targets[1].leaving = true;
+    local.setTargets(Orders, targets, now);
+    local.setTargets(Orders, targetList(Targets), now); // a lagging replica of the list
+    CHECK(viewOf(1).use == TargetUse::Leaving);
+    CHECK(local.targets(Orders).at(1).leaving);
+    targets = targetList(Targets);
+    targets.erase(targets.begin() + 1);
+    local.setTargets(Orders, targets, now);
+    run(config::LeavingForgetAfter + 200ms);
+    local.setTargets(Orders, targetList(Targets), now);
+    CHECK(viewOf(1).use != TargetUse::Leaving);
+}
+
+TEST(LocalHealth, NameOnAnotherEndpointIsAnotherTarget)
+{
+    local.noteLeaving({named(1), {"10.9.9.9", 1}}, now);
+    CHECK(viewOf(1).use == TargetUse::Active);
+    local.noteLeaving({named(1), targetList(Targets)[1].endpoint}, now);
+    CHECK(viewOf(1).use == TargetUse::Leaving);
+}
+
+TEST(LocalHealth, PulsesTellEveryLeavingTarget)
+{
+    const auto targets = targetList(40);
+    local.setTargets(Orders, targets, now);
+    for (const auto &target : targets) {
+        local.noteLeaving({target.name, target.endpoint}, now);
+    }
+    std::set<LeavingTarget> told;
+    for (int pulse = 0; pulse < 3; ++pulse) {
+        const auto leaving = local.leavingForPulse(now);
+        CHECK(leaving.size() <= config::MaxLeavingInPulse);
+        told.insert(leaving.begin(), leaving.end());
+    }
+    LONGS_EQUAL(40, told.size());
+    CHECK(local.leavingForPulse(now + config::LeavingAnnounceTime).empty());
+}
