--- /dev/null
+++ b/tests/fuzz_health.cpp
@@ -0,0 +1,376 @@
+#include <plumsill/health.h>
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <memory>
+#include <random>
+
+// Last: its macro for new breaks other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace plumsill;
+using namespace std::chrono_literals;
+
+namespace
+{
+const ServiceName Orders {"orders"};
+constexpr std::size_t Daemons = 4;
+constexpr std::size_t Targets = 6;
+constexpr Duration Step = 100ms;
+constexpr Duration NewOwnerWait = config::EjectionPermitLifetime + config::ClockDriftMargin;
+constexpr Duration LeavingLimit = 3s;
+// A verdict sent before the change has lapsed, and two more digests have been answered.
+constexpr Duration SettleTime = NewOwnerWait + 2 * config::HealthDigestInterval + LeavingLimit;
+
+enum class Op
+{
+    Run,
+    MakeIll,
+    Heal,
+    Drain,
+    Replace,
+    Loss,
+    Delay,
+    Pause,
+    ChangeOwner,
+    Cut,
+};
+
+struct Action {
+    Op op = Op::Run;
+    unsigned which = 0;
+    unsigned amount = 0;
+};
+
+std::ostream &operator<<(std::ostream &stream, const Action &action)
+{
+    return stream << "{" << static_cast<int>(action.op) << " " << action.which << " " << action.amount << "}";
+}
+
+rc::Gen<Action> anyAction()
+{
+    const auto op = rc::gen::element(Op::Run, Op::Run, Op::MakeIll, Op::MakeIll, Op::MakeIll, Op::Heal, Op::Heal, Op::Drain, Op::Replace, Op::Loss, Op::Delay,
+                                     Op::Pause, Op::ChangeOwner, Op::Cut);
+    return rc::gen::construct<Action>(op, rc::gen::inRange(0U, 60U), rc::gen::inRange(0U, 30U));
+}
+
+struct Mail {
+    std::size_t to = 0;
+    std::size_t from = 0;
+    std::uint64_t epoch = 0;
+    Message message;
+};
+
+struct Daemon {
+    explicit Daemon(std::size_t index)
+        : source {{{"d" + std::to_string(index)}, 1}, {"z" + std::to_string(index % 2)}}
+        , local(source)
+    { }
+    EvidenceSource source;
+    LocalHealth local;
+    HealthOwner owner;
+    TimePoint pausedUntil;
+    TimePoint nextPulse;
+    std::multimap<TimePoint, std::vector<Target>> lists; ///< on their way from the platform
+};
+
+/// Daemons, one owner, a lossy network and a list that lags, in steps of simulated time.
+class World
+{
+public:
+    World(double floor, std::uint64_t seed)
+        : m_random(seed)
+    {
+        m_service.name = Orders;
+        m_service.floor = floor;
+        for (std::size_t index = 0; index < Targets; ++index) {
+            m_list.push_back(newTarget());
+        }
+        for (std::size_t index = 0; index < Daemons; ++index) {
+            m_daemons.push_back(std::make_unique<Daemon>(index));
+            Daemon &daemon = *m_daemons.back();
+            daemon.local.setServices({m_service});
+            daemon.owner.setServices({m_service});
+            daemon.local.setTargets(Orders, m_list, m_now);
+        }
+        run(3s);
+    }
+
+    void apply(const Action &action)
+    {
+        const TargetName target = m_list[action.which % Targets].name;
+        const std::size_t daemon = action.which % Daemons;
+        switch (action.op) {
+        case Op::Run:
+            break;
+        case Op::MakeIll:
+            m_ill.insert(target);
+            break;
+        case Op::Heal:
+            m_ill.erase(target);
+            break;
+        case Op::Drain:
+            drain(daemon, m_list[action.amount % Targets]);
+            break;
+        case Op::Replace:
+            m_list[action.which % Targets] = newTarget();
+            for (auto &each : m_daemons) {
+                each->lists.emplace(m_now + lag(), m_list);
+            }
+            break;
+        case Op::Loss:
+            m_loss = action.amount % 4 * 0.25;
+            m_lastTrouble = m_now;
+            break;
+        case Op::Delay:
+            m_delayMax = action.amount % 4 * 700ms + Step;
+            m_lastTrouble = m_now;
+            break;
+        case Op::Pause:
+            m_daemons[daemon]->pausedUntil = m_now + action.amount * 300ms;
+            break;
+        case Op::ChangeOwner:
+            changeOwner(daemon);
+            break;
+        case Op::Cut:
+            m_cut = {daemon, target};
+            break;
+        }
+        run(action.amount * 200ms);
+    }
+
+    /// Ends every fault and runs until the last ejection must be over.
+    void settle()
+    {
+        m_ill.clear();
+        m_loss = 0;
+        m_delayMax = Step;
+        m_cut = {};
+        run(config::EjectionMax + config::TrialMax + config::SlowStart + SettleTime);
+        for (const auto &daemon : m_daemons) {
+            for (const auto &seen : daemon->local.view(Orders, m_now).targets) {
+                RC_ASSERT(seen.use == TargetUse::Active || seen.use == TargetUse::Leaving);
+            }
+        }
+    }
+
+private:
+    Target newTarget()
+    {
+        const auto number = ++m_lastTarget;
+        return {{"t" + std::to_string(number)}, Orders, {"z"}, {"10.0.0.1", static_cast<std::uint16_t>(number)}, false};
+    }
+
+    Duration lag() { return std::uniform_int_distribution<int>(0, 50)(m_random) * Step; }
+    bool trouble() const { return m_loss > 0 || m_delayMax > Step; }
+
+    void drain(std::size_t daemon, const Target &target)
+    {
+        m_daemons[daemon]->local.noteLeaving({target.name, target.endpoint}, m_now);
+        m_draining.try_emplace({target.name, target.endpoint}, m_now);
+    }
+
+    void changeOwner(std::size_t next)
+    {
+        ++m_epoch;
+        m_owner = next;
+        m_ownerActs = m_now + NewOwnerWait;
+        m_lastTrouble = m_now;
+    }
+
+    void run(Duration length)
+    {
+        for (const TimePoint end = m_now + length; m_now < end;) {
+            m_now += Step;
+            for (std::size_t index = 0; index < Daemons; ++index) {
+                if (m_daemons[index]->pausedUntil > m_now) {
+                    m_lastTrouble = m_now;
+                    continue;
+                }
+                deliver(index);
+                act(index);
+            }
+            check();
+        }
+    }
+
+    void post(Mail mail)
+    {
+        if (std::uniform_real_distribution<double>()(m_random) >= m_loss) {
+            const auto steps = std::uniform_int_distribution<Duration::rep>(0, m_delayMax / Step)(m_random);
+            m_mails.emplace(m_now + steps * Step, std::move(mail));
+        }
+    }
+
+    // What reached a paused daemon waits in its socket.
+    void deliver(std::size_t index)
+    {
+        for (auto entry = m_mails.begin(); entry != m_mails.end() && entry->first <= m_now;) {
+            if (entry->second.to != index) {
+                ++entry;
+                continue;
+            }
+            const Mail mail = std::move(entry->second);
+            entry = m_mails.erase(entry);
+            take(index, mail);
+        }
+    }
+
+    void take(std::size_t index, const Mail &mail)
+    {
+        Daemon &daemon = *m_daemons[index];
+        if (const auto *digest = std::get_if<HealthDigest>(&mail.message)) {
+            const bool mayAct = index == m_owner && m_now >= m_ownerActs;
+            for (const auto &effect : daemon.owner.handleDigest(m_daemons[mail.from]->source, *digest, mayAct, m_now)) {
+                if (const auto *verdict = std::get_if<SendVerdict>(&effect)) {
+                    post({mail.from, index, m_epoch, verdict->verdict});
+                }
+            }
+        } else if (const auto *verdict = std::get_if<Verdict>(&mail.message)) {
+            daemon.local.handleVerdict(mail.epoch, *verdict, m_now);
+        } else if (const auto *pulse = std::get_if<Pulse>(&mail.message)) {
+            for (const auto &target : pulse->leavingTargets) {
+                daemon.local.noteLeaving(target, m_now);
+            }
+        }
+    }
+
+    TargetEvidence evidenceOf(std::size_t daemon, const TargetName &target) const
+    {
+        TargetEvidence evidence;
+        evidence.target = target;
+        const bool cut = m_cut == std::pair(daemon, target);
+        const bool ill = m_ill.contains(target);
+        evidence.timeouts = cut ? 2 : 0;
+        evidence.errors = ill && !cut ? 3 : 0;
+        evidence.good = ill || cut ? 0 : 3;
+        evidence.fast = evidence.good;
+        evidence.logLatencySum = static_cast<float>(evidence.good * std::log(0.04));
+        return evidence;
+    }
+
+    void act(std::size_t index)
+    {
+        Daemon &daemon = *m_daemons[index];
+        while (!daemon.lists.empty() && daemon.lists.begin()->first <= m_now) {
+            daemon.local.setTargets(Orders, daemon.lists.begin()->second, m_now);
+            daemon.lists.erase(daemon.lists.begin());
+        }
+        for (const auto &seen : daemon.local.view(Orders, m_now).targets) {
+            if (seen.weight > 0) {
+                daemon.local.record(Orders, {evidenceOf(index, seen.target.name)}, m_now);
+            }
+        }
+        for (const auto &effect : daemon.local.tick(m_now)) {
+            if (const auto *digest = std::get_if<SendDigest>(&effect)) {
+                post({m_owner, index, m_epoch, digest->digest});
+            }
+        }
+        daemon.owner.setTargets(Orders, daemon.local.targets(Orders), m_now);
+        if (m_now >= daemon.nextPulse) {
+            daemon.nextPulse = m_now + config::PulseInterval;
+            Pulse pulse;
+            pulse.leavingTargets = daemon.local.leavingForPulse(m_now);
+            for (std::size_t to = 0; to < Daemons; ++to) {
+                post({to, index, m_epoch, pulse});
+            }
+        }
+    }
+
+    bool listed(const TargetName &name) const
+    {
+        return std::any_of(m_list.begin(), m_list.end(), [&](const Target &target) { return target.name == name; });
+    }
+
+    void check() const
+    {
+        checkUnion();
+        for (std::size_t index = 0; index < Daemons; ++index) {
+            checkDaemon(*m_daemons[index]);
+        }
+    }
+
+    // Whatever message is late, lost or repeated: all that is ejected by verdict anywhere fits above the floor.
+    void checkUnion() const
+    {
+        std::set<TargetName> out;
+        for (const auto &daemon : m_daemons) {
+            const bool owned = daemon->local.owned(Orders, m_now);
+            for (const auto &seen : daemon->local.view(Orders, m_now).targets) {
+                const bool ejected = seen.use == TargetUse::Ejected || seen.use == TargetUse::Trial;
+                if (owned && ejected && listed(seen.target.name)) {
+                    out.insert(seen.target.name);
+                }
+            }
+        }
+        const std::size_t allowed = outAllowed(m_service.floor, Targets);
+        RC_ASSERT(out.size() <= allowed);
+        if (trouble() || m_now - m_lastTrouble <= SettleTime) {
+            return;
+        }
+        std::size_t leaving = 0;
+        for (const auto &[key, since] : m_draining) {
+            const bool old = m_now - since > SettleTime;
+            if (old && listed(key.target)) {
+                ++leaving;
+                out.insert(key.target);
+            }
+        }
+        RC_ASSERT(out.size() <= std::max(allowed, leaving));
+    }
+
+    void checkDaemon(const Daemon &daemon) const
+    {
+        const bool quiet = !trouble() && m_now - m_lastTrouble > LeavingLimit;
+        const auto view = daemon.local.view(Orders, m_now);
+        std::size_t out = 0;
+        std::size_t leaving = 0;
+        for (const auto &seen : view.targets) {
+            leaving += seen.use == TargetUse::Leaving ? 1 : 0;
+            out += seen.use == TargetUse::Active || seen.use == TargetUse::SlowStart ? 0 : 1;
+            const auto draining = m_draining.find({seen.target.name, seen.target.endpoint});
+            if (quiet && draining != m_draining.end() && m_now - draining->second > LeavingLimit) {
+                RC_ASSERT(seen.use == TargetUse::Leaving);
+            }
+        }
+        RC_ASSERT(out <= std::max(leaving, outAllowed(m_service.floor, view.targets.size())));
+    }
+
+    std::mt19937_64 m_random;
+    Service m_service;
+    std::vector<Target> m_list;
+    std::vector<std::unique_ptr<Daemon>> m_daemons;
+    std::multimap<TimePoint, Mail> m_mails;
+    std::set<TargetName> m_ill;
+    std::map<LeavingTarget, TimePoint> m_draining; ///< to the first observation
+    std::pair<std::size_t, TargetName> m_cut;
+    double m_loss = 0;
+    Duration m_delayMax = Step;
+    std::uint64_t m_epoch = 1;
+    std::size_t m_owner = 0;
+    TimePoint m_ownerActs;
+    TimePoint m_lastTrouble;
+    std::uint64_t m_lastTarget = 0;
+    TimePoint m_now = TimePoint(1000s);
+};
+}
+
+TEST_GROUP(HealthFuzz) {};
+
+TEST(HealthFuzz, FloorAndLeavingHoldUnderFaults)
+{
+    const bool held = rc::check("floor and leaving targets hold under faults", [] {
+        const auto floor = *rc::gen::element(0.3, 0.5, 0.8);
+        const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1'000'000);
+        const auto actions = *rc::gen::container<std::vector<Action>>(anyAction());
+        World world(floor, seed);
+        for (const auto &action : actions) {
+            world.apply(action);
+        }
+        world.settle();
+    });
+    CHECK(held);
+}
--- a/tools/bench_health.cpp
+++ b/tools/bench_health.cpp
@@ -14,7 +14,7 @@
 
 /// Detection time, false ejections and cost of target health, in simulated time.
 /// Traffic: half of the slots of every target busy, 80% of the requests take 25 to 63 ms, 32 daemons in 3 zones.
-/// usage: bench-health [SEED [TARGET_HOURS]]
+/// usage: bench-health [SEED [TARGET_HOURS [PART_OF_NAME]]]
 using namespace plumsill;
 using namespace plumsill::model;
 
@@ -48,6 +48,13 @@
 
 const Fault Faults[] = {{"slow", {10, 0, 0, false, false}}, {"errors", {1, 0.3, 0, false, false}}, {"truncated", {1, 0, 0.5, false, false}}};
 
+std::string wanted; ///< part of the names to measure; empty: all
+
+bool selected(const std::string &name)
+{
+    return name.find(wanted) != std::string::npos;
+}
+
 /// Runs @p work for 0 to @p count - 1 on a few threads.
 void parallel(std::size_t count, const std::function<void(std::size_t)> &work)
 {
@@ -115,6 +122,11 @@
 
 void measureDetection(const Deployment &deployment, const Profile &profile, const Fault &fault, bool pooled, double load, std::uint64_t seed)
 {
+    const std::string name = std::string("health.detect.") + deployment.name + "." + profile.name + "." + fault.name + (load < 0.5 ? ".load25" : ".load50")
+        + (pooled ? ".pooled" : ".single_daemon");
+    if (!selected(name)) {
+        return;
+    }
     std::vector<double> found(deployment.services.size() * RunsPerService);
     std::vector<double> everywhere(found.size());
     parallel(found.size(), [&](std::size_t index) {
@@ -125,12 +137,9 @@
         found[index] = detection.found;
         everywhere[index] = detection.everywhere;
     });
-    char name[128];
-    std::snprintf(name, sizeof name, "health.detect.%s.%s.%s.load%.0f.%s", deployment.name, profile.name, fault.name, load * 100,
-                  pooled ? "pooled" : "single_daemon");
-    std::printf("%s.median %.2f s\n%s.p95 %.2f s\n", name, quantile(found, 0.5), name, quantile(found, 0.95));
+    std::printf("%s.median %.2f s\n%s.p95 %.2f s\n", name.c_str(), quantile(found, 0.5), name.c_str(), quantile(found, 0.95));
     if (pooled) {
-        std::printf("%s.everywhere_median %.2f s\n", name, quantile(everywhere, 0.5));
+        std::printf("%s.everywhere_median %.2f s\n", name.c_str(), quantile(everywhere, 0.5));
     }
 }
 
@@ -149,6 +158,10 @@
 void measureFalseEjections(const Deployment &deployment, const Profile &profile, bool uneven, double targetHours, std::uint64_t seed)
 {
     constexpr Duration Length = 10min;
+    const std::string name = std::string("health.false_ejections.") + deployment.name + "." + profile.name + (uneven ? ".team_at_5x" : ".no_fault");
+    if (!selected(name)) {
+        return;
+    }
     std::size_t targets = 0;
     for (const std::size_t count : deployment.services) {
         targets += count;
@@ -171,12 +184,12 @@
             requests += total.requests;
         }
     });
-    char name[128];
-    std::snprintf(name, sizeof name, "health.false_ejections.%s.%s.%s", deployment.name, profile.name, uneven ? "team_at_5x" : "no_fault");
     const double hours = hoursPerRound * static_cast<double>(rounds);
-    std::printf("%s.count %llu ejections\n%s.watched %.0f target_hours\n", name, static_cast<unsigned long long>(ejections.load()), name, hours);
-    std::printf("%s.per_100_target_hours %.3f ejections\n%s.requests %llu requests\n", name, 100.0 * static_cast<double>(ejections.load()) / hours, name,
-                static_cast<unsigned long long>(requests.load()));
+    const auto count = static_cast<unsigned long long>(ejections.load());
+    std::printf("%s.count %llu ejections\n%s.watched %.0f target_hours\n", name.c_str(), count, name.c_str(), hours);
+    std::printf("%s.per_100_target_hours %.3f ejections\n", name.c_str(), 100.0 * static_cast<double>(count) / hours);
+    std::printf("%s.requests %llu requests\n", name.c_str(), static_cast<unsigned long long>(requests.load()));
+    std::fflush(stdout);
 }
 
 template<class Value>
@@ -255,6 +268,7 @@
 {
     const std::uint64_t seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
     const double targetHours = argc > 2 ? std::strtod(argv[2], nullptr) : DefaultTargetHours;
+    wanted = argc > 3 ? argv[3] : "";
     std::printf("seed %llu number\n", static_cast<unsigned long long>(seed));
     for (const auto &deployment : Deployments) {
         for (const auto &profile : Profiles) {
@@ -266,10 +280,14 @@
             measureFalseEjections(deployment, profile, false, targetHours, seed);
             measureFalseEjections(deployment, profile, true, targetHours, seed);
         }
-        measureTraffic(deployment, seed);
+        if (selected("health.digests")) {
+            measureTraffic(deployment, seed);
+        }
     }
     for (const std::size_t targets : {6, 15, 60, 240}) {
-        measureCost(targets);
+        if (selected("health.cost")) {
+            measureCost(targets);
+        }
     }
     return 0;
 }
