--- a/include/plumsill/messages.h
+++ b/include/plumsill/messages.h
@@ -12,6 +12,19 @@
 /// Messages between daemons. One datagram carries one message; what exceeds a datagram goes over TCP.
 namespace plumsill
 {
+/// A target that takes no new work; one that comes back on another endpoint is not meant.
+struct LeavingTarget {
+    TargetName target;
+    Endpoint endpoint;
+
+    auto operator<=>(const LeavingTarget &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(target, endpoint);
+    }
+};
+
 /// Heartbeat that each daemon sends to every member once a second. It also answers the receiver's last pulse.
 struct Pulse {
     std::uint64_t sequence = 0;
@@ -23,7 +36,7 @@
     DocumentStamp document; ///< its digest is left out while nothing is new
     bool documentKnown = false; ///< no earlier epoch accepted a later document
     std::uint64_t silentMembers = 0; ///< bit i: member i of the epoch's roster doesn't answer the sender
-    std::vector<TargetName> leavingTargets; ///< targets seen to leave in the last seconds
+    std::vector<LeavingTarget> leavingTargets; ///< targets seen to leave in the last seconds
 
     auto operator<=>(const Pulse &) const = default;
     template<class Archive>
@@ -49,85 +62,112 @@
     }
 };
 
+/// End of one grant: what isn't unspent was spent, the last of it at least `ageMilliseconds` before the report was sent.
+struct GrantReport {
+    std::uint64_t id = 0; ///< of the grant
+    std::uint32_t unspent = 0;
+    std::uint32_t ageMilliseconds = 0;
+
+    auto operator<=>(const GrantReport &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, unspent, ageMilliseconds);
+    }
+};
+
 /// Asks the owner of one part of a team's bucket for tokens.
 struct GrantRequest {
     std::uint64_t id = 0; ///< unique for one incarnation of the sender
     TeamName team;
     std::uint32_t part = 0;
-    std::uint32_t wanted = 0;
-    std::uint32_t spent = 0; ///< tokens of the grants in `finished` that were spent
-    std::vector<std::uint64_t> finished; ///< grants that are wholly spent or given back
+    std::uint32_t waiting = 0; ///< requests that wait for a token
+    std::uint32_t ahead = 0; ///< tokens wanted for requests to come
+    std::uint32_t patienceMilliseconds = 0; ///< longest delay at which tokens are still of use
+    std::vector<GrantReport> finished; ///< of the same part
 
     auto operator<=>(const GrantRequest &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, team, part, wanted, spent, finished);
+        archive(id, team, part, waiting, ahead, patienceMilliseconds, finished);
     }
 };
 
-/// Tokens that expire GrantLifetime after their request was sent. None: refused, come back later.
+/// How an owner answered a grant request.
+enum class GrantStatus : std::uint8_t
+{
+    Granted,
+    OverRate, ///< come back later
+    NotActing, ///< this daemon doesn't act for the part now
+};
+
+/// Tokens that may be spent from `delayMilliseconds` after receipt until grantLifetime() after the request was sent.
 struct Grant {
     std::uint64_t id = 0; ///< of the request
     TeamName team;
     std::uint32_t part = 0;
+    GrantStatus status = GrantStatus::NotActing;
     std::uint32_t tokens = 0;
+    std::uint32_t delayMilliseconds = 0;
     std::uint32_t retryAfterMilliseconds = 0;
 
     auto operator<=>(const Grant &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, team, part, tokens, retryAfterMilliseconds);
+        archive(id, team, part, status, tokens, delayMilliseconds, retryAfterMilliseconds);
     }
 };
 
-/// Ends a grant early: what was spent of it counts, the rest goes back to the bucket.
+/// Ends grants early: what was spent of them counts, the rest goes back to the bucket.
 struct GiveBack {
-    std::uint64_t id = 0; ///< of the grant
     TeamName team;
     std::uint32_t part = 0;
-    std::uint32_t unspent = 0;
+    std::vector<GrantReport> finished;
 
     auto operator<=>(const GiveBack &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, team, part, unspent);
+        archive(team, part, finished);
     }
 };
 
-/// Balance of one part that its owner gives up on a planned stop.
+/// One part that its owner gives up on a planned stop.
 struct HandOver {
+    MemberId successor; ///< no other incarnation may take it
     TeamName team;
     std::uint32_t part = 0;
-    double balance = 0; ///< tokens
+    double balance = 0; ///< tokens free to grant
+    double outstanding = 0; ///< tokens granted and not yet reported; they expire within GrantLifetime
 
     auto operator<=>(const HandOver &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(team, part, balance);
+        archive(successor, team, part, balance, outstanding);
     }
 };
 
 /// What one daemon saw of one target since its last digest.
 struct TargetEvidence {
     TargetName target;
-    std::uint32_t good = 0;
-    std::uint32_t errors = 0;
-    std::uint32_t timeouts = 0;
-    std::uint32_t truncated = 0;
-    std::uint32_t shed = 0; ///< refusals for load, not a sign of illness
-    std::uint32_t unreachable = 0; ///< connection attempts that failed
-    double logLatencySum = 0; ///< sum of ln(seconds) over good answers
-    double logLatencySquares = 0;
+    std::uint16_t good = 0; ///< whole answers
+    std::uint16_t fast = 0; ///< whole answers within the slow limit
+    std::uint16_t slow = 0; ///< requests that passed the slow limit, answered or not
+    std::uint16_t errors = 0;
+    std::uint16_t timeouts = 0;
+    std::uint16_t truncated = 0;
+    std::uint16_t shed = 0; ///< refusals for load, not a sign of illness
+    std::uint16_t unreachable = 0; ///< connection attempts that failed
+    float logLatencySum = 0; ///< sum of ln(seconds) over whole answers
 
     auto operator<=>(const TargetEvidence &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(target, good, errors, timeouts, truncated, shed, unreachable, logLatencySum, logLatencySquares);
+        archive(target, good, fast, slow, errors, timeouts, truncated, shed, unreachable, logLatencySum);
     }
 };
 
@@ -162,13 +202,14 @@
 struct Verdict {
     std::uint64_t sequence = 0; ///< of the digest it answers
     ServiceName service;
-    std::vector<EjectionPermit> ejected;
+    std::vector<EjectionPermit> ejected; ///< worst first
+    std::uint32_t slowAfterMicroseconds = 0; ///< slow limit of the service; none while 0
 
     auto operator<=>(const Verdict &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(sequence, service, ejected);
+        archive(sequence, service, ejected, slowAfterMicroseconds);
     }
 };
 
--- a/include/plumsill/ownership.h
+++ b/include/plumsill/ownership.h
@@ -3,25 +3,19 @@
 #include <plumsill/clock.h>
 #include <plumsill/membership.h>
 #include <plumsill/roster.h>
+#include <plumsill/tenure.h>
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
-#include <unordered_set>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
 /// Which member owns which key, and when it may act for it.
 namespace plumsill
 {
-/// One part of a team's token bucket.
-struct PartKey {
-    TeamName team;
-    std::uint32_t part = 0;
-
-    auto operator<=>(const PartKey &) const = default;
-};
-
 /// The verdict on one service's targets.
 struct VerdictKey {
     ServiceName service;
@@ -75,9 +69,13 @@
     bool owns(const OwnedKey &key) const;
     /// This member owns @p key, its epoch is confirmed, and no earlier owner's act can still have effect.
     bool mayAct(const OwnedKey &key, TimePoint now) const;
+    /// Right to act for @p key; `since` goes back as far as the epochs known here.
+    Tenure tenure(const OwnedKey &key, TimePoint now) const;
     /// This member was ready for @p key in the epoch before and owns it no more: it may hand the key over. The new owner
     /// may still be fetching the roster, so repeat it every HandOverRepeat for HandOverRepeatFor.
     bool mayHandOver(const OwnedKey &key, TimePoint now) const;
+    /// Like tenure(), for a key that may be handed over: of the epoch before.
+    Tenure handOverTenure(const OwnedKey &key, TimePoint now) const;
     /// Takes a key over; false when the hand-over is not for this epoch, not from the owner before, or a repeat.
     bool acceptHandOver(const Envelope &envelope, TimePoint now);
     const OwnerTable &table() const;
@@ -97,10 +95,12 @@
         std::uint64_t number = 0;
         OwnerTable table;
         OwnerTable predecessor;
-        std::unordered_set<KeyHash, KeyHasher> handedOver;
+        std::unordered_map<KeyHash, TimePoint, KeyHasher> handedOver; ///< and when
     };
 
     bool current() const;
+    std::optional<TimePoint> readyAt(const OwnedKey &key, std::size_t index) const;
+    Tenure tenureUpTo(const OwnedKey &key, std::size_t count, TimePoint now) const;
     bool ready(const OwnedKey &key, std::size_t index, TimePoint now) const;
     bool ownedIn(const Epoch &epoch, const OwnedKey &key) const;
     static KeyHash hashOfKey(const OwnedKey &key);
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -90,7 +90,7 @@
     return envelope(RosterReply {roster()});
 }
 
-void Membership::leavingTargetsChanged(std::vector<TargetName> targets)
+void Membership::leavingTargetsChanged(std::vector<LeavingTarget> targets)
 {
     m_leavingTargets = std::move(targets);
 }
--- a/tests/fleet_fake.h
+++ b/tests/fleet_fake.h
@@ -464,7 +464,7 @@
         if (!key || !node.ownership->mayHandOver(*key, local(node))) {
             continue;
         }
-        const HandOver message {key->team, key->part, 1};
+        const HandOver message {node.ownership->ownerOf(*key)->id, key->team, key->part, 1, 0};
         if (onHandOver) {
             onHandOver(index, message);
         }
--- a/tests/test_ownership.cpp
+++ b/tests/test_ownership.cpp
@@ -96,7 +96,7 @@
     }
     bool handOver(const PartKey &key, const std::string &from, std::uint64_t epoch)
     {
-        const Envelope envelope {member(from).id, member(from).peer, epoch, HandOver {key.team, key.part, 1}};
+        const Envelope envelope {member(from).id, member(from).peer, epoch, HandOver {node.membership.self().id, key.team, key.part, 1, 0}};
         node.membership.receive(envelope, node.now);
         return ownership.acceptHandOver(envelope, node.now);
     }
