--- a/src/control_p.h
+++ b/src/control_p.h
@@ -151,7 +151,7 @@
     void documentChanged(const Document &document);
     void listsChanged();
     void epochAdopted(std::uint64_t epoch) { m_local.noteEpoch(epoch); }
-    std::vector<LeavingTarget> leavingForPulse(TimePoint now) const { return m_local.leavingForPulse(now); }
+    std::vector<LeavingTarget> leavingForPulse(TimePoint now) { return m_local.leavingForPulse(now); }
     ServiceView view(const ServiceName &service, TimePoint now) const { return m_local.view(service, now); }
 
 private:
--- a/src/net_control_limits.cpp
+++ b/src/net_control_limits.cpp
@@ -36,7 +36,7 @@
     const auto limits = limitsOf(request.team);
     m_waiting[request.waiter] = {request.thread, request.team};
     if (!limits) {
-        resolve(request.waiter, {false, config::RetryAfterFailure, RefusalReason::OverRate, nullptr});
+        resolve(request.waiter, {false, {}, config::RetryAfterFailure, RefusalReason::OverRate, nullptr});
         return;
     }
     carryOut(m_holder.wantToken(request.team, *limits, request.waiter, request.deadline, RuntimeClock::now()));
@@ -73,11 +73,11 @@
             toOwner({giveBack->message.team, giveBack->message.part}, giveBack->message);
         } else if (const auto *admit = std::get_if<Admit>(&effect)) {
             for (const auto waiter : admit->waiters) {
-                resolve(waiter, {true, {}, {}, nullptr});
+                resolve(waiter, {true, admit->expiry, {}, {}, nullptr});
             }
         } else if (const auto *refuse = std::get_if<Refuse>(&effect)) {
             for (const auto waiter : refuse->waiters) {
-                resolve(waiter, {false, std::max<Duration>(refuse->retryAfter, config::RetryAfterFailure), refuse->reason, nullptr});
+                resolve(waiter, {false, {}, std::max<Duration>(refuse->retryAfter, config::RetryAfterFailure), refuse->reason, nullptr});
             }
         }
     }
--- a/src/net_traffic.cpp
+++ b/src/net_traffic.cpp
@@ -120,7 +120,7 @@
 {
     const auto known = m_allowances.find(team);
     if (known != m_allowances.end() && known->second->take()) {
-        co_return TokenAnswer {true, {}, {}, known->second};
+        co_return TokenAnswer {true, TimePoint::max(), {}, {}, known->second};
     }
     const WaiterId id = ++m_nextWaiter;
     TokenWaiter waiter {RuntimeTimer(m_context), std::nullopt};
@@ -132,11 +132,17 @@
     co_await waiter.timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, cancelled));
     m_tokenWaiters.erase(id);
     if (!waiter.answer) {
-        co_return TokenAnswer {false, config::RetryAfterFailure, RefusalReason::NoOwner, nullptr};
+        co_return TokenAnswer {false, {}, config::RetryAfterFailure, RefusalReason::NoOwner, nullptr};
     }
     if (waiter.answer->allowance) {
         m_allowances[team] = waiter.answer->allowance;
     }
+    // This thread may have been held up: the owner counts the token as spent before validUntil.
+    if (waiter.answer->admitted && RuntimeClock::now() >= waiter.answer->validUntil) {
+        waiter.answer->admitted = false;
+        waiter.answer->retryAfter = config::RetryAfterFailure;
+        waiter.answer->reason = RefusalReason::NoOwner;
+    }
     co_return *waiter.answer;
 }
 
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -37,6 +37,7 @@
 /// Control's answer to a TokenRequest.
 struct TokenAnswer {
     bool admitted = false;
+    TimePoint validUntil = TimePoint::max(); ///< an admission counts until then
     Duration retryAfter {};
     RefusalReason reason = RefusalReason::NoOwner;
     TeamAllowancePtr allowance; ///< for the team's next requests; may be null
