--- a/tests/fuzz_limits.cpp
+++ b/tests/fuzz_limits.cpp
@@ -50,18 +50,19 @@
 
 constexpr auto LoadPeriod = 700ms;
 
-// Requests come at twice the rate for a while, so that the bound is pressed, then not at all, so that buckets fill.
-void offerLoad(LimitsFleet &fleet, std::size_t team, TimePoint end)
+// Requests come at twice the rate, so that the bound is pressed. Unless they are steady they stop for two periods of
+// three, so that buckets fill.
+void offerLoad(LimitsFleet &fleet, std::size_t team, bool steady, TimePoint end)
 {
     constexpr double Excess = 2;
     const auto gap = fromSeconds(-std::log(fleet.uniform(1e-9, 1)) / (Excess * fleet.limits(team).rate));
     const auto next = fleet.now() + std::min<Duration>(gap, 1s);
     if (next < end) {
-        fleet.schedule(next, [&fleet, team, end] {
-            if ((fleet.now().time_since_epoch() / LoadPeriod + std::int64_t(team)) % 3 == 0) {
+        fleet.schedule(next, [&fleet, team, steady, end] {
+            if (steady || (fleet.now().time_since_epoch() / LoadPeriod + std::int64_t(team)) % 3 == 0) {
                 fleet.arrive(team, fleet.pick(Daemons));
             }
-            offerLoad(fleet, team, end);
+            offerLoad(fleet, team, steady, end);
         });
     }
 }
@@ -132,6 +133,7 @@
 {
     const bool held = rc::check("admissions stay within burst + rate * t", [] {
         const auto steps = *rc::gen::container<std::vector<Step>>(anyStep());
+        const bool steady = *rc::gen::arbitrary<bool>();
         FleetOptions options;
         options.daemons = Daemons;
         options.seed = *rc::gen::arbitrary<std::uint64_t>();
@@ -139,7 +141,7 @@
         LimitsFleet fleet(options, teams());
         const auto length = 300ms * (steps.size() + 4);
         for (std::size_t team = 0; team < teams().size(); ++team) {
-            offerLoad(fleet, team, fleet.now() + length);
+            offerLoad(fleet, team, steady, fleet.now() + length);
         }
         fleet.run(600ms);
         for (const auto &step : steps) {
--- a/tests/matrix_limits.cpp
+++ b/tests/matrix_limits.cpp
@@ -268,3 +268,25 @@
         LONGS_EQUAL(0, fleet.waiting());
     }
 }
+
+// Clocks that run fast by the largest drift that is allowed for must not raise the rate.
+TEST(MatrixLimits, FastClocksStayWithinTheRate)
+{
+    FleetOptions options;
+    options.daemons = Daemons;
+    options.drift = config::MaxClockDrift;
+    std::vector<FleetTeam> teams;
+    for (const auto *name : {"a", "b", "c", "d", "e", "f"}) {
+        teams.push_back({{name}, {20, 5}});
+    }
+    LimitsFleet fleet(options, teams);
+    for (auto at = TimePoint {}; at < TimePoint {} + 60s; at += 25ms) {
+        for (std::size_t team = 0; team < teams.size(); ++team) {
+            fleet.schedule(at, [&fleet, team] { fleet.arrive(team, fleet.pick(Daemons)); });
+        }
+    }
+    fleet.run(62s);
+    std::printf("limits | fast clocks | overshoot %.3g\n", fleet.overshoot());
+    CHECK(fleet.overshoot() <= 1e-6);
+    LONGS_EQUAL(0, fleet.waiting());
+}
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -282,6 +282,12 @@
     CHECK(!allowance->takeAt(T0 + 4ms).has_value());
 }
 
+TEST(LimitsHolder, GrantThatComesAfterItsExpiryAdmitsNothing)
+{
+    const auto sent = wantOne(1, OnePart, T0);
+    CHECK(only<Admit>(holder.onGrant(answerTo(sent, 1), 1, T0 + config::WaitingTokenLifetime)).empty());
+}
+
 TEST(LimitsHolder, GrantOfAnOlderEpochIsRefused)
 {
     const auto sent = wantOne(1, TwoParts, T0);
