--- a/include/plumsill/limits.h
+++ b/include/plumsill/limits.h
@@ -5,6 +5,7 @@
 #include <plumsill/config.h>
 #include <plumsill/document.h>
 #include <plumsill/messages.h>
+#include <plumsill/tenure.h>
 
 #include <cstdint>
 #include <deque>
@@ -27,14 +28,6 @@
     auto operator<=>(const TeamLimits &) const = default;
 };
 
-/// One part of a team's bucket; has at most one acting owner.
-struct PartKey {
-    TeamName team;
-    std::uint32_t part = 0;
-
-    auto operator<=>(const PartKey &) const = default;
-};
-
 /// Number of parts that a bucket is cut into, @p most at most; the same for all daemons.
 unsigned partCount(const TeamLimits &limits, unsigned most = config::TeamParts);
 /// Limits of one part, zero for one that doesn't exist; the parts' sum is the whole.
@@ -43,15 +36,6 @@
 /// Time from the sending of a request to the expiry of the tokens granted for it.
 Duration grantLifetime(const GrantRequest &request, const Grant &grant);
 
-/// A daemon's right to act as owner of one part.
-struct Tenure {
-    bool mayAct = false; ///< confirmed now, and the wait is over or the part was handed over
-    std::uint64_t since = 0; ///< epoch from which this daemon has owned the part without a gap
-    TimePoint from; ///< when it became free to act in this tenure
-
-    auto operator<=>(const Tenure &) const = default;
-};
-
 /// A team whose limits differ between two documents.
 struct LimitsChange {
     TeamName team;
--- a/include/plumsill/messages.h
+++ b/include/plumsill/messages.h
@@ -12,31 +12,37 @@
 /// Messages between daemons. One datagram carries one message; what exceeds a datagram goes over TCP.
 namespace plumsill
 {
-/// A version of the environment's document and the SHA-256 of its text.
-struct DocumentStamp {
-    std::uint64_t version = 0;
-    std::string digest;
+/// A target that takes no new work; one that comes back on another endpoint is not meant.
+struct LeavingTarget {
+    TargetName target;
+    Endpoint endpoint;
 
-    auto operator<=>(const DocumentStamp &) const = default;
+    auto operator<=>(const LeavingTarget &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(version, digest);
+        archive(target, endpoint);
     }
 };
 
-/// Heartbeat that each daemon sends to every member once a second.
+/// Heartbeat that each daemon sends to every member once a second. It also answers the receiver's last pulse.
 struct Pulse {
     std::uint64_t sequence = 0;
+    std::uint64_t answers = 0; ///< sequence of the receiver's last pulse, 0 for none
+    bool answerNow = false; ///< asks for a PulseAck instead of the answer in the next pulse
     MemberState state = MemberState::Starting;
-    DocumentStamp document;
-    std::vector<TargetName> leavingTargets; ///< targets seen to leave in the last seconds
+    ZoneName zone; ///< empty when the roster lists the sender
+    Endpoint admin; ///< likewise
+    DocumentStamp document; ///< its digest is left out while nothing is new
+    bool documentKnown = false; ///< no earlier epoch accepted a later document
+    std::uint64_t silentMembers = 0; ///< bit i: member i of the epoch's roster doesn't answer the sender
+    std::vector<LeavingTarget> leavingTargets; ///< targets seen to leave in the last seconds
 
     auto operator<=>(const Pulse &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(sequence, state, document, leavingTargets);
+        archive(sequence, answers, answerNow, state, zone, admin, document, documentKnown, silentMembers, leavingTargets);
     }
 };
 
@@ -45,12 +51,14 @@
     std::uint64_t sequence = 0;
     MemberState state = MemberState::Starting;
     DocumentStamp document;
+    bool documentKnown = false; ///< as in Pulse
+    std::uint64_t silentMembers = 0; ///< as in Pulse
 
     auto operator<=>(const PulseAck &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(sequence, state, document);
+        archive(sequence, state, document, documentKnown, silentMembers);
     }
 };
 
@@ -145,20 +153,21 @@
 /// What one daemon saw of one target since its last digest.
 struct TargetEvidence {
     TargetName target;
-    std::uint32_t good = 0;
-    std::uint32_t errors = 0;
-    std::uint32_t timeouts = 0;
-    std::uint32_t truncated = 0;
-    std::uint32_t shed = 0; ///< refusals for load, not a sign of illness
-    std::uint32_t unreachable = 0; ///< connection attempts that failed
-    double logLatencySum = 0; ///< sum of ln(seconds) over good answers
-    double logLatencySquares = 0;
+    std::uint16_t good = 0; ///< whole answers
+    std::uint16_t fast = 0; ///< whole answers within the slow limit
+    std::uint16_t slow = 0; ///< requests that passed the slow limit, answered or not
+    std::uint16_t errors = 0;
+    std::uint16_t timeouts = 0;
+    std::uint16_t truncated = 0;
+    std::uint16_t shed = 0; ///< refusals for load, not a sign of illness
+    std::uint16_t unreachable = 0; ///< connection attempts that failed
+    float logLatencySum = 0; ///< sum of ln(seconds) over whole answers
 
     auto operator<=>(const TargetEvidence &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(target, good, errors, timeouts, truncated, shed, unreachable, logLatencySum, logLatencySquares);
+        archive(target, good, fast, slow, errors, timeouts, truncated, shed, unreachable, logLatencySum);
     }
 };
 
@@ -193,13 +202,14 @@
 struct Verdict {
     std::uint64_t sequence = 0; ///< of the digest it answers
     ServiceName service;
-    std::vector<EjectionPermit> ejected;
+    std::vector<EjectionPermit> ejected; ///< worst first
+    std::uint32_t slowAfterMicroseconds = 0; ///< slow limit of the service; none while 0
 
     auto operator<=>(const Verdict &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(sequence, service, ejected);
+        archive(sequence, service, ejected, slowAfterMicroseconds);
     }
 };
 
@@ -228,7 +238,32 @@
     }
 };
 
-using Message = std::variant<Pulse, PulseAck, GrantRequest, Grant, GiveBack, HandOver, HealthDigest, Verdict, DocumentRequest, DocumentReply>;
+/// Asks a peer for the roster of its epoch. Goes over TCP.
+struct RosterRequest {
+    std::uint64_t knownEpoch = 0;
+
+    auto operator<=>(const RosterRequest &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(knownEpoch);
+    }
+};
+
+/// A peer's copy of the roster. Goes over TCP.
+struct RosterReply {
+    Roster roster;
+
+    auto operator<=>(const RosterReply &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(roster);
+    }
+};
+
+using Message
+    = std::variant<Pulse, PulseAck, GrantRequest, Grant, GiveBack, HandOver, HealthDigest, Verdict, DocumentRequest, DocumentReply, RosterRequest, RosterReply>;
 
 /// A message with its sender, as it crosses the network under a MAC.
 struct Envelope {
--- /dev/null
+++ b/src/net_control_document.cpp
@@ -0,0 +1,148 @@
+#include "control_p.h"
+#include "environment_p.h"
+
+#include <plumsill/config.h>
+#include <plumsill/log.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
+namespace plumsill
+{
+DocumentPart::DocumentPart(Control &control)
+    : m_control(control)
+{ }
+
+boost::asio::awaitable<void> DocumentPart::run()
+{
+    Backoff backoff(config::StoreBackoffMin, config::StoreBackoffMax);
+    while (true) {
+        const bool needed = !m_holder.held() || m_control.membership().membership().isWatcher(RuntimeClock::now());
+        if (!needed) {
+            co_await sleepFor(config::PulseInterval);
+            continue;
+        }
+        const TimePoint began = RuntimeClock::now();
+        co_await watchStore();
+        if (RuntimeClock::now() - began > config::StoreBackoffMax) {
+            backoff.reset();
+        }
+        co_await sleepFor(backoff.next(0.5));
+    }
+}
+
+boost::asio::awaitable<bool> DocumentPart::readFromStore()
+{
+    const StoreCaller caller = callerOf(m_control.store());
+    const std::string environment = m_control.settings().environment;
+    const auto refreshed = co_await refreshDocument(caller, environment, m_holder);
+    if (!refreshed) {
+        co_return refreshed.error().fault == StoreFault::NotFound;
+    }
+    m_control.membership().membership().documentRead(refreshed.value().stored, refreshed.value().sent);
+    carryOut(refreshed.value().effects);
+    co_return true;
+}
+
+// Ends when the watch does, so that the caller reads anew.
+boost::asio::awaitable<void> DocumentPart::watchStore()
+{
+    const std::string key = manifestKey(m_control.settings().environment);
+    const auto listed = co_await m_control.store().list(key);
+    if (!listed) {
+        co_return;
+    }
+    const bool read = co_await readFromStore();
+    if (!read) {
+        co_return;
+    }
+    using namespace boost::asio::experimental::awaitable_operators;
+    co_await (watchUntilFailure(key, listed.value().revision) || whileWatcher());
+}
+
+boost::asio::awaitable<void> DocumentPart::whileWatcher()
+{
+    do {
+        co_await sleepFor(config::PulseInterval);
+    } while (m_control.membership().membership().isWatcher(RuntimeClock::now()));
+}
+
+boost::asio::awaitable<void> DocumentPart::watchUntilFailure(std::string key, std::uint64_t revision)
+{
+    // A named handler: g++ 12 destroys a temporary with captures twice when it stands in a co_await expression.
+    const std::function<void(const WatchEvent &)> handler = [this, key](const WatchEvent &event) {
+        const auto *put = std::get_if<ObjectPut>(&event);
+        if (put != nullptr && put->object.key == key) {
+            boost::asio::co_spawn(m_control.context(), readQuietly(), boost::asio::detached);
+        }
+    };
+    const auto error = co_await m_control.store().watch(key, revision, handler);
+    logDebug(LogPart::Document, "the watch ended: " + toString(error));
+}
+
+// A failed read shows in the next round of run().
+boost::asio::awaitable<void> DocumentPart::readQuietly()
+{
+    co_await readFromStore();
+}
+
+void DocumentPart::told(const MemberId &member, const DocumentStamp &stamp)
+{
+    carryOut(m_holder.toldByMember(member, stamp, RuntimeClock::now()));
+}
+
+void DocumentPart::confirm()
+{
+    const auto since = m_control.membership().membership().documentFreshAt();
+    if (since) {
+        m_holder.confirmedByMembers(m_holder.stamp(), *since);
+    }
+}
+
+std::optional<Envelope> DocumentPart::respond(const Envelope &)
+{
+    if (!m_holder.held()) {
+        return std::nullopt;
+    }
+    const auto &held = *m_holder.held();
+    return m_control.membership().membership().envelope(DocumentReply {held.stamp, held.text});
+}
+
+boost::asio::awaitable<void> DocumentPart::fetch(FetchDocument effect)
+{
+    auto &membership = m_control.membership().membership();
+    std::optional<Endpoint> from;
+    for (const auto &peer : membership.peers(RuntimeClock::now())) {
+        if (peer.member.id == effect.member) {
+            from = peer.member.peer;
+        }
+    }
+    if (!from) {
+        co_return;
+    }
+    const Envelope request = membership.envelope(DocumentRequest {m_holder.stamp()});
+    const auto reply = co_await m_control.peers().request(*from, request);
+    if (!reply) {
+        co_return;
+    }
+    if (const auto *document = std::get_if<DocumentReply>(&reply.value().message)) {
+        carryOut(m_holder.offeredByMember(document->stamp, document->text));
+    }
+}
+
+void DocumentPart::carryOut(const HolderEffects &effects)
+{
+    for (const auto &effect : effects) {
+        if (const auto *adopt = std::get_if<AdoptDocument>(&effect)) {
+            const Document before = m_compiled ? *m_compiled->document : Document {};
+            m_compiled = new CompiledDocument(adopt->held->stamp, adopt->held->document);
+            m_control.documentAdopted(before, *adopt->held);
+        } else if (const auto *wanted = std::get_if<FetchDocument>(&effect)) {
+            boost::asio::co_spawn(m_control.context(), fetch(*wanted), boost::asio::detached);
+        } else if (const auto *rejected = std::get_if<RejectOffer>(&effect)) {
+            logWarning(LogPart::Document, "document version " + std::to_string(rejected->stamp.version) + " turned down: " + rejected->reason);
+        }
+    }
+}
+}
