--- a/include/plumsill/burn.h
+++ b/include/plumsill/burn.h
@@ -2,6 +2,7 @@
 
 #include <plumsill/clock.h>
 #include <plumsill/config.h>
+#include <plumsill/document.h>
 #include <plumsill/metrics.h>
 #include <plumsill/types.h>
 
@@ -33,6 +34,8 @@
 
 using BurnTotals = std::map<TrafficKey, BurnCounts>;
 
+BurnTotals toBurnTotals(const std::map<TrafficKey, TrafficCounts> &counts);
+
 /// What happened in one span of time.
 struct BurnSample {
     Duration age {}; ///< from the span's end to the reading
@@ -79,6 +82,8 @@
 
 using ServiceObjectives = std::map<ServiceName, double>;
 
+ServiceObjectives objectivesOf(const Document &document);
+
 /// What one daemon answers at GET /v1/history.
 struct BurnReading {
     ServiceObjectives objectives;
--- a/src/burn.cpp
+++ b/src/burn.cpp
@@ -45,6 +45,24 @@
     return {counts.good, counts.bad + counts.ownerUnreachable + counts.notTrusted};
 }
 
+BurnTotals toBurnTotals(const std::map<TrafficKey, TrafficCounts> &counts)
+{
+    BurnTotals totals;
+    for (const auto &[key, count] : counts) {
+        totals[key] = toBurnCounts(count);
+    }
+    return totals;
+}
+
+ServiceObjectives objectivesOf(const Document &document)
+{
+    ServiceObjectives objectives;
+    for (const auto &service : document.services) {
+        objectives[service.name] = service.objective;
+    }
+    return objectives;
+}
+
 void BurnHistory::record(TimePoint now, const BurnTotals &totals)
 {
     if (m_lastTime && now - *m_lastTime < config::BurnFineStep) {
--- a/src/burn_reading.cpp
+++ b/src/burn_reading.cpp
@@ -153,10 +153,6 @@
             add(counts[key], labelValue(line, "outcome"), countBehind(line));
         }
     }
-    BurnTotals totals;
-    for (const auto &[key, count] : counts) {
-        totals[key] = toBurnCounts(count);
-    }
-    return totals;
+    return toBurnTotals(counts);
 }
 }
--- a/tools/plumsill_burn.cpp
+++ b/tools/plumsill_burn.cpp
@@ -39,21 +39,36 @@
     using std::runtime_error::runtime_error;
 };
 
-std::string fetch(const Endpoint &daemon, const std::string &target)
+HttpAnswer fetch(const Endpoint &daemon, const std::string &target)
 {
-    const auto result = exchangeOnce(daemon, {"GET", target, {}, {}}, CallTimeout);
+    auto result = exchangeOnce(daemon, {"GET", target, {}, {}}, CallTimeout);
     if (!result) {
         throw CallFailure(toString(daemon) + target + ": " + toString(result.assume_error()));
     }
-    if (result.assume_value().status != 200) {
-        throw CallFailure(toString(daemon) + target + ": status " + std::to_string(result.assume_value().status));
+    return std::move(result).assume_value();
+}
+
+std::string bodyOf(const Endpoint &daemon, const std::string &target, const HttpAnswer &answer)
+{
+    if (answer.status != 200) {
+        throw CallFailure(toString(daemon) + target + ": status " + std::to_string(answer.status));
     }
-    return result.assume_value().body;
+    return answer.body;
 }
 
+BurnTotals fetchTotals(const Endpoint &daemon)
+{
+    return parseMetrics(bodyOf(daemon, "/metrics", fetch(daemon, "/metrics")));
+}
+
+// A daemon without a history still has its totals: they count as of now.
 BurnReading fetchHistory(const Endpoint &daemon)
 {
-    auto reading = parseHistory(fetch(daemon, "/v1/history"));
+    const auto answer = fetch(daemon, "/v1/history");
+    if (answer.status == 404) {
+        return {{}, {{{}, {}, fetchTotals(daemon)}}};
+    }
+    auto reading = parseHistory(bodyOf(daemon, "/v1/history", answer));
     if (!reading) {
         throw CallFailure(toString(daemon) + ": " + toString(reading.assume_error()));
     }
@@ -84,7 +99,7 @@
 void sampleOnce(const Endpoint &daemon, BurnHistory &history)
 {
     try {
-        const auto totals = parseMetrics(fetch(daemon, "/metrics"));
+        const auto totals = fetchTotals(daemon);
         history.record(RuntimeClock::now(), totals);
     } catch (const CallFailure &failure) {
         std::cerr << "plumsill-burn: " << failure.what() << "\n";
--- a/tools/standin_caller.cpp
+++ b/tools/standin_caller.cpp
@@ -89,6 +89,7 @@
     std::uint64_t timedOut = 0;
     std::map<unsigned, std::uint64_t> statuses;
     std::map<std::string, std::uint64_t> outcomes;
+    std::map<std::string, std::uint64_t> errors; ///< by the code in the answer's body
     LatencyHistogram latency; ///< of answers with status 200
 };
 
@@ -106,6 +107,15 @@
     return echoed == id && named != nullptr && named->is_string() && named->as_string() == id;
 }
 
+// Code in a refusal's body, {"error":{"code":..}}; empty where there is none.
+std::string errorCode(const HttpAnswer &answer)
+{
+    boost::system::error_code error;
+    const auto body = json::parse(answer.body, error);
+    const auto *code = error ? nullptr : body.find_pointer("/error/code", error);
+    return code != nullptr && code->is_string() ? std::string(code->as_string()) : std::string();
+}
+
 class Caller
 {
 public:
@@ -280,6 +290,10 @@
     ++m_tally.statuses[answer.status];
     const auto outcome = fieldValue(answer.fields, "Plumsill-Outcome");
     ++m_tally.outcomes[outcome.empty() ? "-" : outcome];
+    if (answer.status >= 400) {
+        const auto code = errorCode(answer);
+        ++m_tally.errors[code.empty() ? "-" : code];
+    }
     m_tally.mismatched += belongsTo(waiting.id, answer) ? 0 : 1;
     if (answer.status == 200) {
         m_tally.latency.add(seconds(RuntimeClock::now() - waiting.intended));
@@ -308,23 +322,30 @@
     return "error";
 }
 
+template<class Key>
+json::object countsJson(const std::map<Key, std::uint64_t> &counts)
+{
+    json::object result;
+    for (const auto &[key, count] : counts) {
+        if constexpr (std::is_same_v<Key, std::string>) {
+            result[key] = count;
+        } else {
+            result[std::to_string(key)] = count;
+        }
+    }
+    return result;
+}
+
 json::object toJson(const Settings &settings, const Tally &tally)
 {
     constexpr double Milliseconds = 1000;
-    json::object statuses;
-    for (const auto &[status, count] : tally.statuses) {
-        statuses[std::to_string(status)] = count;
-    }
-    json::object outcomes;
-    for (const auto &[outcome, count] : tally.outcomes) {
-        outcomes[outcome] = count;
-    }
     return {{"team", settings.label},
             {"seed", settings.seed},
             {"sent", tally.sent},
             {"answered", tally.answered},
-            {"statuses", std::move(statuses)},
-            {"outcomes", std::move(outcomes)},
+            {"statuses", countsJson(tally.statuses)},
+            {"outcomes", countsJson(tally.outcomes)},
+            {"errors", countsJson(tally.errors)},
             {"mismatched", tally.mismatched},
             {"truncated", tally.truncated},
             {"malformed", tally.malformed},
