Membership gets its word on the stored document

Cause: no epoch after the first was written (demo: d1 isn't a member beside all others): membership waits for a read of the store's document, whose effect the glue did not carry out. Ruled out: the call budget. Change: ReadDocument is carried out; an absent document counts as version 0.

--- a/src/control_p.h
+++ b/src/control_p.h
@@ -68,6 +68,8 @@
 
     /// Watches the store while this daemon is one of the cell's watchers.
     boost::asio::awaitable<void> run();
+    /// Reads the store once, for membership or a change that was seen; a failure shows in the next read.
+    boost::asio::awaitable<void> readQuietly();
     /// A member's pulse or acknowledgement told of this document.
     void told(const MemberId &member, const DocumentStamp &stamp);
     std::optional<Envelope> respond(const Envelope &request);
@@ -81,7 +83,6 @@
     boost::asio::awaitable<bool> readFromStore();
     boost::asio::awaitable<void> watchStore();
     boost::asio::awaitable<void> watchUntilFailure(std::string key, std::uint64_t revision);
-    boost::asio::awaitable<void> readQuietly();
     boost::asio::awaitable<void> whileWatcher();
     boost::asio::awaitable<void> fetch(FetchDocument effect);
     void carryOut(const HolderEffects &effects);
--- a/src/net_control_document.cpp
+++ b/src/net_control_document.cpp
@@ -34,11 +34,16 @@
 
 boost::asio::awaitable<bool> DocumentPart::readFromStore()
 {
+    const TimePoint sent = RuntimeClock::now();
     const StoreCaller caller = callerOf(m_control.store());
     const std::string environment = m_control.settings().environment;
     const auto refreshed = co_await refreshDocument(caller, environment, m_holder);
     if (!refreshed) {
-        co_return refreshed.error().fault == StoreFault::NotFound;
+        const bool absent = refreshed.error().fault == StoreFault::NotFound;
+        if (absent) {
+            m_control.membership().membership().documentRead({}, sent);
+        }
+        co_return absent;
     }
     m_control.membership().membership().documentRead(refreshed.value().stored, refreshed.value().sent);
     carryOut(refreshed.value().effects);
@@ -81,7 +86,6 @@
     logDebug(LogPart::Document, "the watch ended: " + toString(error));
 }
 
-// A failed read shows in the next round of run().
 boost::asio::awaitable<void> DocumentPart::readQuietly()
 {
     co_await readFromStore();
--- a/src/net_control_membership.cpp
+++ b/src/net_control_membership.cpp
@@ -71,6 +71,8 @@
             boost::asio::co_spawn(m_control.context(), readRoster(), boost::asio::detached);
         } else if (const auto *write = std::get_if<WriteRoster>(&effect)) {
             boost::asio::co_spawn(m_control.context(), writeRoster(*write), boost::asio::detached);
+        } else if (std::holds_alternative<ReadDocument>(effect)) {
+            boost::asio::co_spawn(m_control.context(), m_control.document().readQuietly(), boost::asio::detached);
         } else if (const auto *adopted = std::get_if<RosterAdopted>(&effect)) {
             m_ownership.update();
             m_control.epochAdopted(adopted->epoch);
