--- a/tests/process_store.cpp
+++ b/tests/process_store.cpp
@@ -1,6 +1,6 @@
 #include "child_process.h"
 #include "environment_p.h"
-#include "standin_p.h"
+#include "http_client_p.h"
 
 #include <boost/asio.hpp>
 
@@ -18,7 +18,7 @@
 {
     const std::string text = "[service s]\nfloor = 50%\n[route r]\nprefix = /\nservice = s\nidempotent = yes\naccess = open\n";
     ChildProcess process {"standin-platform", {}};
-    Endpoint platform = standin::readyEndpoint(process.line(), "http");
+    Endpoint platform = readyEndpoint(process.line(), "http");
     asio::io_context loop;
     StoreConnection store {StoreSettings {platform, 1000, 1000}};
 
@@ -36,15 +36,17 @@
         loop.restart();
         loop.run();
     }
+    asio::awaitable<ChangeReply> change(std::uint64_t replaces)
+    {
+        ChangeOrder order {PutRequest {text, replaces}, "ann", "now", "write-" + std::to_string(replaces), TrialEnvironment, 0};
+        const HoldersQuery holders = [](const DocumentStamp &) { return Holders {1, 1}; };
+        const StoreCaller caller = callerOf(store);
+        co_return co_await runChange(std::move(order), caller, holders);
+    }
     ChangeReply put(std::uint64_t replaces)
     {
         ChangeReply reply;
-        run([&]() -> asio::awaitable<void> {
-            ChangeOrder order {PutRequest {text, replaces}, "ann", "now", "write-" + std::to_string(replaces), TrialEnvironment, 0};
-            const HoldersQuery holders = [](const DocumentStamp &) { return Holders {1, 1}; };
-            const StoreCaller caller = callerOf(store);
-            reply = co_await runChange(std::move(order), caller, holders);
-        });
+        run([&]() -> asio::awaitable<void> { reply = co_await change(replaces); });
         return reply;
     }
 };
@@ -65,7 +67,24 @@
 TEST(ProcessStore, OutageBeforeTheWriteIsARefusal)
 {
     faults(R"({"down": true})");
-    CHECK(put(0).outcome == ChangeOutcome::Refused);
+    RuntimeClock::pause();
+    asio::steady_timer ticker(loop);
+    // The 10 s for which the change tries again pass as fast as the loop turns.
+    const std::function<void(boost::system::error_code)> tick = [&](boost::system::error_code error) {
+        if (!error) {
+            RuntimeClock::advance(50ms);
+            ticker.expires_after(1ms);
+            ticker.async_wait(tick);
+        }
+    };
+    tick({});
+    ChangeOutcome outcome = ChangeOutcome::Unknown;
+    run([&]() -> asio::awaitable<void> {
+        outcome = (co_await change(0)).outcome;
+        ticker.cancel();
+    });
+    RuntimeClock::resume();
+    CHECK(outcome == ChangeOutcome::Refused);
     faults(R"({"down": false})");
     CHECK(put(0).outcome == ChangeOutcome::Accepted);
 }
