--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -21,9 +21,11 @@
 inline constexpr auto RosterPollInterval = 2000ms;
 inline constexpr auto RosterFetchTimeout = 1000ms;
 inline constexpr auto RosterWriteTimeout = 5000ms;
-inline constexpr auto MemberRemoveAfter = 10'000ms;
+inline constexpr auto MemberRemoveAfter = 5000ms;
 inline constexpr auto DelistedAfter = 5000ms;
 inline constexpr auto NeverListedAfter = 60'000ms;
+inline constexpr auto HandOverRepeat = 200ms;
+inline constexpr auto HandOverRepeatFor = 3000ms;
 inline constexpr auto CandidateLifetime = 3000ms;
 inline constexpr auto PeerForgetAfter = 60'000ms;
 inline constexpr auto AnswerNowAfter = 1500ms;
@@ -33,7 +35,8 @@
 // Team limits.
 inline constexpr auto GrantLifetime = 500ms;
 inline constexpr double MaxClockDrift = 0.001; // share of a measured time; slewed clocks stay below it
-inline constexpr auto GrantExpiryMargin = 10ms; // drift over one lifetime, and rounding
+inline constexpr auto GrantExpiryMargin = 2ms; // drift of two clocks over one lifetime, and rounding
+inline constexpr auto WaitingTokenLifetime = 40ms; // of tokens for requests that wait: used on receipt or not at all
 inline constexpr unsigned TeamParts = 8;
 inline constexpr double MinPartBurst = 6.0; // tokens; a team with less than two parts of this size has one part
 inline constexpr auto LimitsTick = 10ms;
@@ -88,7 +91,8 @@
 inline constexpr auto ColdStartGrace = 10'000ms; ///< slowness of a new target isn't counted
 inline constexpr std::uint32_t TrialPerMille = 100;
 inline constexpr auto EvidenceWindow = 3000ms; ///< time constant of the recent shares
-inline constexpr auto SuspicionWindow = 10'000ms; ///< time constant in which suspicion fades
+inline constexpr auto FailureSuspicionWindow = 10'000ms; ///< time constant in which suspicion of failures fades
+inline constexpr auto SlowSuspicionWindow = 4000ms; ///< the same for slowness: old lateness alone raises no alarm
 inline constexpr auto UnreachableMemory = 15'000ms; ///< longer than AvoidanceMax, so that a dead target stays known
 inline constexpr auto LatencyWindow = 20'000ms; ///< time constant of the usual latency
 inline constexpr auto DetectorRefreshInterval = 100ms;
@@ -98,15 +102,16 @@
 inline constexpr unsigned SilentRequestsBeforeAvoidance = 3;
 inline constexpr auto AvoidanceBase = 1000ms;
 inline constexpr auto AvoidanceMax = 10'000ms;
-inline constexpr auto LeavingAnnounceTime = 10'000ms;
+inline constexpr auto LeavingAnnounceTime = 30'000ms;
+inline constexpr std::size_t MaxLeavingInPulse = 16;
 inline constexpr auto LeavingForgetAfter = 30'000ms; ///< once the list no longer shows the target
 
 // Platform's service.
 inline constexpr auto StoreCallTimeout = 2000ms;
 inline constexpr auto WatchBookmarkInterval = 1000ms;
 inline constexpr unsigned WatchBookmarksMissed = 3;
-inline constexpr double StoreCallsPerSecond = 2.0;
-inline constexpr double StoreCallBurst = 10.0;
+inline constexpr double StoreCallsPerSecond = 10.0;
+inline constexpr double StoreCallBurst = 40.0;
 inline constexpr unsigned WatchersPerCell = 3;
 
 // Requests.
@@ -139,7 +144,6 @@
 
 // Control thread.
 inline constexpr auto ControlTick = 100ms;
-inline constexpr unsigned HandOverRounds = 3;
 inline constexpr auto PublishInterval = 1000ms;
 inline constexpr auto ListIntervalWatcher = 1000ms;
 inline constexpr auto ListInterval = 10'000ms;
--- a/include/plumsill/ownership.h
+++ b/include/plumsill/ownership.h
@@ -71,7 +71,8 @@
     bool mayAct(const OwnedKey &key, TimePoint now) const;
     /// Right to act for @p key; `since` goes back as far as the epochs known here.
     Tenure tenure(const OwnedKey &key, TimePoint now) const;
-    /// This member was ready for @p key in the epoch before and owns it no more: it may hand the key over.
+    /// This member was ready for @p key in the epoch before and owns it no more: it may hand the key over. The new owner
+    /// may still be fetching the roster, so repeat it every HandOverRepeat for HandOverRepeatFor.
     bool mayHandOver(const OwnedKey &key, TimePoint now) const;
     /// Like tenure(), for a key that may be handed over: of the epoch before.
     Tenure handOverTenure(const OwnedKey &key, TimePoint now) const;
--- a/src/control_p.h
+++ b/src/control_p.h
@@ -130,10 +130,11 @@
     std::unordered_map<TeamName, TeamLimits> m_limits;
     std::unordered_map<WaiterId, Waiting> m_waiting;
     std::map<PartKey, Tenure> m_tenures; ///< of parts asked for since they were last dropped
-    std::vector<HandOver> m_handOvers; ///< sent a few times, as datagrams get lost
-    unsigned m_handOverRounds = 0;
+    std::vector<HandOver> m_handOvers; ///< repeated until m_handOverUntil
+    std::optional<TimePoint> m_handOverUntil; ///< none before the parts were given up
     TimePoint m_nextHandOver;
     bool m_leaving = false;
+    bool m_serving = false;
 };
 
 /// Health of targets: this daemon's evidence and view, and the services that it judges.
@@ -212,6 +213,7 @@
     void publishSoon() { m_publishDue = true; }
 
 private:
+    void noteServing(TimePoint now);
     void publish(TimePoint now);
 
     boost::asio::io_context &m_context;
@@ -228,5 +230,6 @@
     std::unordered_map<ServiceName, std::shared_ptr<const ServiceView>> m_views;
     bool m_publishDue = true;
     bool m_leaving = false;
+    bool m_serving = false;
 };
 }
--- a/src/net_control_limits.cpp
+++ b/src/net_control_limits.cpp
@@ -148,7 +148,7 @@
 void LimitsPart::epochAdopted(std::uint64_t epoch)
 {
     m_holder.adoptEpoch(epoch);
-    if (m_leaving && m_handOverRounds == 0 && !m_control.membership().membership().isMember()) {
+    if (m_leaving && !m_handOverUntil && !m_control.membership().membership().isMember()) {
         giveUpParts();
     }
     const auto &ownership = m_control.membership().ownership();
@@ -176,17 +176,17 @@
         }
     }
     m_handOvers = m_owner.handOver(owned, now);
-    m_handOverRounds = config::HandOverRounds;
+    m_handOverUntil = now + config::HandOverRepeatFor;
     logInfo(LogPart::Limits, "handing over " + std::to_string(m_handOvers.size()) + " parts");
 }
 
+// The new owners may still be fetching the roster, and datagrams get lost.
 void LimitsPart::sendHandOvers(TimePoint now)
 {
-    if (m_handOverRounds == 0 || now < m_nextHandOver) {
+    if (!m_handOverUntil || now >= *m_handOverUntil || now < m_nextHandOver) {
         return;
     }
-    --m_handOverRounds;
-    m_nextHandOver = now + config::ControlTick;
+    m_nextHandOver = now + config::HandOverRepeat;
     for (const auto &part : m_handOvers) {
         toOwner({part.team, part.part}, part);
     }
