Operators' calls to the store have a budget of their own

Ruled out: a larger budget for everything, which the fleet's idle calls would then be free to use. Calls of an operator's change go through operatorCallerOf with 20 a second, burst 100.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -112,6 +112,8 @@
 inline constexpr unsigned WatchBookmarksMissed = 3;
 inline constexpr double StoreCallsPerSecond = 10.0;
 inline constexpr double StoreCallBurst = 40.0;
+inline constexpr double OperatorCallsPerSecond = 20.0;
+inline constexpr double OperatorCallBurst = 100.0;
 inline constexpr unsigned WatchersPerCell = 3;
 
 // Requests.
--- a/src/environment_p.h
+++ b/src/environment_p.h
@@ -14,7 +14,10 @@
 /// Members of this daemon's epoch that hold at least the stamp's version, the daemon itself included.
 using HoldersQuery = std::function<Holders(const DocumentStamp &)>;
 
+/// Calls within the budget of the daemon's own work.
 StoreCaller callerOf(StoreConnection &store);
+/// Calls within the budget of operators' changes.
+StoreCaller operatorCallerOf(StoreConnection &store);
 
 /// Carries one change through to its reply.
 boost::asio::awaitable<ChangeReply> runChange(ChangeOrder order, StoreCaller store, HoldersQuery holders);
--- a/src/net_environment.cpp
+++ b/src/net_environment.cpp
@@ -46,6 +46,11 @@
     return [&store](ObjectCall call) { return store.call(std::move(call)); };
 }
 
+StoreCaller operatorCallerOf(StoreConnection &store)
+{
+    return [&store](ObjectCall call) { return store.callForOperator(std::move(call)); };
+}
+
 asio::awaitable<ChangeReply> runChange(ChangeOrder order, StoreCaller store, HoldersQuery holders)
 {
     ChangeProcess process(std::move(order), RuntimeClock::now());
--- a/src/net_store.cpp
+++ b/src/net_store.cpp
@@ -146,13 +146,17 @@
         : m_settings(std::move(settings))
         , m_host(toString(m_settings.endpoint))
         , m_budget(m_settings.callsPerSecond, m_settings.callBurst)
+        , m_operatorBudget(m_settings.operatorCallsPerSecond, m_settings.operatorCallBurst)
     { }
 
     const std::string &host() const { return m_host; }
 
-    asio::awaitable<HttpResult> exchange(Request request)
+    CallBudget &budget() { return m_budget; }
+    CallBudget &operatorBudget() { return m_operatorBudget; }
+
+    asio::awaitable<HttpResult> exchange(Request request, CallBudget &budget)
     {
-        if (!co_await waitForBudget()) {
+        if (!co_await waitFor(budget)) {
             co_return failed(StoreFault::Throttled, {});
         }
         auto stream = takeIdle();
@@ -186,10 +190,10 @@
         co_return std::move(stream);
     }
 
-    asio::awaitable<bool> waitForBudget()
+    asio::awaitable<bool> waitFor(CallBudget &budget)
     {
         const auto deadline = RuntimeClock::now() + m_settings.callTimeout;
-        while (const auto wait = m_budget.take(RuntimeClock::now())) {
+        while (const auto wait = budget.take(RuntimeClock::now())) {
             if (RuntimeClock::now() + *wait > deadline) {
                 co_return false;
             }
@@ -266,6 +270,7 @@
     StoreSettings m_settings;
     std::string m_host;
     CallBudget m_budget;
+    CallBudget m_operatorBudget;
     VersionFilter m_filter;
     std::list<Idle> m_idle;
 };
@@ -277,9 +282,19 @@
 StoreConnection::~StoreConnection() = default;
 
 asio::awaitable<ObjectResult> StoreConnection::call(ObjectCall call)
+{
+    return answer(std::move(call), m_pool->budget());
+}
+
+asio::awaitable<ObjectResult> StoreConnection::callForOperator(ObjectCall call)
+{
+    return answer(std::move(call), m_pool->operatorBudget());
+}
+
+asio::awaitable<ObjectResult> StoreConnection::answer(ObjectCall call, CallBudget &budget)
 {
     auto request = std::visit(RequestMaker {m_pool->host()}, call);
-    const auto response = co_await m_pool->exchange(std::move(request));
+    const auto response = co_await m_pool->exchange(std::move(request), budget);
     if (response.has_error()) {
         co_return response.error();
     }
@@ -331,7 +346,7 @@
 asio::awaitable<StoreResult<std::vector<ListedInstance>>> StoreConnection::instances()
 {
     auto request = makeRequest(http::verb::get, "/v1/instances", m_pool->host());
-    const auto response = co_await m_pool->exchange(std::move(request));
+    const auto response = co_await m_pool->exchange(std::move(request), m_pool->budget());
     if (response.has_error()) {
         co_return response.error();
     }
@@ -341,7 +356,7 @@
 asio::awaitable<StoreResult<std::vector<Target>>> StoreConnection::targets()
 {
     auto request = makeRequest(http::verb::get, "/v1/targets", m_pool->host());
-    const auto response = co_await m_pool->exchange(std::move(request));
+    const auto response = co_await m_pool->exchange(std::move(request), m_pool->budget());
     if (response.has_error()) {
         co_return response.error();
     }
@@ -399,7 +414,7 @@
 
 asio::awaitable<StoreError> StoreConnection::watch(std::string prefix, std::uint64_t from, std::function<void(const WatchEvent &)> handler)
 {
-    if (!co_await m_pool->waitForBudget()) {
+    if (!co_await m_pool->waitFor(m_pool->budget())) {
         co_return failed(StoreFault::Throttled, {});
     }
     auto connected = co_await m_pool->connected();
--- a/src/store_p.h
+++ b/src/store_p.h
@@ -15,6 +15,8 @@
     double callsPerSecond = config::StoreCallsPerSecond;
     double callBurst = config::StoreCallBurst;
     Duration callTimeout = config::StoreCallTimeout;
+    double operatorCallsPerSecond = config::OperatorCallsPerSecond;
+    double operatorCallBurst = config::OperatorCallBurst;
 };
 
 /// Address in "http://IP:PORT"; nothing for anything else.
@@ -30,6 +32,9 @@
     StoreConnection &operator=(const StoreConnection &) = delete;
 
     boost::asio::awaitable<ObjectResult> call(ObjectCall call);
+    /// A call that an operator waits for. It has a budget of its own, so it neither waits for the daemon's own calls
+    /// nor takes theirs.
+    boost::asio::awaitable<ObjectResult> callForOperator(ObjectCall call);
 
     boost::asio::awaitable<StoreResult<StoredObject>> read(std::string key);
     boost::asio::awaitable<StoreResult<ObjectList>> list(std::string prefix);
@@ -44,6 +49,8 @@
     boost::asio::awaitable<StoreError> watch(std::string prefix, std::uint64_t from, std::function<void(const WatchEvent &)> handler);
 
 private:
+    boost::asio::awaitable<ObjectResult> answer(ObjectCall call, CallBudget &budget);
+
     class Pool;
     std::unique_ptr<Pool> m_pool;
 };
--- a/tests/process_store.cpp
+++ b/tests/process_store.cpp
@@ -20,7 +20,7 @@
     ChildProcess process {"standin-platform", {}};
     Endpoint platform = readyEndpoint(process.line(), "http");
     asio::io_context loop;
-    StoreConnection store {StoreSettings {platform, 1000, 1000}};
+    StoreConnection store {StoreSettings {platform}};
 
     void faults(const std::string &json)
     {
@@ -40,7 +40,7 @@
     {
         ChangeOrder order {PutRequest {text, replaces}, "ann", "now", "write-" + std::to_string(replaces), TrialEnvironment, 0};
         const HoldersQuery holders = [](const DocumentStamp &) { return Holders {1, 1}; };
-        const StoreCaller caller = callerOf(store);
+        const StoreCaller caller = operatorCallerOf(store);
         co_return co_await runChange(std::move(order), caller, holders);
     }
     ChangeReply put(std::uint64_t replaces)
@@ -57,7 +57,7 @@
     CHECK(put(0).outcome == ChangeOutcome::Accepted);
     CHECK(put(0).outcome == ChangeOutcome::Conflict);
     run([&]() -> asio::awaitable<void> {
-        const StoreCaller caller = callerOf(store);
+        const StoreCaller caller = operatorCallerOf(store);
         const auto stored = co_await readDocument(caller, TrialEnvironment);
         CHECK(stored.value().text == text);
         LONGS_EQUAL(1, stored.value().manifest.stamp.version);
--- a/tests/test_net_store.cpp
+++ b/tests/test_net_store.cpp
@@ -73,12 +73,14 @@
 struct Client {
     asio::io_context loop;
     ScriptedServer server {loop};
+    StoreSettings settings;
     std::unique_ptr<StoreConnection> store;
 
     void run(std::deque<std::string> answers, std::function<asio::awaitable<void>(StoreConnection &)> work)
     {
         server.answers = std::move(answers);
-        store = std::make_unique<StoreConnection>(StoreSettings {server.endpoint(), 1000, 1000, std::chrono::seconds(5)});
+        settings.endpoint = server.endpoint();
+        store = std::make_unique<StoreConnection>(settings);
         const auto failed = [](std::exception_ptr error) { CHECK(!error); };
         asio::co_spawn(loop, server.serve(), asio::detached);
         asio::co_spawn(
@@ -127,6 +129,19 @@
     LONGS_EQUAL(1, client.server.requests.size());
 }
 
+TEST(NetStore, OperatorsDoNotWaitForTheDaemonsBudget)
+{
+    const std::string found = response("200 OK", "v", "ETag: \"1\"\r\n");
+    client.settings.callBurst = 1;
+    client.settings.callsPerSecond = 0.01;
+    client.run({found, found}, [](StoreConnection &store) -> asio::awaitable<void> {
+        const ObjectCall read = ReadCall {"a"};
+        CHECK((co_await store.call(read)).has_value());
+        CHECK((co_await store.callForOperator(read)).has_value());
+        CHECK((co_await store.call(read)).error().fault == StoreFault::Throttled);
+    });
+}
+
 TEST(NetStore, ReadGoesAgainOnANewConnection)
 {
     client.run({response("200 OK", "", "ETag: \"3\"\r\n"), "", response("200 OK", "v", "ETag: \"3\"\r\n")},
