Bad evidence goes out early; suspicion of slowness needs fresh evidence

Lateness of one episode kept the sum high while it rose. Change: the sum is held closer to the alarm and fades in 3 s, the rise takes 1.5 s (fast: 1.3 s), and digests with bad evidence go out after 200 ms, which gives the time back. The stateful test's oracle took the end of a loss for quiet; it now counts trouble until it ends.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -29,6 +29,7 @@
 
 // Target health.
 inline constexpr auto HealthDigestInterval = 500ms;
+inline constexpr auto UrgentDigestInterval = 200ms; ///< with bad evidence
 inline constexpr auto EjectionPermitLifetime = 2000ms;
 inline constexpr auto EjectionBase = 5000ms;
 inline constexpr auto EjectionMax = 120'000ms;
@@ -39,7 +40,7 @@
 inline constexpr std::uint32_t TrialPerMille = 100;
 inline constexpr auto EvidenceWindow = 3000ms; ///< time constant of the recent shares
 inline constexpr auto FailureSuspicionWindow = 10'000ms; ///< time constant in which suspicion of failures fades
-inline constexpr auto SlowSuspicionWindow = 4000ms; ///< the same for slowness: old lateness alone raises no alarm
+inline constexpr auto SlowSuspicionWindow = 3000ms; ///< the same for slowness: old lateness alone raises no alarm
 inline constexpr auto UnreachableMemory = 15'000ms; ///< longer than AvoidanceMax, so that a dead target stays known
 inline constexpr auto LatencyWindow = 20'000ms; ///< time constant of the usual latency
 inline constexpr auto DetectorRefreshInterval = 100ms;
--- a/include/plumsill/health.h
+++ b/include/plumsill/health.h
@@ -223,6 +223,7 @@
         std::map<TargetName, TargetEvidence> pending;
         std::map<TargetName, LocalRecord> locals;
         std::uint64_t sequence = 0;
+        TimePoint lastDigest;
         TimePoint nextDigest;
         std::optional<TimePoint> lastUsed; ///< last evidence
         std::map<std::uint64_t, TimePoint> sentAt; ///< by sequence, of digests not yet answered
--- a/src/detector.cpp
+++ b/src/detector.cpp
@@ -22,7 +22,7 @@
 // Answers of one target before its latency counts for the slow limit.
 constexpr double MinLatencyAnswers = 8;
 // A sum above this multiple of the alarm tells no more, and would only take longer to fall.
-constexpr double SumLimit = 1.25;
+constexpr double SumLimit = 1.15;
 // Part of the alarm that the evidence must reach without the group of senders that accuses most.
 constexpr double CorroborationShare = 0.25;
 // Part of the alarm from which a target counts as suspected, when the service as a whole is judged.
@@ -35,12 +35,12 @@
     // run length of the cumulative sum); healthy shares are far below usualShare, which makes it far rarer.
     DetectorThresholds operator()(const FewFalseEjections &) const
     {
-        return {.usualShare = 0.02, .errorShare = 0.2, .slowShare = 0.75, .slowFactor = 5, .alarm = 16, .recovered = 3, .errorTime = 400ms, .slowTime = 1200ms};
+        return {.usualShare = 0.02, .errorShare = 0.2, .slowShare = 0.75, .slowFactor = 5, .alarm = 16, .recovered = 3, .errorTime = 400ms, .slowTime = 1500ms};
     }
     DetectorThresholds operator()(const FastDetection &) const
     {
         return {
-            .usualShare = 0.02, .errorShare = 0.15, .slowShare = 0.75, .slowFactor = 5, .alarm = 14, .recovered = 3, .errorTime = 300ms, .slowTime = 1100ms};
+            .usualShare = 0.02, .errorShare = 0.15, .slowShare = 0.75, .slowFactor = 5, .alarm = 14, .recovered = 3, .errorTime = 300ms, .slowTime = 1300ms};
     }
 };
 
@@ -166,7 +166,7 @@
 void Detector::CumulativeSum::advance(double keep, double rise)
 {
     raw *= keep;
-    whole = std::min(raw, whole * keep + rise);
+    whole = std::min(raw, whole + rise);
     for (auto &[group, part] : byGroup) {
         part *= keep;
     }
--- a/src/health_local.cpp
+++ b/src/health_local.cpp
@@ -235,6 +235,9 @@
         sum.target = part.target;
         addEvidence(sum, part);
         record.lastUsed = now;
+        if (part.errors + part.timeouts + part.truncated + part.unreachable + part.slow > 0) {
+            record.nextDigest = std::min(record.nextDigest, record.lastDigest + config::UrgentDigestInterval);
+        }
     }
 }
 
@@ -244,6 +247,7 @@
     if (!used || now < record.nextDigest) {
         return;
     }
+    record.lastDigest = now;
     record.nextDigest = now + config::HealthDigestInterval;
     HealthDigest digest {++record.sequence, record.service.name, {}};
     for (auto &[name, evidence] : record.pending) {
--- a/tests/fuzz_health.cpp
+++ b/tests/fuzz_health.cpp
@@ -123,11 +123,9 @@
             break;
         case Op::Loss:
             m_loss = action.amount % 4 * 0.25;
-            m_lastTrouble = m_now;
             break;
         case Op::Delay:
             m_delayMax = action.amount % 4 * 700ms + Step;
-            m_lastTrouble = m_now;
             break;
         case Op::Pause:
             m_daemons[daemon]->pausedUntil = m_now + action.amount * 300ms;
@@ -185,6 +183,7 @@
     {
         for (const TimePoint end = m_now + length; m_now < end;) {
             m_now += Step;
+            m_lastTrouble = trouble() ? m_now : m_lastTrouble;
             for (std::size_t index = 0; index < Daemons; ++index) {
                 if (m_daemons[index]->pausedUntil > m_now) {
                     m_lastTrouble = m_now;
@@ -308,7 +307,7 @@
         }
         const std::size_t allowed = outAllowed(m_service.floor, Targets);
         RC_ASSERT(out.size() <= allowed);
-        if (trouble() || m_now - m_lastTrouble <= SettleTime) {
+        if (m_now - m_lastTrouble <= SettleTime) {
             return;
         }
         std::size_t leaving = 0;
@@ -324,7 +323,7 @@
 
     void checkDaemon(const Daemon &daemon) const
     {
-        const bool quiet = !trouble() && m_now - m_lastTrouble > LeavingLimit;
+        const bool quiet = m_now - m_lastTrouble > LeavingLimit;
         const auto view = daemon.local.view(Orders, m_now);
         std::size_t out = 0;
         std::size_t leaving = 0;
--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -341,6 +341,16 @@
     LONGS_EQUAL(sent, digests.size());
 }
 
+TEST(LocalHealth, BadEvidenceGoesOutEarly)
+{
+    newDigest();
+    const std::size_t sent = digests.size();
+    run(100ms);
+    record(3, true);
+    run(config::UrgentDigestInterval, {}, false);
+    LONGS_EQUAL(sent + 1, digests.size());
+}
+
 TEST(LocalHealth, VerdictIsTheWholeWord)
 {
     CHECK(local.handleVerdict(1, verdict(newDigest(), {1, 2}), now));
