--- /dev/null
+++ b/tests/matrix_health.cpp
@@ -0,0 +1,234 @@
+#include "health_fleet.h"
+
+#include <cstdio>
+
+// Last: its macro for new breaks other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace plumsill;
+using namespace plumsill::model;
+using namespace std::chrono_literals;
+
+namespace
+{
+constexpr std::size_t Targets = 6;
+constexpr Duration DetectLimit = 5s;
+constexpr Duration EverywhereLimit = 6s;
+constexpr Duration DrainLimit = 3s;
+constexpr Duration OwnerWait = 6s; // confirmation, drift and the longest grant or permit
+
+FleetOptions smallFleet()
+{
+    FleetOptions options;
+    options.daemons = 6;
+    options.targets = Targets;
+    options.loss = 0.05;
+    options.seed = 11;
+    return options;
+}
+
+/// A warm fleet that watches the floor after every tick.
+struct Bench {
+    HealthFleet fleet;
+    std::size_t mostOut = 0;
+
+    explicit Bench(const FleetOptions &options = smallFleet())
+        : fleet(options)
+    {
+        fleet.onTick = [this] { mostOut = std::max(mostOut, fleet.ejectedAnywhere().size()); };
+        fleet.runFor(15s);
+    }
+
+    bool floorHeld() const { return mostOut <= outAllowed(0.5, Targets); }
+
+    std::size_t ejections(TimePoint since) const
+    {
+        std::size_t count = 0;
+        for (const auto &event : fleet.seen) {
+            count += event.at >= since && std::holds_alternative<TargetEjected>(event.event) ? 1 : 0;
+        }
+        return count;
+    }
+
+    template<class Condition>
+    bool within(Duration limit, const Condition &condition)
+    {
+        for (const TimePoint end = fleet.now() + limit; fleet.now() < end;) {
+            fleet.runFor(100ms);
+            if (condition()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    bool detected(std::size_t target, Duration limit)
+    {
+        return within(limit, [&] { return fleet.ejectedAnywhere().contains(fleet.name(target)); });
+    }
+
+    bool unused(std::size_t target) const { return fleet.countUse(target, TargetUse::Active) + fleet.countUse(target, TargetUse::SlowStart) == 0; }
+
+    bool allActive()
+    {
+        return within(90s, [&] {
+            for (std::size_t target = 0; target < Targets; ++target) {
+                if (fleet.countUse(target, TargetUse::Active) != fleet.aliveDaemons()) {
+                    return false;
+                }
+            }
+            return true;
+        });
+    }
+};
+
+void row(const char *who, const char *fault, const char *step, bool held)
+{
+    std::printf("matrix | %-6s | %-20s | %-6s | %s\n", who, fault, step, held ? "ok" : "FAILED");
+    CHECK_TEXT(held, (std::string(who) + ", " + fault + ", " + step).c_str());
+}
+
+/// detect, eject, hold and return for a fault of the target itself.
+void targetRows(const char *name, const TargetFault &fault)
+{
+    Bench bench;
+    const TimePoint start = bench.fleet.now();
+    bench.fleet.faults[2] = fault;
+    row("target", name, "detect", bench.detected(2, DetectLimit));
+    row("target", name, "eject", bench.within(EverywhereLimit - (bench.fleet.now() - start), [&] { return bench.unused(2); }));
+    bench.fleet.faults[2] = {};
+    row("target", name, "return", bench.allActive());
+    for (std::size_t target = 0; target < 4; ++target) {
+        bench.fleet.faults[target] = fault;
+    }
+    bench.fleet.runFor(60s);
+    row("target", name, "hold", bench.floorHeld());
+}
+}
+
+TEST_GROUP(HealthMatrix) {};
+
+TEST(HealthMatrix, GrayTargets)
+{
+    targetRows("gray slow", {10, 0, 0, false, false});
+    targetRows("gray errors", {1, 0.3, 0, false, false});
+    targetRows("truncated", {1, 0, 0.5, false, false});
+    targetRows("crash", {1, 0, 0, true, false});
+}
+
+TEST(HealthMatrix, OneWayCut)
+{
+    Bench bench;
+    bench.fleet.cut(1, 2);
+    const TimePoint start = bench.fleet.now();
+    row("daemon", "one-way cut", "detect", bench.within(15s, [&] { return bench.fleet.countUse(2, TargetUse::Avoided) == 1; }));
+    bench.fleet.runFor(20s);
+    row("daemon", "one-way cut", "hold", bench.ejections(start) == 0);
+    bench.fleet.heal();
+    row("daemon", "one-way cut", "return", bench.allActive());
+    for (std::size_t daemon = 0; daemon < 6; ++daemon) {
+        bench.fleet.cut(daemon, 2);
+    }
+    row("target", "one-way cut", "detect", bench.within(DetectLimit, [&] { return bench.unused(2); }));
+    row("target", "one-way cut", "eject", bench.detected(2, DetectLimit));
+}
+
+TEST(HealthMatrix, Flap)
+{
+    Bench bench;
+    const TimePoint start = bench.fleet.now();
+    for (int round = 0; round < 15; ++round) {
+        bench.fleet.faults[2].errorShare = 0.5;
+        bench.fleet.runFor(4s);
+        bench.fleet.faults[2].errorShare = 0;
+        bench.fleet.runFor(4s);
+    }
+    // In 120 s: ejections of 5, 10, 20, 40 and 80 s at the most.
+    const std::size_t count = bench.ejections(start);
+    row("target", "flap", "eject", count >= 1 && count <= 5);
+    row("target", "flap", "hold", bench.floorHeld());
+}
+
+TEST(HealthMatrix, ColdStart)
+{
+    Bench bench;
+    const TimePoint start = bench.fleet.now();
+    const std::size_t cold = bench.fleet.addTarget(config::ColdStartGrace - 2s);
+    bench.fleet.tellListEverywhere();
+    row("target", "cold start", "detect", bench.fleet.countUse(cold, TargetUse::SlowStart) == bench.fleet.aliveDaemons());
+    bench.fleet.runFor(30s);
+    row("target", "cold start", "hold", bench.ejections(start) == 0);
+    row("target", "cold start", "return", bench.fleet.countUse(cold, TargetUse::Active) == bench.fleet.aliveDaemons());
+}
+
+TEST(HealthMatrix, LeavingWhileListed)
+{
+    Bench bench;
+    bench.fleet.faults[2].drains = true;
+    const bool seen = bench.within(2s, [&] { return bench.fleet.countUse(2, TargetUse::Leaving) > 0; });
+    row("target", "leaving while listed", "detect", seen);
+    bench.fleet.runFor(DrainLimit);
+    const auto requests = bench.fleet.totals[2].requests;
+    bench.fleet.tellListEverywhere(); // the list lags and still shows it as staying
+    bench.fleet.runFor(20s);
+    row("target", "leaving while listed", "drain", bench.fleet.totals[2].requests == requests);
+    for (const std::size_t target : {0, 1, 3}) {
+        bench.fleet.faults[target].errorShare = 0.5;
+    }
+    bench.mostOut = 0;
+    bench.fleet.runFor(30s);
+    row("target", "leaving while listed", "hold", bench.mostOut + 1 <= outAllowed(0.5, Targets));
+}
+
+TEST(HealthMatrix, DaemonCrash)
+{
+    Bench bench;
+    bench.fleet.crashDaemon(3);
+    bench.fleet.crashDaemon(4);
+    bench.fleet.faults[2].errorShare = 0.3;
+    row("daemon", "crash", "detect", bench.detected(2, DetectLimit));
+    row("daemon", "crash", "eject", bench.within(EverywhereLimit, [&] { return bench.unused(2); }));
+}
+
+TEST(HealthMatrix, OwnerCrash)
+{
+    Bench bench;
+    for (const std::size_t target : {1, 2}) {
+        bench.fleet.faults[target].errorShare = 0.5;
+    }
+    bench.within(EverywhereLimit, [&] { return bench.unused(1) && bench.unused(2); });
+    bench.fleet.crashDaemon(0);
+    bench.fleet.runFor(1s);
+    bench.fleet.changeOwner(3, OwnerWait);
+    bench.fleet.runFor(OwnerWait - 1s);
+    row("owner", "crash", "hold", bench.floorHeld() && bench.unused(1) && bench.unused(2));
+    bench.fleet.faults[4].errorShare = 0.5;
+    row("owner", "owner change", "detect", bench.detected(4, 1s + DetectLimit));
+    bench.fleet.runFor(20s);
+    row("owner", "owner change", "eject", bench.unused(1) && bench.unused(2) && bench.unused(4));
+    row("owner", "owner change", "hold", bench.floorHeld());
+    for (auto &fault : bench.fleet.faults) {
+        fault = {};
+    }
+    row("owner", "owner change", "return", bench.allActive());
+}
+
+TEST(HealthMatrix, LaggingList)
+{
+    Bench bench;
+    const std::size_t added = bench.fleet.addTarget(0s);
+    for (std::size_t daemon = 1; daemon < 6; ++daemon) {
+        bench.fleet.tellList(daemon, bench.fleet.listed); // all but the owner
+    }
+    bench.fleet.runFor(15s);
+    for (const std::size_t target : {0, 1, 2, 3}) {
+        bench.fleet.faults[target].errorShare = 0.5;
+    }
+    bench.fleet.runFor(10s);
+    row("owner", "lagging list", "hold", bench.floorHeld());
+    row("owner", "lagging list", "eject", bench.mostOut == outAllowed(0.5, Targets));
+    bench.fleet.faults[added].errorShare = 0.5;
+    bench.fleet.tellListEverywhere();
+    bench.fleet.runFor(10s);
+    row("daemon", "lagging list", "hold", bench.mostOut <= outAllowed(0.5, Targets + 1));
+}
