One roster write at a time, each answered before the next

Cause: after its timeout a second write could start, and the late answer of the first was then taken for the second's: a daemon would have adopted a roster that the store doesn't hold, as a second roster of the same epoch. Ruled out: telling the answers apart by an id (the glue answers each write once anyway). Result: EpochChange.NoSecondWriteBeforeTheAnswerOfTheFirst; the minority's test now reaches the rule it names.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -20,7 +20,6 @@
 inline constexpr auto RosterChangeRankStep = 200ms;
 inline constexpr auto RosterPollInterval = 2000ms;
 inline constexpr auto RosterFetchTimeout = 1000ms;
-inline constexpr auto RosterWriteTimeout = 5000ms;
 inline constexpr auto MemberRemoveAfter = 5000ms;
 inline constexpr auto DelistedAfter = 5000ms;
 inline constexpr auto NeverListedAfter = 60'000ms;
--- a/include/plumsill/membership.h
+++ b/include/plumsill/membership.h
@@ -109,7 +109,7 @@
     MembershipEffects receive(const Envelope &envelope, TimePoint now);
     MembershipEffects rosterRead(const std::optional<StoredRoster> &stored, TimePoint now);
     MembershipEffects rosterReadFailed(TimePoint now);
-    /// @p version is the object's new version in the store, for Written.
+    /// Exactly one for each WriteRoster. @p version is the object's new version in the store, for Written.
     MembershipEffects rosterWritten(RosterWriteResult result, std::uint64_t version, TimePoint now);
     /// The reply to a peer's RosterRequest; nothing for other messages, or while the roster is unknown.
     std::optional<Envelope> respond(const Envelope &request) const;
@@ -236,7 +236,7 @@
     void changeRoster(TimePoint now, MembershipEffects &effects);
     bool changeIsDue(const std::vector<Member> &next, TimePoint now);
     bool mayWrite(TimePoint now, MembershipEffects &effects);
-    void write(Roster next, std::optional<std::uint64_t> replaces, TimePoint now, MembershipEffects &effects);
+    void write(Roster next, std::optional<std::uint64_t> replaces, MembershipEffects &effects);
     std::vector<Member> nextMembers(TimePoint now) const;
     std::vector<Member> candidates(TimePoint now) const;
     bool removable(const Member &member, TimePoint now) const;
@@ -275,7 +275,7 @@
     std::optional<TimePoint> m_readStartedAt;
     TimePoint m_nextReadAt;
     std::optional<TimePoint> m_fetchStartedAt;
-    std::optional<TimePoint> m_writeStartedAt;
+    bool m_writeInFlight = false;
     std::optional<TimePoint> m_changeWantedAt; ///< members differ from the roster
     std::optional<TimePoint> m_flagsWantedAt; ///< only what the list shows differs
     Roster m_pendingWrite;
--- a/src/roster_change.cpp
+++ b/src/roster_change.cpp
@@ -55,11 +55,13 @@
     return {};
 }
 
+// No second write starts before this: an answer that came late would then be taken for the other's.
 // A conflict means that somebody else wrote, and an unknown result that this daemon may have: reading tells.
 MembershipEffects Membership::rosterWritten(RosterWriteResult result, std::uint64_t version, TimePoint now)
 {
+    assert(m_writeInFlight);
     MembershipEffects effects;
-    m_writeStartedAt.reset();
+    m_writeInFlight = false;
     m_changeWantedAt.reset();
     m_flagsWantedAt.reset();
     if (result == RosterWriteResult::Written) {
@@ -187,16 +189,12 @@
     Roster first;
     first.epoch = 1;
     first.members = nextMembers(now);
-    write(std::move(first), std::nullopt, now, effects);
+    write(std::move(first), std::nullopt, effects);
 }
 
 void Membership::changeRoster(TimePoint now, MembershipEffects &effects)
 {
-    if (m_writeStartedAt) {
-        if (now - *m_writeStartedAt >= config::RosterWriteTimeout) {
-            auto more = rosterWritten(RosterWriteResult::Unknown, 0, now);
-            effects.insert(effects.end(), more.begin(), more.end());
-        }
+    if (m_writeInFlight) {
         return;
     }
     if (!currentRosterKnown()) {
@@ -211,7 +209,7 @@
     }
     next.predecessor = roster().members;
     next.document = m_highestDocument;
-    write(std::move(next), m_storeVersion, now, effects);
+    write(std::move(next), m_storeVersion, effects);
 }
 
 // Joiners of the same moment share an epoch. Members that the list shows now are no reason to hurry.
@@ -256,9 +254,9 @@
     return true;
 }
 
-void Membership::write(Roster next, std::optional<std::uint64_t> replaces, TimePoint now, MembershipEffects &effects)
+void Membership::write(Roster next, std::optional<std::uint64_t> replaces, MembershipEffects &effects)
 {
-    m_writeStartedAt = now;
+    m_writeInFlight = true;
     m_pendingWrite = next;
     effects.push_back(WriteRoster {std::move(next), replaces});
 }
--- a/tests/test_membership.cpp
+++ b/tests/test_membership.cpp
@@ -169,8 +169,8 @@
 {
     node.read(roster(1, {"a", "b", "c", "d", "e"}, {}));
     node.membership.documentRead({1, "d"}, node.now);
-    for (int second = 0; second < 30; ++second) {
-        node.runAnswered(1s, {"b"}, 1);
+    for (int step = 0; step < 300; ++step) {
+        node.tick(100ms);
         node.receive(member("b").id, 1, PulseAck {node.lastPulse(), MemberState::Serving, {}, false, 0b11100});
     }
     CHECK_FALSE(node.last<WriteRoster>().has_value());
@@ -196,6 +196,16 @@
     LONGS_EQUAL(3, node.membership.epoch());
 }
 
+TEST(EpochChange, NoSecondWriteBeforeTheAnswerOfTheFirst)
+{
+    leaveInEpochTwo({"a", "b", "c"});
+    node.runAnswered(5s, {"b", "d"}, 2);
+    CHECK_TRUE(node.last<WriteRoster>().has_value());
+    node.effects.clear();
+    node.runAnswered(60s, {"b"}, 2);
+    CHECK_FALSE(node.last<WriteRoster>().has_value());
+}
+
 TEST(EpochChange, StaleReadChangesNothing)
 {
     leaveInEpochTwo({"a", "b", "c"});
