--- a/tests/fuzz_membership.cpp
+++ b/tests/fuzz_membership.cpp
@@ -1,4 +1,4 @@
-#include "fleet_fake.h"
+#include "fleet_oracle.h"
 #include "fuzz_settings.h"
 
 #include <rapidcheck.h>
--- a/tests/matrix_membership.cpp
+++ b/tests/matrix_membership.cpp
@@ -1,4 +1,4 @@
-#include "fleet_fake.h"
+#include "fleet_oracle.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/test_membership.cpp
+++ b/tests/test_membership.cpp
@@ -1,6 +1,6 @@
 #include <plumsill/membership.h>
 
-#include "fleet_fake.h"
+#include "fleet_oracle.h"
 #include "member_fixture.h"
 
 #include <CppUTest/TestHarness.h>
--- a/tools/bench_members.cpp
+++ b/tools/bench_members.cpp
@@ -1,7 +1,7 @@
 #include <plumsill/codec.h>
 #include <plumsill/config.h>
 
-#include "fleet_fake.h"
+#include "fleet_oracle.h"
 
 #include <ctime>
 #include <iostream>
