--- a/tests/process_store.cpp
+++ b/tests/process_store.cpp
@@ -30,9 +30,9 @@
         request.body = json;
         CHECK(exchangeOnce(platform, std::move(request), 5s).has_value());
     }
-    void run(const std::function<asio::awaitable<void>()> &work)
+    void complete(const std::function<asio::awaitable<void>()> &work)
     {
-        asio::co_spawn(loop, work, [](std::exception_ptr error) { CHECK(!error); });
+        asio::co_spawn(loop, work, [](const std::exception_ptr &error) { CHECK(!error); });
         loop.restart();
         loop.run();
     }
@@ -46,7 +46,7 @@
     ChangeReply put(std::uint64_t replaces)
     {
         ChangeReply reply;
-        run([&]() -> asio::awaitable<void> { reply = co_await change(replaces); });
+        complete([&]() -> asio::awaitable<void> { reply = co_await change(replaces); });
         return reply;
     }
 };
@@ -56,7 +56,7 @@
     faults(R"({"lose_answers": 3})");
     CHECK(put(0).outcome == ChangeOutcome::Accepted);
     CHECK(put(0).outcome == ChangeOutcome::Conflict);
-    run([&]() -> asio::awaitable<void> {
+    complete([&]() -> asio::awaitable<void> {
         const StoreCaller caller = operatorCallerOf(store);
         const auto stored = co_await readDocument(caller, TrialEnvironment);
         CHECK(stored.value().text == text);
@@ -79,7 +79,7 @@
     };
     tick({});
     ChangeOutcome outcome = ChangeOutcome::Unknown;
-    run([&]() -> asio::awaitable<void> {
+    complete([&]() -> asio::awaitable<void> {
         outcome = (co_await change(0)).outcome;
         ticker.cancel();
     });
@@ -93,12 +93,12 @@
 {
     put(0);
     put(1);
-    run([&]() -> asio::awaitable<void> {
+    complete([&]() -> asio::awaitable<void> {
         const auto fresh = co_await store.read(manifestKey(TrialEnvironment));
         CHECK(fresh.has_value());
     });
     faults(R"({"stale_reads": true})");
-    run([&]() -> asio::awaitable<void> {
+    complete([&]() -> asio::awaitable<void> {
         const auto stale = co_await store.read(manifestKey(TrialEnvironment));
         CHECK(stale.error().fault == StoreFault::Stale);
     });
@@ -115,7 +115,7 @@
             silence = -RuntimeClock::now().time_since_epoch();
         }
     };
-    run([&]() -> asio::awaitable<void> {
+    complete([&]() -> asio::awaitable<void> {
         const auto created = co_await store.create("a/1", "x");
         CHECK(created.has_value());
         const auto end = co_await store.watch("a/", created.value().version - 1, handler);
--- a/tests/test_admin_api.cpp
+++ b/tests/test_admin_api.cpp
@@ -44,7 +44,7 @@
         boost::asio::io_context loop;
         std::optional<AdminResponse> response;
         const auto answer = [&]() -> boost::asio::awaitable<void> { response = co_await answerAdminCall(context, request); };
-        boost::asio::co_spawn(loop, answer, [](std::exception_ptr error) { CHECK(!error); });
+        boost::asio::co_spawn(loop, answer, [](const std::exception_ptr &error) { CHECK(!error); });
         loop.run();
         return *response;
     }
--- a/tests/test_net_store.cpp
+++ b/tests/test_net_store.cpp
@@ -81,7 +81,7 @@
         server.answers = std::move(answers);
         settings.endpoint = server.endpoint();
         store = std::make_unique<StoreConnection>(settings);
-        const auto failed = [](std::exception_ptr error) { CHECK(!error); };
+        const auto failed = [](const std::exception_ptr &error) { CHECK(!error); };
         asio::co_spawn(loop, server.serve(), asio::detached);
         asio::co_spawn(
             loop,
