--- a/src/environment.cpp
+++ b/src/environment.cpp
@@ -146,6 +146,7 @@
         return ask(Phase::ReadSource, ReadCall {manifestKey(TrialEnvironment)});
     }
     target = ProductionEnvironment;
+    stamp.digest = as<PromoteRequest>(order)->digest;
     return ask(Phase::ReadProof, ReadCall {proofKey()});
 }
 
@@ -179,7 +180,8 @@
     if (promote != nullptr && manifest->stamp.digest != promote->digest) {
         return conflictUnlessStale("trial holds another document than the proved one", now);
     }
-    stamp = manifest->stamp;
+    // Versions of trial and of production are counted apart.
+    stamp = promote != nullptr ? DocumentStamp {0, manifest->stamp.digest} : manifest->stamp;
     source.emplace(TrialEnvironment, std::move(*manifest));
     return readChunksOfSource();
 }
