--- a/tools/bench_limits.cpp
+++ b/tools/bench_limits.cpp
@@ -1,3 +1,4 @@
+#include "limits_baseline.h"
 #include "limits_fleet.h"
 
 #include <plumsill/fairqueue.h>
@@ -248,84 +249,10 @@
     print(name + "_bytes_sent_and_received_busiest_daemon", traffic.worstBytes / seconds(Measured), "B/s");
 }
 
-/// Baselines without owners: rate/N and burst/N in each daemon, or counters that spread by gossip once a second.
-class BaselineFleet
-{
-public:
-    BaselineFleet(const std::vector<FleetTeam> &teams, bool gossip, bool wholeToken)
-        : stats(teams.size())
-        , m_gossip(gossip)
-    {
-        for (const auto &team : teams) {
-            const double burst = team.limits.burst / Daemons;
-            const TeamLimits share {team.limits.rate / Daemons, wholeToken ? std::max(1.0, burst) : burst};
-            const auto &local = gossip ? team.limits : share;
-            m_ideal.push_back({team.limits, team.limits.burst, m_now});
-            m_oracle.push_back({{team.limits, team.limits.burst, m_now}, -1e9});
-            m_local.emplace_back(Daemons, IdealBucket {local, local.burst, m_now});
-        }
-    }
-    TimePoint now() const { return m_now; }
-    void schedule(TimePoint at, std::function<void()> action) { m_events.emplace(at, std::move(action)); }
-    void runUntil(TimePoint end)
-    {
-        while (!m_events.empty() && m_events.begin()->first <= end) {
-            auto event = m_events.extract(m_events.begin());
-            m_now = event.key();
-            event.mapped()();
-        }
-        m_now = end;
-    }
-    void arrive(std::size_t team, unsigned daemon)
-    {
-        const bool ideal = m_ideal[team].take(m_now);
-        ++stats[team].arrived;
-        stats[team].idealAdmitted += ideal ? 1 : 0;
-        if (!m_local[team][daemon].take(m_now)) {
-            ++stats[team].refused;
-            stats[team].wrongful += ideal ? 1 : 0;
-            return;
-        }
-        ++stats[team].admitted;
-        m_oracle[team].admit(m_now);
-        if (m_gossip) {
-            schedule(m_now + config::PulseInterval, [this, team, daemon] { learn(team, daemon); });
-        }
-    }
-    double overshoot() const
-    {
-        double worst = -1e9;
-        for (const auto &oracle : m_oracle) {
-            worst = std::max(worst, oracle.overshoot);
-        }
-        return worst;
-    }
-
-    std::vector<TeamStats> stats;
-
-private:
-    void learn(std::size_t team, unsigned daemon)
-    {
-        for (unsigned other = 0; other < Daemons; ++other) {
-            if (other != daemon) {
-                m_local[team][other].advance(m_now);
-                m_local[team][other].level -= 1;
-            }
-        }
-    }
-
-    const bool m_gossip;
-    TimePoint m_now {};
-    std::multimap<TimePoint, std::function<void()>> m_events;
-    std::vector<IdealBucket> m_ideal;
-    std::vector<WindowOracle> m_oracle;
-    std::vector<std::vector<IdealBucket>> m_local;
-};
-
 void measureBaseline(const std::string &name, std::uint64_t seed, bool gossip, bool wholeToken)
 {
     const auto teams = teamsOfToday();
-    BaselineFleet fleet(teams, gossip, wholeToken);
+    BaselineFleet fleet(teams, Daemons, gossip, wholeToken);
     UnevenLoad load(teams.size(), seed);
     const auto end = TimePoint {} + WarmUp + Measured;
     offerAll(fleet, load, LoadShare, end);
@@ -360,31 +287,6 @@
     print("greedy_team_limit_overshoot", fleet.overshoot() + 0.0, "requests");
 }
 
-/// First come, first served, with the same deadlines: the baseline of the fair queue.
-class FifoQueue
-{
-public:
-    void push(const QueuedRequest &request, TimePoint) { m_requests.push_back(request); }
-    void expire(TimePoint now)
-    {
-        while (!m_requests.empty() && m_requests.front().deadline <= now) {
-            m_requests.pop_front();
-        }
-    }
-    std::optional<QueuedRequest> pop(TimePoint)
-    {
-        if (m_requests.empty()) {
-            return std::nullopt;
-        }
-        const auto request = m_requests.front();
-        m_requests.pop_front();
-        return request;
-    }
-
-private:
-    std::deque<QueuedRequest> m_requests;
-};
-
 /// Short targets before 8 teams with equal shares, of which one sends 5 times its share and the others all of theirs.
 template<class Queue>
 void measureQueue(const std::string &name, Queue queue, std::uint64_t seed)
