--- a/src/keys.cpp
+++ b/src/keys.cpp
@@ -1,5 +1,7 @@
 #include <plumsill/keys.h>
 
+#include "hex_p.h"
+
 #include <openssl/evp.h>
 #include <openssl/sha.h>
 
@@ -21,15 +23,6 @@
     return digest;
 }
 
-int hexDigit(char c)
-{
-    if (c >= '0' && c <= '9') {
-        return c - '0';
-    }
-    const char lower = static_cast<char>(c | 0x20);
-    return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
-}
-
 KeyDigest fromHex(const std::string &hex)
 {
     KeyDigest digest {};
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -1,5 +1,7 @@
 #include <plumsill/routing.h>
 
+#include "hex_p.h"
+
 #include <algorithm>
 #include <cctype>
 #include <unordered_map>
@@ -8,15 +10,6 @@
 {
 namespace
 {
-int hexDigit(char c)
-{
-    if (c >= '0' && c <= '9') {
-        return c - '0';
-    }
-    const char lower = static_cast<char>(c | 0x20);
-    return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
-}
-
 bool isUnreserved(unsigned char c)
 {
     return std::isalnum(c) != 0 || c == '-' || c == '.' || c == '_' || c == '~';
