Parts that an epoch moves are handed over by every daemon; owners need a confirmed document

An owner with an outdated document went on granting by it, and grown limits counted from adoption instead of from the majority. Operators' calls shared the daemon's own store budget. Ruled out: lost datagrams (hand-overs repeat). Change: hand-over of every lost part; tenure needs documentConfirmed; limit changes are armed until a majority holds the document; operators have a budget of their own; a socket's limit also ends operations that start after it.

--- a/include/plumsill/limits.h
+++ b/include/plumsill/limits.h
@@ -110,7 +110,7 @@
     void onGiveBack(const MemberId &holder, const GiveBack &message, TimePoint now);
     /// Call for each changed team once the new document is confirmed: growth waits until owners with the old one have lapsed.
     void limitsChanged(const LimitsChange &change, TimePoint now);
-    /// Gives up every part for a planned stop: nothing more is granted by this daemon.
+    /// Gives up these parts: nothing more is granted for them in the same tenure.
     std::vector<HandOver> handOver(const std::vector<OwnedPart> &owned, TimePoint now);
     /// Takes over a part's balance; false where this daemon has already granted in this tenure or the hand-over is stale.
     /// Call it once the ownership has accepted the hand-over, also while the epoch isn't confirmed. @p self is this
@@ -175,11 +175,13 @@
     static void promise(Part &part, const GrantRequest &request, bool single, Grant &answer);
 
     const unsigned m_mostParts;
+    bool givenUp(const PartKey &key, const Tenure &tenure) const;
+
     std::map<PartKey, Part> m_parts;
     std::map<TeamName, Change> m_changes;
     std::map<MemberId, Forgotten> m_forgotten; ///< newest request of each holder whose answer is no longer kept
     TimePoint m_nextSweep;
-    bool m_stopped = false;
+    std::map<PartKey, TimePoint> m_givenUp; ///< parts handed over, and when
 };
 
 /// Identifies a caller's request that waits for a token.
--- a/src/control_p.h
+++ b/src/control_p.h
@@ -106,8 +106,6 @@
     void received(const Envelope &envelope, const HandOver &handOver);
     void documentChanged(const Document &before, const Document &after);
     void epochAdopted(std::uint64_t epoch);
-    /// Planned stop: parts are handed over once an epoch without this daemon is adopted.
-    void startLeaving() { m_leaving = true; }
     const LimitsHolder &holder() const { return m_holder; }
     const LimitsOwner &owner() const { return m_owner; }
 
@@ -121,8 +119,8 @@
     void toOwner(const PartKey &key, Message message);
     void resolve(WaiterId waiter, const TokenAnswer &answer);
     std::optional<TeamLimits> limitsOf(const TeamName &team) const;
-    Tenure tenureOf(const PartKey &key, TimePoint now);
-    void giveUpParts();
+    void armLimitsChanges(TimePoint now);
+    void giveUpParts(TimePoint now);
     void sendHandOvers(TimePoint now);
 
     Control &m_control;
@@ -130,11 +128,11 @@
     LimitsOwner m_owner;
     std::unordered_map<TeamName, TeamLimits> m_limits;
     std::unordered_map<WaiterId, Waiting> m_waiting;
-    std::map<PartKey, Tenure> m_tenures; ///< of parts asked for since they were last dropped
     std::vector<HandOver> m_handOvers; ///< repeated until m_handOverUntil
     std::optional<TimePoint> m_handOverUntil; ///< none before the parts were given up
     TimePoint m_nextHandOver;
-    bool m_leaving = false;
+    std::vector<LimitsChange> m_changes; ///< of a document that a majority does not hold yet
+    TimePoint m_nextArming;
     bool m_serving = false;
 };
 
--- a/src/limits_owner.cpp
+++ b/src/limits_owner.cpp
@@ -182,7 +182,7 @@
     const PartKey key {request.team, request.part};
     Grant answer {request.id, request.team, request.part, GrantStatus::NotActing, 0, 0, 0};
     const bool exists = partLimits(limits, key.part, m_mostParts).burst > 0;
-    if (!tenure.mayAct || m_stopped || !exists) {
+    if (!tenure.mayAct || givenUp(key, tenure) || !exists) {
         return answer;
     }
     auto &part = partFor(key, limits, tenure, now);
@@ -227,23 +227,32 @@
     if (known.until <= now) {
         known.before.clear();
     }
-    known.before.push_back(change.before);
+    if (std::find(known.before.begin(), known.before.end(), change.before) == known.before.end()) {
+        known.before.push_back(change.before);
+    }
     known.until = now + config::LimitsChangeDelay;
 }
 
+// A part that comes back later does so in another tenure, which begins after it was given up.
+bool LimitsOwner::givenUp(const PartKey &key, const Tenure &tenure) const
+{
+    const auto found = m_givenUp.find(key);
+    return found != m_givenUp.end() && tenure.from <= found->second;
+}
+
 std::vector<HandOver> LimitsOwner::handOver(const std::vector<OwnedPart> &owned, TimePoint now)
 {
     std::vector<HandOver> parts;
     for (const auto &entry : owned) {
-        if (!entry.tenure.mayAct || m_stopped) {
+        if (!entry.tenure.mayAct || givenUp(entry.key, entry.tenure)) {
             continue;
         }
         auto &part = partFor(entry.key, entry.limits, entry.tenure, now);
         expire(part, now);
         parts.push_back({entry.successor, entry.key.team, entry.key.part, part.bucket.available(), part.bucket.outstanding()});
+        m_parts.erase(entry.key);
+        m_givenUp[entry.key] = now;
     }
-    m_stopped = true;
-    m_parts.clear();
     return parts;
 }
 
@@ -253,7 +262,7 @@
 bool LimitsOwner::acceptHandOver(const MemberId &self, const HandOver &message, std::uint64_t senderEpoch, const TeamLimits &limits, const Tenure &tenure,
                                  TimePoint now)
 {
-    if (message.successor != self || m_stopped || senderEpoch + 1 < tenure.since || message.outstanding < 0) {
+    if (message.successor != self || givenUp({message.team, message.part}, tenure) || senderEpoch + 1 < tenure.since || message.outstanding < 0) {
         return false;
     }
     auto &part = partFor({message.team, message.part}, limits, tenure, now);
@@ -287,6 +296,7 @@
         entry = idle(entry->second, now) ? m_parts.erase(entry) : std::next(entry);
     }
     std::erase_if(m_changes, [&](const auto &entry) { return entry.second.until <= now; });
+    std::erase_if(m_givenUp, [&](const auto &entry) { return now - entry.second >= config::LimitsIdleTime; });
     std::erase_if(m_forgotten, [&](const auto &entry) { return now - entry.second.lastUse >= config::LimitsIdleTime; });
 }
 
--- a/src/net_admin.cpp
+++ b/src/net_admin.cpp
@@ -1,5 +1,7 @@
 #include "admin_p.h"
 
+#include "environment_p.h"
+
 #include <plumsill/config.h>
 #include <plumsill/log.h>
 
@@ -94,7 +96,7 @@
     AdminContext context;
     context.environment = control.settings().environment;
     context.token = m_token;
-    context.store = [&control](ObjectCall call) { return control.store().call(std::move(call)); };
+    context.store = operatorCallerOf(control.store());
     context.holders = [&control](const DocumentStamp &stamp) { return control.holdersOf(stamp); };
     context.held = [&control] { return control.document().holder().stamp(); };
     context.status = [&control] { return control.status(RuntimeClock::now()); };
--- a/src/net_control.cpp
+++ b/src/net_control.cpp
@@ -87,7 +87,6 @@
 {
     m_leaving = true;
     m_membership.membership().leave();
-    m_limits.startLeaving();
     publish(RuntimeClock::now());
 }
 
--- a/src/net_control_limits.cpp
+++ b/src/net_control_limits.cpp
@@ -19,6 +19,7 @@
         m_owner.tick(now);
         carryOut(m_holder.tick(now));
         sendHandOvers(now);
+        armLimitsChanges(now);
         const auto wake = m_holder.nextWake();
         const Duration pause = wake ? std::clamp<Duration>(*wake - now, std::chrono::milliseconds(1), config::LimitsTick) : Duration(config::LimitsTick);
         co_await sleepFor(pause);
@@ -83,6 +84,7 @@
     }
 }
 
+// An owner that may hold an outdated document doesn't grant by its limits.
 void LimitsPart::received(const Envelope &envelope, const GrantRequest &request)
 {
     const auto limits = limitsOf(request.team);
@@ -90,7 +92,9 @@
         return;
     }
     const TimePoint now = RuntimeClock::now();
-    const Tenure tenure = m_control.membership().ownership().tenure(PartKey {request.team, request.part}, now);
+    auto &membership = m_control.membership();
+    Tenure tenure = membership.ownership().tenure(PartKey {request.team, request.part}, now);
+    tenure.mayAct = tenure.mayAct && membership.membership().documentConfirmed(now);
     const auto grant = m_owner.onGrantRequest(envelope.sender, request, *limits, tenure, now);
     if (grant) {
         m_control.send(envelope.replyTo, *grant);
@@ -124,60 +128,56 @@
     for (const auto &team : after.teams) {
         m_limits.emplace(team.name, TeamLimits {team.rate, team.burst});
     }
-    const TimePoint now = RuntimeClock::now();
-    for (const auto &change : changedLimits(before, after)) {
-        m_owner.limitsChanged(change, now);
+    m_changes = changedLimits(before, after);
+    for (const auto &change : m_changes) {
         m_holder.limitsChanged(change);
     }
+    m_nextArming = RuntimeClock::now();
+    armLimitsChanges(m_nextArming);
 }
 
-// The epochs known go back only so far, so the begin of a tenure is remembered from when it was first asked for.
-Tenure LimitsPart::tenureOf(const PartKey &key, TimePoint now)
+// Growth waits from the time at which a majority holds the new document; until then the wait begins anew.
+void LimitsPart::armLimitsChanges(TimePoint now)
 {
-    Tenure tenure = m_control.membership().ownership().tenure(key, now);
-    if (!tenure.mayAct) {
-        return tenure;
+    if (m_changes.empty() || now < m_nextArming) {
+        return;
+    }
+    m_nextArming = now + config::PulseInterval;
+    for (const auto &change : m_changes) {
+        m_owner.limitsChanged(change, now);
+    }
+    if (m_control.membership().membership().majorityHolds(m_control.document().holder().stamp())) {
+        m_changes.clear();
     }
-    const auto [known, added] = m_tenures.emplace(key, tenure);
-    tenure.since = known->second.since;
-    tenure.from = known->second.from;
-    return tenure;
 }
 
-// Tenures end with the first epoch that gives the part to another; a skipped epoch may have been such a one.
 void LimitsPart::epochAdopted(std::uint64_t epoch)
 {
     m_holder.adoptEpoch(epoch);
-    if (m_leaving && !m_handOverUntil && !m_control.membership().membership().isMember()) {
-        giveUpParts();
-    }
-    const auto &ownership = m_control.membership().ownership();
-    const bool skipped = m_control.membership().membership().history().size() < 2;
-    std::erase_if(m_tenures, [&](const auto &entry) { return skipped || !ownership.owns(entry.first); });
+    giveUpParts(RuntimeClock::now());
 }
 
-void LimitsPart::giveUpParts()
+// Parts that the new epoch gives to others go over with their balance, so that nobody has to wait for them.
+void LimitsPart::giveUpParts(TimePoint now)
 {
-    const TimePoint now = RuntimeClock::now();
     const auto &ownership = m_control.membership().ownership();
-    std::vector<OwnedPart> owned;
+    std::vector<OwnedPart> lost;
     for (const auto &[team, limits] : m_limits) {
         for (std::uint32_t part = 0; part < partCount(limits); ++part) {
             const PartKey key {team, part};
-            Tenure tenure = ownership.handOverTenure(key, now);
-            const auto known = m_tenures.find(key);
-            if (known != m_tenures.end()) {
-                tenure.since = known->second.since;
-                tenure.from = known->second.from;
-            }
-            if (tenure.mayAct && ownership.ownerOf(key) != nullptr) {
-                owned.push_back({key, limits, tenure, ownership.ownerOf(key)->id});
+            const Tenure tenure = ownership.handOverTenure(key, now);
+            const Member *successor = ownership.ownerOf(key);
+            if (tenure.mayAct && successor != nullptr) {
+                lost.push_back({key, limits, tenure, successor->id});
             }
         }
     }
-    m_handOvers = m_owner.handOver(owned, now);
+    m_handOvers = m_owner.handOver(lost, now);
     m_handOverUntil = now + config::HandOverRepeatFor;
-    logInfo(LogPart::Limits, "handing over " + std::to_string(m_handOvers.size()) + " parts");
+    m_nextHandOver = now;
+    if (!m_handOvers.empty()) {
+        logInfo(LogPart::Limits, "handing over " + std::to_string(m_handOvers.size()) + " parts");
+    }
 }
 
 // The new owners may still be fetching the roster, and datagrams get lost.
--- a/src/net_socket.cpp
+++ b/src/net_socket.cpp
@@ -5,6 +5,11 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+namespace
+{
+constexpr auto RecancelInterval = std::chrono::milliseconds(5);
+}
+
 TimedSocket::TimedSocket(tcp::socket socket)
     : m_socket(std::move(socket))
     , m_timer(m_socket.get_executor())
@@ -24,6 +29,12 @@
     expiresNever();
     m_limit = std::make_shared<Limit>(Limit {this, false});
     m_timer.expires_after(limit);
+    cancelAtLimit();
+}
+
+// A composed operation may be between two steps when the limit passes, so what starts later is cancelled too.
+void TimedSocket::cancelAtLimit()
+{
     m_timer.async_wait([limit = m_limit](const error_code &error) {
         if (error || limit->owner == nullptr) {
             return;
@@ -31,6 +42,8 @@
         limit->expired = true;
         error_code ignored;
         limit->owner->m_socket.cancel(ignored);
+        limit->owner->m_timer.expires_after(RecancelInterval);
+        limit->owner->cancelAtLimit();
     });
 }
 
--- a/src/socket_p.h
+++ b/src/socket_p.h
@@ -43,6 +43,8 @@
     }
 
 private:
+    void cancelAtLimit();
+
     // Shared with the timer's handler, which may still run after the socket is gone.
     struct Limit {
         TimedSocket *owner = nullptr;
