--- a/tests/health_fleet.h
+++ b/tests/health_fleet.h
@@ -1,9 +1,6 @@
 #pragma once
 
-#include "health_fleet_options.h"
-
-#include <plumsill/balancer.h>
-#include <plumsill/health.h>
+#include "health_fleet_state.h"
 
 #include <algorithm>
 #include <cmath>
@@ -162,67 +159,6 @@
     std::function<void()> onTick; ///< after each daemon's tick
 
 private:
-    enum class Kind
-    {
-        Arrival,
-        AtTarget,
-        Done,
-        Answer,
-        Tick,
-        Digest,
-        Verdict,
-        Pulse,
-    };
-
-    struct Event {
-        TimePoint at;
-        Kind kind = Kind::Tick;
-        std::size_t index = 0; ///< daemon, request or message
-        std::uint64_t order = 0;
-        bool operator<(const Event &other) const { return at != other.at ? at > other.at : order > other.order; }
-    };
-
-    struct Request {
-        std::size_t daemon = 0;
-        std::size_t target = 0;
-        TimePoint sent;
-        AnswerKind outcome = AnswerKind::Good;
-        bool countedSlow = false;
-        bool waits = false;
-        unsigned attempts = 0;
-        std::vector<std::size_t> tried;
-    };
-
-    struct TargetState {
-        unsigned busy = 0;
-        std::deque<std::size_t> queue;
-        TimePoint coldUntil;
-    };
-
-    struct Daemon {
-        Daemon(const EvidenceSource &self, std::uint64_t seed)
-            : source(self)
-            , local(self)
-            , balancer(seed)
-        { }
-        EvidenceSource source;
-        LocalHealth local;
-        HealthOwner owner;
-        Balancer balancer;
-        ServiceView view;
-        std::vector<std::set<std::size_t>> inFlight;
-        std::vector<LatencyEstimate> latency;
-        std::map<std::size_t, TargetEvidence> evidence;
-        bool alive = true;
-    };
-
-    struct Mail {
-        std::size_t to = 0;
-        std::size_t from = 0;
-        std::uint64_t epoch = 0;
-        Message message;
-    };
-
     EvidenceSource sourceOf(std::size_t daemon) const { return {{{"d" + std::to_string(daemon)}, 1}, {"z" + std::to_string(daemon % m_options.zones)}}; }
 
     void addListed(std::size_t index)
