--- a/src/detector.cpp
+++ b/src/detector.cpp
@@ -384,13 +384,10 @@
     if (serviceWide(field)) {
         return;
     }
-    for (const auto &[name, record] : m_targets) {
-        if (!alarmed(record.*field)) {
-            continue;
-        }
-        const auto known = std::find_if(found.begin(), found.end(), [&](const Illness &illness) { return illness.target == name; });
-        if (known == found.end()) {
-            found.push_back({name, cause, score(name)});
+    for (const auto &entry : m_targets) {
+        const bool known = std::any_of(found.begin(), found.end(), [&](const Illness &illness) { return illness.target == entry.first; });
+        if (!known && alarmed(entry.second.*field)) {
+            found.push_back({entry.first, cause, score(entry.first)});
         }
     }
 }
--- a/src/health_local.cpp
+++ b/src/health_local.cpp
@@ -296,8 +296,7 @@
     }
     ServiceRecord &record = place->second;
     const auto sent = record.sentAt.find(verdict.sequence);
-    const bool overtaken = record.hadVerdict && epoch == record.verdictEpoch && verdict.sequence <= record.verdict.sequence;
-    if (epoch < m_epoch || epoch < record.verdictEpoch || sent == record.sentAt.end() || overtaken) {
+    if (epoch < m_epoch || epoch < record.verdictEpoch || sent == record.sentAt.end()) {
         return false;
     }
     // Counted from the sending: however long the answer took, the owner knows when it has lapsed.
@@ -309,6 +308,7 @@
     record.verdictEpoch = epoch;
     record.verdictLapses = lapses;
     record.hadVerdict = true;
+    // Answers to this digest and to earlier ones are overtaken.
     record.sentAt.erase(record.sentAt.begin(), std::next(sent));
     noteTransitions(record, now);
     return true;
--- a/tests/fuzz_health.cpp
+++ b/tests/fuzz_health.cpp
@@ -16,7 +16,7 @@
 
 namespace
 {
-const ServiceName Orders {"orders"};
+const ServiceName orders {"orders"};
 constexpr std::size_t Daemons = 4;
 constexpr std::size_t Targets = 6;
 constexpr Duration Step = 100ms;
@@ -84,7 +84,7 @@
     World(double floor, std::uint64_t seed)
         : m_random(seed)
     {
-        m_service.name = Orders;
+        m_service.name = orders;
         m_service.floor = floor;
         for (std::size_t index = 0; index < Targets; ++index) {
             m_list.push_back(newTarget());
@@ -94,7 +94,7 @@
             Daemon &daemon = *m_daemons.back();
             daemon.local.setServices({m_service});
             daemon.owner.setServices({m_service});
-            daemon.local.setTargets(Orders, m_list, m_now);
+            daemon.local.setTargets(orders, m_list, m_now);
         }
         run(3s);
     }
@@ -149,7 +149,7 @@
         m_cut = {};
         run(config::EjectionMax + config::TrialMax + config::SlowStart + SettleTime);
         for (const auto &daemon : m_daemons) {
-            for (const auto &seen : daemon->local.view(Orders, m_now).targets) {
+            for (const auto &seen : daemon->local.view(orders, m_now).targets) {
                 RC_ASSERT(seen.use == TargetUse::Active || seen.use == TargetUse::Leaving);
             }
         }
@@ -159,7 +159,7 @@
     Target newTarget()
     {
         const auto number = ++m_lastTarget;
-        return {{"t" + std::to_string(number)}, Orders, {"z"}, {"10.0.0.1", static_cast<std::uint16_t>(number)}, false};
+        return {{"t" + std::to_string(number)}, orders, {"z"}, {"10.0.0.1", static_cast<std::uint16_t>(number)}, false};
     }
 
     Duration lag() { return std::uniform_int_distribution<int>(0, 50)(m_random) * Step; }
@@ -255,12 +255,12 @@
     {
         Daemon &daemon = *m_daemons[index];
         while (!daemon.lists.empty() && daemon.lists.begin()->first <= m_now) {
-            daemon.local.setTargets(Orders, daemon.lists.begin()->second, m_now);
+            daemon.local.setTargets(orders, daemon.lists.begin()->second, m_now);
             daemon.lists.erase(daemon.lists.begin());
         }
-        for (const auto &seen : daemon.local.view(Orders, m_now).targets) {
+        for (const auto &seen : daemon.local.view(orders, m_now).targets) {
             if (seen.weight > 0) {
-                daemon.local.record(Orders, {evidenceOf(index, seen.target.name)}, m_now);
+                daemon.local.record(orders, {evidenceOf(index, seen.target.name)}, m_now);
             }
         }
         for (const auto &effect : daemon.local.tick(m_now)) {
@@ -268,7 +268,7 @@
                 post({m_owner, index, m_epoch, digest->digest});
             }
         }
-        daemon.owner.setTargets(Orders, daemon.local.targets(Orders), m_now);
+        daemon.owner.setTargets(orders, daemon.local.targets(orders), m_now);
         if (m_now >= daemon.nextPulse) {
             daemon.nextPulse = m_now + config::PulseInterval;
             Pulse pulse;
@@ -297,8 +297,8 @@
     {
         std::set<TargetName> out;
         for (const auto &daemon : m_daemons) {
-            const bool owned = daemon->local.owned(Orders, m_now);
-            for (const auto &seen : daemon->local.view(Orders, m_now).targets) {
+            const bool owned = daemon->local.owned(orders, m_now);
+            for (const auto &seen : daemon->local.view(orders, m_now).targets) {
                 const bool ejected = seen.use == TargetUse::Ejected || seen.use == TargetUse::Trial;
                 if (owned && ejected && listed(seen.target.name)) {
                     out.insert(seen.target.name);
@@ -324,7 +324,7 @@
     void checkDaemon(const Daemon &daemon) const
     {
         const bool quiet = m_now - m_lastTrouble > LeavingLimit;
-        const auto view = daemon.local.view(Orders, m_now);
+        const auto view = daemon.local.view(orders, m_now);
         std::size_t out = 0;
         std::size_t leaving = 0;
         for (const auto &seen : view.targets) {
--- a/tests/test_detector.cpp
+++ b/tests/test_detector.cpp
@@ -71,7 +71,7 @@
     }
 
     /// Runs for @p length with @p odd for the first @p oddTargets targets, as the first @p oddDaemons daemons see them.
-    void run(Duration length, const Share &odd, std::size_t oddTargets = 1, std::size_t oddDaemons = Daemons)
+    void advance(Duration length, const Share &odd, std::size_t oddTargets = 1, std::size_t oddDaemons = Daemons)
     {
         for (const TimePoint end = now + length; now < end; now += 100ms) {
             for (std::size_t daemon = 0; daemon < Daemons; ++daemon) {
@@ -93,7 +93,7 @@
 
 TEST(Detector, HealthyTargetsAreNotIll)
 {
-    run(30s, {});
+    advance(30s, {});
     CHECK(detector.ill().empty());
 }
 
@@ -103,71 +103,71 @@
     for (const auto &share : failing) {
         detector = Detector(FewFalseEjections {});
         setup();
-        run(10s, {});
-        run(2s, share);
+        advance(10s, {});
+        advance(2s, share);
         CHECK(onlyCause() == IllnessCause::Errors);
     }
 }
 
 TEST(Detector, SlowAnswersAreIllness)
 {
-    run(10s, {});
+    advance(10s, {});
     CHECK(detector.slowAfter() > 150ms);
     CHECK(detector.slowAfter() < 250ms);
-    run(2s, {0, 4});
+    advance(2s, {0, 4});
     CHECK(onlyCause() == IllnessCause::Slowness);
 }
 
 TEST(Detector, SheddingIsLoad)
 {
-    run(10s, {});
-    run(10s, {1, 0, 0, 0, 0, 20});
+    advance(10s, {});
+    advance(10s, {1, 0, 0, 0, 0, 20});
     CHECK(detector.ill().empty());
 }
 
 TEST(Detector, SlownessOfTheWholeServiceIsNobodysIllness)
 {
-    run(10s, {});
-    run(10s, {0, 4}, Targets);
+    advance(10s, {});
+    advance(10s, {0, 4}, Targets);
     CHECK(detector.ill().empty());
 }
 
 TEST(Detector, HalfOfTheServiceCanBeIll)
 {
-    run(10s, {});
-    run(2s, {1, 0, 3}, Targets / 2);
+    advance(10s, {});
+    advance(2s, {1, 0, 3}, Targets / 2);
     LONGS_EQUAL(Targets / 2, detector.ill().size());
 }
 
 TEST(Detector, SlowAnswersThatAllTargetsHaveAreUsual)
 {
-    run(10s, {9, 1}, Targets);
-    run(60s, {8, 2}, 1);
+    advance(10s, {9, 1}, Targets);
+    advance(60s, {8, 2}, 1);
     CHECK(detector.ill().empty());
 }
 
 TEST(Detector, FewLateRequestsAtOnceAreNoProof)
 {
-    run(10s, {});
+    advance(10s, {});
     for (std::size_t daemon = 0; daemon < Daemons; ++daemon) {
         add(daemon, 0, {0, 30});
     }
     CHECK(detector.ill().empty());
-    run(2s, {});
+    advance(2s, {});
     CHECK(detector.ill().empty());
 }
 
 TEST(Detector, OneDaemonsTroubleIsNoProof)
 {
-    run(10s, {});
-    run(10s, {0, 0, 0, 12}, 1, 1);
+    advance(10s, {});
+    advance(10s, {0, 0, 0, 12}, 1, 1);
     CHECK(detector.ill().empty());
 }
 
 TEST(Detector, OneZonesTroubleIsNoProof)
 {
     zones = 2; // daemons 0 and 2 in one zone, 1 in the other
-    run(10s, {});
+    advance(10s, {});
     for (int round = 0; round < 100; ++round, now += 100ms) {
         add(0, 0, {0, 0, 0, 12});
         add(1, 0, {});
@@ -188,21 +188,21 @@
 
 TEST(Detector, ColdTargetMayBeSlowButNotFail)
 {
-    run(10s, {});
+    advance(10s, {});
     detector.setTargets(names(Targets + 1), now);
     CHECK(detector.cold(target(Targets), now));
     for (const TimePoint end = now + config::ColdStartGrace - 200ms; now < end;) {
         for (std::size_t daemon = 0; daemon < Daemons; ++daemon) {
             add(daemon, Targets, {0, 4});
         }
-        run(100ms, {});
+        advance(100ms, {});
     }
     CHECK(detector.ill().empty());
     for (int round = 0; round < 10; ++round) {
         for (std::size_t daemon = 0; daemon < Daemons; ++daemon) {
             add(daemon, Targets, {0, 0, 4});
         }
-        run(100ms, {});
+        advance(100ms, {});
     }
     LONGS_EQUAL(1, detector.ill().size());
 }
@@ -210,26 +210,26 @@
 TEST(Detector, UnreachableNeedsSeveralZones)
 {
     const Share lost {0, 0, 0, 0, 0, 0, 4};
-    run(5s, {});
-    run(4s, lost, 1, 1);
+    advance(5s, {});
+    advance(4s, lost, 1, 1);
     CHECK(!detector.unreachable(target(0), now));
-    run(4s, lost, 1, 3);
+    advance(4s, lost, 1, 3);
     CHECK(detector.unreachable(target(0), now));
     CHECK(onlyCause() == IllnessCause::Unreachable);
-    run(100ms, {});
+    advance(100ms, {});
     CHECK(!detector.unreachable(target(0), now));
 }
 
 TEST(Detector, TrialDecidesBothWays)
 {
-    run(10s, {});
-    run(2s, {0, 0, 4});
+    advance(10s, {});
+    advance(2s, {0, 0, 4});
     detector.restart(target(0));
     CHECK(detector.trialResult(target(0)) == TrialResult::Open);
     add(0, 0, {0, 0, 4});
     CHECK(detector.trialResult(target(0)) == TrialResult::StillIll);
     detector.restart(target(0));
-    run(500ms, {});
+    advance(500ms, {});
     CHECK(detector.trialResult(target(0)) == TrialResult::Recovered);
 }
 
--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -10,7 +10,7 @@
 
 namespace
 {
-const ServiceName Orders {"orders"};
+const ServiceName orders {"orders"};
 
 TargetName named(std::size_t index)
 {
@@ -21,7 +21,7 @@
 {
     std::vector<Target> targets;
     for (std::size_t index = 0; index < count; ++index) {
-        targets.push_back({named(index), Orders, {"z"}, {"10.0.0.1", static_cast<std::uint16_t>(1 + index)}, false});
+        targets.push_back({named(index), orders, {"z"}, {"10.0.0.1", static_cast<std::uint16_t>(1 + index)}, false});
     }
     return targets;
 }
@@ -29,7 +29,7 @@
 Service serviceOf(double floor)
 {
     Service service;
-    service.name = Orders;
+    service.name = orders;
     service.floor = floor;
     return service;
 }
@@ -53,6 +53,7 @@
 std::vector<std::string> namesOf(const std::vector<EjectionPermit> &permits)
 {
     std::vector<std::string> names;
+    names.reserve(permits.size());
     for (const auto &permit : permits) {
         names.push_back(permit.target.value);
     }
@@ -74,12 +75,12 @@
     void setup() override
     {
         owner.setServices({serviceOf(0.5)});
-        owner.setTargets(Orders, targetList(Targets), now);
+        owner.setTargets(orders, targetList(Targets), now);
     }
 
     HealthDigest digest(bool empty = false)
     {
-        HealthDigest made {sequence, Orders, {}};
+        HealthDigest made {sequence, orders, {}};
         for (std::size_t index = 0; index < Targets && !empty; ++index) {
             const auto out = namesOf(last.ejected);
             const bool trial = std::any_of(last.ejected.begin(), last.ejected.end(),
@@ -102,7 +103,7 @@
         }
     }
 
-    void run(Duration length)
+    void advance(Duration length)
     {
         for (const TimePoint end = now + length; now < end; now += 100ms) {
             ++sequence;
@@ -131,11 +132,11 @@
 
 TEST(HealthOwner, IllTargetIsEjectedForAll)
 {
-    run(5s);
+    advance(5s);
     CHECK(last.ejected.empty());
     CHECK(last.slowAfterMicroseconds > 0);
     ill = {2};
-    run(2s);
+    advance(2s);
     CHECK(namesOf(last.ejected) == std::vector<std::string> {"t2"});
     LONGS_EQUAL(1, ejections());
 }
@@ -143,22 +144,22 @@
 TEST(HealthOwner, FloorHoldsWhenMoreAreIll)
 {
     owner.setServices({serviceOf(0.7)});
-    run(5s);
+    advance(5s);
     ill = {0, 1, 2};
-    run(5s);
+    advance(5s);
     LONGS_EQUAL(outAllowed(0.7, Targets), last.ejected.size());
 }
 
 TEST(HealthOwner, LeavingTargetTakesRoomFromEjections)
 {
-    run(5s);
+    advance(5s);
     ill = {0, 1, 2};
-    run(3s);
+    advance(3s);
     LONGS_EQUAL(3, last.ejected.size());
     auto targets = targetList(Targets);
     targets[5].leaving = true;
-    owner.setTargets(Orders, targets, now);
-    run(100ms);
+    owner.setTargets(orders, targets, now);
+    advance(100ms);
     LONGS_EQUAL(2, last.ejected.size());
     CHECK(std::get<TargetReturned>(events.back()).forFloor);
 }
@@ -166,21 +167,21 @@
 TEST(HealthOwner, WithdrawnPermitCountsUntilItHasLapsedEverywhere)
 {
     owner.setServices({serviceOf(0.8)}); // one of six
-    run(5s);
+    advance(5s);
     ill = {0};
-    run(2s);
+    advance(2s);
     LONGS_EQUAL(1, last.ejected.size());
     // The only permit goes to t5's leaving; then t5 is listed as staying, and t1 turns ill at once.
     auto targets = targetList(Targets);
     targets[5].leaving = true;
-    owner.setTargets(Orders, targets, now);
-    run(100ms);
+    owner.setTargets(orders, targets, now);
+    advance(100ms);
     CHECK(last.ejected.empty());
     const TimePoint withdrawn = now;
-    owner.setTargets(Orders, targetList(Targets), now);
+    owner.setTargets(orders, targetList(Targets), now);
     ill = {1};
     while (last.ejected.empty() && now - withdrawn < 10s) {
-        run(100ms);
+        advance(100ms);
     }
     CHECK(namesOf(last.ejected) == std::vector<std::string> {"t1"});
     CHECK(now - withdrawn > config::EjectionPermitLifetime);
@@ -188,7 +189,7 @@
 
 TEST(HealthOwner, RepeatedDigestCountsOnce)
 {
-    run(5s);
+    advance(5s);
     ill = {0};
     ++sequence;
     for (int repeat = 0; repeat < 50; ++repeat, now += 50ms) {
@@ -209,51 +210,51 @@
 
 TEST(HealthOwner, TrialReturnsRecoveredTarget)
 {
-    run(5s);
+    advance(5s);
     ill = {2};
-    run(2s);
+    advance(2s);
     LONGS_EQUAL(1, last.ejected.size());
     ill = {};
-    run(config::EjectionBase + 3s);
+    advance(config::EjectionBase + 3s);
     CHECK(last.ejected.empty());
     CHECK(std::holds_alternative<TargetReturned>(events.back()));
 }
 
 TEST(HealthOwner, EjectionTimeGrowsForFlappingTarget)
 {
-    run(5s);
+    advance(5s);
     std::vector<Duration> lengths;
     for (int round = 0; round < 4; ++round) {
         ill = {2};
         while (last.ejected.empty()) {
-            run(100ms);
+            advance(100ms);
         }
         const TimePoint since = now;
         ill = {};
         while (!last.ejected.empty()) {
-            run(100ms);
+            advance(100ms);
         }
         lengths.push_back(now - since);
     }
     CHECK(lengths[1] > 1.7 * lengths[0]);
     CHECK(lengths[2] > 1.7 * lengths[1]);
-    run(3 * config::EjectionForgetAfter);
-    run(config::EjectionForgetAfter);
+    advance(3 * config::EjectionForgetAfter);
+    advance(config::EjectionForgetAfter);
     ill = {2};
-    run(2s);
+    advance(2s);
     ill = {};
     const TimePoint since = now;
     while (!last.ejected.empty()) {
-        run(100ms);
+        advance(100ms);
     }
     CHECK(now - since < lengths[1]);
 }
 
 TEST(HealthOwner, TargetStillIllFailsItsTrial)
 {
-    run(5s);
+    advance(5s);
     ill = {2};
-    run(30s);
+    advance(30s);
     CHECK(namesOf(last.ejected) == std::vector<std::string> {"t2"});
     LONGS_EQUAL(1, ejections());
 }
@@ -268,15 +269,15 @@
     void setup() override
     {
         local.setServices({serviceOf(0.5)});
-        local.setTargets(Orders, targetList(Targets), now);
+        local.setTargets(orders, targetList(Targets), now);
     }
 
     void record(std::size_t target, bool ill)
     {
-        local.record(Orders, {evidenceOf(target, ill)}, now);
+        local.record(orders, {evidenceOf(target, ill)}, now);
     }
 
-    void run(Duration length, const std::set<std::size_t> &ill = {}, bool used = true)
+    void advance(Duration length, const std::set<std::size_t> &ill = {}, bool used = true)
     {
         for (const TimePoint end = now + length; now < end; now += 100ms) {
             for (std::size_t index = 0; index < Targets && used; ++index) {
@@ -294,7 +295,7 @@
 
     TargetView viewOf(std::size_t target) const
     {
-        for (const auto &seen : local.view(Orders, now).targets) {
+        for (const auto &seen : local.view(orders, now).targets) {
             if (seen.target.name == named(target)) {
                 return seen;
             }
@@ -311,14 +312,14 @@
     {
         const std::size_t before = digests.size();
         while (digests.size() == before) {
-            run(100ms);
+            advance(100ms);
         }
         return digests.back().sequence;
     }
 
     Verdict verdict(std::uint64_t sequence, const std::vector<std::size_t> &ejected, std::uint32_t trial = 0) const
     {
-        Verdict made {sequence, Orders, {}, 200'000};
+        Verdict made {sequence, orders, {}, 200'000};
         for (const std::size_t index : ejected) {
             made.ejected.push_back({named(index), trial});
         }
@@ -329,15 +330,15 @@
 TEST(LocalHealth, DigestTellsOnlyUsedTargetsOnce)
 {
     record(3, false);
-    run(config::HealthDigestInterval, {}, false);
+    advance(config::HealthDigestInterval, {}, false);
     LONGS_EQUAL(1, digests.size());
     LONGS_EQUAL(1, digests[0].targets.size());
     LONGS_EQUAL(6, digests[0].targets[0].good);
-    run(config::HealthDigestInterval, {}, false);
+    advance(config::HealthDigestInterval, {}, false);
     CHECK(digests.back().targets.empty());
-    run(2 * config::EvidenceSenderForgetAfter, {}, false);
+    advance(2 * config::EvidenceSenderForgetAfter, {}, false);
     const std::size_t sent = digests.size();
-    run(5s, {}, false);
+    advance(5s, {}, false);
     LONGS_EQUAL(sent, digests.size());
 }
 
@@ -345,19 +346,19 @@
 {
     newDigest();
     const std::size_t sent = digests.size();
-    run(100ms);
+    advance(100ms);
     record(3, true);
-    run(config::UrgentDigestInterval, {}, false);
+    advance(config::UrgentDigestInterval, {}, false);
     LONGS_EQUAL(sent + 1, digests.size());
 }
 
 TEST(LocalHealth, VerdictIsTheWholeWord)
 {
     CHECK(local.handleVerdict(1, verdict(newDigest(), {1, 2}), now));
-    CHECK(local.owned(Orders, now));
+    CHECK(local.owned(orders, now));
     CHECK(viewOf(1).use == TargetUse::Ejected);
     DOUBLES_EQUAL(0, weight(2), 0);
-    CHECK(local.view(Orders, now).slowAfter == 200ms);
+    CHECK(local.view(orders, now).slowAfter == 200ms);
     CHECK(local.handleVerdict(1, verdict(newDigest(), {3}, 100), now));
     CHECK(viewOf(1).use == TargetUse::SlowStart);
     CHECK(viewOf(3).use == TargetUse::Trial);
@@ -370,9 +371,9 @@
     const TimePoint sent = now - 100ms;
     now = sent + config::EjectionPermitLifetime - 200ms;
     CHECK(local.handleVerdict(1, verdict(sequence, {1}), now));
-    CHECK(local.owned(Orders, now));
+    CHECK(local.owned(orders, now));
     now = sent + config::EjectionPermitLifetime;
-    CHECK(!local.owned(Orders, now));
+    CHECK(!local.owned(orders, now));
     CHECK(viewOf(1).use == TargetUse::Active);
 }
 
@@ -418,8 +419,8 @@
 
 TEST(LocalHealth, WithoutOwnerTheDaemonJudgesUnderItsFloor)
 {
-    run(10s);
-    run(10s, {0, 1, 2});
+    advance(10s);
+    advance(10s, {0, 1, 2});
     std::size_t out = 0;
     for (std::size_t index = 0; index < Targets; ++index) {
         out += weight(index) > 0 ? 0 : 1;
@@ -429,10 +430,10 @@
 
 TEST(LocalHealth, LapsedVerdictIsCarriedOnLocally)
 {
-    run(5s);
+    advance(5s);
     local.handleVerdict(1, verdict(newDigest(), {1}), now);
-    run(config::EjectionPermitLifetime + 200ms);
-    CHECK(!local.owned(Orders, now));
+    advance(config::EjectionPermitLifetime + 200ms);
+    CHECK(!local.owned(orders, now));
     CHECK(viewOf(1).use == TargetUse::Ejected);
 }
 
@@ -451,7 +452,7 @@
 TEST(LocalHealth, NewTargetStartsSlowlyButNotTheFirstList)
 {
     CHECK(viewOf(0).use == TargetUse::Active);
-    local.setTargets(Orders, targetList(Targets + 1), now);
+    local.setTargets(orders, targetList(Targets + 1), now);
     CHECK(viewOf(Targets).use == TargetUse::SlowStart);
     CHECK(viewOf(0).use == TargetUse::Active);
 }
@@ -461,12 +462,12 @@
     TargetEvidence lost;
     lost.target = named(2);
     lost.unreachable = config::SilentRequestsBeforeAvoidance;
-    local.record(Orders, {lost}, now);
+    local.record(orders, {lost}, now);
     CHECK(viewOf(2).use == TargetUse::Avoided);
     now += config::AvoidanceBase;
     CHECK(viewOf(2).use == TargetUse::Active);
     lost.unreachable = 1;
-    local.record(Orders, {lost}, now);
+    local.record(orders, {lost}, now);
     now += config::AvoidanceBase;
     CHECK(viewOf(2).use == TargetUse::Avoided);
     record(2, false);
@@ -479,7 +480,7 @@
         TargetEvidence lost;
         lost.target = named(index);
         lost.unreachable = 10;
-        local.record(Orders, {lost}, now);
+        local.record(orders, {lost}, now);
     }
     std::size_t used = 0;
     for (std::size_t index = 0; index < Targets; ++index) {
@@ -493,7 +494,7 @@
     TargetEvidence slow;
     slow.target = named(2);
     slow.slow = 10;
-    local.record(Orders, {slow}, now);
+    local.record(orders, {slow}, now);
     CHECK(viewOf(2).use == TargetUse::Active);
 }
 
@@ -501,15 +502,15 @@
 {
     auto targets = targetList(Targets);
     targets[1].leaving = true;
-    local.setTargets(Orders, targets, now);
-    local.setTargets(Orders, targetList(Targets), now); // a lagging replica of the list
+    local.setTargets(orders, targets, now);
+    local.setTargets(orders, targetList(Targets), now); // a lagging replica of the list
     CHECK(viewOf(1).use == TargetUse::Leaving);
-    CHECK(local.targets(Orders).at(1).leaving);
+    CHECK(local.targets(orders).at(1).leaving);
     targets = targetList(Targets);
     targets.erase(targets.begin() + 1);
-    local.setTargets(Orders, targets, now);
-    run(config::LeavingForgetAfter + 200ms);
-    local.setTargets(Orders, targetList(Targets), now);
+    local.setTargets(orders, targets, now);
+    advance(config::LeavingForgetAfter + 200ms);
+    local.setTargets(orders, targetList(Targets), now);
     CHECK(viewOf(1).use != TargetUse::Leaving);
 }
 
@@ -524,7 +525,7 @@
 TEST(LocalHealth, PulsesTellEveryLeavingTarget)
 {
     const auto targets = targetList(40);
-    local.setTargets(Orders, targets, now);
+    local.setTargets(orders, targets, now);
     for (const auto &target : targets) {
         local.noteLeaving({target.name, target.endpoint}, now);
     }
