--- a/src/detector.cpp
+++ b/src/detector.cpp
@@ -274,6 +274,7 @@
     std::sort(shares.begin(), shares.end());
     const double center = shares[(shares.size() - 1) / 2].first;
     std::vector<double> distances;
+    distances.reserve(shares.size());
     for (const auto &[share, test] : shares) {
         distances.push_back(std::abs(share - center));
     }
--- a/tests/test_detector.cpp
+++ b/tests/test_detector.cpp
@@ -132,6 +132,15 @@
     CHECK(detector.ill().empty());
 }
 
+TEST(Detector, FailureOfTheWholeServiceIsNobodysIllness)
+{
+    advance(10s, {});
+    for (int round = 0; round < 50; ++round) {
+        advance(100ms, {0, 0, 4}, Targets);
+        CHECK(detector.ill().empty());
+    }
+}
+
 TEST(Detector, HalfOfTheServiceCanBeIll)
 {
     advance(10s, {});
