--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -17,15 +17,67 @@
 inline constexpr auto MemberSuspectAfter = 4000ms;
 inline constexpr auto RosterChangeDelayMin = 1000ms;
 inline constexpr auto RosterChangeDelayMax = 3000ms;
+inline constexpr auto RosterChangeRankStep = 200ms;
+inline constexpr auto RosterPollInterval = 2000ms;
+inline constexpr auto RosterFetchTimeout = 1000ms;
+inline constexpr auto MemberRemoveAfter = 5000ms;
+inline constexpr auto DelistedAfter = 5000ms;
+inline constexpr auto NeverListedAfter = 60'000ms;
+inline constexpr auto HandOverRepeat = 200ms;
+inline constexpr auto HandOverRepeatFor = 3000ms;
+inline constexpr auto CandidateLifetime = 3000ms;
+inline constexpr auto PeerForgetAfter = 60'000ms;
+inline constexpr auto AnswerNowAfter = 1500ms;
+inline constexpr auto ListedFlagDelay = 10'000ms;
+inline constexpr std::size_t EpochHistory = 8;
 
 // Team limits.
 inline constexpr auto GrantLifetime = 500ms;
-inline constexpr unsigned TeamParts = 3;
+inline constexpr double MaxClockDrift = 0.001; // share of a measured time; slewed clocks stay below it
+inline constexpr auto GrantExpiryMargin = 2ms; // drift of two clocks over one lifetime, and rounding
+inline constexpr auto WaitingTokenLifetime = 40ms; // of tokens for requests that wait: used on receipt or not at all
+inline constexpr unsigned TeamParts = 8;
+inline constexpr double MinPartBurst = 6.0; // tokens; a team with less than two parts of this size has one part
+inline constexpr auto LimitsTick = 10ms;
+inline constexpr auto GrantTimeout = 25ms; // then the next part's owner is asked
+inline constexpr auto OwnerSuspectTime = 1000ms;
+inline constexpr unsigned PartTriesMax = 4;
+inline constexpr unsigned GrantRequestsAtOnce = 4; // of one team and daemon
 inline constexpr auto TokenWaitMax = 300ms;
+inline constexpr auto DemandOrderSlack = 1ms; // requests may reach an owner this much out of order
+inline constexpr double PrefetchReserveShare = 0.3; // of a part's burst, kept for requests that wait
+inline constexpr double PrefetchGrantShare = 0.5; // of what is above the reserve, for one request
+inline constexpr double PrefetchMinRate = 3.0; // requests a second of one daemon and team
+inline constexpr auto PrefetchHorizon = 250ms;
+inline constexpr auto PrefetchRefill = 30ms; // asks again when less than this is left
+inline constexpr auto PrefetchPause = 50ms; // after an owner had nothing to spare
+inline constexpr auto StockAgeMax = 350ms; // then what is left is given back
+inline constexpr auto StockIdleMax = 100ms; // without any demand
+inline constexpr auto DemandAverageTime = 1000ms;
+inline constexpr auto GrantReportDelayMin = 10ms;
+inline constexpr auto GrantReportDelayMax = 200ms;
+inline constexpr double GrantReportShare = 0.02; // of the time in which an empty bucket fills
+inline constexpr auto OverRatePause = 100ms; // between rounds over the parts while all refuse
+inline constexpr auto OverRateMemory = 1000ms; // in which only one part is asked in a round
+inline constexpr auto NoOwnerPause = 250ms; // between rounds over the parts while none answers
+inline constexpr auto LimitsIdleTime = 10'000ms; // then an idle team's state is dropped
+inline constexpr auto LimitsChangeDelay = ConfirmationLifetime + ClockDriftMargin + GrantLifetime;
+
+// Queue for targets.
+inline constexpr double FairQuantum = 1.0; // cost that each team may use in one round
+inline constexpr double QueueCostMax = 16.0;
+inline constexpr double QueueIntervalWeight = 0.05; // of the newest time between two served requests
 
 // Document.
 inline constexpr auto DocumentTrustLifetime = 5000ms;
 inline constexpr std::size_t MaxValueBytes = 1'000'000;
+inline constexpr std::size_t MaxChunkBytes = 500'000;
+inline constexpr std::size_t MaxDocumentBytes = 256 * 1024 * 1024;
+inline constexpr std::size_t MaxHistoryEntries = 50;
+inline constexpr auto ChangeTimeout = 10'000ms;
+inline constexpr auto ChangeRetryInterval = 100ms;
+inline constexpr auto StaleReadPatience = 500ms;
+inline constexpr auto DocumentFetchRetry = 500ms;
 
 // Target health.
 inline constexpr auto HealthDigestInterval = 500ms;
@@ -58,8 +110,10 @@
 inline constexpr auto StoreCallTimeout = 2000ms;
 inline constexpr auto WatchBookmarkInterval = 1000ms;
 inline constexpr unsigned WatchBookmarksMissed = 3;
-inline constexpr double StoreCallsPerSecond = 2.0;
-inline constexpr double StoreCallBurst = 10.0;
+inline constexpr double StoreCallsPerSecond = 10.0;
+inline constexpr double StoreCallBurst = 40.0;
+inline constexpr double OperatorCallsPerSecond = 20.0;
+inline constexpr double OperatorCallBurst = 100.0;
 inline constexpr unsigned WatchersPerCell = 3;
 
 // Requests.
@@ -73,15 +127,56 @@
 inline constexpr auto ConnectTimeout = 1000ms;
 inline constexpr auto FreshConnectionAge = 2000ms;
 inline constexpr double RetryBudgetShare = 0.1;
+inline constexpr double InitialRetries = 5;
 inline constexpr unsigned MaxAttempts = 3;
 inline constexpr unsigned MaxConnectionsPerTarget = 8;
+inline constexpr auto IdleTargetConnection = 30'000ms;
+inline constexpr auto RetryAfterFailure = 1000ms;
+
+// Administration.
+inline constexpr std::size_t MaxAdminBodyBytes = 64 * 1024 * 1024;
+
+// Burn report.
+inline constexpr auto BurnFineStep = 5s;
+inline constexpr auto BurnFineRange = 1h;
+inline constexpr auto BurnCoarseStep = 5min;
+inline constexpr auto BurnCoarseRange = 72h;
+inline constexpr std::size_t MaxBurnSeries = 512;
+inline constexpr double DefaultObjective = 0.999;
+
+// Control thread.
+inline constexpr auto ControlTick = 100ms;
+inline constexpr auto PublishInterval = 1000ms;
+inline constexpr auto ListIntervalWatcher = 1000ms;
+inline constexpr auto ListInterval = 10'000ms;
+inline constexpr auto StoreBackoffMin = 200ms;
+inline constexpr auto StoreBackoffMax = 10'000ms;
+
+// Traffic threads.
+inline constexpr auto AcceptRetryDelay = 50ms;
+inline constexpr auto IdleCheckInterval = 500ms;
+inline constexpr auto CloseDrainTime = 500ms;
+inline constexpr std::size_t ReadBytes = 16 * 1024;
+inline constexpr auto TrafficReportInterval = 250ms;
+inline constexpr auto ConcurrencyDecreaseInterval = 100ms;
+inline constexpr double ConcurrencyDecrease = 0.8;
+inline constexpr std::size_t MaxQueuedRequests = 256;
 
 // Graceful shutdown.
 inline constexpr auto LingerTime = 3000ms;
 inline constexpr auto ShutdownLimit = 60'000ms;
 
+// Supervisor tree.
+inline constexpr auto RestartDelay = 100ms;
+inline constexpr auto RestartDelayMax = 10'000ms;
+inline constexpr auto RestartWindow = 60'000ms;
+inline constexpr std::size_t MaxRestarts = 10;
+
 // Peer datagrams.
 inline constexpr std::size_t MaxDatagramBytes = 1400;
 inline constexpr std::size_t MacBytes = 16;
 inline constexpr std::size_t MaxStreamMessageBytes = 64 * 1024 * 1024;
+inline constexpr std::size_t MaxPeerStreams = 64;
+inline constexpr auto PeerRequestTimeout = 3000ms;
+inline constexpr auto PeerAcceptBackoff = 100ms;
 }
--- /dev/null
+++ b/tests/test_limits.cpp
@@ -0,0 +1,500 @@
+#include <plumsill/config.h>
+#include <plumsill/limits.h>
+
+#include <atomic>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plumsill;
+using namespace std::chrono_literals;
+
+namespace
+{
+constexpr double Tolerance = 0.02; // clock drift margin of the refill
+
+const TimePoint t0 = TimePoint(1000s);
+const TeamName acme {"acme"};
+const MemberId holderId {{"entry-1"}, 7};
+const MemberId successorId {{"entry-2"}, 4};
+const TeamLimits onePart {1, 10};
+const TeamLimits twoParts {20, 2 * config::MinPartBurst};
+const Tenure longActing {true, 1, t0 - 100s};
+
+GrantRequest request(std::uint64_t id, std::uint32_t waiting, std::uint32_t patience = 0)
+{
+    return {id, acme, 0, waiting, 0, patience, {}};
+}
+
+template<class Effect>
+std::vector<Effect> only(const LimitsEffects &effects)
+{
+    std::vector<Effect> found;
+    for (const auto &effect : effects) {
+        if (const auto *entry = std::get_if<Effect>(&effect)) {
+            found.push_back(*entry);
+        }
+    }
+    return found;
+}
+
+Grant answerTo(const SendGrantRequest &sent, std::uint32_t tokens, std::uint32_t retryAfter = 0)
+{
+    const auto &message = sent.message;
+    return {message.id, message.team, message.part, tokens > 0 ? GrantStatus::Granted : GrantStatus::OverRate, tokens, 0, retryAfter};
+}
+}
+
+TEST_GROUP(PartBucket) {};
+
+TEST(PartBucket, LevelAndOutstandingNeverExceedTheBurst)
+{
+    PartBucket bucket({10, 5}, 5, t0);
+    bucket.grant(4);
+    bucket.advance(t0 + 10s);
+    DOUBLES_EQUAL(1, bucket.available(), 1e-9);
+    bucket.spent(4, 0s);
+    bucket.advance(t0 + 10s + 100ms);
+    DOUBLES_EQUAL(2, bucket.available(), Tolerance);
+}
+
+TEST(PartBucket, AgeOfAReportRestoresLostRefill)
+{
+    PartBucket bucket({10, 5}, 5, t0);
+    bucket.grant(4);
+    bucket.advance(t0 + 300ms);
+    bucket.spent(4, 200ms);
+    DOUBLES_EQUAL(3, bucket.available(), Tolerance);
+}
+
+TEST(PartBucket, NoMoreThanTheBurstIsPromisedAhead)
+{
+    PartBucket bucket({10, 2}, 0, t0);
+    CHECK(bucket.delayFor(2).has_value());
+    bucket.grant(2);
+    CHECK(!bucket.delayFor(1).has_value());
+}
+
+TEST(PartBucket, PartsSumUpToTheWhole)
+{
+    const TeamLimits whole {400, 200};
+    LONGS_EQUAL(config::TeamParts, partCount(whole));
+    DOUBLES_EQUAL(whole.burst, partLimits(whole, 0).burst * partCount(whole), 1e-9);
+    DOUBLES_EQUAL(whole.rate, partLimits(whole, 0).rate * partCount(whole), 1e-9);
+    CHECK(partLimits(whole, config::TeamParts) == TeamLimits {});
+    LONGS_EQUAL(1, partCount({5, 3}));
+}
+
+TEST(PartBucket, ChangedTeamsAreFound)
+{
+    Document before;
+    Document after;
+    before.teams = {{{"gone"}, 1, 1, {}}, {{"same"}, 2, 2, {}}, {{"up"}, 3, 3, {}}};
+    after.teams = {{{"same"}, 2, 2, {}}, {{"up"}, 4, 3, {}}};
+    const std::vector<LimitsChange> expected {{{"gone"}, {1, 1}, {}}, {{"up"}, {3, 3}, {4, 3}}};
+    CHECK(changedLimits(before, after) == expected);
+}
+
+TEST_GROUP(LimitsOwner)
+{
+    LimitsOwner owner;
+};
+
+TEST(LimitsOwner, NewOwnerStartsEmptyAndRefillsFromItsStart)
+{
+    const TeamLimits limits {2, 10};
+    const Tenure fresh {true, 5, t0};
+    LONGS_EQUAL(0, owner.onGrantRequest(holderId, request(1, 1), limits, fresh, t0)->tokens);
+    LimitsOwner later;
+    LONGS_EQUAL(5, later.onGrantRequest(holderId, request(1, 9), limits, fresh, t0 + 3s)->tokens);
+}
+
+TEST(LimitsOwner, OwnerThatReturnsInALaterTermStartsEmpty)
+{
+    LONGS_EQUAL(1, owner.onGrantRequest(holderId, request(1, 1), onePart, longActing, t0)->tokens);
+    LONGS_EQUAL(0, owner.onGrantRequest(holderId, request(2, 1), onePart, {true, 3, t0 + 1s}, t0 + 1s)->tokens);
+}
+
+TEST(LimitsOwner, TenureWhoseFirstEpochsAreForgottenKeepsItsBucket)
+{
+    LONGS_EQUAL(9, owner.onGrantRequest(holderId, request(1, 9), onePart, longActing, t0)->tokens);
+    const Tenure shortened {true, 5, t0 - 50s};
+    LONGS_EQUAL(1, owner.onGrantRequest(holderId, request(2, 9), onePart, shortened, t0 + 1ms)->tokens);
+}
+
+TEST(LimitsOwner, HandOverIsTakenBeforeTheEpochIsConfirmed)
+{
+    const HandOver message {successorId, acme, 0, 5, 2};
+    CHECK(owner.acceptHandOver(successorId, message, 4, onePart, {false, 0, t0}, t0));
+    LONGS_EQUAL(5, owner.onGrantRequest(holderId, request(1, 9), onePart, {true, 4, t0}, t0 + 1ms)->tokens);
+}
+
+TEST(LimitsOwner, NothingIsGrantedWithoutTheRightToAct)
+{
+    const auto answer = owner.onGrantRequest(holderId, request(1, 1), onePart, {false, 1, t0 - 100s}, t0);
+    CHECK(answer->status == GrantStatus::NotActing);
+    LONGS_EQUAL(0, answer->tokens);
+    LONGS_EQUAL(0, owner.activeParts());
+}
+
+TEST(LimitsOwner, RepeatedRequestGetsTheSameAnswer)
+{
+    const auto first = owner.onGrantRequest(holderId, request(1, 3), onePart, longActing, t0);
+    const auto second = owner.onGrantRequest(holderId, request(1, 3), onePart, longActing, t0 + 40ms);
+    CHECK(first == second);
+    DOUBLES_EQUAL(7, *owner.available({acme, 0}), 1e-9);
+}
+
+TEST(LimitsOwner, RepeatedReportChangesNothing)
+{
+    owner.onGrantRequest(holderId, request(1, 3), onePart, longActing, t0);
+    const GiveBack report {acme, 0, {{1, 2, 0}}};
+    owner.onGiveBack(holderId, report, t0 + 10ms);
+    owner.onGiveBack(holderId, report, t0 + 10ms);
+    DOUBLES_EQUAL(9, *owner.available({acme, 0}), 1e-9);
+}
+
+TEST(LimitsOwner, MoreThanWasGrantedCanNotComeBack)
+{
+    owner.onGrantRequest(holderId, request(1, 1), onePart, longActing, t0);
+    owner.onGiveBack(holderId, {acme, 0, {{1, 50, 0}}}, t0);
+    DOUBLES_EQUAL(9, *owner.available({acme, 0}), 1e-9);
+}
+
+TEST(LimitsOwner, UnreportedGrantCountsAsSpentAtItsExpiry)
+{
+    auto stock = request(1, 0);
+    stock.ahead = 2;
+    LONGS_EQUAL(2, owner.onGrantRequest(holderId, stock, onePart, longActing, t0)->tokens);
+    owner.tick(t0 + config::GrantLifetime - 1ms);
+    DOUBLES_EQUAL(8, *owner.available({acme, 0}), 1e-9);
+    owner.tick(t0 + config::GrantLifetime + config::GrantExpiryMargin + 1s);
+    DOUBLES_EQUAL(9, *owner.available({acme, 0}), Tolerance);
+}
+
+TEST(LimitsOwner, TokensOfWaitingRequestsAreChargedSoonWithoutAReport)
+{
+    const auto grant = owner.onGrantRequest(holderId, request(1, 10), onePart, longActing, t0);
+    CHECK(grantLifetime(request(1, 10), *grant) == config::WaitingTokenLifetime);
+    const auto charged = t0 + config::WaitingTokenLifetime + config::GrantExpiryMargin;
+    owner.onGiveBack(holderId, {acme, 0, {}}, charged - 1ms);
+    DOUBLES_EQUAL(0, *owner.available({acme, 0}), 1e-9);
+    owner.onGiveBack(holderId, {acme, 0, {}}, charged + 2s);
+    DOUBLES_EQUAL(2, *owner.available({acme, 0}), Tolerance);
+}
+
+TEST(LimitsOwner, RequestOlderThanTheKeptAnswersIsDropped)
+{
+    owner.onGrantRequest(holderId, request(5, 1), onePart, longActing, t0);
+    const auto late = t0 + config::GrantLifetime + config::GrantExpiryMargin;
+    CHECK(!owner.onGrantRequest(holderId, request(4, 1), onePart, longActing, late).has_value());
+    CHECK(owner.onGrantRequest(holderId, request(6, 1), onePart, longActing, late).has_value());
+}
+
+TEST(LimitsOwner, SmallTeamIsRefusedOnlyWhereAnIdealBucketRefuses)
+{
+    const TeamLimits single {1, 1};
+    LONGS_EQUAL(1, owner.onGrantRequest(holderId, request(1, 1, 300), single, longActing, t0)->tokens);
+    owner.onGiveBack(holderId, {acme, 0, {{1, 0, 0}}}, t0 + 20ms);
+    const auto early = owner.onGrantRequest(holderId, request(2, 1, 300), single, longActing, t0 + 900ms);
+    CHECK(early->status == GrantStatus::OverRate);
+    CHECK(early->retryAfterMilliseconds >= 95 && early->retryAfterMilliseconds <= 101);
+    // The report came 20 ms after the spending: the real bucket is behind the ideal one, so the token comes with a delay.
+    const auto granted = owner.onGrantRequest(holderId, request(3, 1, 300), single, longActing, t0 + 1001ms);
+    LONGS_EQUAL(1, granted->tokens);
+    CHECK(granted->delayMilliseconds > 0 && granted->delayMilliseconds <= 30);
+}
+
+TEST(LimitsOwner, HandOverCarriesBalanceAndOutstandingTokens)
+{
+    owner.onGrantRequest(holderId, request(1, 4), onePart, longActing, t0);
+    const auto parts = owner.handOver({{{acme, 0}, onePart, longActing, successorId}}, t0);
+    LONGS_EQUAL(1, parts.size());
+    CHECK(owner.onGrantRequest(holderId, request(2, 1), onePart, longActing, t0)->status == GrantStatus::NotActing);
+    LimitsOwner successor;
+    const Tenure term {true, 2, t0};
+    CHECK(!successor.acceptHandOver({successorId.name, successorId.incarnation + 1}, parts[0], 1, onePart, term, t0));
+    CHECK(successor.acceptHandOver(successorId, parts[0], 1, onePart, term, t0));
+    DOUBLES_EQUAL(6, *successor.available({acme, 0}), 1e-9);
+    successor.tick(t0 + 400ms);
+    DOUBLES_EQUAL(6, *successor.available({acme, 0}), 1e-9);
+    CHECK(!successor.acceptHandOver(successorId, parts[0], 1, onePart, term, t0 + 1ms));
+    successor.tick(t0 + config::GrantLifetime + config::GrantExpiryMargin + 1s);
+    DOUBLES_EQUAL(7, *successor.available({acme, 0}), Tolerance);
+}
+
+TEST(LimitsOwner, HandOverIsRefusedAfterAGrantAndWhenStale)
+{
+    const HandOver message {successorId, acme, 0, 5, 0};
+    const Tenure term {true, 4, t0 - 2s};
+    CHECK(!owner.acceptHandOver(successorId, message, 2, onePart, term, t0));
+    LONGS_EQUAL(1, owner.onGrantRequest(holderId, request(1, 1), onePart, term, t0)->tokens);
+    CHECK(!owner.acceptHandOver(successorId, message, 3, onePart, term, t0));
+}
+
+TEST(LimitsOwner, GrowthWaitsForOwnersOfTheOldDocument)
+{
+    const TeamLimits before {1, 2};
+    const TeamLimits after {1000, 10};
+    LONGS_EQUAL(2, owner.onGrantRequest(holderId, request(1, 2), before, longActing, t0)->tokens);
+    owner.limitsChanged({acme, before, after}, t0);
+    owner.onGrantRequest(holderId, request(2, 0), after, longActing, t0);
+    LONGS_EQUAL(0, owner.onGrantRequest(holderId, request(3, 1), after, longActing, t0 + 100ms)->tokens);
+    const auto later = t0 + config::LimitsChangeDelay;
+    owner.onGrantRequest(holderId, request(4, 0), after, longActing, later);
+    LONGS_EQUAL(10, owner.onGrantRequest(holderId, request(5, 10), after, longActing, later + 1s)->tokens);
+}
+
+TEST(LimitsOwner, SmallerLimitsHoldAtOnce)
+{
+    owner.onGrantRequest(holderId, request(1, 0), onePart, longActing, t0);
+    const TeamLimits after {1, 2};
+    owner.limitsChanged({acme, onePart, after}, t0);
+    LONGS_EQUAL(2, owner.onGrantRequest(holderId, request(2, 5), after, longActing, t0)->tokens);
+}
+
+TEST(LimitsOwner, IdlePartsKeepNoState)
+{
+    owner.onGrantRequest(holderId, request(1, 1), onePart, longActing, t0);
+    owner.tick(t0 + config::LimitsIdleTime + 20s);
+    LONGS_EQUAL(0, owner.activeParts());
+    LONGS_EQUAL(10, owner.onGrantRequest(holderId, request(2, 99), onePart, longActing, t0 + config::LimitsIdleTime + 21s)->tokens);
+}
+
+TEST_GROUP(LimitsHolder)
+{
+    LimitsHolder holder {1};
+
+    LimitsEffects want(WaiterId waiter, const TeamLimits &limits, TimePoint now)
+    {
+        holder.allowance(acme, limits, now)->takeAt(now);
+        return holder.wantToken(acme, limits, waiter, now + config::TokenWaitMax, now);
+    }
+    SendGrantRequest wantOne(WaiterId waiter, const TeamLimits &limits, TimePoint now)
+    {
+        const auto sent = only<SendGrantRequest>(want(waiter, limits, now));
+        LONGS_EQUAL(1, sent.size());
+        return sent[0];
+    }
+};
+
+TEST(LimitsHolder, WaitingRequestIsAdmittedByAGrant)
+{
+    const auto sent = wantOne(1, onePart, t0);
+    const auto admitted = only<Admit>(holder.onGrant(answerTo(sent, 1), 1, t0 + 2ms));
+    LONGS_EQUAL(1, admitted.size());
+    CHECK(admitted[0] == (Admit {{1}, t0 + config::WaitingTokenLifetime}));
+}
+
+TEST(LimitsHolder, RepeatedGrantAdmitsNothingMore)
+{
+    const auto sent = wantOne(1, twoParts, t0);
+    holder.onGrant(answerTo(sent, 2), 1, t0 + 2ms);
+    CHECK(holder.onGrant(answerTo(sent, 2), 1, t0 + 3ms).empty());
+    const auto allowance = holder.allowance(acme, twoParts, t0);
+    CHECK(allowance->takeAt(t0 + 4ms).has_value());
+    CHECK(!allowance->takeAt(t0 + 4ms).has_value());
+}
+
+TEST(LimitsHolder, GrantThatComesAfterItsExpiryAdmitsNothing)
+{
+    const auto sent = wantOne(1, onePart, t0);
+    CHECK(only<Admit>(holder.onGrant(answerTo(sent, 1), 1, t0 + config::WaitingTokenLifetime)).empty());
+}
+
+TEST(LimitsHolder, GrantOfAnOlderEpochIsRefused)
+{
+    const auto sent = wantOne(1, twoParts, t0);
+    holder.adoptEpoch(3);
+    CHECK(only<Admit>(holder.onGrant(answerTo(sent, 1), 2, t0 + 2ms)).empty());
+}
+
+TEST(LimitsHolder, NextPartIsAskedBeforeRefusing)
+{
+    const auto first = wantOne(1, twoParts, t0);
+    const auto second = only<SendGrantRequest>(holder.onGrant(answerTo(first, 0, 50), 1, t0 + 2ms));
+    LONGS_EQUAL(1, second.size());
+    CHECK(second[0].message.part != first.message.part);
+    const auto last = only<SendGrantRequest>(holder.onGrant(answerTo(second[0], 0, 40), 1, t0 + 4ms));
+    LONGS_EQUAL(second[0].message.part, last[0].message.part);
+    CHECK(last[0].message.patienceMilliseconds > 0);
+    const auto refused = only<Refuse>(holder.onGrant(answerTo(last[0], 0, 400), 1, t0 + 6ms));
+    LONGS_EQUAL(1, refused.size());
+    CHECK(refused[0].reason == RefusalReason::OverRate);
+    CHECK(refused[0].retryAfter > 0s);
+    CHECK(only<SendGrantRequest>(want(2, twoParts, t0 + 7ms)).empty());
+}
+
+TEST(LimitsHolder, RefusalOfASmallTeamTellsWhenToComeBack)
+{
+    const auto sent = wantOne(1, onePart, t0);
+    const auto refused = only<Refuse>(holder.onGrant(answerTo(sent, 0, 700), 1, t0 + 2ms));
+    CHECK(refused[0] == (Refuse {{1}, 700ms, RefusalReason::OverRate}));
+    LONGS_EQUAL(1, only<Refuse>(want(2, onePart, t0 + 699ms)).size());
+    LONGS_EQUAL(1, only<SendGrantRequest>(want(3, onePart, t0 + 701ms)).size());
+}
+
+TEST(LimitsHolder, UnansweredRequestsEndInARefusalForWantOfAnOwner)
+{
+    want(1, twoParts, t0);
+    std::vector<Refuse> refused;
+    for (auto now = t0; now < t0 + config::TokenWaitMax + 20ms; now += config::LimitsTick) {
+        for (const auto &entry : only<Refuse>(holder.tick(now))) {
+            refused.push_back(entry);
+        }
+    }
+    LONGS_EQUAL(1, refused.size());
+    CHECK(refused[0].reason == RefusalReason::NoOwner);
+}
+
+TEST(LimitsHolder, LostAnswerOfASmallTeamIsAskedForAgainWithTheSameId)
+{
+    const auto sent = wantOne(1, onePart, t0);
+    const auto again = only<SendGrantRequest>(holder.tick(t0 + config::GrantTimeout));
+    LONGS_EQUAL(1, again.size());
+    CHECK(again[0] == sent);
+}
+
+TEST(LimitsHolder, AnswerThatIsNotAwaitedAnyMoreIsGivenBack)
+{
+    const auto sent = wantOne(1, twoParts, t0);
+    holder.tick(t0 + config::GrantTimeout);
+    const auto back = only<SendGiveBack>(holder.onGrant(answerTo(sent, 3), 1, t0 + 40ms));
+    CHECK(back[0] == (SendGiveBack {{acme, sent.message.part, {{sent.message.id, 3, 0}}}}));
+}
+
+TEST(LimitsHolder, UnusedTokensAreGivenBackBeforeTheyExpire)
+{
+    const auto sent = wantOne(1, twoParts, t0);
+    holder.onGrant(answerTo(sent, 5), 1, t0 + 2ms);
+    std::uint32_t unspent = 0;
+    for (auto now = t0; now < t0 + config::GrantLifetime; now += config::LimitsTick) {
+        for (const auto &entry : only<SendGiveBack>(holder.tick(now))) {
+            unspent += entry.message.finished[0].unspent;
+        }
+    }
+    LONGS_EQUAL(4, unspent);
+    CHECK(!holder.allowance(acme, twoParts, t0)->takeAt(t0 + 400ms).has_value());
+}
+
+TEST(LimitsHolder, DelayedTokenAdmitsWhenItBecomesValid)
+{
+    auto grant = answerTo(wantOne(1, onePart, t0), 1);
+    grant.delayMilliseconds = 30;
+    CHECK(only<Admit>(holder.onGrant(grant, 1, t0 + 2ms)).empty());
+    CHECK(holder.nextWake() == std::optional(t0 + 32ms));
+    CHECK(only<Admit>(holder.tick(t0 + 31ms)).empty());
+    LONGS_EQUAL(1, only<Admit>(holder.tick(t0 + 32ms)).size());
+}
+
+TEST(LimitsHolder, DelayedTokenAdmitsNothingAfterItsExpiry)
+{
+    auto grant = answerTo(wantOne(1, onePart, t0), 1);
+    grant.delayMilliseconds = 30;
+    holder.onGrant(grant, 1, t0 + 2ms);
+    const auto effects = holder.tick(t0 + config::GrantLifetime);
+    CHECK(only<Admit>(effects).empty());
+    LONGS_EQUAL(1, only<Refuse>(effects).size());
+}
+
+TEST(LimitsHolder, TokenOfACancelledRequestIsGivenBack)
+{
+    const auto sent = wantOne(1, onePart, t0);
+    holder.cancel(acme, 1);
+    CHECK(only<Admit>(holder.onGrant(answerTo(sent, 1), 1, t0 + 2ms)).empty());
+    const auto back = only<SendGiveBack>(holder.tick(t0 + 20ms));
+    LONGS_EQUAL(1, back[0].message.finished[0].unspent);
+}
+
+TEST(LimitsHolder, SteadyDemandIsServedWithoutWaiting)
+{
+    unsigned waited = 0;
+    constexpr unsigned Requests = 300;
+    for (unsigned i = 0; i < Requests; ++i) {
+        const auto now = t0 + 10ms * i;
+        LimitsEffects effects = holder.tick(now);
+        if (!holder.allowance(acme, twoParts, now)->takeAt(now)) {
+            ++waited;
+            const auto more = holder.wantToken(acme, twoParts, i, now + config::TokenWaitMax, now);
+            effects.insert(effects.end(), more.begin(), more.end());
+        }
+        for (const auto &sent : only<SendGrantRequest>(effects)) {
+            holder.onGrant(answerTo(sent, sent.message.waiting + sent.message.ahead), 1, now + 2ms);
+        }
+    }
+    CHECK(waited < Requests / 20);
+}
+
+// An answer to an earlier incarnation must not look like one to a request of this one.
+TEST(LimitsHolder, IncarnationsShareNoIds)
+{
+    LimitsHolder other(2);
+    const auto first = wantOne(1, onePart, t0);
+    const auto second = only<SendGrantRequest>(other.wantToken(acme, onePart, 1, t0 + 1s, t0))[0];
+    CHECK(first.message.id != second.message.id);
+}
+
+TEST(LimitsHolder, AgeInAReportCountsFromTheLastSpending)
+{
+    const auto sent = wantOne(1, twoParts, t0);
+    holder.onGrant(answerTo(sent, 2), 1, t0 + 2ms);
+    const auto allowance = holder.allowance(acme, twoParts, t0);
+    holder.tick(t0 + 70ms);
+    CHECK(allowance->takeAt(t0 + 80ms).has_value());
+    holder.tick(t0 + 90ms);
+    const auto back = only<SendGiveBack>(holder.tick(t0 + 300ms));
+    LONGS_EQUAL(210, back.at(0).message.finished[0].ageMilliseconds);
+}
+
+TEST(LimitsHolder, IdleTeamsKeepNoState)
+{
+    {
+        const auto sent = wantOne(1, onePart, t0);
+        holder.onGrant(answerTo(sent, 1), 1, t0 + 2ms);
+    }
+    for (auto now = t0; now < t0 + 10s; now += 100ms) {
+        holder.tick(now);
+    }
+    LONGS_EQUAL(0, holder.activeTeams());
+    CHECK(holder.onGrant({}, 1, t0 + 10s).empty());
+}
+
+TEST(LimitsHolder, ReleaseGivesEverythingBack)
+{
+    const auto sent = wantOne(1, twoParts, t0);
+    holder.onGrant(answerTo(sent, 4), 1, t0 + 2ms);
+    const auto back = only<SendGiveBack>(holder.release(t0 + 3ms));
+    LONGS_EQUAL(3, back[0].message.finished[0].unspent);
+}
+
+TEST_GROUP(TeamAllowance) {};
+
+TEST(TeamAllowance, TokensAreWorthNothingFromTheirExpiryOn)
+{
+    TeamAllowance allowance(acme);
+    CHECK(allowance.put(2, t0 + 5ms).has_value());
+    CHECK(allowance.takeAt(t0 + 4ms).has_value());
+    CHECK(!allowance.takeAt(t0 + 5ms).has_value());
+    LONGS_EQUAL(1, allowance.reclaim(0));
+    LONGS_EQUAL(2, allowance.drainDemand());
+}
+
+TEST(TeamAllowance, ThreadsTakeEachTokenOnce)
+{
+    constexpr std::uint32_t Tokens = 20000;
+    TeamAllowance allowance(acme);
+    allowance.put(Tokens, t0 + 1s);
+    std::atomic<std::uint32_t> taken {0};
+    std::vector<std::thread> threads;
+    for (unsigned i = 0; i < 4; ++i) {
+        threads.emplace_back([&] {
+            for (std::uint32_t n = 0; n < Tokens / 2; ++n) {
+                taken += allowance.takeAt(t0) ? 1 : 0;
+            }
+        });
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    LONGS_EQUAL(Tokens, taken.load());
+}
