--- a/src/detector.cpp
+++ b/src/detector.cpp
@@ -274,6 +274,7 @@
     std::sort(shares.begin(), shares.end());
     const double center = shares[(shares.size() - 1) / 2].first;
     std::vector<double> distances;
+    distances.reserve(shares.size());
     for (const auto &[share, test] : shares) {
         distances.push_back(std::abs(share - center));
     }
@@ -384,13 +385,10 @@
     if (serviceWide(field)) {
         return;
     }
-    for (const auto &[name, record] : m_targets) {
-        if (!alarmed(record.*field)) {
-            continue;
-        }
-        const auto known = std::find_if(found.begin(), found.end(), [&](const Illness &illness) { return illness.target == name; });
-        if (known == found.end()) {
-            found.push_back({name, cause, score(name)});
+    for (const auto &entry : m_targets) {
+        const bool known = std::any_of(found.begin(), found.end(), [&](const Illness &illness) { return illness.target == entry.first; });
+        if (!known && alarmed(entry.second.*field)) {
+            found.push_back({entry.first, cause, score(entry.first)});
         }
     }
 }
