Targets come from a peer while the platform is away; burn history; a superseded daemon stops

Cause: a daemon started in a platform outage was ready but knew no targets (process_fleet: /open not 200 within 5 s). Ruled out: document and membership, which came from peers. Change: TargetsRequest over TCP; /v1/history for the burn report; a daemon whose name another incarnation took stops gracefully.

--- a/include/plumsill/messages.h
+++ b/include/plumsill/messages.h
@@ -262,8 +262,29 @@
     }
 };
 
-using Message
-    = std::variant<Pulse, PulseAck, GrantRequest, Grant, GiveBack, HandOver, HealthDigest, Verdict, DocumentRequest, DocumentReply, RosterRequest, RosterReply>;
+/// Asks a peer for the targets that the platform listed; for a daemon that can't read the list. Goes over TCP.
+struct TargetsRequest {
+    auto operator<=>(const TargetsRequest &) const = default;
+    template<class Archive>
+    void serialize(Archive &)
+    { }
+};
+
+/// The targets as the sender last read them. Goes over TCP.
+struct TargetsReply {
+    std::uint64_t ageMilliseconds = 0;
+    std::vector<Target> targets;
+
+    auto operator<=>(const TargetsReply &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(ageMilliseconds, targets);
+    }
+};
+
+using Message = std::variant<Pulse, PulseAck, GrantRequest, Grant, GiveBack, HandOver, HealthDigest, Verdict, DocumentRequest, DocumentReply, RosterRequest,
+                             RosterReply, TargetsRequest, TargetsReply>;
 
 /// A message with its sender, as it crosses the network under a MAC.
 struct Envelope {
--- a/include/plumsill/types.h
+++ b/include/plumsill/types.h
@@ -53,6 +53,11 @@
     bool leaving = false;
 
     auto operator<=>(const Target &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(name, service, zone, endpoint, leaving);
+    }
 };
 
 /// An instance of the fleet as the platform lists it.
--- a/src/control_p.h
+++ b/src/control_p.h
@@ -6,6 +6,7 @@
 #include "store_p.h"
 #include "traffic_p.h"
 
+#include <plumsill/burn.h>
 #include <plumsill/environment.h>
 #include <plumsill/health.h>
 #include <plumsill/limits.h>
@@ -46,6 +47,7 @@
     std::optional<Envelope> respond(const Envelope &request);
 
     Membership &membership() { return m_membership; }
+    const Membership &membership() const { return m_membership; }
     const Ownership &ownership() const { return m_ownership; }
     bool acceptHandOver(const Envelope &envelope) { return m_ownership.acceptHandOver(envelope, RuntimeClock::now()); }
 
@@ -191,6 +193,8 @@
     bool ready(TimePoint now) const;
     boost::json::object status(TimePoint now);
     std::string metricsText(TimePoint now);
+    /// Good and bad events of the last days, for the burn report.
+    std::string historyText(TimePoint now) const;
     /// How many members of the epoch hold @p stamp or a later one.
     Holders holdersOf(const DocumentStamp &stamp);
 
@@ -212,7 +216,12 @@
     void publishSoon() { m_publishDue = true; }
 
 private:
+    boost::asio::awaitable<bool> readLists();
+    boost::asio::awaitable<void> fetchTargets();
+    std::optional<Envelope> targetsReply() const;
     void noteServing(TimePoint now);
+    void recordHistory(TimePoint now);
+    void stopIfSuperseded();
     void publish(TimePoint now);
 
     boost::asio::io_context &m_context;
@@ -222,6 +231,8 @@
     StoreConnection m_store;
     PlatformLists m_lists;
     Metrics m_metrics;
+    BurnHistory m_history;
+    std::size_t m_fetches = 0;
     MembershipPart m_membership;
     DocumentPart m_document;
     LimitsPart m_limits;
--- a/src/net_admin.cpp
+++ b/src/net_admin.cpp
@@ -106,6 +106,9 @@
 boost::asio::awaitable<AdminResponse> AdminPort::answer(Control &control, const AdminRequest &request)
 {
     const TimePoint now = RuntimeClock::now();
+    if (request.method() == http::verb::get && request.target() == "/v1/history") {
+        co_return plainAnswer(http::status::ok, "application/json", control.historyText(now));
+    }
     if (isAdminApi(request.target())) {
         co_return co_await answerAdminCall(apiContext(control), request);
     }
--- a/src/net_control.cpp
+++ b/src/net_control.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <csignal>
+
 namespace plumsill
 {
 Control::Control(boost::asio::io_context &context, const Settings &settings, PeerPort &peers, Member self, std::vector<std::unique_ptr<TrafficThread>> &threads)
@@ -58,9 +60,21 @@
     if (std::holds_alternative<DocumentRequest>(request.message)) {
         return m_document.respond(request);
     }
+    if (std::holds_alternative<TargetsRequest>(request.message)) {
+        return targetsReply();
+    }
     return m_membership.respond(request);
 }
 
+std::optional<Envelope> Control::targetsReply() const
+{
+    if (!m_lists.readAt) {
+        return std::nullopt;
+    }
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(RuntimeClock::now() - *m_lists.readAt);
+    return m_membership.membership().envelope(TargetsReply {static_cast<std::uint64_t>(age.count()), m_lists.targets});
+}
+
 void Control::report(const TrafficReport &report)
 {
     m_metrics.add(report);
@@ -100,22 +114,56 @@
 boost::asio::awaitable<void> Control::runLists()
 {
     while (true) {
-        auto targets = co_await m_store.targets();
-        auto instances = co_await m_store.instances();
-        const TimePoint now = RuntimeClock::now();
-        if (targets && instances) {
-            m_lists = {instances.value(), targets.value(), now};
-            m_membership.membership().instancesListed(m_lists.instances, now);
-            m_health.listsChanged();
-            m_publishDue = true;
-        } else {
-            logWarning(LogPart::Store, "the platform's lists cannot be read: " + toString(targets ? instances.error() : targets.error()));
+        const bool read = co_await readLists();
+        if (!read) {
+            co_await fetchTargets();
         }
-        const bool often = !m_lists.readAt || m_membership.membership().isWatcher(now);
+        const bool often = !read || m_membership.membership().isWatcher(RuntimeClock::now());
         co_await sleepFor(often ? Duration(config::ListIntervalWatcher) : Duration(config::ListInterval));
     }
 }
 
+boost::asio::awaitable<bool> Control::readLists()
+{
+    const auto targets = co_await m_store.targets();
+    const auto instances = co_await m_store.instances();
+    if (!targets || !instances) {
+        logWarning(LogPart::Store, "the platform's lists cannot be read: " + toString(targets ? instances.error() : targets.error()));
+        co_return false;
+    }
+    const TimePoint now = RuntimeClock::now();
+    m_lists = {instances.value(), targets.value(), now};
+    m_membership.membership().instancesListed(m_lists.instances, now);
+    m_health.listsChanged();
+    m_publishDue = true;
+    co_return true;
+}
+
+// A daemon that starts while the platform is away learns the targets from a peer.
+boost::asio::awaitable<void> Control::fetchTargets()
+{
+    std::vector<Endpoint> peers;
+    for (const auto &peer : m_membership.membership().peers(RuntimeClock::now())) {
+        if (!peer.suspected) {
+            peers.push_back(peer.member.peer);
+        }
+    }
+    if (m_lists.readAt || peers.empty()) {
+        co_return;
+    }
+    const Endpoint from = peers[m_fetches++ % peers.size()];
+    const Envelope request = m_membership.membership().envelope(TargetsRequest {});
+    const auto reply = co_await m_peers.request(from, request);
+    const auto *told = reply ? std::get_if<TargetsReply>(&reply.value().message) : nullptr;
+    if (told == nullptr || m_lists.readAt) {
+        co_return;
+    }
+    m_lists.targets = told->targets;
+    m_lists.readAt = RuntimeClock::now() - std::chrono::milliseconds(told->ageMilliseconds);
+    m_health.listsChanged();
+    m_publishDue = true;
+}
+
 boost::asio::awaitable<void> Control::runPublisher()
 {
     TimePoint lastAt;
@@ -124,6 +172,8 @@
         const TimePoint now = RuntimeClock::now();
         m_document.confirm();
         noteServing(now);
+        recordHistory(now);
+        stopIfSuperseded();
         if (m_publishDue || now - lastAt >= config::PublishInterval) {
             publish(now);
             lastAt = now;
@@ -141,6 +191,32 @@
     }
 }
 
+void Control::recordHistory(TimePoint now)
+{
+    BurnTotals totals;
+    for (const auto &[key, counts] : m_metrics.counts()) {
+        totals.emplace(key, toBurnCounts(counts));
+    }
+    m_history.record(now, totals);
+}
+
+std::string Control::historyText(TimePoint now) const
+{
+    const Document none;
+    const Document &document = m_document.compiled() ? *m_document.compiled()->document : none;
+    return historyJson({objectivesOf(document), m_history.samples(now)});
+}
+
+// The instance was replaced under its own name: two daemons with one name must not go on side by side.
+void Control::stopIfSuperseded()
+{
+    if (m_membership.membership().superseded() && !m_leaving) {
+        logError(LogPart::Member, "another daemon runs under this name; stopping");
+        std::raise(SIGTERM);
+        m_leaving = true;
+    }
+}
+
 void Control::publish(TimePoint now)
 {
     m_publishDue = false;
--- a/tests/test_codec.cpp
+++ b/tests/test_codec.cpp
@@ -55,7 +55,7 @@
 {
     const TeamName team {anyText()};
     const ServiceName service {anyText()};
-    switch (*rc::gen::inRange(0, 12)) {
+    switch (*rc::gen::inRange(0, 14)) {
     case 0:
         return Pulse {anyNumber(),    anyNumber(), true, anyState(),  ZoneName {anyText()},
                       {anyText(), 1}, anyStamp(),  true, anyNumber(), {{TargetName {anyText()}, {anyText(), 8}}}};
@@ -79,6 +79,10 @@
         return DocumentReply {anyStamp(), anyText()};
     case 10:
         return RosterRequest {anyNumber()};
+    case 11:
+        return TargetsRequest {};
+    case 12:
+        return TargetsReply {anyNumber(), {{TargetName {anyText()}, service, ZoneName {anyText()}, {anyText(), 9}, true}}};
     default:
         return RosterReply {anyRoster()};
     }
