--- a/tests/test_detector.cpp
+++ b/tests/test_detector.cpp
@@ -229,6 +229,18 @@
     CHECK(!detector.unreachable(target(0), now));
 }
 
+TEST(Detector, OneDaemonsFailedConnectionsAreNotUnreachable)
+{
+    advance(5s, {});
+    now += config::EvidenceWindow + 1s;
+    add(1, 1, {});
+    add(2, 1, {});
+    add(0, 0, {0, 0, 0, 0, 0, 0, 4});
+    CHECK(!detector.unreachable(target(0), now));
+    add(1, 0, {0, 0, 0, 0, 0, 0, 4});
+    CHECK(detector.unreachable(target(0), now));
+}
+
 TEST(Detector, TrialDecidesBothWays)
 {
     advance(10s, {});
