Requests outlast a hand-over; one bound on connections; true outcome on a withdrawn key

Found by reading: a second attempt refused for its key said not-run though the first was sent; idle connections to a target were not counted against the limit; verdicts were given by a possibly outdated floor; trials could be non-idempotent requests.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -44,6 +44,7 @@
 inline constexpr unsigned PartTriesMax = 4;
 inline constexpr unsigned GrantRequestsAtOnce = 4; // of one team and daemon
 inline constexpr auto TokenWaitMax = 300ms;
+inline constexpr auto OwnerWaitMax = 600ms;
 inline constexpr auto DemandOrderSlack = 1ms; // requests may reach an owner this much out of order
 inline constexpr double PrefetchReserveShare = 0.3; // of a part's burst, kept for requests that wait
 inline constexpr double PrefetchGrantShare = 0.5; // of what is above the reserve, for one request
@@ -129,7 +130,7 @@
 inline constexpr double RetryBudgetShare = 0.1;
 inline constexpr double InitialRetries = 5;
 inline constexpr unsigned MaxAttempts = 3;
-inline constexpr unsigned MaxConnectionsPerTarget = 8;
+inline constexpr unsigned MaxConnectionsPerTarget = 6;
 inline constexpr auto IdleTargetConnection = 30'000ms;
 inline constexpr auto RetryAfterFailure = 1000ms;
 
--- a/src/limits_p.h
+++ b/src/limits_p.h
@@ -37,11 +37,14 @@
     struct Waiter {
         WaiterId id = 0;
         TimePoint deadline;
+        TimePoint ownerDeadline; ///< while no owner has answered
     };
     /// Waiting requests that ask the parts' owners together; none for tokens ahead of demand.
     struct Batch {
         std::vector<Waiter> waiters;
         TimePoint deadline;
+        TimePoint ownerDeadline; ///< while no owner has answered
+        bool resting = false; ///< no owner answered in the last round: the next begins at the timeout
         GrantRequest request;
         TimePoint sentAt;
         TimePoint timeout;
@@ -91,6 +94,7 @@
     void resend(Batch &batch, LimitsCall &call);
     void askNext(Batches::iterator batch, LimitsCall &call);
     void fail(Batches::iterator batch, Duration suspectTime, LimitsCall &call);
+    void startRound(Batches::iterator batch, LimitsCall &call);
     void refuse(Batches::iterator batch, RefusalReason reason, Duration pause, Duration retryAfter, LimitsCall &call);
     void end(Batches::iterator batch, LimitsCall &call);
     void onLateGrant(const Grant &grant, bool stale, LimitsCall &call);
--- a/src/limits_team.cpp
+++ b/src/limits_team.cpp
@@ -73,7 +73,7 @@
         call.effects.push_back(Refuse {{waiter}, m_refusedUntil - call.now, m_refusal});
         return;
     }
-    const Waiter entry {waiter, std::min<TimePoint>(deadline, call.now + config::TokenWaitMax)};
+    const Waiter entry {waiter, std::min<TimePoint>(deadline, call.now + config::TokenWaitMax), std::min<TimePoint>(deadline, call.now + config::OwnerWaitMax)};
     if (m_batches.size() < config::GrantRequestsAtOnce) {
         start({entry}, call);
     } else {
@@ -109,8 +109,10 @@
 {
     Batch batch;
     batch.deadline = call.now + config::TokenWaitMax;
+    batch.ownerDeadline = call.now + config::OwnerWaitMax;
     for (const auto &waiter : waiters) {
         batch.deadline = std::min(batch.deadline, waiter.deadline);
+        batch.ownerDeadline = std::min(batch.ownerDeadline, waiter.ownerDeadline);
     }
     batch.waiters = std::move(waiters);
     // While all parts refuse, asking each of them would only cost messages: one is asked for what it can still promise.
@@ -120,10 +122,18 @@
     if (const auto part = pickPart(call.now)) {
         send(*entry, *part, call);
     } else {
-        refuse(entry, RefusalReason::NoOwner, config::NoOwnerPause, config::NoOwnerPause, call);
+        askNext(entry, call);
     }
 }
 
+// A change of epoch leaves parts without an acting owner for a moment, so those that didn't answer are asked again.
+void LimitsHolder::Team::startRound(Batches::iterator batch, LimitsCall &call)
+{
+    batch->resting = false;
+    std::fill(m_suspectUntil.begin(), m_suspectUntil.end(), TimePoint());
+    askNext(batch, call);
+}
+
 void LimitsHolder::Team::startQueued(LimitsCall &call)
 {
     if (m_queued.empty() || m_batches.size() >= config::GrantRequestsAtOnce) {
@@ -168,7 +178,9 @@
         return;
     }
     if (stale || grant.status == GrantStatus::NotActing || call.now >= batch->sentAt + grantLifetime(batch->request, grant)) {
-        fail(batch, config::NoOwnerPause, call);
+        if (!batch->resting) {
+            fail(batch, config::NoOwnerPause, call);
+        }
         return;
     }
     if (grant.part < m_parts) {
@@ -235,6 +247,9 @@
     } else if (answered) {
         batch->patient = true;
         send(*batch, batch->bestPart, call);
+    } else if (call.now + config::GrantTimeout < batch->ownerDeadline) {
+        batch->resting = true;
+        batch->timeout = call.now + config::GrantTimeout;
     } else {
         refuse(batch, RefusalReason::NoOwner, config::NoOwnerPause, config::NoOwnerPause, call);
     }
@@ -277,11 +292,14 @@
 {
     for (auto batch = m_batches.begin(); batch != m_batches.end();) {
         const auto current = batch++;
-        if (!current->waiters.empty() && current->deadline <= call.now) {
-            const auto reason = current->refusals > 0 ? RefusalReason::OverRate : RefusalReason::NoOwner;
+        const auto reason = current->refusals > 0 ? RefusalReason::OverRate : RefusalReason::NoOwner;
+        const auto deadline = reason == RefusalReason::NoOwner ? current->ownerDeadline : current->deadline;
+        if (!current->waiters.empty() && deadline <= call.now) {
             m_late.push_back({current->request.id, current->sentAt});
             m_aheadAsked = m_aheadAsked && current->request.ahead == 0;
             refuse(current, reason, reason == RefusalReason::NoOwner ? config::NoOwnerPause : config::OverRatePause, config::NoOwnerPause, call);
+        } else if (current->timeout <= call.now && current->resting) {
+            startRound(current, call);
         } else if (current->timeout <= call.now && single()) {
             resend(*current, call);
         } else if (current->timeout <= call.now) {
@@ -295,7 +313,7 @@
 void LimitsHolder::Team::checkQueue(LimitsCall &call)
 {
     std::vector<Waiter> refused;
-    while (!m_queued.empty() && (m_queued.front().deadline <= call.now || call.now < m_refusedUntil)) {
+    while (!m_queued.empty() && (m_queued.front().ownerDeadline <= call.now || call.now < m_refusedUntil)) {
         refused.push_back(m_queued.front());
         m_queued.pop_front();
     }
--- a/src/net_control_health.cpp
+++ b/src/net_control_health.cpp
@@ -71,7 +71,9 @@
         return;
     }
     m_owner.setTargets(digest.service, m_local.targets(digest.service), now);
-    const bool mayAct = m_control.membership().ownership().mayAct(VerdictKey {digest.service}, now);
+    // The floor comes from the document, so an outdated one must not decide.
+    const auto &membership = m_control.membership();
+    const bool mayAct = membership.ownership().mayAct(VerdictKey {digest.service}, now) && membership.membership().documentConfirmed(now);
     for (const auto &effect : m_owner.handleDigest(source, digest, mayAct, now)) {
         if (const auto *event = std::get_if<HealthEvent>(&effect)) {
             log(*event);
--- a/src/net_daemon.cpp
+++ b/src/net_daemon.cpp
@@ -75,7 +75,7 @@
 {
     Endpoint traffic = m_settings.trafficListen;
     for (unsigned index = 0; index < m_settings.trafficThreads; ++index) {
-        m_traffic.push_back(std::make_unique<TrafficThread>(index, controlPort()));
+        m_traffic.push_back(std::make_unique<TrafficThread>(index, m_settings.trafficThreads, controlPort()));
         traffic = m_traffic.back()->open(traffic);
     }
     const auto peer = m_peers.open(m_settings.peerListen);
--- a/src/net_dispatch.cpp
+++ b/src/net_dispatch.cpp
@@ -28,8 +28,9 @@
     m_released();
 }
 
-ServiceDispatch::ServiceDispatch(std::uint64_t seed)
-    : m_balancer(seed)
+ServiceDispatch::ServiceDispatch(std::uint64_t seed, std::size_t connections)
+    : m_connections(connections)
+    , m_balancer(seed)
     , m_retries(config::InitialRetries)
     , m_queue(config::MaxQueuedRequests)
 { }
@@ -41,23 +42,23 @@
     for (const auto &entry : view.targets) {
         auto &runtime = m_targets[entry.target.name];
         if (!runtime || runtime->pool.endpoint() != entry.target.endpoint) {
-            runtime = std::make_shared<TargetRuntime>(entry.target.endpoint);
+            runtime = std::make_shared<TargetRuntime>(entry.target.endpoint, m_connections);
         }
         kept.emplace(entry.target.name, runtime);
     }
     m_targets = std::move(kept);
     const double count = static_cast<double>(view.targets.size());
-    m_concurrency.setBounds(count * view.slots, count * config::MaxConnectionsPerTarget);
+    m_concurrency.setBounds(count * view.slots, count * static_cast<double>(m_connections));
     serveQueue();
 }
 
-bool ServiceDispatch::targetsLeft(const std::vector<TargetName> &tried) const
+bool ServiceDispatch::targetsLeft(const std::vector<TargetName> &tried, bool idempotent) const
 {
     return std::any_of(m_view.targets.begin(), m_view.targets.end(),
                        [&](const TargetView &entry) { return entry.weight > 0 && std::find(tried.begin(), tried.end(), entry.target.name) == tried.end(); });
 }
 
-std::unique_ptr<TargetLease> ServiceDispatch::pick(const std::vector<TargetName> &tried)
+std::unique_ptr<TargetLease> ServiceDispatch::pick(const DispatchRequest &request)
 {
     if (limitReached()) {
         return nullptr;
@@ -68,11 +69,13 @@
     for (const auto &entry : m_view.targets) {
         const auto &runtime = *m_targets.at(entry.target.name);
         Candidate candidate;
-        candidate.weight = entry.weight;
+        const bool tried = std::find(request.tried.begin(), request.tried.end(), entry.target.name) != request.tried.end();
+        const bool trial = entry.use == TargetUse::Trial && !request.idempotent;
+        candidate.weight = trial ? 0 : entry.weight;
         candidate.inFlight = runtime.inFlight;
         candidate.slots = std::max(m_view.slots, 1U);
         candidate.latency = runtime.latency.value(now);
-        candidate.excluded = runtime.inFlight >= config::MaxConnectionsPerTarget || std::find(tried.begin(), tried.end(), entry.target.name) != tried.end();
+        candidate.excluded = runtime.inFlight >= m_connections || tried;
         candidates.push_back(candidate);
     }
     const auto index = m_balancer.pick(candidates);
@@ -89,11 +92,11 @@
 
 boost::asio::awaitable<DispatchResult> ServiceDispatch::acquire(const DispatchRequest &request)
 {
-    if (!targetsLeft(request.tried)) {
+    if (!targetsLeft(request.tried, request.idempotent)) {
         co_return NoTarget {};
     }
     if (m_queue.empty()) {
-        if (auto lease = pick(request.tried)) {
+        if (auto lease = pick(request)) {
             co_return lease;
         }
     }
@@ -146,7 +149,7 @@
         if (found == m_waiters.end()) {
             continue;
         }
-        if (auto lease = pick(found->second->request.tried)) {
+        if (auto lease = pick(found->second->request)) {
             resolve(next->id, std::move(lease));
         } else {
             resolve(next->id, NoTarget {});
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -233,7 +233,7 @@
     }
     dispatch->retries().deposit();
     while (true) {
-        const DispatchRequest wanted {m_access.team, m_deadline, m_tried};
+        const DispatchRequest wanted {m_access.team, m_deadline, m_tried, m_access.route.idempotent};
         DispatchResult choice = co_await dispatch->acquire(wanted);
         if (const auto *none = std::get_if<NoTarget>(&choice)) {
             GiveUp answer = m_attempts.noTarget(RuntimeClock::now());
@@ -241,7 +241,8 @@
             co_return giveUp(answer);
         }
         auto lease = std::move(std::get<std::unique_ptr<TargetLease>>(choice));
-        if (const auto refusal = recheckAccess(*m_thread.snapshot(), m_access, RuntimeClock::now())) {
+        if (auto refusal = recheckAccess(*m_thread.snapshot(), m_access, RuntimeClock::now())) {
+            refusal->outcome = m_attempts.outcome();
             co_return refuse(*refusal);
         }
         if (m_handle.isCallerGone()) {
@@ -261,7 +262,7 @@
         if (m_handle.isCallerGone()) {
             co_return AbortCaller {};
         }
-        const bool others = dispatch->targetsLeft(m_tried);
+        const bool others = dispatch->targetsLeft(m_tried, m_access.route.idempotent);
         const NextStep step = m_attempts.failed(failed.failed, others, dispatch->retries(), RuntimeClock::now());
         if (std::holds_alternative<TryAgain>(step)) {
             ++m_thread.report().retries;
@@ -283,7 +284,7 @@
     const TimePoint start = RuntimeClock::now();
     AttemptOptions options;
     options.idempotent = m_access.route.idempotent;
-    options.timeout = m_attempts.attemptTimeout(dispatch.targetsLeft(m_tried), start);
+    options.timeout = m_attempts.attemptTimeout(dispatch.targetsLeft(m_tried, m_access.route.idempotent), start);
     options.sink = m_sink;
     options.handle = &m_handle;
     m_request.set(DeadlineField, std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(options.timeout).count()));
--- a/src/net_traffic.cpp
+++ b/src/net_traffic.cpp
@@ -24,8 +24,9 @@
 constexpr unsigned WaiterThreadShift = 48;
 }
 
-TrafficThread::TrafficThread(unsigned index, ControlPort control)
+TrafficThread::TrafficThread(unsigned index, unsigned threads, ControlPort control)
     : m_index(index)
+    , m_connections(std::max(config::MaxConnectionsPerTarget / threads, 1U))
     , m_context(1)
     , m_acceptor(m_context)
     , m_control(std::move(control))
@@ -66,7 +67,7 @@
     for (const auto &[name, view] : m_snapshot->services) {
         auto &dispatch = m_services[name];
         if (!dispatch) {
-            dispatch = std::make_unique<ServiceDispatch>(m_random());
+            dispatch = std::make_unique<ServiceDispatch>(m_random(), m_connections);
         }
         dispatch->update(*view);
     }
@@ -125,7 +126,7 @@
     const WaiterId id = ++m_nextWaiter;
     TokenWaiter waiter {RuntimeTimer(m_context), std::nullopt};
     m_tokenWaiters.emplace(id, &waiter);
-    const TimePoint giveUpAt = std::min<TimePoint>(deadline, RuntimeClock::now() + config::TokenWaitMax);
+    const TimePoint giveUpAt = std::min<TimePoint>(deadline, RuntimeClock::now() + config::OwnerWaitMax + config::LimitsTick);
     waiter.timer.expires_at(giveUpAt);
     m_control.wantToken({m_index, id, team, giveUpAt});
     error_code cancelled;
--- a/src/net_upstream.cpp
+++ b/src/net_upstream.cpp
@@ -255,8 +255,9 @@
     m_cancellable = cancellable;
 }
 
-TargetPool::TargetPool(Endpoint endpoint)
+TargetPool::TargetPool(Endpoint endpoint, std::size_t connections)
     : m_endpoint(std::move(endpoint))
+    , m_connections(connections)
 { }
 
 TargetPool::~TargetPool()
@@ -332,24 +333,43 @@
     co_return connection;
 }
 
+// Idle connections count against the target's limit too: the longest idle one goes first.
+void TargetPool::makeRoom()
+{
+    while (!m_idle.empty() && m_active + m_idle.size() > m_connections) {
+        drop(m_idle.back());
+    }
+}
+
 boost::asio::awaitable<AttemptResult> TargetPool::attempt(const TargetRequest &request, AttemptOptions options)
 {
     const TimePoint start = RuntimeClock::now();
     Connection connection = takeIdle(options.idempotent, start);
+    ++m_active;
+    makeRoom();
     if (!connection) {
         AttemptFailure failure = AttemptFailure::ConnectFailed;
         connection = co_await open(options.timeout, options.handle, failure);
         if (!connection) {
+            --m_active;
             co_return FailedAttempt {{failure, AttemptProgress::NothingSent}, std::nullopt, {}};
         }
     }
+    options.timeout = std::max<Duration>(options.timeout - (RuntimeClock::now() - start), std::chrono::milliseconds(1));
+    AttemptResult result = co_await attemptOn(connection, request, options);
+    --m_active;
+    co_return result;
+}
+
+boost::asio::awaitable<AttemptResult> TargetPool::attemptOn(const Connection &connection, const TargetRequest &request, AttemptOptions options)
+{
     if (options.handle != nullptr) {
         if (options.handle->isCallerGone()) {
             co_return FailedAttempt {{AttemptFailure::ConnectionLost, AttemptProgress::NothingSent}, std::nullopt, {}};
         }
         options.handle->attach(connection, options.idempotent);
     }
-    connection->stream.expiresAfter(std::max<Duration>(options.timeout - (RuntimeClock::now() - start), std::chrono::milliseconds(1)));
+    connection->stream.expiresAfter(options.timeout);
     error_code error;
     co_await http::async_write(connection->stream, request, token(error));
     error = connection->stream.cause(error);
@@ -373,7 +393,7 @@
     }
     m_lastAnswerAt = now;
     const bool reuse = reader.keepAlive() && connection->buffer.size() == 0;
-    if (reuse && m_idle.size() < config::MaxConnectionsPerTarget) {
+    if (reuse) {
         connection->stream.expiresNever();
         keep(connection, now);
     }
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -51,8 +51,8 @@
 
 /// One target as one traffic thread uses it.
 struct TargetRuntime {
-    explicit TargetRuntime(const Endpoint &endpoint)
-        : pool(endpoint)
+    TargetRuntime(const Endpoint &endpoint, std::size_t connections)
+        : pool(endpoint, connections)
     { }
     TargetPool pool;
     LatencyEstimate latency;
@@ -84,6 +84,7 @@
     TeamName team;
     TimePoint deadline;
     std::vector<TargetName> tried; ///< targets that failed it before
+    bool idempotent = false; ///< only such a request is used as a trial
 };
 
 /// No target: either none is in use, or the request could not be served in time.
@@ -98,14 +99,15 @@
 class ServiceDispatch
 {
 public:
-    explicit ServiceDispatch(std::uint64_t seed);
+    /// @p connections: most connections of this thread to one target.
+    ServiceDispatch(std::uint64_t seed, std::size_t connections);
 
     /// Takes over the newest view; targets that are gone lose their pools when their last request ends.
     void update(const ServiceView &view);
     /// Chooses a target that was not tried; waits in the team's queue while all are busy.
     boost::asio::awaitable<DispatchResult> acquire(const DispatchRequest &request);
     /// True when another target than the tried ones is in use.
-    bool targetsLeft(const std::vector<TargetName> &tried) const;
+    bool targetsLeft(const std::vector<TargetName> &tried, bool idempotent) const;
     RetryBudget &retries() { return m_retries; }
     ConcurrencyLimit &concurrency() { return m_concurrency; }
     Duration slowAfter() const { return m_view.slowAfter; }
@@ -120,11 +122,12 @@
         std::optional<DispatchResult> result;
     };
 
-    std::unique_ptr<TargetLease> pick(const std::vector<TargetName> &tried);
+    std::unique_ptr<TargetLease> pick(const DispatchRequest &request);
     boost::asio::awaitable<DispatchResult> wait(const DispatchRequest &request);
     void resolve(std::uint64_t id, DispatchResult result);
     void serveQueue();
 
+    const std::size_t m_connections;
     Balancer m_balancer;
     RetryBudget m_retries;
     ConcurrencyLimit m_concurrency;
@@ -140,7 +143,8 @@
 class TrafficThread
 {
 public:
-    TrafficThread(unsigned index, ControlPort control);
+    /// @p threads: number of threads that share the daemon's connections to targets.
+    TrafficThread(unsigned index, unsigned threads, ControlPort control);
     ~TrafficThread();
     TrafficThread(const TrafficThread &) = delete;
     TrafficThread &operator=(const TrafficThread &) = delete;
@@ -178,6 +182,7 @@
     };
 
     const unsigned m_index;
+    const std::size_t m_connections;
 
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/src/upstream_p.h
+++ b/src/upstream_p.h
@@ -93,7 +93,8 @@
 class TargetPool
 {
 public:
-    explicit TargetPool(Endpoint endpoint);
+    /// @p connections: most connections at once, idle ones included.
+    TargetPool(Endpoint endpoint, std::size_t connections);
     ~TargetPool();
     TargetPool(const TargetPool &) = delete;
     TargetPool &operator=(const TargetPool &) = delete;
@@ -115,7 +116,12 @@
     void noteSilence(TimePoint now);
     boost::asio::awaitable<Connection> open(Duration timeout, AttemptHandle *handle, AttemptFailure &failure);
 
+    boost::asio::awaitable<AttemptResult> attemptOn(const Connection &connection, const TargetRequest &request, AttemptOptions options);
+    void makeRoom();
+
     Endpoint m_endpoint;
+    const std::size_t m_connections;
+    std::size_t m_active = 0; ///< connections that carry a request or are being opened
     IdleList m_idle; // newest answer first; each holds one count
     std::optional<TimePoint> m_lastAnswerAt;
     std::optional<TimePoint> m_suspectBefore;
