--- a/src/net_dispatch.cpp
+++ b/src/net_dispatch.cpp
@@ -54,8 +54,10 @@
 
 bool ServiceDispatch::targetsLeft(const std::vector<TargetName> &tried, bool idempotent) const
 {
-    return std::any_of(m_view.targets.begin(), m_view.targets.end(),
-                       [&](const TargetView &entry) { return entry.weight > 0 && std::find(tried.begin(), tried.end(), entry.target.name) == tried.end(); });
+    return std::any_of(m_view.targets.begin(), m_view.targets.end(), [&](const TargetView &entry) {
+        const bool usable = entry.weight > 0 && (idempotent || entry.use != TargetUse::Trial);
+        return usable && std::find(tried.begin(), tried.end(), entry.target.name) == tried.end();
+    });
 }
 
 std::unique_ptr<TargetLease> ServiceDispatch::pick(const DispatchRequest &request)
