--- a/src/control_p.h
+++ b/src/control_p.h
@@ -135,7 +135,6 @@
     TimePoint m_nextHandOver;
     std::vector<LimitsChange> m_changes; ///< of a document that a majority does not hold yet
     TimePoint m_nextArming;
-    bool m_serving = false;
 };
 
 /// Health of targets: this daemon's evidence and view, and the services that it judges.
