--- a/tools/bench_proxy.cpp
+++ b/tools/bench_proxy.cpp
@@ -30,7 +30,9 @@
 constexpr std::size_t LatencyRequests = 10'000;
 constexpr std::size_t LatencyConnections = 16; ///< to each endpoint
 constexpr unsigned Targets = 4;
-constexpr unsigned ThroughputConnections = 24;
+constexpr unsigned ThroughputConnections = 8; ///< of each client thread
+constexpr unsigned ClientThreads = 3; ///< with one, the client bounds the relay's rate
+constexpr unsigned ResponderThreads = 2;
 constexpr unsigned ThroughputRounds = 5;
 constexpr auto RoundWarmUp = 500ms;
 constexpr auto RoundTime = 1500ms;
@@ -323,6 +325,11 @@
     std::function<void(tcp::socket)> m_serve;
 };
 
+struct ResponderThread {
+    LoopThread thread;
+    Listener listener {thread.loop, [](tcp::socket socket) { std::make_shared<Responder>(std::move(socket))->read(); }};
+};
+
 /// One closed-loop connection: the next request leaves when the answer is whole.
 class LoadConnection : public std::enable_shared_from_this<LoadConnection>
 {
@@ -393,29 +400,68 @@
     std::uint64_t failures = 0;
 };
 
-Throughput measure(const Endpoint &to, const std::function<double()> &processorSeconds)
-{
-    asio::io_context loop(1);
+/// Connections of one client thread.
+struct Client {
+    explicit Client(const Endpoint &to)
+    {
+        for (unsigned count = 0; count < ThroughputConnections; ++count) {
+            connections.push_back(std::make_shared<LoadConnection>(loop, to, answers, failures));
+            connections.back()->send();
+        }
+    }
+    std::uint64_t runFor(std::chrono::milliseconds time)
+    {
+        const std::uint64_t before = answers;
+        loop.run_for(time);
+        return answers - before;
+    }
+    void close()
+    {
+        for (const auto &connection : connections) {
+            connection->close();
+        }
+        loop.run_for(100ms);
+    }
+
+    asio::io_context loop {1};
     std::uint64_t answers = 0;
     std::uint64_t failures = 0;
     std::vector<std::shared_ptr<LoadConnection>> connections;
-    for (unsigned count = 0; count < ThroughputConnections; ++count) {
-        connections.push_back(std::make_shared<LoadConnection>(loop, to, answers, failures));
-        connections.back()->send();
+};
+
+double runAll(std::vector<std::unique_ptr<Client>> &clients, std::chrono::milliseconds time)
+{
+    std::vector<std::uint64_t> counts(clients.size());
+    std::vector<std::thread> threads;
+    for (std::size_t number = 0; number < clients.size(); ++number) {
+        threads.emplace_back([&, number] { counts[number] = clients[number]->runFor(time); });
+    }
+    double sum = 0;
+    for (std::size_t number = 0; number < clients.size(); ++number) {
+        threads[number].join();
+        sum += static_cast<double>(counts[number]);
     }
-    loop.run_for(RoundWarmUp);
-    const std::uint64_t answersBefore = answers;
+    return sum;
+}
+
+Throughput measure(const Endpoint &to, const std::function<double()> &processorSeconds)
+{
+    std::vector<std::unique_ptr<Client>> clients;
+    for (unsigned number = 0; number < ClientThreads; ++number) {
+        clients.push_back(std::make_unique<Client>(to));
+    }
+    runAll(clients, RoundWarmUp);
     const double usedBefore = processorSeconds();
     const auto begin = std::chrono::steady_clock::now();
-    loop.run_for(RoundTime);
+    const double count = runAll(clients, RoundTime);
     const double elapsed = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
     const double used = processorSeconds() - usedBefore;
-    const auto count = static_cast<double>(answers - answersBefore);
-    for (const auto &connection : connections) {
-        connection->close();
+    Throughput result {count / elapsed, 1e6 * used / std::max(count, 1.0), 0};
+    for (const auto &client : clients) {
+        client->close();
+        result.failures += client->failures;
     }
-    loop.run_for(100ms);
-    return {count / elapsed, 1e6 * used / std::max(count, 1.0), failures};
+    return result;
 }
 
 double processSeconds(pid_t pid)
@@ -489,19 +535,22 @@
     print("throughput_daemon", quantile(rates[1], 0.5), "requests/s");
     print("throughput_relay_processor_time", quantile(costs[0], 0.5), "us/request");
     print("throughput_daemon_processor_time", quantile(costs[1], 0.5), "us/request");
+    print("throughput_processor_time_share", quantile(costs[0], 0.5) / quantile(costs[1], 0.5), "relay/daemon");
     print("throughput_share_least", quantile(shares, 0), "of_relay");
     print("throughput_share_most", quantile(shares, 1), "of_relay");
     const double share = quantile(shares, 0.5);
     judge("throughput_share", share, "of_relay", ">=0.5", share >= MinThroughputShare);
 }
 
-int run(std::uint64_t seed)
+int run(std::uint64_t seed, bool onlyThroughput)
 {
     test::FleetProcesses fleet(4, 0);
-    LoopThread responderThread;
+    ResponderThread responders[ResponderThreads];
     LoopThread relayThread;
-    Listener responder(responderThread.loop, [](tcp::socket socket) { std::make_shared<Responder>(std::move(socket))->read(); });
-    Listener relay(relayThread.loop, [&](tcp::socket socket) { std::make_shared<Relay>(std::move(socket), responder.address())->start(); });
+    unsigned connections = 0;
+    Listener relay(relayThread.loop, [&](tcp::socket socket) {
+        std::make_shared<Relay>(std::move(socket), responders[connections++ % ResponderThreads].listener.address())->start();
+    });
     std::vector<std::unique_ptr<ChildProcess>> processes;
     std::vector<Endpoint> targets;
     for (unsigned number = 0; number < Targets; ++number) {
@@ -511,7 +560,7 @@
             std::vector<std::string> {"--name", name, "--service", "timed", "--slots", "32", "--service-time", "1ms", "--listen", "127.0.0.1:0"}));
         targets.push_back(readyEndpoint(processes.back()->line(), "http"));
         list(fleet, name, "timed", targets.back());
-        list(fleet, "fast" + std::to_string(number), "fast", responder.endpoint());
+        list(fleet, "fast" + std::to_string(number), "fast", responders[number % ResponderThreads].listener.endpoint());
     }
     const bool up = fleet.promote(document(), "d0") && test::eventually(30s, [&] { return fleet.allMembersOfOneEpoch(); })
         && test::eventually(15s, [&] { return serves(fleet, "/timed") && serves(fleet, "/fast"); });
@@ -519,7 +568,9 @@
         std::cerr << "bench-proxy: the fleet doesn't serve\n";
         return 1;
     }
-    measureLatency(fleet, targets, seed);
+    if (!onlyThroughput) {
+        measureLatency(fleet, targets, seed);
+    }
     measureThroughput(fleet, relay, relayThread);
     return 0;
 }
@@ -528,8 +579,9 @@
 int main(int argc, char **argv)
 {
     const std::uint64_t seed = argc > 1 ? std::stoull(argv[1]) : 1;
+    const bool onlyThroughput = argc > 2 && std::string_view(argv[2]) == "throughput";
     const std::string path = argv[0];
     ::setenv("PLUMSILL_BIN", path.substr(0, path.rfind('/')).c_str(), 0);
     std::cout << "seed " << seed << std::endl;
-    return run(seed);
+    return run(seed, onlyThroughput);
 }
