--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -104,7 +104,7 @@
     return std::make_unique<ChildProcess>(
         "standin-caller",
         std::vector<std::string> {"--to", all, "--rate", std::to_string(CallerRate), "--seconds", std::to_string(PhaseSeconds), "--key", key, "--path", path,
-                                  "--method", method, "--team-label", label, "--timeout", "10s", "--ids-file", file, "--seed", std::to_string(m_seed), "--json"});
+                                  "--method", method, "--team-label", label, "--timeout", "10s", "--ids-file", file, "--seed", std::to_string(m_seed++), "--json"});
 }
 
 void Soak::readIds(const std::string &label)
@@ -136,8 +136,10 @@
         for (const char *figure : {"sent", "answered", "mismatched", "truncated", "malformed", "cut", "refused", "timed_out"}) {
             result.sums[figure] += report.at(figure).to_number<std::int64_t>();
         }
-        for (const auto &entry : report.at("statuses").as_object()) {
-            result.sums["status_" + std::string(entry.key())] += entry.value().to_number<std::int64_t>();
+        for (const char *kind : {"statuses", "errors"}) {
+            for (const auto &entry : report.at(kind).as_object()) {
+                result.sums[std::string(kind) + "_" + std::string(entry.key())] += entry.value().to_number<std::int64_t>();
+            }
         }
     }
     for (const auto &label : labels) {
