--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -154,7 +154,7 @@
         readIds(label);
     }
     for (const auto &[figure, count] : result.sums) {
-        print(name + "_" + figure, count);
+        std::cout << name << "_" << figure << " " << count << " requests" << std::endl;
     }
     return result;
 }
