--- a/src/control_p.h
+++ b/src/control_p.h
@@ -232,6 +232,7 @@
     PlatformLists m_lists;
     Metrics m_metrics;
     BurnHistory m_history;
+    TimePoint m_nextHistory;
     std::size_t m_fetches = 0;
     std::mt19937_64 m_random {std::random_device()()};
     std::uniform_real_distribution<double> m_jitter {0, 1};
--- a/src/net_admin.cpp
+++ b/src/net_admin.cpp
@@ -17,11 +17,6 @@
 
 namespace
 {
-auto token(error_code &error)
-{
-    return boost::asio::redirect_error(boost::asio::use_awaitable, error);
-}
-
 AdminResponse plainAnswer(http::status status, const std::string &type, std::string body)
 {
     AdminResponse response(status, 11);
@@ -57,7 +52,7 @@
 {
     while (m_acceptor.is_open()) {
         error_code error;
-        tcp::socket socket = co_await m_acceptor.async_accept(token(error));
+        tcp::socket socket = co_await m_acceptor.async_accept(errorInto(error));
         if (!error) {
             boost::asio::co_spawn(m_context, serve(control, std::move(socket)), boost::asio::detached);
         } else if (m_acceptor.is_open()) {
@@ -77,7 +72,7 @@
         parser.header_limit(config::MaxHeaderBytes);
         parser.body_limit(config::MaxAdminBodyBytes);
         stream.expiresAfter(config::IdleTimeout);
-        co_await http::async_read(stream, buffer, parser, token(error));
+        co_await http::async_read(stream, buffer, parser, errorInto(error));
         if (error) {
             break;
         }
@@ -86,7 +81,7 @@
         response.keep_alive(keepAlive);
         response.prepare_payload();
         stream.expiresAfter(config::BodyTimeout);
-        co_await http::async_write(stream, response, token(error));
+        co_await http::async_write(stream, response, errorInto(error));
     }
     stream.socket().shutdown(tcp::socket::shutdown_send, error);
 }
--- a/src/net_control.cpp
+++ b/src/net_control.cpp
@@ -197,11 +197,11 @@
 
 void Control::recordHistory(TimePoint now)
 {
-    BurnTotals totals;
-    for (const auto &[key, counts] : m_metrics.counts()) {
-        totals.emplace(key, toBurnCounts(counts));
+    if (now < m_nextHistory) {
+        return;
     }
-    m_history.record(now, totals);
+    m_nextHistory = now + config::PublishInterval;
+    m_history.record(now, toBurnTotals(m_metrics.counts()));
 }
 
 std::string Control::historyText(TimePoint now) const
--- a/src/net_dispatch.cpp
+++ b/src/net_dispatch.cpp
@@ -120,7 +120,7 @@
     waiter.timer.expires_at(request.deadline);
     m_waiters.emplace(id, &waiter);
     boost::system::error_code cancelled;
-    co_await waiter.timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, cancelled));
+    co_await waiter.timer.async_wait(errorInto(cancelled));
     m_waiters.erase(id);
     m_queue.remove(id);
     if (waiter.result) {
--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -18,11 +18,6 @@
 
 namespace
 {
-auto token(error_code &error)
-{
-    return boost::asio::redirect_error(boost::asio::use_awaitable, error);
-}
-
 const Refusal &tooSlow()
 {
     static const Refusal refusal {408, "timeout", "the request came too slowly", std::nullopt, {}};
@@ -116,7 +111,7 @@
         }
         m_stream.expiresAfter(config::IdleCheckInterval);
         error_code error;
-        const auto count = co_await m_stream.async_read_some(m_buffer.prepare(config::ReadBytes), token(error));
+        const auto count = co_await m_stream.async_read_some(m_buffer.prepare(config::ReadBytes), errorInto(error));
         m_buffer.commit(count);
         if (count > 0) {
             co_return true;
@@ -145,7 +140,7 @@
     m_parser->body_limit(boost::none);
     m_stream.expiresAfter(config::HeaderTimeout);
     error_code error;
-    co_await http::async_read_header(m_stream, m_buffer, *m_parser, token(error));
+    co_await http::async_read_header(m_stream, m_buffer, *m_parser, errorInto(error));
     error = m_stream.cause(error);
     if (!error) {
         const auto refusal = checkFraming(m_parser->get().base());
@@ -177,10 +172,10 @@
     if (!m_parser->is_done() && boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
         const auto buffer = boost::asio::buffer(Continue);
-        co_await boost::asio::async_write(m_stream, buffer, token(error));
+        co_await boost::asio::async_write(m_stream, buffer, errorInto(error));
     }
     m_stream.expiresAfter(config::BodyTimeout);
-    co_await http::async_read(m_stream, m_buffer, *m_parser, token(error));
+    co_await http::async_read(m_stream, m_buffer, *m_parser, errorInto(error));
     error = m_stream.cause(error);
     if (!error) {
         co_return ReadEnd::Whole;
@@ -203,7 +198,7 @@
     m_stream.expiresAfter(config::BodyTimeout);
     const std::string text = wireText(answer);
     error_code error;
-    co_await boost::asio::async_write(m_stream, boost::asio::buffer(text), token(error));
+    co_await boost::asio::async_write(m_stream, boost::asio::buffer(text), errorInto(error));
     co_return !error && keepAlive;
 }
 
@@ -223,7 +218,7 @@
     m_stream.expiresAfter(config::BodyTimeout);
     http::response_serializer<http::empty_body> serializer(answer);
     error_code error;
-    co_await http::async_write_header(m_stream, serializer, token(error));
+    co_await http::async_write_header(m_stream, serializer, errorInto(error));
     co_return !error;
 }
 
@@ -234,9 +229,9 @@
     const boost::asio::const_buffer buffer(bytes.data(), bytes.size());
     if (m_streamChunked) {
         const auto chunk = http::make_chunk(buffer);
-        co_await boost::asio::async_write(m_stream, chunk, token(error));
+        co_await boost::asio::async_write(m_stream, chunk, errorInto(error));
     } else {
-        co_await boost::asio::async_write(m_stream, buffer, token(error));
+        co_await boost::asio::async_write(m_stream, buffer, errorInto(error));
     }
     co_return !error;
 }
@@ -292,7 +287,7 @@
     if (std::holds_alternative<StreamedAnswer>(result)) {
         if (m_streamChunked) {
             const auto last = http::make_chunk_last();
-            co_await boost::asio::async_write(m_stream, last, token(ignored));
+            co_await boost::asio::async_write(m_stream, last, errorInto(ignored));
         }
         co_return keepAlive && !ignored;
     }
@@ -315,7 +310,7 @@
     m_stream.expiresAfter(config::CloseDrainTime);
     while (!error) {
         m_buffer.clear();
-        co_await m_stream.async_read_some(m_buffer.prepare(config::ReadBytes), token(error));
+        co_await m_stream.async_read_some(m_buffer.prepare(config::ReadBytes), errorInto(error));
     }
 }
 }
--- a/src/net_traffic.cpp
+++ b/src/net_traffic.cpp
@@ -127,24 +127,26 @@
 
 boost::asio::awaitable<TokenAnswer> TrafficThread::token(const TeamName &team, TimePoint deadline)
 {
+    const TimePoint now = RuntimeClock::now();
     const auto known = m_allowances.find(team);
-    if (known != m_allowances.end() && known->second->take()) {
-        co_return TokenAnswer {true, TimePoint::max(), {}, {}, known->second};
+    if (known != m_allowances.end() && known->second.allowance->take()) {
+        known->second.usedAt = now;
+        co_return TokenAnswer {true, TimePoint::max(), {}, {}, known->second.allowance};
     }
     const WaiterId id = ++m_nextWaiter;
     TokenWaiter waiter {RuntimeTimer(m_context), std::nullopt};
     m_tokenWaiters.emplace(id, &waiter);
-    const TimePoint giveUpAt = std::min<TimePoint>(deadline, RuntimeClock::now() + config::OwnerWaitMax + config::LimitsTick);
+    const TimePoint giveUpAt = std::min<TimePoint>(deadline, now + config::OwnerWaitMax + config::LimitsTick);
     waiter.timer.expires_at(giveUpAt);
     m_control.wantToken({m_index, id, team, giveUpAt});
     error_code cancelled;
-    co_await waiter.timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, cancelled));
+    co_await waiter.timer.async_wait(errorInto(cancelled));
     m_tokenWaiters.erase(id);
     if (!waiter.answer) {
         co_return TokenAnswer {false, {}, config::RetryAfterFailure, RefusalReason::NoOwner, nullptr};
     }
     if (waiter.answer->allowance) {
-        m_allowances[team] = waiter.answer->allowance;
+        m_allowances[team] = {waiter.answer->allowance, now};
     }
     // This thread may have been held up: the owner counts the token as spent before validUntil.
     if (waiter.answer->admitted && RuntimeClock::now() >= waiter.answer->validUntil) {
@@ -170,7 +172,7 @@
 {
     while (m_acceptor.is_open()) {
         error_code error;
-        tcp::socket socket = co_await m_acceptor.async_accept(boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        tcp::socket socket = co_await m_acceptor.async_accept(errorInto(error));
         if (!m_acceptor.is_open()) {
             co_return;
         }
@@ -206,9 +208,20 @@
         for (const auto &[name, dispatch] : m_services) {
             dispatch->closeStale(now);
         }
+        forgetIdleTeams(now);
         if (!m_report.empty()) {
             m_control.report(std::exchange(m_report, {}));
         }
     }
 }
+
+// Control keeps the state of a team while a thread refers to its allowance.
+void TrafficThread::forgetIdleTeams(TimePoint now)
+{
+    if (now < m_nextSweep) {
+        return;
+    }
+    m_nextSweep = now + config::LimitsIdleTime;
+    std::erase_if(m_allowances, [now](const auto &entry) { return now - entry.second.usedAt >= config::LimitsIdleTime; });
+}
 }
--- a/src/net_upstream.cpp
+++ b/src/net_upstream.cpp
@@ -21,11 +21,6 @@
 constexpr std::size_t ReadChunkBytes = 16 * 1024;
 constexpr unsigned MaxInterimAnswers = 8;
 
-auto token(error_code &error)
-{
-    return boost::asio::redirect_error(boost::asio::use_awaitable, error);
-}
-
 // An idle connection must be silent: bytes before a request belong to no request of ours.
 bool isQuiet(TargetConnection &connection)
 {
@@ -143,7 +138,7 @@
     for (unsigned interim = 0; interim <= MaxInterimAnswers; ++interim) {
         error_code error;
         startParser();
-        co_await http::async_read_header(m_connection.stream, m_connection.buffer, *m_parser, token(error));
+        co_await http::async_read_header(m_connection.stream, m_connection.buffer, *m_parser, errorInto(error));
         if (error) {
             co_return m_connection.stream.cause(error);
         }
@@ -190,7 +185,7 @@
         body.data = chunk.data();
         body.size = chunk.size();
         error_code error;
-        co_await http::async_read_some(m_connection.stream, m_connection.buffer, *m_parser, token(error));
+        co_await http::async_read_some(m_connection.stream, m_connection.buffer, *m_parser, errorInto(error));
         if (error && error != http::error::need_buffer) {
             co_return fail(bodyFailureOf(m_connection.stream.cause(error)));
         }
@@ -325,7 +320,7 @@
     const boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address(m_endpoint.address), m_endpoint.port);
     connection->stream.expiresAfter(std::min<Duration>(timeout, config::ConnectTimeout));
     error_code error;
-    co_await connection->stream.socket().async_connect(address, token(error));
+    co_await connection->stream.socket().async_connect(address, errorInto(error));
     if (error) {
         failure = AttemptFailure::ConnectFailed;
         co_return Connection();
@@ -375,7 +370,7 @@
     connection->stream.expiresAfter(options.timeout);
     error_code error;
     const std::string text = wireText(request);
-    co_await boost::asio::async_write(connection->stream, boost::asio::buffer(text), token(error));
+    co_await boost::asio::async_write(connection->stream, boost::asio::buffer(text), errorInto(error));
     error = connection->stream.cause(error);
     if (error) {
         // Some of it may have left, so it counts as sent.
--- a/src/socket_p.h
+++ b/src/socket_p.h
@@ -9,6 +9,12 @@
 
 namespace plumsill
 {
+/// Lets a co_await report in @p error instead of throwing.
+inline auto errorInto(boost::system::error_code &error)
+{
+    return boost::asio::redirect_error(boost::asio::use_awaitable, error);
+}
+
 /// A TCP socket whose operations end when a time limit by the runtime's clock passes.
 class TimedSocket
 {
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -178,8 +178,13 @@
     boost::asio::awaitable<void> acceptCallers();
     boost::asio::awaitable<void> reportRegularly();
     boost::asio::awaitable<void> checkCallers();
+    void forgetIdleTeams(TimePoint now);
     void takeSnapshot(SnapshotPtr snapshot);
 
+    struct KnownAllowance {
+        TeamAllowancePtr allowance;
+        TimePoint usedAt;
+    };
     struct TokenWaiter {
         RuntimeTimer timer;
         std::optional<TokenAnswer> answer;
@@ -197,7 +202,8 @@
     TrafficReport m_report;
     ActiveRequests m_active;
     std::unordered_map<ServiceName, std::unique_ptr<ServiceDispatch>> m_services;
-    std::unordered_map<TeamName, TeamAllowancePtr> m_allowances;
+    std::unordered_map<TeamName, KnownAllowance> m_allowances;
+    TimePoint m_nextSweep;
     std::map<WaiterId, TokenWaiter *> m_tokenWaiters;
     WaiterId m_nextWaiter;
     std::mt19937_64 m_random;
