--- a/src/forward_p.h
+++ b/src/forward_p.h
@@ -39,11 +39,14 @@
 private:
     boost::asio::awaitable<std::optional<Refusal>> admit();
     boost::asio::awaitable<ForwardResult> forward();
+    /// What the caller gets after an attempt; nothing when another attempt is due.
+    std::optional<ForwardResult> conclude(ServiceDispatch &dispatch, AttemptResult &result);
     boost::asio::awaitable<AttemptResult> attempt(ServiceDispatch &dispatch, TargetLease &lease);
     void noteEvidence(TargetLease &lease, const AttemptResult &result, Duration latency, Duration slowAfter, bool countedSlow);
     TargetEvidence &evidence(const TargetName &target);
     ForwardResult refuse(const Refusal &refusal);
     ForwardResult giveUp(const GiveUp &answer);
+    ForwardResult giveUpWithout(const NoTarget &none);
     ForwardResult passOn(HeldAnswer held);
     TrafficCounts &counts();
 
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -236,11 +236,9 @@
         const DispatchRequest wanted {m_access.team, m_deadline, m_tried, m_access.route.idempotent};
         DispatchResult choice = co_await dispatch->acquire(wanted);
         if (const auto *none = std::get_if<NoTarget>(&choice)) {
-            GiveUp answer = m_attempts.noTarget(RuntimeClock::now());
-            answer.retryAfter = std::max(answer.retryAfter, none->retryAfter);
-            co_return giveUp(answer);
+            co_return giveUpWithout(*none);
         }
-        auto lease = std::move(std::get<std::unique_ptr<TargetLease>>(choice));
+        // The request may have waited, so its key and its caller are looked at once more.
         if (auto refusal = recheckAccess(*m_thread.snapshot(), m_access, RuntimeClock::now())) {
             refusal->outcome = m_attempts.outcome();
             co_return refuse(*refusal);
@@ -248,35 +246,50 @@
         if (m_handle.isCallerGone()) {
             co_return AbortCaller {};
         }
+        auto lease = std::move(std::get<std::unique_ptr<TargetLease>>(choice));
         m_tried.push_back(lease->name());
         AttemptResult result = co_await attempt(*dispatch, *lease);
         lease.reset();
-        if (auto *held = std::get_if<HeldAnswer>(&result)) {
-            co_return passOn(std::move(*held));
-        }
-        if (const auto *streamed = std::get_if<StreamedAnswer>(&result)) {
-            ++counts().good;
-            co_return *streamed;
-        }
-        auto &failed = std::get<FailedAttempt>(result);
-        if (m_handle.isCallerGone()) {
-            co_return AbortCaller {};
-        }
-        const bool others = dispatch->targetsLeft(m_tried, m_access.route.idempotent);
-        const NextStep step = m_attempts.failed(failed.failed, others, dispatch->retries(), RuntimeClock::now());
-        if (std::holds_alternative<TryAgain>(step)) {
-            ++m_thread.report().retries;
-            continue;
+        if (auto end = conclude(*dispatch, result)) {
+            co_return std::move(*end);
         }
-        if (std::holds_alternative<AbortCaller>(step)) {
-            ++counts().bad;
-            co_return AbortCaller {};
-        }
-        if (std::holds_alternative<PassOn>(step)) {
-            co_return passOn(std::move(*failed.answer));
-        }
-        co_return giveUp(std::get<GiveUp>(step));
+        ++m_thread.report().retries;
+    }
+}
+
+ForwardResult Forwarder::giveUpWithout(const NoTarget &none)
+{
+    GiveUp answer = m_attempts.noTarget(RuntimeClock::now());
+    answer.retryAfter = std::max(answer.retryAfter, none.retryAfter);
+    return giveUp(answer);
+}
+
+std::optional<ForwardResult> Forwarder::conclude(ServiceDispatch &dispatch, AttemptResult &result)
+{
+    if (auto *held = std::get_if<HeldAnswer>(&result)) {
+        return passOn(std::move(*held));
+    }
+    if (const auto *streamed = std::get_if<StreamedAnswer>(&result)) {
+        ++counts().good;
+        return *streamed;
+    }
+    if (m_handle.isCallerGone()) {
+        return AbortCaller {};
+    }
+    auto &failed = std::get<FailedAttempt>(result);
+    const bool others = dispatch.targetsLeft(m_tried, m_access.route.idempotent);
+    const NextStep step = m_attempts.failed(failed.failed, others, dispatch.retries(), RuntimeClock::now());
+    if (std::holds_alternative<TryAgain>(step)) {
+        return std::nullopt;
+    }
+    if (std::holds_alternative<AbortCaller>(step)) {
+        ++counts().bad;
+        return AbortCaller {};
+    }
+    if (std::holds_alternative<PassOn>(step)) {
+        return passOn(std::move(*failed.answer));
     }
+    return giveUp(std::get<GiveUp>(step));
 }
 
 boost::asio::awaitable<AttemptResult> Forwarder::attempt(ServiceDispatch &dispatch, TargetLease &lease)
