Test folders come from the system's temporary directory

Cause: a path of the machine stood in a test header. Change: std::filesystem::temp_directory_path().

--- a/tests/fleet_process.h
+++ b/tests/fleet_process.h
@@ -13,6 +13,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <chrono>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -218,8 +219,7 @@
 private:
     static std::string makeFolder()
     {
-        const char *base = std::getenv("TMPDIR");
-        std::string path = std::string(base == nullptr ? "/tmp" : base) + "/plumsill-XXXXXX";
+        std::string path = (std::filesystem::temp_directory_path() / "plumsill-XXXXXX").string();
         if (::mkdtemp(path.data()) == nullptr) {
             throw std::runtime_error("cannot make a folder");
         }
