Read-through: dead state out, defaults from one place, no views of gone services

A session's flag was set and never read, TargetPool::idleConnections had no caller, two defaults stood in config.h and again as literals in document.h, and control kept the view of every service that a document had ever named. Change: the flag and the accessor are gone; document.h takes config's defaults (the same values); kept views are those just published. Behaviour for callers as before.

--- a/include/plumsill/document.h
+++ b/include/plumsill/document.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plumsill/clock.h>
+#include <plumsill/config.h>
 #include <plumsill/types.h>
 
 #include <optional>
@@ -53,8 +54,8 @@
     bool idempotent = false;
     bool open = false; ///< open to all: needs no key
     std::vector<TeamName> teams; ///< teams that may use it; empty: every team
-    Duration timeout = std::chrono::seconds(5);
-    std::size_t bodyLimit = 1024 * 1024; ///< bytes
+    Duration timeout = config::DefaultRouteTimeout;
+    std::size_t bodyLimit = config::DefaultBodyLimitBytes; ///< bytes
 
     auto operator<=>(const Route &) const = default;
 };
--- a/src/net_control.cpp
+++ b/src/net_control.cpp
@@ -238,6 +238,7 @@
             snapshot->services.emplace(service.name, published);
         }
     }
+    m_views = snapshot->services;
     for (const auto &thread : m_threads) {
         thread->publish(snapshot);
     }
--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -92,7 +92,6 @@
     const std::string m_callerAddress;
     boost::beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
-    bool m_streamStarted = false;
     bool m_streamChunked = false;
 };
 
@@ -213,7 +212,6 @@
     } else {
         answer.content_length(length);
     }
-    m_streamStarted = true;
     m_streamChunked = chunked;
     m_stream.expiresAfter(config::BodyTimeout);
     http::response_serializer<http::empty_body> serializer(answer);
@@ -275,7 +273,6 @@
     active.socket = m_stream.socket().native_handle();
     active.startedAt = RuntimeClock::now();
     m_stream.expiresNever();
-    m_streamStarted = false;
     m_thread.watch(active);
     Forwarder forwarder(m_thread, std::get<Access>(access), request, m_callerAddress, mayStream ? &answerSink : nullptr, active.handle);
     ForwardResult result = co_await forwarder.run();
--- a/src/upstream_p.h
+++ b/src/upstream_p.h
@@ -98,7 +98,6 @@
     /// Sends @p request once and reads its answer.
     boost::asio::awaitable<AttemptResult> attempt(const TargetRequest &request, AttemptOptions options);
     const Endpoint &endpoint() const { return m_endpoint; }
-    std::size_t idleConnections() const { return m_idle.size(); }
     /// Closes idle connections that may carry no more requests.
     void closeStale(TimePoint now);
 
