--- a/include/plumsill/attempt.h
+++ b/include/plumsill/attempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plumsill/clock.h>
+#include <plumsill/config.h>
 #include <plumsill/types.h>
 
 #include <compare>
@@ -22,6 +23,7 @@
 enum class AttemptProgress : std::uint8_t
 {
     NothingSent,
+    NotRun, ///< the target said that it did not run it
     Sent, ///< at least one byte may have left
     AnswerStarted, ///< at least one byte of the answer went on to the caller
 };
@@ -35,6 +37,7 @@
     Malformed,
     Shed, ///< the target refused for load and said when to come back
     ServerError, ///< a whole answer with status 500, 502, 503 or 504
+    WrongTarget, ///< another target than the named one has the address
 };
 
 struct AttemptFailed {
@@ -87,11 +90,20 @@
     double m_balance; // retries
 };
 
+/// How often one request may be sent.
+struct AttemptLimits {
+    unsigned attempts = config::MaxAttempts; ///< targets that may run it
+    unsigned notRun = 0; ///< further attempts in place of those that no target ran
+
+    auto operator<=>(const AttemptLimits &) const = default;
+};
+
 /// One request from its first attempt to its answer.
 class RequestAttempts
 {
 public:
-    RequestAttempts(bool idempotent, TimePoint deadline);
+    /// @p limits: how often it may be sent.
+    RequestAttempts(bool idempotent, TimePoint deadline, const AttemptLimits &limits = {});
 
     /// Decides after a failed attempt. @p targetsLeft: another target may be tried.
     NextStep failed(const AttemptFailed &failure, bool targetsLeft, RetryBudget &budget, TimePoint now);
@@ -102,6 +114,8 @@
     /// Whether no byte has reached any target so far.
     RunOutcome outcome() const;
     unsigned attempts() const { return m_attempts; }
+    /// Whether a second target may be asked beside @p running attempts.
+    bool mayHedge(unsigned running, TimePoint now) const;
 
 private:
     GiveUp giveUp(AttemptFailure failure) const;
@@ -111,12 +125,16 @@
     TimePoint m_deadline;
     bool m_sent = false;
     unsigned m_attempts = 0;
+    unsigned m_notRun = 0; ///< of m_attempts
+    AttemptLimits m_limits;
 };
 
 /// What is known of one connection to a target.
 struct ConnectionFacts {
     TimePoint openedAt;
     TimePoint lastAnswerAt; ///< openedAt before the first answer
+    Duration idleLimit = Duration::max(); ///< after which the target closes it; max: not told
+    bool broken = false; ///< a write on it failed
 
     auto operator<=>(const ConnectionFacts &) const = default;
 };
--- /dev/null
+++ b/include/plumsill/belief.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <plumsill/clock.h>
+
+/// What the requests of a zone tell about one target: how likely it fails a part of its requests just now.
+namespace plumsill
+{
+/// Latency of good answers of one route; gives the share of healthy requests that last longer than an age.
+class LatencyModel
+{
+public:
+    /// @p expected: usual latency before the first answer is known.
+    explicit LatencyModel(Duration expected);
+
+    void add(Duration latency);
+    /// Share of good answers that take longer than @p age.
+    double survival(Duration age) const;
+    /// Age that only @p share of the good answers exceed, the rare long ones left out.
+    Duration quantile(double share) const;
+    /// Mean latency.
+    Duration mean() const;
+
+private:
+    double m_logMean; // ln(seconds)
+    double m_logVariance;
+    double m_weight; // answers, fading
+};
+
+/// Probability that a target is failing, filtered over its answers and over requests that wait too long.
+class TargetBelief
+{
+public:
+    double failing(TimePoint now) const;
+    void answeredWell(TimePoint now);
+    /// Server error, cut answer or time-out.
+    void failed(TimePoint now);
+    /// One request is older than nearly all good answers; @p survival as of its age.
+    void overdue(double survival, TimePoint now);
+    /// It refused work although it has room by our count.
+    void refused(TimePoint now);
+    /// A connection to it could not be opened.
+    void unreachable(TimePoint now);
+
+private:
+    void observe(double oddsRatio, TimePoint now);
+
+    double m_failing = 0;
+    TimePoint m_at;
+};
+
+/// How much less likely a healthy target leaves a request waiting than a failing one.
+double waitingOdds(double survival);
+}
--- a/include/plumsill/clock.h
+++ b/include/plumsill/clock.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
 
 namespace plumsill
 {
@@ -34,6 +36,18 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+/// Whole milliseconds for messages, rounded down; 0 for what has passed.
+inline std::uint32_t wholeMilliseconds(Duration duration)
+{
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(std::chrono::floor<std::chrono::milliseconds>(duration).count(), 0));
+}
+
+/// The same, rounded up: for ages, which may be told too high.
+inline std::uint32_t millisecondsUp(Duration duration)
+{
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(std::chrono::ceil<std::chrono::milliseconds>(duration).count(), 0));
+}
+
 /// Duration of @p count seconds.
 inline Duration fromSeconds(double count)
 {
--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -120,6 +120,7 @@
 // Requests.
 inline constexpr std::size_t MaxHeaderBytes = 16 * 1024;
 inline constexpr std::size_t DefaultBodyLimitBytes = 1024 * 1024;
+inline constexpr std::size_t MaxBodyBytes = 64 * 1024 * 1024;
 inline constexpr std::size_t MaxBufferedAnswerBytes = 1024 * 1024;
 inline constexpr auto HeaderTimeout = 10'000ms;
 inline constexpr auto BodyTimeout = 30'000ms;
@@ -134,6 +135,53 @@
 inline constexpr auto IdleTargetConnection = 30'000ms;
 inline constexpr auto RetryAfterFailure = 1000ms;
 
+// Scheduling within a zone. Costs are in requests: one is what a request that isn't served costs its caller.
+inline constexpr double FailureCost = 2.0; ///< of a failing target; above 1, since a failed request also held a slot
+inline constexpr double RepeatableShare = 0.4; ///< of the failure's cost where another target can be tried
+inline constexpr double OtherZoneCost = 0.08; ///< bytes of one request between zones, by the prices of bytes and of requests
+inline constexpr double LoadCost = 0.3; ///< of a target's last slot: spreads requests while nothing else decides
+inline constexpr double ColdCost = 0.3; ///< of a target that has just started and works at half speed
+inline constexpr double ForgottenBonus = 0.2; ///< above the cost at which an unknown target rests
+inline constexpr auto ForgottenAfter = 1500ms; ///< below the 2 s in which each sound target is to get requests
+inline constexpr double RiskyShare = 0.5; ///< belief above which a request waits for another target
+inline constexpr double HedgeShare = 0.04; ///< of good answers that are still to come when a second target is asked
+inline constexpr double OverdueShare = 0.03; ///< of good answers that take longer than an overdue request
+inline constexpr auto OverdueInterval = 20ms;
+inline constexpr auto ColdStartSlack = 300ms; ///< longer answers of a target that has just started
+inline constexpr auto FullPause = 60ms; ///< about a quarter of the usual work: then a slot is likely free again
+inline constexpr auto UnreachableAvoidance = 5000ms;
+inline constexpr auto RemoteLoadLifetime = 1000ms; ///< three digests
+inline constexpr std::uint8_t ToldFailingPercent = 12;
+inline constexpr auto ReconcileAfter = 500ms; ///< well above a round trip within a zone
+inline constexpr auto LeastRetryAfter = 100ms;
+inline constexpr double RepeatMargin = 0.9; ///< kept below the bound for repeats that cross a change of scheduler
+
+// Talk between daemons and their zone's scheduler.
+inline constexpr std::size_t ScheduledConnections = 8; ///< of one daemon to one target; the scheduler counts the slots
+inline constexpr auto ScheduledConnectTimeout = 300ms; ///< a hundred times the longest way between zones
+inline constexpr std::size_t MaxPipelined = 16; ///< requests of one caller's connection at once
+inline constexpr unsigned UnrunAttempts = 3; ///< further targets in place of those that refused or could not be reached
+inline constexpr auto AskTimeout = 40ms; ///< a hundred times the round trip within a zone
+inline constexpr unsigned AsksBeforeSilence = 2;
+inline constexpr auto BeatInterval = 250ms; ///< four in the second after which a silent scheduler is to be replaced
+inline constexpr unsigned BeatsBeforeSilence = 3;
+inline constexpr unsigned HubsBeforeAlone = 2; ///< silent schedulers before a daemon places a request by itself
+inline constexpr auto SilentHubProbe = 1000ms;
+inline constexpr unsigned DigestsBeforeSilence = 6;
+inline constexpr auto MemberForgetAfter = 10'000ms;
+inline constexpr double ToldDemand = 0.05; ///< requests a second of a team; less is not told
+inline constexpr double UnenrolledShare = 0.005; ///< of a rate, where the size of the fleet isn't known; one daemon of 200
+inline constexpr auto HubDigestInterval = 300ms;
+inline constexpr auto HubDigestLifetime = 1500ms;
+inline constexpr auto MemberLifetime = 1500ms; ///< six beats
+inline constexpr auto HubActiveTime = 2000ms; ///< after the last word of a member
+inline constexpr auto DocumentReadInterval = 400ms; ///< a fifth of the time in which a change is to be in force
+inline constexpr auto RegistryReadInterval = 2000ms;
+inline constexpr auto RelayPatience = 900ms; ///< without proof from others, a daemon reads by itself
+inline constexpr auto QueueServeInterval = 20ms;
+inline constexpr auto RegistrationRetry = 500ms;
+inline constexpr auto DirectoryCallTimeout = 1200ms; ///< three times the answers of a service that is slowed a hundredfold
+
 // Administration.
 inline constexpr std::size_t MaxAdminBodyBytes = 64 * 1024 * 1024;
 
@@ -160,6 +208,7 @@
 inline constexpr auto CallerCheckInterval = 20ms;
 inline constexpr auto CloseDrainTime = 500ms;
 inline constexpr std::size_t ReadBytes = 16 * 1024;
+inline constexpr std::size_t MaxIgnoredBytes = 256 * 1024; ///< sent behind a request that closes the connection
 inline constexpr auto TrafficReportInterval = 250ms;
 inline constexpr auto ConcurrencyDecreaseInterval = 100ms;
 inline constexpr double ConcurrencyDecrease = 0.8;
--- a/include/plumsill/document.h
+++ b/include/plumsill/document.h
@@ -30,6 +30,7 @@
     unsigned slots = 4; ///< requests that one target works on at once
     HealthPolicy policy;
     double objective = 0.999; ///< share of good answers promised, for the burn report
+    unsigned maxConnections = 0; ///< that one target accepts from all daemons together; 0: not told
 
     auto operator<=>(const Service &) const = default;
 };
@@ -40,10 +41,20 @@
     double rate = 1; ///< requests a second
     double burst = 1; ///< requests
     std::vector<std::string> keyDigests; ///< SHA-256 of each key, 64 lower-case hexadecimal digits
+    std::optional<unsigned> priority {}; ///< takes precedence over the route's; 0 is the highest
 
+    bool limited() const { return rate > 0; }
     auto operator<=>(const Team &) const = default;
 };
 
+/// One part of a route's split over several services.
+struct WeightedService {
+    ServiceName service;
+    double weight = 1; ///< relative to the other parts; 0: no requests
+
+    auto operator<=>(const WeightedService &) const = default;
+};
+
 /// Requests for one host and path prefix.
 struct Route {
     RouteName name;
@@ -56,15 +67,31 @@
     std::vector<TeamName> teams; ///< teams that may use it; empty: every team
     Duration timeout = config::DefaultRouteTimeout;
     std::size_t bodyLimit = config::DefaultBodyLimitBytes; ///< bytes
+    std::vector<WeightedService> split {}; ///< several services in place of `service`
+    unsigned attempts = config::MaxAttempts; ///< targets that one request may be sent to
+    unsigned priority = 0; ///< 0 is the highest
+    Duration objective = Duration::zero(); ///< latency at which an answer is still of full use; zero: the timeout
+    bool belowOnly = false; ///< only paths below the prefix match, not the prefix itself
 
     auto operator<=>(const Route &) const = default;
 };
 
+/// What a caller may send, and how long it may take.
+struct CallerLimits {
+    std::size_t headerBytes = config::MaxHeaderBytes;
+    std::size_t bodyBytes = config::MaxBodyBytes;
+    Duration headerTimeout = config::HeaderTimeout;
+    Duration idleTimeout = config::IdleTimeout;
+
+    auto operator<=>(const CallerLimits &) const = default;
+};
+
 /// Everything that operators say about one environment.
 struct Document {
     std::vector<Service> services;
     std::vector<Team> teams;
     std::vector<Route> routes;
+    CallerLimits limits;
 
     auto operator<=>(const Document &) const = default;
 };
@@ -105,7 +132,15 @@
     auto operator<=>(const ItemChange &) const = default;
 };
 
-using DocumentChange = std::variant<ItemChange<Service>, ItemChange<Team>, ItemChange<Route>>;
+/// The limits on callers differ.
+struct LimitsChanged {
+    CallerLimits before;
+    CallerLimits after;
+
+    auto operator<=>(const LimitsChanged &) const = default;
+};
+
+using DocumentChange = std::variant<ItemChange<Service>, ItemChange<Team>, ItemChange<Route>, LimitsChanged>;
 
 /// What turns @p before into @p after; the order of items doesn't count.
 std::vector<DocumentChange> diffDocuments(const Document &before, const Document &after);
--- a/include/plumsill/messages.h
+++ b/include/plumsill/messages.h
@@ -283,8 +283,215 @@
     }
 };
 
+/// An attempt that a daemon has running; lets a new scheduler take over.
+struct RunningAttempt {
+    std::uint64_t id = 0;
+    ServiceName service;
+    TargetName target;
+    std::uint32_t route = 0; ///< shortHash() of the route's name
+    std::uint32_t ageMilliseconds = 0;
+
+    auto operator<=>(const RunningAttempt &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, service, target, route, ageMilliseconds);
+    }
+};
+
+/// What one scheduler tells the others of one target.
+struct TargetLoad {
+    std::uint32_t target = 0; ///< shortHash() of its name
+    std::uint8_t running = 0;
+    std::uint8_t failingPercent = 0;
+
+    auto operator<=>(const TargetLoad &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(target, running, failingPercent);
+    }
+};
+
+/// Asks the zone's scheduler for a target. Times are what is left when it is sent.
+struct PlaceRequest {
+    std::uint64_t id = 0; ///< unique for one incarnation of the sender
+    ServiceName service;
+    TeamName team;
+    std::uint32_t route = 0; ///< shortHash() of the route's name
+    std::uint32_t priority = 0;
+    bool idempotent = false;
+    bool repeat = false; ///< an earlier attempt of the request was sent
+    std::uint32_t objectiveMilliseconds = 0;
+    std::uint32_t deadlineMilliseconds = 0;
+    std::vector<TargetName> tried;
+
+    auto operator<=>(const PlaceRequest &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, service, team, route, priority, idempotent, repeat, objectiveMilliseconds, deadlineMilliseconds, tried);
+    }
+};
+
+/// How a scheduler answered a PlaceRequest.
+enum class PlaceStatus : std::uint8_t
+{
+    Placed,
+    OverQuota,
+    NoRoom,
+    Queued, ///< another reply follows
+};
+
+/// A scheduler's decision on one request.
+struct PlaceReply {
+    std::uint64_t id = 0; ///< of the request
+    PlaceStatus status = PlaceStatus::NoRoom;
+    TargetName target;
+    Endpoint endpoint;
+    std::uint32_t hedgeAfterMilliseconds = 0;
+    std::uint32_t retryAfterMilliseconds = 0;
+
+    auto operator<=>(const PlaceReply &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, status, target, endpoint, hedgeAfterMilliseconds, retryAfterMilliseconds);
+    }
+};
+
+/// How an attempt ended, as the scheduler needs to know it.
+enum class AttemptEnd : std::uint8_t
+{
+    Good,
+    Failed, ///< server error, cut or malformed answer
+    TimedOut,
+    NotExecuted, ///< the target refused it for load
+    WrongTarget, ///< another target has the address
+    Unreachable, ///< no connection; nothing was sent
+    Abandoned, ///< the caller left, or another attempt was faster
+};
+
+/// Tells the scheduler that an attempt has ended.
+struct AttemptReport {
+    std::uint64_t id = 0;
+    AttemptEnd end = AttemptEnd::Abandoned;
+    std::uint32_t takenMilliseconds = 0;
+
+    auto operator<=>(const AttemptReport &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, end, takenMilliseconds);
+    }
+};
+
+/// The caller of a waiting request left.
+struct Withdrawal {
+    std::uint64_t id = 0;
+
+    auto operator<=>(const Withdrawal &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id);
+    }
+};
+
+/// Heartbeat of a daemon to the scheduler that it asks.
+struct MemberBeat {
+    std::uint64_t sentAt = 0; ///< sender's clock, nanoseconds; comes back in the beacon
+    bool complete = true; ///< all running attempts are named
+    std::vector<RunningAttempt> running;
+
+    auto operator<=>(const MemberBeat &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(sentAt, complete, running);
+    }
+};
+
+/// Proof that no document newer than `version` existed `ageMilliseconds` before the message was written.
+struct DocumentProof {
+    bool known = false;
+    std::uint64_t version = 0;
+    std::uint32_t ageMilliseconds = 0;
+
+    auto operator<=>(const DocumentProof &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(known, version, ageMilliseconds);
+    }
+};
+
+/// State of the sender's list of targets; `revision` counts its changes in this run of the sender.
+struct ListProof {
+    bool known = false;
+    std::uint64_t revision = 0;
+    std::uint32_t ageMilliseconds = 0; ///< since the read that confirmed it was sent
+
+    auto operator<=>(const ListProof &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(known, revision, ageMilliseconds);
+    }
+};
+
+/// A scheduler's answer to a heartbeat, sent again at once when something has changed.
+struct HubBeacon {
+    std::uint64_t beatSentAt = 0; ///< of the member's last heartbeat
+    std::uint32_t heldMilliseconds = 0; ///< since that heartbeat came
+    DocumentProof document;
+    ListProof list;
+    std::uint32_t registry = 0; ///< hash over the registered daemons
+    bool leaving = false; ///< ask another one
+
+    auto operator<=>(const HubBeacon &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(beatSentAt, heldMilliseconds, document, list, registry, leaving);
+    }
+};
+
+/// Requests of one team a second, as one scheduler sees them.
+struct TeamDemand {
+    std::uint32_t team = 0; ///< shortHash() of its name
+    std::uint32_t perMinute = 0;
+
+    auto operator<=>(const TeamDemand &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(team, perMinute);
+    }
+};
+
+/// What schedulers tell each other regularly.
+struct HubDigest {
+    std::uint64_t sentAt = 0; ///< sender's clock, nanoseconds
+    std::uint64_t echo = 0; ///< `sentAt` of the receiver's last digest
+    std::uint32_t echoHeldMilliseconds = 0; ///< since that digest came
+    DocumentProof document;
+    ListProof list;
+    std::uint32_t members = 0; ///< daemons that ask the sender, itself included
+    ZoneName zone;
+    std::vector<TeamDemand> teams;
+    std::vector<TargetLoad> loads;
+
+    auto operator<=>(const HubDigest &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(sentAt, echo, echoHeldMilliseconds, document, list, members, zone, teams, loads);
+    }
+};
+
 using Message = std::variant<Pulse, PulseAck, GrantRequest, Grant, GiveBack, HandOver, HealthDigest, Verdict, DocumentRequest, DocumentReply, RosterRequest,
-                             RosterReply, TargetsRequest, TargetsReply>;
+                             RosterReply, TargetsRequest, TargetsReply, PlaceRequest, PlaceReply, AttemptReport, Withdrawal, MemberBeat, HubBeacon, HubDigest>;
 
 /// A message with its sender, as it crosses the network under a MAC.
 struct Envelope {
--- a/include/plumsill/settings.h
+++ b/include/plumsill/settings.h
@@ -9,6 +9,17 @@
 
 namespace plumsill
 {
+/// Bounds that the fleet is to keep, as its platform sets them.
+struct FleetBounds {
+    Duration keyLifetime = config::DocumentTrustLifetime; ///< in which a withdrawn key stops working
+    Duration stopGrace = std::chrono::seconds(6); ///< from the signal to stop to the end of the process
+    double repeatRatio = 0.2; ///< attempts beyond the first, for each request of a service
+    double repeatSlack = 50; ///< attempts beyond the first in each window, beside these
+    Duration repeatWindow = std::chrono::seconds(10);
+
+    auto operator<=>(const FleetBounds &) const = default;
+};
+
 /// Settings of one daemon, read once at its start.
 struct Settings {
     InstanceName instance;
@@ -26,6 +37,13 @@
     LogLevel logLevel = LogLevel::Info;
     LogFormat logFormat = LogFormat::Text;
     std::string logFile; ///< empty: stderr
+    Endpoint readinessListen; ///< for the balancer's probe
+    std::string readinessPath;
+    Endpoint metricsListen;
+    std::string metricsPath;
+    bool firstStart = false; ///< the whole fleet starts for the first time
+    double capacity = 1; ///< cores that the daemon may use
+    FleetBounds bounds;
 
     auto operator<=>(const Settings &) const = default;
 };
--- a/include/plumsill/types.h
+++ b/include/plumsill/types.h
@@ -51,12 +51,16 @@
     ZoneName zone;
     Endpoint endpoint;
     bool leaving = false;
+    std::uint32_t slots = 0; ///< requests that it works on at once; 0: the service's
+    std::uint32_t coldMilliseconds = 0; ///< how much longer it was slow after its start when it was listed
+    std::uint64_t startedAt = 0; ///< Unix time of its start in milliseconds; 0: not told
+    std::uint64_t sequence = 0; ///< rises with each word of the same run
 
     auto operator<=>(const Target &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(name, service, zone, endpoint, leaving);
+        archive(name, service, zone, endpoint, leaving, slots, coldMilliseconds, startedAt, sequence);
     }
 };
 
--- a/src/attempt.cpp
+++ b/src/attempt.cpp
@@ -10,6 +10,8 @@
 {
 constexpr double MaxRetryBalance = 20;
 constexpr auto MinAttemptTimeout = std::chrono::milliseconds(5);
+// A target closes an idle connection at its limit; a request must have arrived before.
+constexpr auto IdleLimitMargin = std::chrono::milliseconds(1500);
 
 // A target that says "come back later" or fails before it answers leaves the request to others.
 bool isWholeAnswer(AttemptFailure failure)
@@ -32,25 +34,33 @@
     return true;
 }
 
-RequestAttempts::RequestAttempts(bool idempotent, TimePoint deadline)
+RequestAttempts::RequestAttempts(bool idempotent, TimePoint deadline, const AttemptLimits &limits)
     : m_idempotent(idempotent)
     , m_deadline(deadline)
+    , m_limits(limits)
 { }
 
+bool RequestAttempts::mayHedge(unsigned running, TimePoint now) const
+{
+    return m_idempotent && m_attempts - m_notRun + running < m_limits.attempts && now + MinAttemptTimeout < m_deadline;
+}
+
 // A request of which no byte left is safe to send again, whatever its kind: no target can have run it.
 // After that only an idempotent one may be repeated, and only until its answer starts to reach the caller.
 bool RequestAttempts::mayTryAgain(const AttemptFailed &failure, TimePoint now) const
 {
-    if (now + MinAttemptTimeout >= m_deadline || m_attempts >= config::MaxAttempts) {
+    const bool used = m_attempts - std::min(m_notRun, m_limits.notRun) >= m_limits.attempts;
+    if (now + MinAttemptTimeout >= m_deadline || used) {
         return false;
     }
-    return failure.progress == AttemptProgress::NothingSent || m_idempotent;
+    return failure.progress < AttemptProgress::Sent || m_idempotent;
 }
 
 NextStep RequestAttempts::failed(const AttemptFailed &failure, bool targetsLeft, RetryBudget &budget, TimePoint now)
 {
     ++m_attempts;
-    m_sent = m_sent || failure.progress != AttemptProgress::NothingSent;
+    m_notRun += failure.progress < AttemptProgress::Sent ? 1 : 0;
+    m_sent = m_sent || failure.progress >= AttemptProgress::Sent;
     if (failure.progress == AttemptProgress::AnswerStarted) {
         return AbortCaller {};
     }
@@ -84,7 +94,7 @@
 Duration RequestAttempts::attemptTimeout(bool targetsLeft, TimePoint now) const
 {
     const Duration left = std::max<Duration>(m_deadline - now, MinAttemptTimeout);
-    const bool keepSome = m_idempotent && targetsLeft && m_attempts + 1 < config::MaxAttempts;
+    const bool keepSome = m_idempotent && targetsLeft && m_attempts + 1 < m_limits.attempts;
     return keepSome ? left / 2 : left;
 }
 
@@ -101,6 +111,9 @@
         return false;
     }
     const Duration quiet = now - connection.lastAnswerAt;
+    if (quiet + IdleLimitMargin >= connection.idleLimit) {
+        return false;
+    }
     return quiet < (idempotent ? Duration(config::IdleTargetConnection) : Duration(config::FreshConnectionAge));
 }
 
--- /dev/null
+++ b/src/currency.cpp
@@ -0,0 +1,38 @@
+#include <plumsill/currency.h>
+
+#include <algorithm>
+
+namespace plumsill
+{
+// A proof of a lower version than the newest known one was overtaken and says nothing.
+void Currency::proved(std::uint64_t version, TimePoint sentAt)
+{
+    if (version < m_newest) {
+        return;
+    }
+    if (version > m_newest) {
+        m_newest = version;
+        m_provedAt = sentAt;
+        return;
+    }
+    m_provedAt = m_provedAt ? std::max(*m_provedAt, sentAt) : sentAt;
+}
+
+bool Currency::adopt(std::uint64_t version)
+{
+    if (version <= m_held) {
+        return false;
+    }
+    m_held = version;
+    if (version > m_newest) {
+        m_newest = version;
+        m_provedAt.reset();
+    }
+    return true;
+}
+
+std::optional<TimePoint> Currency::currentAt() const
+{
+    return m_held > 0 && m_held == m_newest ? m_provedAt : std::nullopt;
+}
+}
--- a/src/document.cpp
+++ b/src/document.cpp
@@ -47,20 +47,61 @@
     text += "slots = " + std::to_string(service.slots) + "\n";
     text += "profile = " + canonical(service.policy) + "\n";
     text += "objective = " + number(service.objective) + "\n";
+    if (service.maxConnections > 0) {
+        text += "max-connections = " + std::to_string(service.maxConnections) + "\n";
+    }
     return text;
 }
 
 std::string canonical(const Team &team)
 {
     std::string text = "[team " + team.name.value + "]\n";
-    text += "rate = " + number(team.rate) + "/s\n";
+    text += "rate = " + (team.limited() ? number(team.rate) + "/s" : std::string("unlimited")) + "\n";
     text += "burst = " + number(team.burst) + "\n";
+    if (team.priority) {
+        text += "priority = " + std::to_string(*team.priority) + "\n";
+    }
     for (const auto &digest : team.keyDigests) {
         text += "key = " + digest + "\n";
     }
     return text;
 }
 
+std::string joined(const std::vector<WeightedService> &parts)
+{
+    std::vector<std::string> values;
+    values.reserve(parts.size());
+    for (const auto &part : parts) {
+        values.push_back(part.service.value + ":" + number(part.weight));
+    }
+    return joined(values);
+}
+
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()) + "ms";
+}
+
+// Keys that most routes leave at their defaults stand only where they differ.
+std::string canonicalExtras(const Route &route)
+{
+    const Route usual;
+    std::string text;
+    if (route.attempts != usual.attempts) {
+        text += "attempts = " + std::to_string(route.attempts) + "\n";
+    }
+    if (route.priority != usual.priority) {
+        text += "priority = " + std::to_string(route.priority) + "\n";
+    }
+    if (route.objective != usual.objective) {
+        text += "objective = " + milliseconds(route.objective) + "\n";
+    }
+    if (route.belowOnly) {
+        text += "below-only = yes\n";
+    }
+    return text;
+}
+
 std::string canonical(const Route &route)
 {
     std::string text = "[route " + route.name.value + "]\n";
@@ -71,14 +112,28 @@
     if (!route.methods.empty()) {
         text += "methods = " + joined(route.methods) + "\n";
     }
-    text += "service = " + route.service.value + "\n";
+    if (route.split.empty()) {
+        text += "service = " + route.service.value + "\n";
+    } else {
+        text += "split = " + joined(route.split) + "\n";
+    }
     text += std::string("idempotent = ") + (route.idempotent ? "yes" : "no") + "\n";
     text += std::string("access = ") + (route.open ? "open" : "team") + "\n";
     if (!route.teams.empty()) {
         text += "teams = " + joined(route.teams) + "\n";
     }
-    text += "timeout = " + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(route.timeout).count()) + "ms\n";
+    text += "timeout = " + milliseconds(route.timeout) + "\n";
     text += "body-limit = " + std::to_string(route.bodyLimit) + "B\n";
+    return text + canonicalExtras(route);
+}
+
+std::string canonical(const CallerLimits &limits)
+{
+    std::string text = "[limits]\n";
+    text += "header-bytes = " + std::to_string(limits.headerBytes) + "B\n";
+    text += "body-bytes = " + std::to_string(limits.bodyBytes) + "B\n";
+    text += "header-timeout = " + milliseconds(limits.headerTimeout) + "\n";
+    text += "idle-timeout = " + milliseconds(limits.idleTimeout) + "\n";
     return text;
 }
 
@@ -147,6 +202,9 @@
     appendCanonical(text, document.services);
     appendCanonical(text, document.teams);
     appendCanonical(text, document.routes);
+    if (document.limits != CallerLimits {}) {
+        text += canonical(document.limits);
+    }
     return text;
 }
 
@@ -156,17 +214,29 @@
     appendChanges(changes, before.services, after.services);
     appendChanges(changes, before.teams, after.teams);
     appendChanges(changes, before.routes, after.routes);
+    if (before.limits != after.limits) {
+        changes.push_back(LimitsChanged {before.limits, after.limits});
+    }
     return changes;
 }
 
 std::string toString(const DocumentChange &change)
 {
-    const auto line = [](const auto &item) {
+    if (std::holds_alternative<LimitsChanged>(change)) {
+        return "changed limits";
+    }
+    const auto line = []<class Item>(const ItemChange<Item> &item) {
         const std::string verb = !item.before ? "added" : !item.after ? "removed" : "changed";
         const auto &name = item.after ? item.after->name : item.before->name;
         return verb + " " + kind(item) + " " + name.value;
     };
-    return std::visit(line, change);
+    if (const auto *service = std::get_if<ItemChange<Service>>(&change)) {
+        return line(*service);
+    }
+    if (const auto *team = std::get_if<ItemChange<Team>>(&change)) {
+        return line(*team);
+    }
+    return line(std::get<ItemChange<Route>>(change));
 }
 
 std::string sha256Hex(const std::string &bytes)
--- a/src/document_check.cpp
+++ b/src/document_check.cpp
@@ -15,9 +15,12 @@
 namespace
 {
 constexpr auto LongestRouteTimeout = std::chrono::minutes(10);
-constexpr std::size_t MaxBodyLimitBytes = 64 * 1024 * 1024;
+constexpr std::size_t MaxBodyLimitBytes = config::MaxBodyBytes;
 constexpr double MaxRate = 1e6;
 constexpr unsigned MaxSlots = 100'000;
+constexpr unsigned MaxPriority = 1000;
+constexpr unsigned MaxRouteAttempts = 10;
+constexpr unsigned MaxTargetConnections = 1'000'000;
 
 struct Header {
     std::string section;
@@ -95,6 +98,13 @@
     return rate && *rate > 0 && *rate <= MaxRate ? rate : std::nullopt;
 }
 
+std::optional<unsigned> parseRank(const std::string &text)
+{
+    const auto number = parseNumber(text);
+    const bool whole = number && std::floor(*number) == *number && *number >= 0 && *number <= MaxPriority;
+    return whole ? std::optional<unsigned>(static_cast<unsigned>(*number)) : std::nullopt;
+}
+
 std::optional<unsigned> parseCount(const std::string &text, unsigned most)
 {
     const auto number = parseNumber(text);
@@ -153,6 +163,9 @@
     if (key == "objective") {
         return assign(parseShare(value), service.objective, "not a share from 0 to 1 or 0% to 100%");
     }
+    if (key == "max-connections") {
+        return assign(parseCount(value, MaxTargetConnections), service.maxConnections, "not a whole number from 1 to 1000000");
+    }
     return UnknownKey;
 }
 
@@ -177,6 +190,13 @@
 
 std::string setKey(Team &team, const std::string &key, const std::string &value)
 {
+    if (key == "priority") {
+        return assign(parseRank(value), team.priority, "not a whole number from 0 to 1000");
+    }
+    if (key == "rate" && value == "unlimited") {
+        team.rate = 0;
+        return {};
+    }
     if (key == "rate") {
         return assign(parseRate(value), team.rate, "not a rate above 0 and up to 1000000, such as 50/s");
     }
@@ -240,6 +260,32 @@
     return {};
 }
 
+std::string setObjective(Route &route, const std::string &value)
+{
+    const auto objective = parseDuration(value);
+    if (!objective || *objective < std::chrono::milliseconds(1) || *objective > LongestRouteTimeout) {
+        return "not a duration with a unit from 1ms to 10m";
+    }
+    route.objective = std::chrono::floor<std::chrono::milliseconds>(*objective);
+    return {};
+}
+
+std::string setSplit(Route &route, const std::string &value)
+{
+    constexpr const char *Reason = "not a list of different services with weights, such as a:90, b:10";
+    double total = 0;
+    for (const auto &part : splitList(value)) {
+        const auto colon = part.rfind(':');
+        const auto weight = colon == std::string::npos ? std::nullopt : parseNumber(part.substr(colon + 1));
+        if (!weight || *weight < 0) {
+            return Reason;
+        }
+        route.split.push_back({{part.substr(0, colon)}, *weight});
+        total += *weight;
+    }
+    return total > 0 ? std::string() : Reason;
+}
+
 std::string setBodyLimit(Route &route, const std::string &value)
 {
     const auto limit = parseBytes(value);
@@ -261,6 +307,12 @@
         {"teams", setTeams},
         {"timeout", setTimeout},
         {"body-limit", setBodyLimit},
+        {"objective", setObjective},
+        {"split", setSplit},
+        {"attempts",
+         [](Route &target, const std::string &text) { return assign(parseCount(text, MaxRouteAttempts), target.attempts, "not a whole number from 1 to 10"); }},
+        {"priority", [](Route &target, const std::string &text) { return assign(parseRank(text), target.priority, "not a whole number from 0 to 1000"); }},
+        {"below-only", [](Route &target, const std::string &text) { return assign(parseYesNo(text), target.belowOnly, "neither yes nor no"); }},
         {"service",
          [](Route &target, const std::string &text) {
              target.service = {text};
@@ -272,6 +324,31 @@
     return setter == setters.end() ? UnknownKey : setter->second(route, value);
 }
 
+std::string setKey(CallerLimits &limits, const std::string &key, const std::string &value)
+{
+    static constexpr auto LongestLimit = std::chrono::hours(1);
+    const auto setBytes = [&value](std::size_t &target) {
+        const auto bytes = parseBytes(value);
+        const bool good = bytes && *bytes > 0 && *bytes <= MaxBodyLimitBytes;
+        return assign(good ? bytes : std::nullopt, target, "not a size with a unit up to 64MB");
+    };
+    const auto setTime = [&value](Duration &target) {
+        const auto time = parseDuration(value);
+        const bool good = time && *time >= std::chrono::milliseconds(1) && *time <= LongestLimit;
+        return assign(good ? time : std::nullopt, target, "not a duration with a unit from 1ms to 1h");
+    };
+    if (key == "header-bytes") {
+        return setBytes(limits.headerBytes);
+    }
+    if (key == "body-bytes") {
+        return setBytes(limits.bodyBytes);
+    }
+    if (key == "header-timeout") {
+        return setTime(limits.headerTimeout);
+    }
+    return key == "idle-timeout" ? setTime(limits.idleTimeout) : UnknownKey;
+}
+
 bool repeatable(const std::string &section, const std::string &key)
 {
     return key == "key" && section.starts_with("team ");
@@ -309,11 +386,13 @@
 {
     static const std::vector<std::string> serviceKeys {"floor"};
     static const std::vector<std::string> teamKeys {"rate", "burst"};
-    static const std::vector<std::string> routeKeys {"prefix", "service", "idempotent", "access"};
+    static const std::vector<std::string> routeKeys {"prefix", "idempotent", "access"};
     const auto space = header.section.find(' ');
     const std::string kind = header.section.substr(0, space);
     auto &document = checker.result.document;
-    if (kind != "service" && kind != "team" && kind != "route") {
+    if (header.section == "limits") {
+        readItem(checker, document.limits, header, place, {});
+    } else if (kind != "service" && kind != "team" && kind != "route") {
         checker.problem(header.line, header.section, "section", "unknown section");
     } else if (space == std::string::npos || !isName(header.section.substr(space + 1))) {
         checker.problem(header.line, header.section, "section", "needs a name of letters, digits, '-', '_' and '.'");
@@ -324,6 +403,10 @@
         checker.teamPlaces.push_back(place);
     } else {
         addItem(checker, document.routes, header, place, routeKeys);
+        const Route &route = document.routes.back();
+        if (route.service.empty() == route.split.empty()) {
+            checker.problem(header.line, header.section, "service", route.split.empty() ? "missing" : "given beside a split");
+        }
         checker.routePlaces.push_back(place);
     }
 }
@@ -386,6 +469,11 @@
         if (!route.service.empty() && !services.contains(route.service.value)) {
             checker.problem(lineOf(place, "service"), section, "service", "unknown service " + route.service.value);
         }
+        for (const auto &part : route.split) {
+            if (!services.contains(part.service.value)) {
+                checker.problem(lineOf(place, "split"), section, "split", "unknown service " + part.service.value);
+            }
+        }
         for (const auto &team : route.teams) {
             if (!teams.contains(team.value)) {
                 checker.problem(lineOf(place, "teams"), section, "teams", "unknown team " + team.value);
--- /dev/null
+++ b/src/hubs.cpp
@@ -0,0 +1,136 @@
+#include <plumsill/hubs.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace plumsill
+{
+namespace
+{
+using namespace std::chrono_literals;
+
+// A silent daemon isn't relied on until it is heard again, or this time has passed.
+constexpr auto SuspicionTime = 15s;
+// A daemon that stops is gone before this time has passed, and comes back as another incarnation.
+constexpr auto LeavingTime = 20s;
+}
+
+double hubRank(const ZoneName &zone, const RegisteredDaemon &daemon)
+{
+    const std::string text = zone.value + '/' + daemon.id.name.value;
+    const double unit = (static_cast<double>(XXH3_64bits(text.data(), text.size()) >> 11) + 0.5) / 9007199254740992.0;
+    return -daemon.capacity * daemon.capacity / std::log(unit);
+}
+
+HubDirectory::HubDirectory(RegisteredDaemon self)
+    : m_self(std::move(self))
+    , m_daemons {m_self}
+{ }
+
+void HubDirectory::setRegistered(std::vector<RegisteredDaemon> daemons)
+{
+    const auto isSelf = [this](const RegisteredDaemon &daemon) { return daemon.id.name == m_self.id.name; };
+    std::erase_if(daemons, isSelf);
+    daemons.push_back(m_self);
+    std::sort(daemons.begin(), daemons.end(), [](const RegisteredDaemon &a, const RegisteredDaemon &b) {
+        return std::pair(-hubRank(a.zone, a), a.id.name) < std::pair(-hubRank(b.zone, b), b.id.name);
+    });
+    m_daemons = std::move(daemons);
+}
+
+void HubDirectory::heard(const MemberId &id, const Endpoint &peer, TimePoint now)
+{
+    const auto known = std::find_if(m_daemons.begin(), m_daemons.end(), [&id](const RegisteredDaemon &daemon) { return daemon.id.name == id.name; });
+    if (known != m_daemons.end() && known->id.incarnation < id.incarnation) {
+        known->id = id;
+        known->peer = peer;
+    }
+    const auto found = m_suspected.find(id.name);
+    const bool leavingOne = found != m_suspected.end() && found->second.incarnation >= id.incarnation && found->second.until > now;
+    if (found != m_suspected.end() && !leavingOne) {
+        m_suspected.erase(found);
+    }
+}
+
+void HubDirectory::silent(const InstanceName &name, TimePoint now)
+{
+    Suspicion &suspicion = m_suspected[name];
+    suspicion.until = std::max<TimePoint>(suspicion.until, now + SuspicionTime);
+}
+
+void HubDirectory::leaving(const MemberId &id, TimePoint now)
+{
+    m_suspected[id.name] = {now + LeavingTime, id.incarnation};
+}
+
+bool HubDirectory::suspected(const RegisteredDaemon &daemon, TimePoint now) const
+{
+    const auto found = m_suspected.find(daemon.id.name);
+    if (found == m_suspected.end() || found->second.until <= now) {
+        return false;
+    }
+    return found->second.incarnation == 0 || found->second.incarnation >= daemon.id.incarnation;
+}
+
+std::optional<RegisteredDaemon> HubDirectory::hub(const ZoneName &zone, TimePoint now) const
+{
+    const auto found
+        = std::find_if(m_daemons.begin(), m_daemons.end(), [&](const RegisteredDaemon &daemon) { return daemon.zone == zone && !suspected(daemon, now); });
+    return found == m_daemons.end() ? std::nullopt : std::optional(*found);
+}
+
+bool HubDirectory::isHub(TimePoint now) const
+{
+    const auto found = hub(m_self.zone, now);
+    return found && found->id.name == m_self.id.name;
+}
+
+std::optional<RegisteredDaemon> HubDirectory::silentHub(TimePoint now) const
+{
+    for (const auto &daemon : m_daemons) {
+        if (daemon.zone != m_self.zone) {
+            continue;
+        }
+        if (!suspected(daemon, now)) {
+            return std::nullopt;
+        }
+        if (m_suspected.at(daemon.id.name).incarnation == 0) {
+            return daemon;
+        }
+    }
+    return std::nullopt;
+}
+
+std::uint32_t HubDirectory::registryHash() const
+{
+    std::uint32_t sum = 0;
+    for (const auto &daemon : m_daemons) {
+        const std::string text = daemon.id.name.value + '@' + toString(daemon.peer);
+        sum ^= static_cast<std::uint32_t>(XXH3_64bits(text.data(), text.size()));
+    }
+    return sum;
+}
+
+std::set<ZoneName> HubDirectory::zones() const
+{
+    std::set<ZoneName> zones;
+    for (const auto &daemon : m_daemons) {
+        zones.insert(daemon.zone);
+    }
+    return zones;
+}
+
+std::vector<RegisteredDaemon> HubDirectory::otherHubs(TimePoint now) const
+{
+    std::vector<RegisteredDaemon> hubs;
+    for (const auto &zone : zones()) {
+        const auto found = hub(zone, now);
+        if (found && found->id.name != m_self.id.name) {
+            hubs.push_back(*found);
+        }
+    }
+    return hubs;
+}
+}
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -1,3 +1,4 @@
+#include <plumsill/event.h>
 #include <plumsill/log.h>
 
 #include <boost/json/serialize.hpp>
@@ -108,6 +109,12 @@
 
 void log(LogPart part, LogLevel level, const std::string &sentence)
 {
+    if (eventsOpen()) {
+        if (level >= LogLevel::Info) {
+            Event(partName(part), "message").add("text", sentence);
+        }
+        return;
+    }
     if (!opened) {
         return;
     }
--- a/src/net_daemon.cpp
+++ b/src/net_daemon.cpp
@@ -19,8 +19,6 @@
 
 namespace plumsill
 {
-namespace
-{
 // Rises with each start of the instance, also when nothing was kept of the last one.
 std::uint64_t newIncarnation()
 {
@@ -29,6 +27,8 @@
     return static_cast<std::uint64_t>(time.tv_sec) * 1'000'000'000 + static_cast<std::uint64_t>(time.tv_nsec);
 }
 
+namespace
+{
 class Daemon
 {
 public:
--- a/src/net_dispatch.cpp
+++ b/src/net_dispatch.cpp
@@ -14,10 +14,10 @@
 }
 }
 
-TargetLease::TargetLease(TargetName name, TargetRuntimePtr runtime, std::function<void()> released)
+TargetLease::TargetLease(TargetName name, TargetRuntimePtr runtime, Ended ended)
     : m_name(std::move(name))
     , m_runtime(std::move(runtime))
-    , m_released(std::move(released))
+    , m_ended(std::move(ended))
 {
     ++m_runtime->inFlight;
 }
@@ -25,7 +25,14 @@
 TargetLease::~TargetLease()
 {
     --m_runtime->inFlight;
-    m_released();
+    ended(AttemptEnd::Abandoned, Duration::zero());
+}
+
+void TargetLease::ended(AttemptEnd end, Duration taken)
+{
+    if (const Ended tell = std::exchange(m_ended, nullptr)) {
+        tell(end, taken);
+    }
 }
 
 ServiceDispatch::ServiceDispatch(std::uint64_t seed, std::size_t connections)
@@ -86,7 +93,7 @@
     }
     ++m_inFlight;
     const TargetName &name = m_view.targets[*index].target.name;
-    return std::make_unique<TargetLease>(name, m_targets.at(name), [this] {
+    return std::make_unique<TargetLease>(name, m_targets.at(name), [this](AttemptEnd /*end*/, Duration /*taken*/) {
         --m_inFlight;
         serveQueue();
     });
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -1,11 +1,13 @@
-#include "forward_p.h"
+#include "race_p.h"
 
 #include <plumsill/config.h>
-#include <plumsill/detector.h>
+#include <plumsill/event.h>
 
 #include <boost/beast/http.hpp>
 
 #include <charconv>
+#include <limits>
+#include <random>
 
 namespace plumsill
 {
@@ -13,8 +15,6 @@
 
 namespace
 {
-constexpr const char *DeadlineField = "Plumsill-Deadline-Ms";
-
 Refusal notTrusted()
 {
     return {503, "keys-unconfirmed", "keys cannot be confirmed at the moment", RunOutcome::NotRun, config::RetryAfterFailure};
@@ -58,7 +58,7 @@
     }
     const auto *presented = std::get_if<PresentedKey>(&presence);
     if (route.open) {
-        return Access {route, {}, presented == nullptr ? std::string() : presented->key};
+        return Access {route, {}, presented == nullptr ? std::string() : presented->key, route.priority};
     }
     if (now >= snapshot.trustedUntil) {
         return notTrusted();
@@ -70,44 +70,7 @@
     if (!mayUse(route, *team)) {
         return Refusal {403, "forbidden", "the team may not use this route", std::nullopt, {}};
     }
-    return Access {route, *team, presented->key};
-}
-
-/// Shared with a timer's handler, which may still run after the attempt has ended.
-struct SlowWatch {
-    bool running = true;
-    bool counted = false;
-};
-
-AnswerKind answerKind(AttemptFailure failure)
-{
-    switch (failure) {
-    case AttemptFailure::ConnectFailed:
-        return AnswerKind::Unreachable;
-    case AttemptFailure::TimedOut:
-        return AnswerKind::Timeout;
-    case AttemptFailure::Truncated:
-    case AttemptFailure::Malformed:
-        return AnswerKind::Truncated;
-    case AttemptFailure::Shed:
-        return AnswerKind::Shed;
-    case AttemptFailure::ConnectionLost:
-    case AttemptFailure::ServerError:
-        return AnswerKind::Error;
-    }
-    return AnswerKind::Error;
-}
-
-bool targetLeaving(const AttemptResult &result)
-{
-    if (const auto *held = std::get_if<HeldAnswer>(&result)) {
-        return held->targetLeaving;
-    }
-    if (const auto *streamed = std::get_if<StreamedAnswer>(&result)) {
-        return streamed->targetLeaving;
-    }
-    const auto &answer = std::get<FailedAttempt>(result).answer;
-    return answer && answer->targetLeaving;
+    return Access {route, *team, presented->key, snapshot.compiled->priorityOf(*team).value_or(route.priority)};
 }
 
 std::string joined(const std::vector<std::string> &values)
@@ -157,9 +120,30 @@
     return std::nullopt;
 }
 
-TimePoint requestDeadline(const Route &route, const CallerRequestHeader &header, TimePoint now)
+const ServiceName &chooseService(const Route &route, double point)
 {
-    const auto field = header[DeadlineField];
+    double total = 0;
+    for (const auto &part : route.split) {
+        total += part.weight;
+    }
+    double left = point * total;
+    const ServiceName *chosen = &route.service;
+    for (const auto &part : route.split) {
+        if (part.weight <= 0) {
+            continue;
+        }
+        chosen = &part.service;
+        left -= part.weight;
+        if (left < 0) {
+            break;
+        }
+    }
+    return *chosen;
+}
+
+TimePoint requestDeadline(const Route &route, const CallerRequestHeader &header, const Dialect &dialect, TimePoint now)
+{
+    const auto field = header[dialect.deadline];
     std::uint32_t milliseconds = 0;
     const auto [end, error] = std::from_chars(field.data(), field.data() + field.size(), milliseconds);
     if (field.empty() || error != std::errc() || end != field.data() + field.size()) {
@@ -168,26 +152,54 @@
     return now + std::min<Duration>(route.timeout, std::chrono::milliseconds(milliseconds));
 }
 
+RequestTicket::RequestTicket(const boost::asio::any_io_executor &executor)
+    : m_signal(executor)
+{ }
+
+RequestTicket::~RequestTicket() = default;
+
+void RequestTicket::callerGone()
+{
+    m_callerGone = true;
+    m_waiting.abandon();
+    if (m_race) {
+        m_race->close();
+    }
+    m_signal.cancel();
+}
+
 Forwarder::Forwarder(TrafficThread &thread, const Access &access, const CallerRequest &request, const std::string &callerAddress, const AnswerSink *sink,
-                     AttemptHandle &handle)
+                     RequestTicket &ticket)
     : m_thread(thread)
     , m_access(access)
-    , m_sink(sink)
-    , m_handle(handle)
+    , m_ticket(ticket)
     , m_start(RuntimeClock::now())
-    , m_deadline(requestDeadline(access.route, request, m_start))
-    , m_request(requestForTarget(request, thread.nextRequestId(), callerAddress))
-    , m_attempts(access.route.idempotent, m_deadline)
-{ }
+    , m_deadline(requestDeadline(access.route, request, thread.dialect(), m_start))
+    , m_service(chooseService(access.route, std::uniform_real_distribution<double>(0, 1)(thread.random())))
+    , m_attempts(access.route.idempotent, m_deadline,
+                 {access.route.attempts, std::holds_alternative<ScheduledPlacement>(thread.placement()) ? config::UnrunAttempts : 0})
+    , m_scheduledBudget(std::numeric_limits<double>::max())
+{
+    const RequestMarks marks {thread.nextRequestId(), callerAddress, access.team};
+    m_race = new RequestRace(thread, access, m_service, requestForTarget(request, marks, thread.dialect()), sink);
+    m_ticket.m_race = m_race;
+}
+
+Forwarder::~Forwarder()
+{
+    m_race->close();
+    m_ticket.m_race.reset();
+}
 
 TrafficCounts &Forwarder::counts()
 {
-    return m_thread.report().counts[{m_access.route.service, m_access.team}];
+    return m_thread.report().counts[{m_service, m_access.team}];
 }
 
 ForwardResult Forwarder::refuse(const Refusal &refusal)
 {
-    return refusalAnswer(refusal);
+    m_reason = refusal.code;
+    return refusalAnswer(refusal, m_thread.dialect());
 }
 
 ForwardResult Forwarder::giveUp(const GiveUp &answer)
@@ -199,7 +211,8 @@
 
 boost::asio::awaitable<std::optional<Refusal>> Forwarder::admit()
 {
-    if (m_access.route.open) {
+    // The scheduler counts tokens where it places requests.
+    if (m_access.route.open || std::holds_alternative<ScheduledPlacement>(m_thread.placement())) {
         co_return std::nullopt;
     }
     const TokenAnswer answer = co_await m_thread.token(m_access.team, m_deadline);
@@ -216,55 +229,135 @@
 
 boost::asio::awaitable<ForwardResult> Forwarder::run()
 {
-    if (!m_access.key.empty() && m_request.body().find(m_access.key) != std::string::npos) {
+    if (!m_access.key.empty() && m_race->request().body().find(m_access.key) != std::string::npos) {
         co_return refuse({400, "key-outside-header", "a key stands outside its header", std::nullopt, {}});
     }
     if (const auto refusal = co_await admit()) {
         co_return refuse(*refusal);
     }
-    co_return co_await forward();
+    ForwardResult result = co_await forward();
+    logEnd(result);
+    co_return result;
 }
 
-boost::asio::awaitable<ForwardResult> Forwarder::forward()
+boost::asio::awaitable<DispatchResult> Forwarder::acquire()
 {
-    ServiceDispatch *dispatch = m_thread.dispatch(m_access.route.service);
+    DispatchRequest wanted;
+    wanted.team = m_access.team;
+    wanted.deadline = m_deadline;
+    wanted.tried = m_tried;
+    wanted.idempotent = m_access.route.idempotent;
+    wanted.route = m_access.route.name;
+    wanted.service = m_service;
+    wanted.priority = m_access.priority;
+    wanted.repeat = !m_tried.empty();
+    const Duration objective = m_access.route.objective > Duration::zero() ? m_access.route.objective : m_access.route.timeout;
+    wanted.objective = std::min(m_deadline, m_start + objective);
+    wanted.handle = &m_ticket.m_waiting;
+    if (std::holds_alternative<ScheduledPlacement>(m_thread.placement())) {
+        DispatchResult placed = co_await m_thread.place(wanted);
+        co_return placed;
+    }
+    ServiceDispatch *dispatch = m_thread.dispatch(m_service);
     if (dispatch == nullptr) {
-        co_return giveUp(m_attempts.noTarget(RuntimeClock::now()));
+        co_return NoTarget {};
+    }
+    if (m_tried.empty()) {
+        dispatch->retries().deposit();
     }
-    dispatch->retries().deposit();
+    DispatchResult chosen = co_await dispatch->acquire(wanted);
+    co_return chosen;
+}
+
+bool Forwarder::targetsLeft() const
+{
+    if (std::holds_alternative<ScheduledPlacement>(m_thread.placement())) {
+        return true;
+    }
+    const ServiceDispatch *dispatch = m_thread.dispatch(m_service);
+    return dispatch != nullptr && dispatch->targetsLeft(m_tried, m_access.route.idempotent);
+}
+
+void Forwarder::start(std::unique_ptr<TargetLease> lease)
+{
+    m_tried.push_back(lease->name());
+    const bool hedge = lease->hedgeAfter() && m_attempts.mayHedge(static_cast<unsigned>(m_race->running()) + 1, RuntimeClock::now());
+    m_hedgeAt = hedge ? std::optional(RuntimeClock::now() + *lease->hedgeAfter()) : std::nullopt;
+    m_race->start(std::move(lease), m_attempts, targetsLeft(), m_deadline, m_ticket.m_signal);
+}
+
+boost::asio::awaitable<ForwardResult> Forwarder::forward()
+{
     while (true) {
-        const DispatchRequest wanted {m_access.team, m_deadline, m_tried, m_access.route.idempotent};
-        DispatchResult choice = co_await dispatch->acquire(wanted);
+        DispatchResult choice = co_await acquire();
+        if (m_ticket.isCallerGone()) {
+            co_return AbortCaller {};
+        }
         if (const auto *none = std::get_if<NoTarget>(&choice)) {
-            co_return giveUpWithout(*none);
+            if (m_race->running() == 0) {
+                co_return giveUpWithout(*none);
+            }
+            m_hedgeAt.reset();
+        } else if (auto refusal = recheckAccess(*m_thread.snapshot(), m_access, RuntimeClock::now())) {
+            // The request may have waited, so its key is looked at once more.
+            if (m_race->running() == 0) {
+                refusal->outcome = m_attempts.outcome();
+                refusal->status = m_attempts.outcome() == RunOutcome::NotRun || refusal->status != 503 ? refusal->status : 502;
+                co_return refuse(*refusal);
+            }
+            m_hedgeAt.reset();
+        } else {
+            start(std::move(std::get<std::unique_ptr<TargetLease>>(choice)));
         }
-        // The request may have waited, so its key and its caller are looked at once more.
-        if (auto refusal = recheckAccess(*m_thread.snapshot(), m_access, RuntimeClock::now())) {
-            refusal->outcome = m_attempts.outcome();
-            co_return refuse(*refusal);
+        if (auto end = co_await follow()) {
+            co_return std::move(*end);
         }
-        if (m_handle.isCallerGone()) {
+        ++m_thread.report().retries;
+    }
+}
+
+boost::asio::awaitable<std::optional<ForwardResult>> Forwarder::follow()
+{
+    while (true) {
+        if (m_ticket.isCallerGone()) {
             co_return AbortCaller {};
         }
-        auto lease = std::move(std::get<std::unique_ptr<TargetLease>>(choice));
-        m_tried.push_back(lease->name());
-        AttemptResult result = co_await attempt(*dispatch, *lease);
-        lease.reset();
-        if (auto end = conclude(*dispatch, result)) {
-            co_return std::move(*end);
+        if (const auto entry = m_race->takeEnded()) {
+            if (auto end = conclude(*entry->result)) {
+                co_return std::move(end);
+            }
+            if (m_race->running() == 0) {
+                co_return std::nullopt;
+            }
+            continue;
         }
-        ++m_thread.report().retries;
+        const TimePoint now = RuntimeClock::now();
+        if (m_hedgeAt && now >= *m_hedgeAt) {
+            m_hedgeAt.reset();
+            co_return std::nullopt;
+        }
+        boost::system::error_code cancelled;
+        m_ticket.m_signal.expires_at(m_hedgeAt.value_or(m_deadline + config::LimitCheckInterval));
+        co_await m_ticket.m_signal.async_wait(errorInto(cancelled));
     }
 }
 
+// A target's own answer, though a failure, tells the caller more than one of ours.
 ForwardResult Forwarder::giveUpWithout(const NoTarget &none)
 {
+    if (none.overRate && m_attempts.outcome() == RunOutcome::NotRun) {
+        ++counts().overRate;
+        return refuse({429, "over-rate", "the team's rate is used up", RunOutcome::NotRun, none.retryAfter});
+    }
+    if (m_lastFailure) {
+        return passOn(std::move(*m_lastFailure));
+    }
     GiveUp answer = m_attempts.noTarget(RuntimeClock::now());
-    answer.retryAfter = std::max(answer.retryAfter, none.retryAfter);
+    answer.retryAfter = none.retryAfter > Duration::zero() && answer.retryAfter > Duration::zero() ? none.retryAfter : answer.retryAfter;
     return giveUp(answer);
 }
 
-std::optional<ForwardResult> Forwarder::conclude(ServiceDispatch &dispatch, AttemptResult &result)
+std::optional<ForwardResult> Forwarder::conclude(AttemptResult &result)
 {
     if (auto *held = std::get_if<HeldAnswer>(&result)) {
         return passOn(std::move(*held));
@@ -273,103 +366,73 @@
         ++counts().good;
         return *streamed;
     }
-    if (m_handle.isCallerGone()) {
-        return AbortCaller {};
-    }
     auto &failed = std::get<FailedAttempt>(result);
-    const bool others = dispatch.targetsLeft(m_tried, m_access.route.idempotent);
-    const NextStep step = m_attempts.failed(failed.failed, others, dispatch.retries(), RuntimeClock::now());
-    if (std::holds_alternative<TryAgain>(step)) {
-        return std::nullopt;
+    ServiceDispatch *dispatch = m_thread.dispatch(m_service);
+    RetryBudget &budget = dispatch == nullptr ? m_scheduledBudget : dispatch->retries();
+    if (failed.answer) {
+        m_lastFailure = std::move(failed.answer);
     }
+    const NextStep step = m_attempts.failed(failed.failed, targetsLeft(), budget, RuntimeClock::now());
     if (std::holds_alternative<AbortCaller>(step)) {
         ++counts().bad;
         return AbortCaller {};
     }
-    if (std::holds_alternative<PassOn>(step)) {
-        return passOn(std::move(*failed.answer));
-    }
-    return giveUp(std::get<GiveUp>(step));
-}
-
-boost::asio::awaitable<AttemptResult> Forwarder::attempt(ServiceDispatch &dispatch, TargetLease &lease)
-{
-    const TimePoint start = RuntimeClock::now();
-    AttemptOptions options;
-    options.idempotent = m_access.route.idempotent;
-    options.timeout = m_attempts.attemptTimeout(dispatch.targetsLeft(m_tried, m_access.route.idempotent), start);
-    options.sink = m_sink;
-    options.handle = &m_handle;
-    m_request.set(DeadlineField, std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(options.timeout).count()));
-    const bool limitReached = dispatch.limitReached();
-    const Duration slowAfter = dispatch.slowAfter();
-    const auto watch = std::make_shared<SlowWatch>();
-    RuntimeTimer slowTimer(co_await boost::asio::this_coro::executor);
-    if (slowAfter > Duration::zero()) {
-        slowTimer.expires_after(slowAfter);
-        slowTimer.async_wait([this, watch, slowAfter, &lease](const boost::system::error_code &error) {
-            if (!error && watch->running) {
-                countOverdue(evidence(lease.name()));
-                lease.runtime().latency.addWaiting(slowAfter, RuntimeClock::now());
-                watch->counted = true;
-            }
-        });
-    }
-    AttemptResult result = co_await lease.runtime().pool.attempt(m_request, options);
-    watch->running = false;
-    const TimePoint now = RuntimeClock::now();
-    const auto *failed = std::get_if<FailedAttempt>(&result);
-    if (failed != nullptr && failed->failed.failure == AttemptFailure::Shed) {
-        dispatch.concurrency().shed(now);
-    } else if (failed == nullptr) {
-        dispatch.concurrency().answered(limitReached);
+    if (std::holds_alternative<TryAgain>(step) || m_race->running() > 0) {
+        return std::nullopt;
     }
-    if (!m_handle.isCallerGone()) {
-        noteEvidence(lease, result, now - start, slowAfter, watch->counted);
+    if (std::holds_alternative<PassOn>(step) && m_lastFailure) {
+        return passOn(std::move(*m_lastFailure));
     }
-    co_return result;
-}
-
-TargetEvidence &Forwarder::evidence(const TargetName &target)
-{
-    auto &sum = m_thread.report().evidence[m_access.route.service][target];
-    sum.target = target;
-    return sum;
-}
-
-void Forwarder::noteEvidence(TargetLease &lease, const AttemptResult &result, Duration latency, Duration slowAfter, bool countedSlow)
-{
-    const auto *failed = std::get_if<FailedAttempt>(&result);
-    const AnswerKind kind = failed == nullptr ? AnswerKind::Good : answerKind(failed->failed.failure);
-    countAnswer(evidence(lease.name()), kind, latency, slowAfter, countedSlow);
-    const TimePoint now = RuntimeClock::now();
-    if (kind == AnswerKind::Good) {
-        lease.runtime().latency.add(latency, now);
-    } else if (kind != AnswerKind::Shed) {
-        lease.runtime().latency.addFailure(now);
-    }
-    if (targetLeaving(result)) {
-        m_thread.report().leavingTargets.push_back({lease.name(), lease.runtime().pool.endpoint()});
+    if (std::holds_alternative<PassOn>(step)) {
+        return giveUpWithout({true, config::RetryAfterFailure});
     }
+    return giveUp(std::get<GiveUp>(step));
 }
 
+// Statuses that promise that nothing has run are this daemon's to give, unless the target said so itself.
 ForwardResult Forwarder::passOn(HeldAnswer held)
 {
     TargetAnswer answer = std::move(held.answer);
     const unsigned status = answer.result_int();
+    const bool promises = status == 408 || status == 421 || status == 429 || status == 503;
+    if (promises && !m_thread.dialect().notExecuted.empty()) {
+        return giveUp({502, RunOutcome::Unknown, {}});
+    }
     removeHopByHopFields(answer);
     answer.version(11);
-    const bool bodyless = m_request.method() == http::verb::head || status == 204 || status == 304;
+    const bool bodyless = m_race->request().method() == http::verb::head || status == 204 || status == 304;
     if (!bodyless) {
         answer.content_length(answer.body().size());
     }
+    m_reason = "answered";
     if (status >= 500) {
         ++counts().bad;
         return answer;
     }
     ++counts().good;
-    const auto [histogram, added] = m_thread.report().latency.try_emplace(m_access.route.service, makeLatencyHistogram());
+    const auto [histogram, added] = m_thread.report().latency.try_emplace(m_service, makeLatencyHistogram());
     histogram->second(seconds(RuntimeClock::now() - m_start));
     return answer;
 }
+
+void Forwarder::logEnd(const ForwardResult &result) const
+{
+    if (!eventsOpen()) {
+        return;
+    }
+    const auto &request = m_race->request();
+    const auto id = request.find(m_thread.dialect().requestId);
+    const auto *answer = std::get_if<TargetAnswer>(&result);
+    const auto &snapshot = *m_thread.snapshot();
+    Event event("traffic", "request-ended");
+    event.add("id", id == request.end() ? std::string_view() : std::string_view(id->value().data(), id->value().size()));
+    event.add("route", m_access.route.name.value).add("service", m_service.value).add("team", m_access.team.value);
+    event.add("status", static_cast<std::int64_t>(answer == nullptr ? 0 : answer->result_int()));
+    event.add("reason", std::holds_alternative<AbortCaller>(result) ? std::string("caller-left-or-cut") : m_reason);
+    event.add("attempts", static_cast<std::int64_t>(m_tried.size()));
+    event.add("target", m_tried.empty() ? std::string() : m_tried.back().value);
+    event.add("took_ms", RuntimeClock::now() - m_start).add("deadline_ms", m_deadline - m_start);
+    event.add("document", static_cast<std::int64_t>(snapshot.compiled ? snapshot.compiled->stamp.version : 0));
+    event.add("keys_left_ms", std::min<Duration>(snapshot.trustedUntil - RuntimeClock::now(), std::chrono::hours(1)));
+}
 }
--- a/src/net_message.cpp
+++ b/src/net_message.cpp
@@ -32,9 +32,13 @@
     return outcome == RunOutcome::NotRun ? "not-run" : "unknown";
 }
 
-// Whole seconds, rounded up: a retry before the time is of no use.
-std::string retryAfterText(Duration duration)
+// Rounded up: a retry before the time is of no use.
+std::string retryAfterText(Duration duration, bool fractional)
 {
+    if (fractional) {
+        const auto tenths = std::max<std::int64_t>(std::chrono::ceil<std::chrono::duration<std::int64_t, std::deci>>(duration).count(), 1);
+        return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10);
+    }
     const auto whole = std::chrono::ceil<std::chrono::seconds>(duration).count();
     return std::to_string(std::max<std::int64_t>(whole, 1));
 }
@@ -53,6 +57,19 @@
     return text;
 }
 
+// What a caller says in one of these fields isn't passed on as ours.
+void setOrErase(http::fields &fields, const std::string &name, const std::string &value)
+{
+    if (name.empty()) {
+        return;
+    }
+    if (value.empty()) {
+        fields.erase(name);
+    } else {
+        fields.set(name, value);
+    }
+}
+
 Refusal badRequest(const std::string &message)
 {
     return {400, "bad-request", message, std::nullopt, {}};
@@ -76,15 +93,15 @@
     }
 }
 
-TargetAnswer refusalAnswer(const Refusal &refusal)
+TargetAnswer refusalAnswer(const Refusal &refusal, const Dialect &dialect)
 {
     TargetAnswer answer(http::int_to_status(refusal.status), 11);
     answer.set(http::field::content_type, "application/json");
-    if (refusal.outcome) {
-        answer.set("Plumsill-Outcome", outcomeText(*refusal.outcome));
+    if (refusal.outcome && !dialect.outcome.empty()) {
+        answer.set(dialect.outcome, outcomeText(*refusal.outcome));
     }
     if (refusal.retryAfter > Duration::zero()) {
-        answer.set(http::field::retry_after, retryAfterText(refusal.retryAfter));
+        answer.set(http::field::retry_after, retryAfterText(refusal.retryAfter, dialect.fractionalRetryAfter));
     }
     if (refusal.status == 401) {
         answer.set(http::field::www_authenticate, "Bearer");
@@ -121,6 +138,25 @@
     return std::nullopt;
 }
 
+// RFC 9112, 3.2.2: the target's own host replaces the Host field, and an origin server gets the path alone.
+bool reduceAbsoluteForm(CallerRequestHeader &header)
+{
+    static constexpr std::string_view Scheme = "http://";
+    const std::string target(header.target());
+    if (target.size() <= Scheme.size() || !boost::beast::iequals(target.substr(0, Scheme.size()), Scheme)) {
+        return false;
+    }
+    const auto end = std::min(target.find_first_of("/?", Scheme.size()), target.size());
+    const std::string host = target.substr(Scheme.size(), end - Scheme.size());
+    if (host.empty() || host.find('@') != std::string::npos) {
+        return false;
+    }
+    const std::string path = target.substr(end);
+    header.set(http::field::host, host);
+    header.target(path.starts_with('/') ? path : "/" + path);
+    return true;
+}
+
 // The library's own serializer walks a list of buffers a field; one flat text costs less, and one system call.
 std::string wireText(const TargetAnswer &answer)
 {
@@ -138,7 +174,7 @@
     return withFieldsAndBody(std::move(text), request, request.body());
 }
 
-TargetRequest requestForTarget(const CallerRequest &request, const std::string &requestId, const std::string &callerAddress)
+TargetRequest requestForTarget(const CallerRequest &request, const RequestMarks &marks, const Dialect &dialect)
 {
     TargetRequest forwarded = request;
     removeHopByHopFields(forwarded);
@@ -146,10 +182,12 @@
     forwarded.erase(http::field::authorization);
     forwarded.erase(http::field::expect);
     forwarded.version(11);
-    if (forwarded.find("X-Request-Id") == forwarded.end()) {
-        forwarded.set("X-Request-Id", requestId);
+    if (dialect.makesRequestIds && forwarded.find(dialect.requestId) == forwarded.end()) {
+        forwarded.set(dialect.requestId, marks.requestId);
     }
-    forwarded.set("X-Forwarded-For", callerAddress);
+    setOrErase(forwarded, dialect.callerAddress, marks.callerAddress);
+    setOrErase(forwarded, dialect.team, marks.team.value);
+    setOrErase(forwarded, dialect.targetName, {});
     if (!forwarded.body().empty() || request.find(http::field::content_length) != request.end() || request.chunked()) {
         forwarded.content_length(forwarded.body().size());
     }
--- a/src/net_peer.cpp
+++ b/src/net_peer.cpp
@@ -288,6 +288,11 @@
     : m_state(std::make_shared<State>(context, std::move(secret)))
 { }
 
+void PeerPort::setSecret(std::string secret)
+{
+    m_state->secret = std::move(secret);
+}
+
 PeerPort::~PeerPort()
 {
     close();
--- /dev/null
+++ b/src/net_race.cpp
@@ -0,0 +1,227 @@
+#include "race_p.h"
+
+#include <plumsill/detector.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace plumsill
+{
+namespace
+{
+/// Shared with a timer's handler, which may still run after the attempt has ended.
+struct SlowWatch {
+    bool running = true;
+    bool counted = false;
+};
+
+AnswerKind answerKind(AttemptFailure failure)
+{
+    switch (failure) {
+    case AttemptFailure::ConnectFailed:
+    case AttemptFailure::WrongTarget:
+        return AnswerKind::Unreachable;
+    case AttemptFailure::TimedOut:
+        return AnswerKind::Timeout;
+    case AttemptFailure::Truncated:
+    case AttemptFailure::Malformed:
+        return AnswerKind::Truncated;
+    case AttemptFailure::Shed:
+        return AnswerKind::Shed;
+    case AttemptFailure::ConnectionLost:
+    case AttemptFailure::ServerError:
+        return AnswerKind::Error;
+    }
+    return AnswerKind::Error;
+}
+
+AttemptEnd attemptEnd(const AttemptFailed &failed)
+{
+    switch (failed.failure) {
+    case AttemptFailure::ConnectFailed:
+        return AttemptEnd::Unreachable;
+    case AttemptFailure::WrongTarget:
+        return AttemptEnd::WrongTarget;
+    case AttemptFailure::TimedOut:
+        return AttemptEnd::TimedOut;
+    case AttemptFailure::Shed:
+        return AttemptEnd::NotExecuted;
+    case AttemptFailure::Truncated:
+    case AttemptFailure::Malformed:
+    case AttemptFailure::ConnectionLost:
+    case AttemptFailure::ServerError:
+        return AttemptEnd::Failed;
+    }
+    return AttemptEnd::Failed;
+}
+
+bool targetLeaving(const AttemptResult &result)
+{
+    if (const auto *held = std::get_if<HeldAnswer>(&result)) {
+        return held->targetLeaving;
+    }
+    if (const auto *streamed = std::get_if<StreamedAnswer>(&result)) {
+        return streamed->targetLeaving;
+    }
+    const auto &answer = std::get<FailedAttempt>(result).answer;
+    return answer && answer->targetLeaving;
+}
+}
+
+RequestRace::RequestRace(TrafficThread &thread, const Access &access, ServiceName service, TargetRequest request, const AnswerSink *sink)
+    : m_thread(thread)
+    , m_service(std::move(service))
+    , m_idempotent(access.route.idempotent)
+    , m_request(std::move(request))
+    , m_sink(sink)
+{ }
+
+void RequestRace::start(std::unique_ptr<TargetLease> lease, const RequestAttempts &attempts, bool targetsLeft, TimePoint deadline, RuntimeTimer &signal)
+{
+    m_signal = &signal;
+    const boost::intrusive_ptr<RaceEntry> entry(new RaceEntry);
+    entry->lease = std::move(lease);
+    entry->startedAt = RuntimeClock::now();
+    AttemptOptions options;
+    options.idempotent = m_idempotent;
+    const bool hedged = entry->lease->hedgeAfter().has_value();
+    const Duration left = std::max<Duration>(deadline - entry->startedAt, std::chrono::milliseconds(1));
+    options.timeout = hedged ? left : attempts.attemptTimeout(targetsLeft, entry->startedAt);
+    options.handle = &entry->handle;
+    options.dialect = &m_thread.dialect();
+    TargetRequest request = m_request;
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(options.timeout).count();
+    request.set(m_thread.dialect().deadline, std::to_string(std::max<std::int64_t>(milliseconds, 1)));
+    if (!m_thread.dialect().targetName.empty()) {
+        request.set(m_thread.dialect().targetName, entry->lease->name().value);
+    }
+    m_running.push_back(entry);
+    boost::asio::co_spawn(signal.get_executor(), attempt(entry, options, std::move(request)), boost::asio::detached);
+}
+
+boost::intrusive_ptr<RaceEntry> RequestRace::takeEnded()
+{
+    if (m_ended.empty()) {
+        return {};
+    }
+    auto entry = std::move(m_ended.front());
+    m_ended.pop_front();
+    return entry;
+}
+
+// What can't be cancelled runs on; its end is still told to whoever placed it.
+void RequestRace::close()
+{
+    m_sink = nullptr;
+    m_signal = nullptr;
+    const auto running = m_running;
+    for (const auto &entry : running) {
+        entry->handle.abandon();
+    }
+}
+
+// The first attempt whose answer reaches the caller wins; the others' answers have nowhere to go.
+AnswerSink RequestRace::sinkFor(const boost::intrusive_ptr<RaceEntry> &entry)
+{
+    AnswerSink sink;
+    const boost::intrusive_ptr<RequestRace> race(this);
+    sink.begin = [race, entry](const AnswerHeader &header, std::uint64_t length, bool chunked) -> boost::asio::awaitable<bool> {
+        if (race->m_sink == nullptr || race->m_streaming != nullptr) {
+            co_return false;
+        }
+        race->m_streaming = entry.get();
+        const auto others = race->m_running;
+        for (const auto &other : others) {
+            if (other != entry) {
+                other->handle.abandon();
+            }
+        }
+        const AnswerSink &caller = *race->m_sink;
+        co_return co_await caller.begin(header, length, chunked);
+    };
+    sink.write = [race, entry](std::string_view bytes) -> boost::asio::awaitable<bool> {
+        if (race->m_sink == nullptr || race->m_streaming != entry.get()) {
+            co_return false;
+        }
+        const AnswerSink &caller = *race->m_sink;
+        co_return co_await caller.write(bytes);
+    };
+    return sink;
+}
+
+boost::asio::awaitable<void> RequestRace::attempt(boost::intrusive_ptr<RaceEntry> entry, AttemptOptions options, TargetRequest request)
+{
+    const boost::intrusive_ptr<RequestRace> self(this);
+    ServiceDispatch *dispatch = m_thread.dispatch(m_service);
+    const bool limitReached = dispatch != nullptr && dispatch->limitReached();
+    const Duration slowAfter = dispatch == nullptr ? Duration::zero() : dispatch->slowAfter();
+    const AnswerSink sink = sinkFor(entry);
+    options.sink = m_sink == nullptr ? nullptr : &sink;
+    const auto watch = std::make_shared<SlowWatch>();
+    RuntimeTimer slowTimer(co_await boost::asio::this_coro::executor);
+    if (slowAfter > Duration::zero()) {
+        slowTimer.expires_after(slowAfter);
+        slowTimer.async_wait([self, entry, watch, slowAfter](const boost::system::error_code &error) {
+            if (!error && watch->running) {
+                countOverdue(self->evidence(entry->lease->name()));
+                entry->lease->runtime().latency.addWaiting(slowAfter, RuntimeClock::now());
+                watch->counted = true;
+            }
+        });
+    }
+    AttemptResult result = co_await entry->lease->runtime().pool.attempt(request, options);
+    watch->running = false;
+    const TimePoint now = RuntimeClock::now();
+    const auto *failed = std::get_if<FailedAttempt>(&result);
+    if (dispatch != nullptr && failed != nullptr && failed->failed.failure == AttemptFailure::Shed) {
+        dispatch->concurrency().shed(now);
+    } else if (dispatch != nullptr && failed == nullptr) {
+        dispatch->concurrency().answered(limitReached);
+    }
+    if (!entry->handle.abandoned()) {
+        noteEvidence(*entry, result, now - entry->startedAt, slowAfter, watch->counted);
+    }
+    ended(entry, result);
+    entry->result = std::move(result);
+}
+
+// The lease ends here, also where the request has been answered otherwise: its slot is free.
+void RequestRace::ended(const boost::intrusive_ptr<RaceEntry> &entry, const AttemptResult &result)
+{
+    const auto *failed = std::get_if<FailedAttempt>(&result);
+    const bool cancelled = entry->handle.abandoned() && failed != nullptr;
+    const AttemptEnd end = cancelled ? AttemptEnd::Abandoned : failed == nullptr ? AttemptEnd::Good : attemptEnd(failed->failed);
+    entry->lease->ended(end, RuntimeClock::now() - entry->startedAt);
+    std::erase(m_running, entry);
+    m_ended.push_back(entry);
+    if (m_signal != nullptr) {
+        m_signal->cancel();
+    }
+}
+
+TargetEvidence &RequestRace::evidence(const TargetName &target)
+{
+    auto &sum = m_thread.report().evidence[m_service][target];
+    sum.target = target;
+    return sum;
+}
+
+void RequestRace::noteEvidence(RaceEntry &entry, const AttemptResult &result, Duration latency, Duration slowAfter, bool countedSlow)
+{
+    const auto *failed = std::get_if<FailedAttempt>(&result);
+    const AnswerKind kind = failed == nullptr ? AnswerKind::Good : answerKind(failed->failed.failure);
+    countAnswer(evidence(entry.lease->name()), kind, latency, slowAfter, countedSlow);
+    const TimePoint now = RuntimeClock::now();
+    auto &runtime = entry.lease->runtime();
+    if (kind == AnswerKind::Good) {
+        runtime.latency.add(latency, now);
+    } else if (kind != AnswerKind::Shed) {
+        runtime.latency.addFailure(now);
+    }
+    if (targetLeaving(result)) {
+        m_thread.report().leavingTargets.push_back({entry.lease->name(), runtime.pool.endpoint()});
+    }
+}
+}
--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -4,11 +4,15 @@
 #include "traffic_p.h"
 
 #include <plumsill/config.h>
+#include <plumsill/event.h>
+#include <plumsill/log.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
-#include <sys/socket.h>
+#include <deque>
 
 namespace plumsill
 {
@@ -55,6 +59,9 @@
     return error ? std::string() : endpoint.address().to_string();
 }
 
+constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr std::string_view LastChunk = "0\r\n\r\n";
+
 /// How the reading of a request ended.
 enum class ReadEnd : std::uint8_t
 {
@@ -63,261 +70,475 @@
     Refused, ///< answered; the connection can't be used any more
 };
 
-class CallerSession
+/// One request of a caller's connection, from its header to its answer.
+struct Exchange : boost::intrusive_ref_counter<Exchange, boost::thread_unsafe_counter> {
+    explicit Exchange(const boost::asio::any_io_executor &executor)
+        : ticket(executor)
+        , turn(executor)
+    { }
+    std::optional<Access> access;
+    CallerRequest request;
+    RequestTicket ticket;
+    RuntimeTimer turn; ///< cancelled when the answers before it are written
+    bool keepAlive = false;
+};
+
+using ExchangePtr = boost::intrusive_ptr<Exchange>;
+
+/// Reads requests one after the other, works on them side by side, and answers in their order.
+class CallerSession : public boost::intrusive_ref_counter<CallerSession, boost::thread_unsafe_counter>, public SweptSession
 {
 public:
     CallerSession(TrafficThread &thread, tcp::socket socket)
         : m_thread(thread)
-        , m_stream(std::move(socket))
-        , m_callerAddress(addressOf(m_stream.socket()))
+        , m_socket(std::move(socket))
+        , m_changed(m_socket.get_executor())
+        , m_callerAddress(addressOf(m_socket))
     { }
 
     boost::asio::awaitable<void> run();
+    void sweep(TimePoint now, bool closeIdle) override;
 
 private:
     boost::asio::awaitable<bool> waitForRequest();
-    boost::asio::awaitable<bool> serveOne();
+    boost::asio::awaitable<bool> readOne();
     boost::asio::awaitable<ReadEnd> readHeader();
     boost::asio::awaitable<ReadEnd> readBody(std::size_t limit);
-    boost::asio::awaitable<ReadEnd> refuse(const Refusal &refusal);
+    boost::asio::awaitable<void> waitForExchanges(std::size_t most);
+    boost::asio::awaitable<void> serve(ExchangePtr exchange);
+    boost::asio::awaitable<bool> answer(const ExchangePtr &exchange);
+    boost::asio::awaitable<void> refuse(const Refusal &refusal);
+    boost::asio::awaitable<bool> waitForTurn(const ExchangePtr &exchange);
     boost::asio::awaitable<bool> sendAnswer(TargetAnswer &answer, bool keepAlive);
-    AnswerSink sink(bool keepAlive);
-    boost::asio::awaitable<bool> beginStream(const AnswerHeader &header, std::uint64_t length, bool chunked, bool keepAlive);
+    boost::asio::awaitable<bool> send(std::string_view bytes);
+    AnswerSink sink(const ExchangePtr &exchange);
+    boost::asio::awaitable<bool> beginStream(const ExchangePtr &exchange, const AnswerHeader &header, std::uint64_t length, bool chunked);
     boost::asio::awaitable<bool> writeStream(std::string_view bytes);
+    boost::asio::awaitable<void> watchForLeaving();
+    boost::asio::awaitable<void> closeGently();
+    void finish(const ExchangePtr &exchange);
+    void stopReading();
+    void callerLeft();
     void abortConnection();
     bool leaving() const { return m_thread.snapshot()->leaving; }
+    CallerLimits limits() const;
 
     TrafficThread &m_thread;
-    TimedSocket m_stream;
+    tcp::socket m_socket;
+    RuntimeTimer m_changed; ///< cancelled when an exchange has ended
     const std::string m_callerAddress;
     boost::beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
+    std::deque<ExchangePtr> m_exchanges; ///< in the order in which they came
+    TimePoint m_readLimit = TimePoint::max();
+    TimePoint m_writeLimit = TimePoint::max();
+    bool m_idle = false; ///< waits for the first byte of a request
+    bool m_readExpired = false;
+    bool m_closing = false; ///< no further request is read
     bool m_streamChunked = false;
 };
 
-// Between requests the connection may rest; the first byte of a request starts its own time limit.
+CallerLimits CallerSession::limits() const
+{
+    const auto &compiled = m_thread.snapshot()->compiled;
+    return compiled ? compiled->document->limits : CallerLimits {};
+}
+
+// A cancel ends a write too; a caller that is too slow in one direction is not waited for in the other.
+void CallerSession::sweep(TimePoint now, bool closeIdle)
+{
+    error_code ignored;
+    const bool unused = m_idle && m_exchanges.empty();
+    if (now >= m_writeLimit) {
+        abortConnection();
+    } else if (now >= m_readLimit || (closeIdle && unused)) {
+        m_readExpired = true;
+        m_readLimit = TimePoint::max();
+        m_socket.cancel(ignored);
+    }
+}
+
+// The time for which a connection may rest counts from the last answer.
 boost::asio::awaitable<bool> CallerSession::waitForRequest()
 {
+    if (m_closing) {
+        co_return false;
+    }
     if (m_buffer.size() > 0) {
         co_return true;
     }
-    TimePoint quietSince = RuntimeClock::now();
-    while (true) {
-        const bool closing = leaving();
-        const Duration allowed = closing ? Duration(config::LingerTime) : Duration(config::IdleTimeout);
-        if (RuntimeClock::now() - quietSince >= allowed) {
-            co_return false;
-        }
-        m_stream.expiresAfter(config::IdleCheckInterval);
-        error_code error;
-        const auto count = co_await m_stream.async_read_some(m_buffer.prepare(config::ReadBytes), errorInto(error));
-        m_buffer.commit(count);
-        if (count > 0) {
-            co_return true;
-        }
-        if (m_stream.cause(error) != boost::beast::error::timeout) {
-            co_return false;
-        }
-        if (!closing && leaving()) {
-            quietSince = RuntimeClock::now();
-        }
+    m_idle = true;
+    m_readExpired = false;
+    m_readLimit = m_exchanges.empty() ? RuntimeClock::now() + limits().idleTimeout : TimePoint::max();
+    error_code error;
+    const auto count = co_await m_socket.async_read_some(m_buffer.prepare(config::ReadBytes), errorInto(error));
+    m_buffer.commit(count);
+    m_idle = false;
+    m_readLimit = TimePoint::max();
+    if (count == 0 && !m_closing && !m_readExpired) {
+        callerLeft();
     }
+    co_return count > 0 && !m_closing;
 }
 
-boost::asio::awaitable<ReadEnd> CallerSession::refuse(const Refusal &refusal)
+boost::asio::awaitable<void> CallerSession::refuse(const Refusal &refusal)
 {
     ++m_thread.report().rejected[refusal.status];
-    TargetAnswer answer = refusalAnswer(refusal);
-    co_await sendAnswer(answer, false);
-    co_return ReadEnd::Refused;
+    if (eventsOpen()) {
+        const auto id = m_parser->get().find(m_thread.dialect().requestId);
+        Event event("traffic", "request-refused");
+        event.add("id", id == m_parser->get().end() ? std::string_view() : std::string_view(id->value().data(), id->value().size()));
+        event.add("status", static_cast<std::int64_t>(refusal.status)).add("reason", refusal.code);
+        const auto &snapshot = *m_thread.snapshot();
+        event.add("document", static_cast<std::int64_t>(snapshot.compiled ? snapshot.compiled->stamp.version : 0));
+        event.add("keys_left_ms", std::min<Duration>(snapshot.trustedUntil - RuntimeClock::now(), std::chrono::hours(1)));
+    }
+    const ExchangePtr exchange(new Exchange(m_socket.get_executor()));
+    m_exchanges.push_back(exchange);
+    m_closing = true;
+    if (co_await waitForTurn(exchange)) {
+        TargetAnswer answer = refusalAnswer(refusal, m_thread.dialect());
+        co_await sendAnswer(answer, false);
+    }
+    finish(exchange);
 }
 
 boost::asio::awaitable<ReadEnd> CallerSession::readHeader()
 {
+    const CallerLimits allowed = limits();
     m_parser.emplace();
-    m_parser->header_limit(config::MaxHeaderBytes);
+    m_parser->header_limit(static_cast<std::uint32_t>(allowed.headerBytes));
     m_parser->body_limit(boost::none);
-    m_stream.expiresAfter(config::HeaderTimeout);
+    m_readExpired = false;
+    m_readLimit = RuntimeClock::now() + allowed.headerTimeout;
     error_code error;
-    co_await http::async_read_header(m_stream, m_buffer, *m_parser, errorInto(error));
-    error = m_stream.cause(error);
+    co_await http::async_read_header(m_socket, m_buffer, *m_parser, errorInto(error));
+    m_readLimit = TimePoint::max();
     if (!error) {
-        const auto refusal = checkFraming(m_parser->get().base());
+        auto &header = m_parser->get().base();
+        if (!header.target().starts_with('/')) {
+            reduceAbsoluteForm(header);
+        }
+        const auto refusal = checkFraming(header);
         if (refusal) {
-            co_return co_await refuse(*refusal);
+            co_await refuse(*refusal);
+            co_return ReadEnd::Refused;
         }
         co_return ReadEnd::Whole;
     }
-    if (error == boost::beast::error::timeout) {
-        co_return co_await refuse(tooSlow());
+    if (m_readExpired) {
+        co_await refuse(tooSlow());
+        co_return ReadEnd::Refused;
     }
     if (error == http::error::header_limit) {
-        co_return co_await refuse(headerTooLarge());
+        co_await refuse(headerTooLarge());
+        co_return ReadEnd::Refused;
     }
     if (error == http::error::end_of_stream || error.category() == boost::asio::error::get_system_category()) {
+        callerLeft();
         co_return ReadEnd::Closed;
     }
-    co_return co_await refuse(malformedRequest());
+    co_await refuse(malformedRequest());
+    co_return ReadEnd::Refused;
 }
 
 boost::asio::awaitable<ReadEnd> CallerSession::readBody(std::size_t limit)
 {
     const auto length = m_parser->content_length();
     if (length && *length > limit) {
-        co_return co_await refuse(bodyTooLarge());
+        co_await refuse(bodyTooLarge());
+        co_return ReadEnd::Refused;
     }
     m_parser->body_limit(limit);
+    if (!m_parser->is_done() && boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue") && m_exchanges.empty()) {
+        co_await send(Continue);
+    }
+    if (m_parser->is_done()) {
+        co_return ReadEnd::Whole;
+    }
+    m_readExpired = false;
+    m_readLimit = RuntimeClock::now() + config::BodyTimeout;
     error_code error;
-    if (!m_parser->is_done() && boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
-        static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
-        const auto buffer = boost::asio::buffer(Continue);
-        co_await boost::asio::async_write(m_stream, buffer, errorInto(error));
-    }
-    m_stream.expiresAfter(config::BodyTimeout);
-    co_await http::async_read(m_stream, m_buffer, *m_parser, errorInto(error));
-    error = m_stream.cause(error);
+    co_await http::async_read(m_socket, m_buffer, *m_parser, errorInto(error));
+    m_readLimit = TimePoint::max();
     if (!error) {
         co_return ReadEnd::Whole;
     }
-    if (error == boost::beast::error::timeout) {
-        co_return co_await refuse(tooSlow());
+    if (m_readExpired) {
+        co_await refuse(tooSlow());
+        co_return ReadEnd::Refused;
     }
     if (error == http::error::body_limit) {
-        co_return co_await refuse(bodyTooLarge());
+        co_await refuse(bodyTooLarge());
+        co_return ReadEnd::Refused;
     }
     if (error == http::error::partial_message || error.category() == boost::asio::error::get_system_category()) {
+        callerLeft();
         co_return ReadEnd::Closed;
     }
-    co_return co_await refuse(malformedBody());
+    co_await refuse(malformedBody());
+    co_return ReadEnd::Refused;
+}
+
+// One request; false when no further one may follow on this connection.
+boost::asio::awaitable<bool> CallerSession::readOne()
+{
+    if (co_await readHeader() != ReadEnd::Whole) {
+        co_return false;
+    }
+    const AccessResult access = checkAccess(*m_thread.snapshot(), m_parser->get().base(), RuntimeClock::now());
+    if (const auto *refusal = std::get_if<Refusal>(&access)) {
+        // The body was not read, so the next request can't be found.
+        co_await refuse(*refusal);
+        co_return false;
+    }
+    if (co_await readBody(std::get<Access>(access).route.bodyLimit) != ReadEnd::Whole) {
+        co_return false;
+    }
+    const ExchangePtr exchange(new Exchange(m_socket.get_executor()));
+    exchange->access = std::get<Access>(access);
+    exchange->request = m_parser->release();
+    exchange->keepAlive = exchange->request.keep_alive();
+    m_closing = m_closing || !exchange->keepAlive;
+    m_exchanges.push_back(exchange);
+    boost::asio::co_spawn(m_socket.get_executor(), serve(exchange), boost::asio::detached);
+    co_return exchange->keepAlive;
+}
+
+boost::asio::awaitable<void> CallerSession::serve(ExchangePtr exchange)
+{
+    const boost::intrusive_ptr<CallerSession> self(this);
+    bool whole = false;
+    try {
+        whole = co_await answer(exchange);
+    } catch (const std::exception &error) {
+        logWarning(LogPart::Traffic, std::string("a request failed: ") + error.what());
+    }
+    if (!whole) {
+        abortConnection();
+    }
+    finish(exchange);
+}
+
+// False: the connection has to be reset, so that what was written can't pass for a whole answer.
+boost::asio::awaitable<bool> CallerSession::answer(const ExchangePtr &exchange)
+{
+    const AnswerSink answerSink = sink(exchange);
+    const bool mayStream = exchange->request.version() == 11;
+    Forwarder forwarder(m_thread, *exchange->access, exchange->request, m_callerAddress, mayStream ? &answerSink : nullptr, exchange->ticket);
+    ForwardResult result = co_await forwarder.run();
+    if (exchange->ticket.isCallerGone() || std::holds_alternative<AbortCaller>(result)) {
+        co_return false;
+    }
+    if (std::holds_alternative<StreamedAnswer>(result)) {
+        if (!m_streamChunked) {
+            co_return true;
+        }
+        const bool ended = co_await send(LastChunk);
+        co_return ended;
+    }
+    if (!co_await waitForTurn(exchange)) {
+        co_return false;
+    }
+    // Requests that stand behind this one are answered first, then the connection ends.
+    const bool last = m_exchanges.size() == 1;
+    const bool keepAlive = exchange->keepAlive && !(leaving() && last);
+    m_closing = m_closing || !keepAlive;
+    const bool sent = co_await sendAnswer(std::get<TargetAnswer>(result), keepAlive);
+    co_return sent;
+}
+
+boost::asio::awaitable<bool> CallerSession::waitForTurn(const ExchangePtr &exchange)
+{
+    while (!m_exchanges.empty() && m_exchanges.front() != exchange) {
+        error_code cancelled;
+        exchange->turn.expires_at(TimePoint::max());
+        co_await exchange->turn.async_wait(errorInto(cancelled));
+    }
+    co_return m_socket.is_open() && !exchange->ticket.isCallerGone();
+}
+
+void CallerSession::finish(const ExchangePtr &exchange)
+{
+    std::erase(m_exchanges, exchange);
+    if (!m_exchanges.empty()) {
+        m_exchanges.front()->turn.cancel();
+    }
+    if (m_idle && m_exchanges.empty()) {
+        m_readLimit = RuntimeClock::now() + limits().idleTimeout;
+    }
+    if (m_closing && m_exchanges.empty()) {
+        stopReading();
+    }
+    m_changed.cancel();
+}
+
+void CallerSession::stopReading()
+{
+    error_code ignored;
+    if (m_idle && m_socket.is_open()) {
+        m_socket.cancel(ignored);
+    }
+}
+
+// There is no one to answer any more.
+void CallerSession::callerLeft()
+{
+    m_closing = true;
+    const auto exchanges = m_exchanges;
+    for (const auto &exchange : exchanges) {
+        exchange->ticket.callerGone();
+        exchange->turn.cancel();
+    }
+}
+
+// A reset, so that the caller can't take the part of the answer for the whole.
+void CallerSession::abortConnection()
+{
+    error_code ignored;
+    if (m_socket.is_open()) {
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        m_socket.close(ignored);
+    }
+    callerLeft();
+}
+
+// Most answers fit the socket's buffer, so no wait and no timer is needed for them.
+boost::asio::awaitable<bool> CallerSession::send(std::string_view bytes)
+{
+    error_code error;
+    m_socket.non_blocking(true, error);
+    const auto sent = m_socket.write_some(boost::asio::buffer(bytes.data(), bytes.size()), error);
+    if (error && error != boost::asio::error::would_block) {
+        co_return false;
+    }
+    if (sent == bytes.size()) {
+        co_return true;
+    }
+    m_writeLimit = RuntimeClock::now() + config::BodyTimeout;
+    const auto rest = boost::asio::buffer(bytes.data() + sent, bytes.size() - sent);
+    co_await boost::asio::async_write(m_socket, rest, errorInto(error));
+    m_writeLimit = TimePoint::max();
+    co_return !error;
 }
 
 boost::asio::awaitable<bool> CallerSession::sendAnswer(TargetAnswer &answer, bool keepAlive)
 {
     answer.keep_alive(keepAlive);
-    m_stream.expiresAfter(config::BodyTimeout);
     const std::string text = wireText(answer);
-    error_code error;
-    co_await boost::asio::async_write(m_stream, boost::asio::buffer(text), errorInto(error));
-    co_return !error && keepAlive;
+    co_return co_await send(text);
 }
 
-boost::asio::awaitable<bool> CallerSession::beginStream(const AnswerHeader &header, std::uint64_t length, bool chunked, bool keepAlive)
+boost::asio::awaitable<bool> CallerSession::beginStream(const ExchangePtr &exchange, const AnswerHeader &header, std::uint64_t length, bool chunked)
 {
+    if (!co_await waitForTurn(exchange)) {
+        co_return false;
+    }
     http::response<http::empty_body> answer(header);
     removeHopByHopFields(answer);
     answer.version(11);
-    answer.keep_alive(keepAlive);
+    answer.keep_alive(exchange->keepAlive);
     if (chunked) {
         answer.chunked(true);
     } else {
         answer.content_length(length);
     }
     m_streamChunked = chunked;
-    m_stream.expiresAfter(config::BodyTimeout);
-    http::response_serializer<http::empty_body> serializer(answer);
-    error_code error;
-    co_await http::async_write_header(m_stream, serializer, errorInto(error));
-    co_return !error;
+    const std::string text = wireText(TargetAnswer(std::move(answer.base())));
+    co_return co_await send(text);
 }
 
 boost::asio::awaitable<bool> CallerSession::writeStream(std::string_view bytes)
 {
-    m_stream.expiresAfter(config::BodyTimeout);
-    error_code error;
-    const boost::asio::const_buffer buffer(bytes.data(), bytes.size());
-    if (m_streamChunked) {
-        const auto chunk = http::make_chunk(buffer);
-        co_await boost::asio::async_write(m_stream, chunk, errorInto(error));
-    } else {
-        co_await boost::asio::async_write(m_stream, buffer, errorInto(error));
+    if (!m_streamChunked) {
+        co_return co_await send(bytes);
     }
-    co_return !error;
+    static constexpr char Digits[] = "0123456789abcdef";
+    std::string chunk;
+    for (std::size_t size = bytes.size(); size > 0; size >>= 4) {
+        chunk.insert(chunk.begin(), Digits[size & 15]);
+    }
+    chunk += "\r\n";
+    chunk += bytes;
+    chunk += "\r\n";
+    co_return co_await send(chunk);
 }
 
-AnswerSink CallerSession::sink(bool keepAlive)
+AnswerSink CallerSession::sink(const ExchangePtr &exchange)
 {
     AnswerSink sink;
-    sink.begin = [this, keepAlive](const AnswerHeader &header, std::uint64_t length, bool chunked) { return beginStream(header, length, chunked, keepAlive); };
+    sink.begin = [this, exchange](const AnswerHeader &header, std::uint64_t length, bool chunked) { return beginStream(exchange, header, length, chunked); };
     sink.write = [this](std::string_view bytes) { return writeStream(bytes); };
     return sink;
 }
 
-// A reset, so that the caller can't take the part of the answer for the whole.
-void CallerSession::abortConnection()
+boost::asio::awaitable<void> CallerSession::waitForExchanges(std::size_t most)
 {
-    error_code ignored;
-    m_stream.socket().set_option(boost::asio::socket_base::linger(true, 0), ignored);
-    m_stream.socket().close(ignored);
+    while (m_exchanges.size() > most) {
+        error_code cancelled;
+        m_changed.expires_at(TimePoint::max());
+        co_await m_changed.async_wait(errorInto(cancelled));
+    }
 }
 
-boost::asio::awaitable<bool> CallerSession::serveOne()
+// No further request is read, but a caller that closes its connection still ends what runs for it. What it sends
+// meanwhile belongs to requests that count as unread.
+boost::asio::awaitable<void> CallerSession::watchForLeaving()
 {
-    if (co_await readHeader() != ReadEnd::Whole) {
-        co_return false;
-    }
-    const AccessResult access = checkAccess(*m_thread.snapshot(), m_parser->get().base(), RuntimeClock::now());
-    if (const auto *refusal = std::get_if<Refusal>(&access)) {
-        // The body was not read, so the next request can't be found.
-        co_await refuse(*refusal);
-        co_return false;
-    }
-    if (co_await readBody(std::get<Access>(access).route.bodyLimit) != ReadEnd::Whole) {
-        co_return false;
-    }
-    const CallerRequest request = m_parser->release();
-    const bool mayStream = request.version() == 11;
-    const bool keepAlive = request.keep_alive() && !leaving();
-    const AnswerSink answerSink = sink(keepAlive);
-    error_code ignored;
-    ActiveRequest active;
-    active.socket = m_stream.socket().native_handle();
-    active.startedAt = RuntimeClock::now();
-    m_stream.expiresNever();
-    m_thread.watch(active);
-    Forwarder forwarder(m_thread, std::get<Access>(access), request, m_callerAddress, mayStream ? &answerSink : nullptr, active.handle);
-    ForwardResult result = co_await forwarder.run();
-    active.unlink();
-    if (active.handle.isCallerGone() || std::holds_alternative<AbortCaller>(result)) {
-        abortConnection();
-        co_return false;
-    }
-    if (std::holds_alternative<StreamedAnswer>(result)) {
-        if (m_streamChunked) {
-            const auto last = http::make_chunk_last();
-            co_await boost::asio::async_write(m_stream, last, errorInto(ignored));
+    std::size_t ignored = 0;
+    while (!m_exchanges.empty() && m_socket.is_open() && ignored < config::MaxIgnoredBytes) {
+        m_buffer.clear();
+        m_idle = true;
+        error_code error;
+        const auto count = co_await m_socket.async_read_some(m_buffer.prepare(config::ReadBytes), errorInto(error));
+        m_idle = false;
+        ignored += count;
+        if (error && !m_exchanges.empty() && error != boost::asio::error::operation_aborted) {
+            callerLeft();
+            break;
         }
-        co_return keepAlive && !ignored;
     }
-    co_return co_await sendAnswer(std::get<TargetAnswer>(result), keepAlive && !leaving());
 }
 
-boost::asio::awaitable<void> CallerSession::run()
+// Closing with unread bytes would reset the connection and could take the answer with it.
+boost::asio::awaitable<void> CallerSession::closeGently()
 {
-    while (co_await waitForRequest()) {
-        if (!co_await serveOne()) {
-            break;
-        }
-    }
-    if (!m_stream.socket().is_open()) {
+    if (!m_socket.is_open()) {
         co_return;
     }
-    // Closing with unread bytes would reset the connection and could take the answer with it.
     error_code error;
-    m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
-    m_stream.expiresAfter(config::CloseDrainTime);
+    m_socket.shutdown(tcp::socket::shutdown_send, error);
+    m_readLimit = RuntimeClock::now() + config::CloseDrainTime;
     while (!error) {
         m_buffer.clear();
-        co_await m_stream.async_read_some(m_buffer.prepare(config::ReadBytes), errorInto(error));
+        co_await m_socket.async_read_some(m_buffer.prepare(config::ReadBytes), errorInto(error));
+    }
+}
+
+boost::asio::awaitable<void> CallerSession::run()
+{
+    bool more = true;
+    while (more) {
+        more = co_await waitForRequest();
+        if (more) {
+            more = co_await readOne();
+        }
+        if (more) {
+            co_await waitForExchanges(config::MaxPipelined);
+        }
     }
+    co_await watchForLeaving();
+    co_await waitForExchanges(0);
+    co_await closeGently();
 }
 }
 
 boost::asio::awaitable<void> runSession(TrafficThread &thread, tcp::socket socket)
 {
-    thread.sessionStarted();
+    const boost::intrusive_ptr<CallerSession> session(new CallerSession(thread, std::move(socket)));
+    thread.sessionStarted(*session);
     try {
-        CallerSession session(thread, std::move(socket));
-        co_await session.run();
+        co_await session->run();
     } catch (const std::exception &error) {
         logWarning(LogPart::Traffic, std::string("a caller's connection failed: ") + error.what());
     }
--- a/src/net_traffic.cpp
+++ b/src/net_traffic.cpp
@@ -23,15 +23,13 @@
 // Waiters of all threads share one space of numbers: the thread stands in the upper bits.
 constexpr unsigned WaiterThreadShift = 48;
 
-bool closedByPeer(int socket)
+PlacementPort placementOf(const ControlPort &control)
 {
-    char byte = 0;
-    const auto count = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    return control.wantPlacement ? PlacementPort(ScheduledPlacement {}) : PlacementPort(OwnPlacement {});
 }
 }
 
-TrafficThread::TrafficThread(unsigned index, unsigned threads, ControlPort control)
+TrafficThread::TrafficThread(unsigned index, unsigned threads, ControlPort control, Dialect dialect)
     : m_index(index)
     , m_connections(std::max(config::MaxConnectionsPerTarget / threads, 1U))
     , m_context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE_IO)
@@ -40,6 +38,9 @@
     , m_snapshot(new Snapshot)
     , m_nextWaiter(WaiterId(index) << WaiterThreadShift)
     , m_random(std::random_device()() + index)
+    , m_dialect(std::move(dialect))
+    , m_placement(placementOf(m_control))
+    , m_nextWish(std::uint64_t(index) << WaiterThreadShift)
 { }
 
 TrafficThread::~TrafficThread() = default;
@@ -60,7 +61,6 @@
 {
     boost::asio::co_spawn(m_context, acceptCallers(), boost::asio::detached);
     boost::asio::co_spawn(m_context, reportRegularly(), boost::asio::detached);
-    boost::asio::co_spawn(m_context, checkCallers(), boost::asio::detached);
     m_context.run();
 }
 
@@ -98,6 +98,12 @@
     m_context.stop();
 }
 
+void TrafficThread::sessionStarted(SweptSession &session)
+{
+    ++m_sessions;
+    m_swept.push_back(session);
+}
+
 void TrafficThread::sessionEnded()
 {
     --m_sessions;
@@ -107,7 +113,7 @@
     }
 }
 
-ServiceDispatch *TrafficThread::dispatch(const ServiceName &service)
+ServiceDispatch *TrafficThread::dispatch(const ServiceName &service) const
 {
     const auto found = m_services.find(service);
     return found == m_services.end() ? nullptr : found->second.get();
@@ -168,6 +174,77 @@
     });
 }
 
+TargetRuntimePtr TrafficThread::runtimeOf(const TargetName &name, const Endpoint &endpoint)
+{
+    auto &runtime = m_runtimes[name];
+    if (!runtime || runtime->pool.endpoint() != endpoint) {
+        runtime = std::make_shared<TargetRuntime>(endpoint, config::ScheduledConnections, config::ScheduledConnectTimeout);
+    }
+    return runtime;
+}
+
+boost::asio::awaitable<DispatchResult> TrafficThread::place(const DispatchRequest &request)
+{
+    const TimePoint now = RuntimeClock::now();
+    const std::uint64_t id = ++m_nextWish;
+    PlacementWish wish;
+    wish.thread = m_index;
+    wish.ask.key.id = id;
+    wish.ask.service = request.service;
+    wish.ask.team = request.team;
+    wish.ask.route = shortHash(request.route.value);
+    wish.ask.priority = request.priority;
+    wish.ask.idempotent = request.idempotent;
+    wish.ask.repeat = request.repeat;
+    wish.ask.objective = request.objective;
+    wish.ask.deadline = request.deadline;
+    wish.ask.tried = request.tried;
+    WishWaiter waiter {RuntimeTimer(m_context), std::nullopt};
+    m_wishes.emplace(id, &waiter);
+    waiter.timer.expires_at(std::max(request.deadline, now));
+    if (request.handle != nullptr) {
+        request.handle->setWaiting(&waiter.timer);
+    }
+    m_control.wantPlacement(std::move(wish));
+    error_code cancelled;
+    co_await waiter.timer.async_wait(errorInto(cancelled));
+    m_wishes.erase(id);
+    if (request.handle != nullptr) {
+        request.handle->setWaiting(nullptr);
+    }
+    if (!waiter.placement) {
+        m_control.withdrawWish(id);
+        co_return NoTarget {true, config::RetryAfterFailure};
+    }
+    if (const auto *over = std::get_if<OverQuota>(&*waiter.placement)) {
+        co_return NoTarget {true, over->retryAfter, true};
+    }
+    const auto *placed = std::get_if<Placed>(&*waiter.placement);
+    if (placed == nullptr) {
+        const auto *none = std::get_if<NoRoom>(&*waiter.placement);
+        co_return NoTarget {true, none == nullptr ? Duration(config::RetryAfterFailure) : none->retryAfter};
+    }
+    auto lease = std::make_unique<TargetLease>(placed->target, runtimeOf(placed->target, placed->endpoint), [this, id](AttemptEnd end, Duration taken) {
+        m_control.attemptEnded({id, end, wholeMilliseconds(taken)});
+    });
+    lease->setHedgeAfter(placed->hedgeAfter);
+    co_return lease;
+}
+
+// A decision that comes after its caller has left is handed back at once.
+void TrafficThread::resolvePlacement(std::uint64_t wish, Placement placement)
+{
+    boost::asio::post(m_context, [this, wish, placement = std::move(placement)]() mutable {
+        const auto found = m_wishes.find(wish);
+        if (found != m_wishes.end() && !found->second->placement) {
+            found->second->placement = std::move(placement);
+            found->second->timer.cancel();
+        } else if (found == m_wishes.end() && std::holds_alternative<Placed>(placement)) {
+            m_control.attemptEnded({wish, AttemptEnd::Abandoned, 0});
+        }
+    });
+}
+
 boost::asio::awaitable<void> TrafficThread::acceptCallers()
 {
     while (m_acceptor.is_open()) {
@@ -186,17 +263,14 @@
     }
 }
 
-// A wait for the end of each connection would cost every request; only those that take a while are looked at.
-boost::asio::awaitable<void> TrafficThread::checkCallers()
+// One timer for all connections: limits on callers are seconds, so a quarter of one is exact enough.
+void TrafficThread::sweepSessions(TimePoint now)
 {
-    while (true) {
-        co_await sleepFor(config::CallerCheckInterval);
-        const TimePoint before = RuntimeClock::now() - config::CallerCheckInterval;
-        for (auto &request : m_active) {
-            if (request.startedAt <= before && closedByPeer(request.socket)) {
-                request.handle.callerGone();
-            }
-        }
+    const bool leaving = m_snapshot->leaving;
+    m_leavingSince = leaving ? std::min(m_leavingSince, now) : TimePoint::max();
+    const bool closeIdle = leaving && now - m_leavingSince >= config::LingerTime;
+    for (auto &session : m_swept) {
+        session.sweep(now, closeIdle || m_draining);
     }
 }
 
@@ -208,6 +282,10 @@
         for (const auto &[name, dispatch] : m_services) {
             dispatch->closeStale(now);
         }
+        for (const auto &[name, runtime] : m_runtimes) {
+            runtime->pool.closeStale(now);
+        }
+        sweepSessions(now);
         forgetIdleTeams(now);
         if (!m_report.empty()) {
             m_control.report(std::exchange(m_report, {}));
@@ -222,6 +300,7 @@
         return;
     }
     m_nextSweep = now + config::LimitsIdleTime;
+    std::erase_if(m_runtimes, [](const auto &entry) { return entry.second.use_count() == 1 && entry.second->pool.unused(); });
     std::erase_if(m_allowances, [now](const auto &entry) { return now - entry.second.usedAt >= config::LimitsIdleTime; });
 }
 }
--- a/src/net_upstream.cpp
+++ b/src/net_upstream.cpp
@@ -10,6 +10,7 @@
 
 #include <charconv>
 #include <sys/socket.h>
+#include <utility>
 
 namespace plumsill
 {
@@ -20,6 +21,7 @@
 {
 constexpr std::size_t ReadChunkBytes = 16 * 1024;
 constexpr unsigned MaxInterimAnswers = 8;
+constexpr unsigned MaxStrayAnswers = 4;
 
 // An idle connection must be silent: bytes before a request belong to no request of ours.
 bool isQuiet(TargetConnection &connection)
@@ -53,9 +55,9 @@
     return failure == AttemptFailure::ConnectionLost ? AttemptFailure::Truncated : failure;
 }
 
-bool announcesDrain(const AnswerHeader &header)
+bool hasField(const AnswerHeader &header, const std::string &name)
 {
-    return header.find("Plumsill-Drain") != header.end();
+    return !name.empty() && header.find(name) != header.end();
 }
 
 Duration retryAfterOf(const AnswerHeader &header)
@@ -66,9 +68,18 @@
     return std::chrono::seconds(std::min(count, 3600U));
 }
 
-std::optional<AttemptFailure> unhappyStatus(const AnswerHeader &header)
+std::optional<AttemptFailure> unhappyStatus(const AnswerHeader &header, const Dialect &dialect)
 {
     const unsigned status = header.result_int();
+    if (status == 421 && !dialect.targetName.empty()) {
+        return AttemptFailure::WrongTarget;
+    }
+    if (hasField(header, dialect.notExecuted)) {
+        return AttemptFailure::Shed;
+    }
+    if (!dialect.notExecuted.empty()) {
+        return status >= 500 ? std::optional(AttemptFailure::ServerError) : std::nullopt;
+    }
     if (status == 503 && header.find(http::field::retry_after) != header.end()) {
         return AttemptFailure::Shed;
     }
@@ -84,26 +95,50 @@
     return noBody || chunked || hasLength || header.result() == http::status::no_content || header.result() == http::status::not_modified;
 }
 
-bool answersOther(const TargetRequest &request, const AnswerHeader &header)
+bool answersOther(const TargetRequest &request, const AnswerHeader &header, const Dialect &dialect)
 {
-    const auto sent = request.find("X-Request-Id");
-    const auto echoed = header.find("X-Request-Id");
+    const auto sent = request.find(dialect.requestId);
+    const auto echoed = header.find(dialect.requestId);
     return sent != request.end() && echoed != header.end() && sent->value() != echoed->value();
 }
 
+// A success that the target did not sign, or that something on the way has encoded, isn't the target's own.
+bool isForged(const AnswerHeader &header, const Dialect &dialect)
+{
+    if (dialect.signature.empty() || header.result_int() < 200 || header.result_int() > 299) {
+        return false;
+    }
+    return header.find(dialect.signature) == header.end() || header.find(http::field::content_encoding) != header.end();
+}
+
+// Seconds for which the target keeps an idle connection open; none where it doesn't tell.
+std::optional<Duration> keepAliveOf(const AnswerHeader &header)
+{
+    const auto field = header[http::field::keep_alive];
+    const auto place = field.find("timeout=");
+    if (place == boost::beast::string_view::npos) {
+        return std::nullopt;
+    }
+    unsigned count = 0;
+    std::from_chars(field.data() + place + 8, field.data() + field.size(), count);
+    return std::chrono::seconds(count);
+}
+
 class AnswerReader
 {
 public:
-    AnswerReader(TargetConnection &connection, const TargetRequest &request, const AnswerSink *sink)
+    AnswerReader(TargetConnection &connection, const TargetRequest &request, const AttemptOptions &options)
         : m_connection(connection)
         , m_request(request)
-        , m_sink(sink)
+        , m_sink(options.sink)
+        , m_dialect(*options.dialect)
     { }
 
     boost::asio::awaitable<AttemptResult> read();
     bool keepAlive() const { return m_keepAlive; }
 
 private:
+    boost::asio::awaitable<std::optional<AttemptResult>> readAnswer();
     using Parser = http::response_parser<http::buffer_body>;
 
     boost::asio::awaitable<error_code> readHeader();
@@ -116,6 +151,7 @@
     TargetConnection &m_connection;
     const TargetRequest &m_request;
     const AnswerSink *m_sink;
+    const Dialect &m_dialect;
     std::optional<Parser> m_parser;
     std::string m_held;
     bool m_streaming = false;
@@ -204,20 +240,25 @@
 AttemptResult AnswerReader::finish()
 {
     const AnswerHeader &header = m_parser->get().base();
-    const bool leaving = announcesDrain(header);
+    const bool leaving = hasField(header, m_dialect.drain);
     if (m_streaming) {
         return StreamedAnswer {leaving};
     }
-    const auto unhappy = unhappyStatus(header);
+    const auto unhappy = unhappyStatus(header, m_dialect);
+    const bool notRun = unhappy == AttemptFailure::WrongTarget || (unhappy == AttemptFailure::Shed && !m_dialect.notExecuted.empty());
     const Duration retryAfter = retryAfterOf(header);
     HeldAnswer held {TargetAnswer(header, std::move(m_held)), leaving};
+    if (notRun) {
+        return FailedAttempt {{*unhappy, AttemptProgress::NotRun}, std::nullopt, retryAfter};
+    }
     if (unhappy) {
         return FailedAttempt {{*unhappy, AttemptProgress::Sent}, std::move(held), retryAfter};
     }
     return held;
 }
 
-boost::asio::awaitable<AttemptResult> AnswerReader::read()
+// One answer; none when it belongs to an earlier request and has been skipped.
+boost::asio::awaitable<std::optional<AttemptResult>> AnswerReader::readAnswer()
 {
     const error_code error = co_await readHeader();
     if (error) {
@@ -225,23 +266,51 @@
     }
     const auto &header = m_parser->get().base();
     const bool noBody = m_request.method() == http::verb::head;
-    if (!endIsMarked(header, m_parser->chunked(), m_parser->content_length().has_value(), noBody) || answersOther(m_request, header)) {
+    const bool marked = endIsMarked(header, m_parser->chunked(), m_parser->content_length().has_value(), noBody);
+    const bool other = answersOther(m_request, header, m_dialect);
+    if ((!marked && !m_dialect.openEndedAnswers) || (other && !m_dialect.strayAnswers) || isForged(header, m_dialect)) {
         co_return fail(AttemptFailure::Malformed);
     }
+    const AnswerSink *sink = other ? std::exchange(m_sink, nullptr) : nullptr;
     if (!noBody) {
         std::optional<AttemptResult> failed = co_await readBody();
         if (failed) {
             co_return std::move(*failed);
         }
     }
-    m_keepAlive = m_parser->get().keep_alive();
+    if (other) {
+        m_sink = sink;
+        m_held.clear();
+        co_return std::nullopt;
+    }
+    m_keepAlive = m_parser->get().keep_alive() && marked;
+    if (const auto limit = keepAliveOf(header)) {
+        m_connection.facts.idleLimit = *limit;
+    }
     co_return finish();
 }
+
+boost::asio::awaitable<AttemptResult> AnswerReader::read()
+{
+    std::optional<AttemptResult> result;
+    for (unsigned skipped = 0; skipped <= MaxStrayAnswers; ++skipped) {
+        result = co_await readAnswer();
+        if (result) {
+            // After a stray answer the connection's bytes can't be told apart any more.
+            m_keepAlive = m_keepAlive && skipped == 0;
+            co_return std::move(*result);
+        }
+    }
+    co_return fail(AttemptFailure::Malformed);
+}
 }
 
-void AttemptHandle::callerGone()
+void AttemptHandle::abandon()
 {
-    m_callerGone = true;
+    m_abandoned = true;
+    if (m_waiting != nullptr) {
+        m_waiting->cancel();
+    }
     if (m_connection && m_cancellable) {
         m_connection->stream.close();
     }
@@ -253,9 +322,10 @@
     m_cancellable = cancellable;
 }
 
-TargetPool::TargetPool(Endpoint endpoint, std::size_t connections)
+TargetPool::TargetPool(Endpoint endpoint, std::size_t connections, Duration connectTimeout)
     : m_endpoint(std::move(endpoint))
     , m_connections(connections)
+    , m_connectTimeout(connectTimeout)
 { }
 
 TargetPool::~TargetPool()
@@ -318,7 +388,7 @@
         handle->attach(connection, true);
     }
     const boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address(m_endpoint.address), m_endpoint.port);
-    connection->stream.expiresAfter(std::min<Duration>(timeout, config::ConnectTimeout));
+    connection->stream.expiresAfter(std::min(timeout, m_connectTimeout));
     error_code error;
     co_await connection->stream.socket().async_connect(address, errorInto(error));
     if (error) {
@@ -359,39 +429,64 @@
     co_return result;
 }
 
+// The answer is read while the request is still being sent, since a target may answer a long body early. What the
+// write needs is shared, as it may outlive the answer.
+boost::asio::awaitable<AttemptResult> TargetPool::exchange(const Connection &connection, const TargetRequest &request, const AttemptOptions &options,
+                                                           bool &reuse)
+{
+    const auto text = std::make_shared<const std::string>(wireText(request));
+    connection->writing = true;
+    error_code error;
+    std::size_t sent = 0;
+    connection->stream.socket().non_blocking(true, error);
+    if (!error) {
+        sent = connection->stream.socket().write_some(boost::asio::buffer(*text), error);
+    }
+    if (error && error != boost::asio::error::would_block) {
+        co_return FailedAttempt {{AttemptFailure::ConnectionLost, AttemptProgress::Sent}, std::nullopt, {}};
+    }
+    connection->writing = sent < text->size();
+    if (connection->writing) {
+        boost::asio::async_write(connection->stream, boost::asio::buffer(*text) + sent, [connection, text](const error_code &failed, std::size_t) {
+            connection->writing = false;
+            connection->facts.broken = connection->facts.broken || failed;
+        });
+    }
+    AnswerReader reader(*connection, request, options);
+    AttemptResult result = co_await reader.read();
+    reuse = reader.keepAlive() && connection->buffer.size() == 0 && !connection->writing && !connection->facts.broken;
+    if (connection->writing) {
+        connection->stream.close();
+    }
+    co_return result;
+}
+
 boost::asio::awaitable<AttemptResult> TargetPool::attemptOn(const Connection &connection, const TargetRequest &request, AttemptOptions options)
 {
+    static const Dialect usual;
+    options.dialect = options.dialect == nullptr ? &usual : options.dialect;
     if (options.handle != nullptr) {
-        if (options.handle->isCallerGone()) {
+        if (options.handle->abandoned()) {
             co_return FailedAttempt {{AttemptFailure::ConnectionLost, AttemptProgress::NothingSent}, std::nullopt, {}};
         }
         options.handle->attach(connection, options.idempotent);
     }
     connection->stream.expiresAfter(options.timeout);
-    error_code error;
-    const std::string text = wireText(request);
-    co_await boost::asio::async_write(connection->stream, boost::asio::buffer(text), errorInto(error));
-    error = connection->stream.cause(error);
-    if (error) {
-        // Some of it may have left, so it counts as sent.
-        const auto failure = error == boost::beast::error::timeout ? AttemptFailure::TimedOut : AttemptFailure::ConnectionLost;
-        co_return FailedAttempt {{failure, AttemptProgress::Sent}, std::nullopt, {}};
-    }
-    AnswerReader reader(*connection, request, options.sink);
-    AttemptResult result = co_await reader.read();
+    bool reuse = false;
+    AttemptResult result = co_await exchange(connection, request, options, reuse);
     const TimePoint now = RuntimeClock::now();
     if (options.handle != nullptr) {
         options.handle->detach();
     }
     const auto *failed = std::get_if<FailedAttempt>(&result);
-    if (failed != nullptr && !failed->answer) {
+    const bool answered = failed == nullptr || failed->answer || failed->failed.progress == AttemptProgress::NotRun;
+    if (!answered) {
         if (failed->failed.failure == AttemptFailure::TimedOut) {
             noteSilence(now);
         }
         co_return result;
     }
     m_lastAnswerAt = now;
-    const bool reuse = reader.keepAlive() && connection->buffer.size() == 0;
     if (reuse) {
         connection->stream.expiresNever();
         keep(connection, now);
--- /dev/null
+++ b/src/net_zone.cpp
@@ -0,0 +1,384 @@
+#include "zone_p.h"
+
+#include <plumsill/config.h>
+#include <plumsill/event.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace plumsill
+{
+namespace
+{
+// Proofs lapse this much early, for the time between the check of a key and its request's arrival at the target.
+constexpr auto KeyMargin = std::chrono::milliseconds(200);
+constexpr std::size_t SecretDigits = 32;
+
+std::string randomSecret(std::mt19937_64 &random)
+{
+    static constexpr char Digits[] = "0123456789abcdef";
+    std::random_device device;
+    std::string secret;
+    for (std::size_t i = 0; i < SecretDigits; ++i) {
+        secret += Digits[(device() ^ random()) & 15];
+    }
+    return secret;
+}
+
+}
+
+ZoneControl::ZoneControl(boost::asio::io_context &context, const Settings &settings, PeerPort &peers, RegisteredDaemon self,
+                         std::vector<std::unique_ptr<TrafficThread>> &threads)
+    : m_context(context)
+    , m_settings(settings)
+    , m_peers(peers)
+    , m_threads(threads)
+    , m_self(std::move(self))
+    , m_directory(context, settings.platform)
+    , m_hubs(m_self)
+    , m_scheduler(settings.zone, {settings.bounds.repeatRatio, settings.bounds.repeatSlack, settings.bounds.repeatWindow})
+{ }
+
+Envelope ZoneControl::envelope(Message message) const
+{
+    return {m_self.id, m_self.peer, 0, std::move(message)};
+}
+
+void ZoneControl::send(const Endpoint &to, Message message)
+{
+    const auto sent = m_peers.sendDatagram(to, envelope(std::move(message)));
+    if (!sent) {
+        Event("peer", "send-failed").add("to", toString(to)).add("reason", toString(sent.error()));
+    }
+}
+
+void ZoneControl::noteStore(bool reached, const char *call, const std::string &reason)
+{
+    if (reached != m_storeReached) {
+        m_storeReached = reached;
+        Event("store", reached ? "store-regained" : "store-lost").add("call", call).add("reason", reason);
+    }
+}
+
+// The secret first: without it no other daemon is heard. This daemon schedules for itself meanwhile.
+boost::asio::awaitable<void> ZoneControl::runRegistry()
+{
+    std::uniform_int_distribution<int> jitter(0, 200);
+    while (!m_enrolled && !m_leaving) {
+        const auto secret = co_await m_directory.peerSecret(randomSecret(m_random));
+        bool done = false;
+        if (secret) {
+            m_peers.setSecret(secret.assume_value());
+            const auto enrolled = co_await m_directory.enroll(m_self, m_settings.firstStart);
+            done = enrolled.has_value();
+        }
+        noteStore(done, "enroll", done ? "" : secret ? "not enrolled" : toString(secret.error()));
+        if (done) {
+            m_enrolled = true;
+            Event("registry", "enrolled").add("zone", m_settings.zone.value);
+            break;
+        }
+        co_await sleepFor(config::RegistrationRetry + std::chrono::milliseconds(jitter(m_random)));
+    }
+    co_await readRegistry();
+    while (true) {
+        co_await sleepFor(config::RegistryReadInterval);
+        const TimePoint now = RuntimeClock::now();
+        // While the fleet grows daemons read it often enough to find each other; afterwards the hubs do.
+        const bool young = m_hubs.registered().size() < 2;
+        if (acting(now) || young || now >= m_nextRegistryRead) {
+            co_await readRegistry();
+        }
+    }
+}
+
+boost::asio::awaitable<void> ZoneControl::readRegistry()
+{
+    const auto daemons = co_await m_directory.daemons();
+    if (!daemons) {
+        noteStore(false, "daemons", toString(daemons.error()));
+        co_return;
+    }
+    const std::uint32_t before = m_hubs.registryHash();
+    m_hubs.setRegistered(daemons.assume_value());
+    m_nextRegistryRead = TimePoint::max();
+    if (m_hubs.registryHash() != before) {
+        Event("registry", "registry-read").add("daemons", static_cast<std::int64_t>(m_hubs.registered().size()));
+        updateShares(RuntimeClock::now());
+    }
+}
+
+// Of the schedulers that hear each other, the one with the first name reads for all.
+bool ZoneControl::readsForFleet(TimePoint now) const
+{
+    if (!acting(now)) {
+        return false;
+    }
+    for (const auto &[id, hub] : m_otherHubs) {
+        if (now - hub.heardAt < config::RelayPatience && hub.current && id.name < m_self.id.name) {
+            return false;
+        }
+    }
+    return true;
+}
+
+boost::asio::awaitable<void> ZoneControl::runReader()
+{
+    while (true) {
+        const TimePoint now = RuntimeClock::now();
+        const auto provedAt = m_currency.currentAt();
+        const bool reads = readsForFleet(now);
+        const bool documentDue = reads || !provedAt || now - *provedAt > config::RelayPatience;
+        const auto listedAt = m_list.readAt();
+        const bool listDue = reads || !listedAt || now - *listedAt > 2 * config::RelayPatience;
+        if (documentDue) {
+            co_await readDocument();
+        }
+        if (listDue) {
+            const bool read = co_await readTargets();
+            if (!read && !m_otherHubs.empty() && !m_fetchingTargets) {
+                const auto &[id, hub] = *std::next(m_otherHubs.begin(), static_cast<std::ptrdiff_t>(m_random() % m_otherHubs.size()));
+                boost::asio::co_spawn(m_context, fetchTargets(hub.peer, {id, 0}), boost::asio::detached);
+            }
+        }
+        co_await sleepFor(config::DocumentReadInterval);
+    }
+}
+
+boost::asio::awaitable<bool> ZoneControl::readDocument()
+{
+    const auto read = co_await m_directory.document();
+    noteStore(read.has_value(), "document", read ? "" : toString(read.error()));
+    if (!read) {
+        co_return false;
+    }
+    m_currency.proved(read.assume_value().version, read.assume_value().sentAt);
+    adopt(read.assume_value(), "store");
+    co_return true;
+}
+
+void ZoneControl::adopt(const DocumentRead &read, const std::string &from)
+{
+    if (!m_currency.adopt(read.version)) {
+        return;
+    }
+    m_document = read;
+    m_compiled = new CompiledDocument({read.version, {}}, read.document);
+    const TimePoint now = RuntimeClock::now();
+    m_scheduler.setDocument(*read.document, now);
+    updateShares(now);
+    Event("document", "document-in-force")
+        .add("version", static_cast<std::int64_t>(read.version))
+        .add("from", from)
+        .add("routes", static_cast<std::int64_t>(read.document->routes.size()))
+        .add("teams", static_cast<std::int64_t>(read.document->teams.size()));
+    publish(now);
+    sendBeacons(now);
+}
+
+boost::asio::awaitable<bool> ZoneControl::readTargets()
+{
+    const auto result = co_await m_directory.targets();
+    noteStore(result.has_value(), "targets", result ? "" : toString(result.error()));
+    if (!result) {
+        co_return false;
+    }
+    const TargetsRead &read = result.assume_value();
+    if (read.rejected != m_rejectedTargets) {
+        m_rejectedTargets = read.rejected;
+        Event("targets", "entries-rejected").add("count", static_cast<std::int64_t>(read.rejected));
+    }
+    const std::uint64_t before = m_list.revision();
+    m_list.read(read.targets, read.sentAt, RuntimeClock::now());
+    m_listSource.reset();
+    if (m_list.revision() != before) {
+        listChanged("store");
+    }
+    co_return true;
+}
+
+void ZoneControl::listChanged(const std::string &from)
+{
+    const TimePoint now = RuntimeClock::now();
+    const auto targets = m_list.targets();
+    m_scheduler.setTargets(targets, now);
+    const auto leaving = std::count_if(targets.begin(), targets.end(), [](const Target &target) { return target.leaving; });
+    Event("targets", "targets-changed")
+        .add("from", from)
+        .add("revision", static_cast<std::int64_t>(m_list.revision()))
+        .add("targets", static_cast<std::int64_t>(targets.size()))
+        .add("leaving", static_cast<std::int64_t>(leaving));
+    sendBeacons(now);
+    sendLate();
+}
+
+boost::asio::awaitable<void> ZoneControl::fetchDocument(Endpoint from)
+{
+    if (m_fetchingDocument) {
+        co_return;
+    }
+    m_fetchingDocument = true;
+    const Envelope request = envelope(DocumentRequest {{m_currency.held(), {}}});
+    const auto reply = co_await m_peers.request(from, request);
+    m_fetchingDocument = false;
+    const auto *told = reply ? std::get_if<DocumentReply>(&reply.assume_value().message) : nullptr;
+    if (told != nullptr && told->stamp.version > m_currency.held()) {
+        const auto parsed = platform::ObjectDirectory::parse(told->text);
+        if (parsed) {
+            adopt(parsed.assume_value(), toString(from));
+        }
+    }
+    if (m_currency.fetchDue()) {
+        co_await readDocument();
+    }
+}
+
+boost::asio::awaitable<void> ZoneControl::fetchTargets(Endpoint from, ListSource source)
+{
+    if (m_fetchingTargets) {
+        co_return;
+    }
+    m_fetchingTargets = true;
+    const TimePoint askedAt = RuntimeClock::now();
+    const Envelope request = envelope(TargetsRequest {});
+    const auto reply = co_await m_peers.request(from, request);
+    m_fetchingTargets = false;
+    const auto *told = reply ? std::get_if<TargetsReply>(&reply.assume_value().message) : nullptr;
+    if (told == nullptr) {
+        co_return;
+    }
+    const std::uint64_t before = m_list.revision();
+    m_list.read(told->targets, askedAt - std::chrono::milliseconds(told->ageMilliseconds), RuntimeClock::now());
+    m_listSource = source;
+    if (m_list.revision() != before) {
+        listChanged(toString(from));
+    }
+}
+
+void ZoneControl::noteProof(const DocumentProof &proof, TimePoint writtenAt, const Endpoint &from)
+{
+    if (!proof.known) {
+        return;
+    }
+    m_currency.proved(proof.version, writtenAt - std::chrono::milliseconds(proof.ageMilliseconds));
+    if (m_currency.fetchDue() && !m_fetchingDocument) {
+        boost::asio::co_spawn(m_context, fetchDocument(from), boost::asio::detached);
+    }
+}
+
+void ZoneControl::noteList(const ListProof &proof, TimePoint writtenAt, const MemberId &daemon, const Endpoint &from)
+{
+    if (!proof.known) {
+        return;
+    }
+    const ListSource source {daemon, proof.revision};
+    const TimePoint readAt = writtenAt - std::chrono::milliseconds(proof.ageMilliseconds);
+    if (m_listSource == source) {
+        m_list.confirm(readAt);
+    } else if ((!m_list.readAt() || readAt > *m_list.readAt()) && !m_fetchingTargets) {
+        boost::asio::co_spawn(m_context, fetchTargets(from, source), boost::asio::detached);
+    }
+}
+
+DocumentProof ZoneControl::documentProof(TimePoint now) const
+{
+    const auto provedAt = m_currency.currentAt();
+    return provedAt ? DocumentProof {true, m_currency.held(), millisecondsUp(now - *provedAt)} : DocumentProof {};
+}
+
+ListProof ZoneControl::listProof(TimePoint now) const
+{
+    const auto readAt = m_list.readAt();
+    return readAt ? ListProof {true, m_list.revision(), wholeMilliseconds(now - *readAt)} : ListProof {};
+}
+
+std::optional<Envelope> ZoneControl::respond(const Envelope &request)
+{
+    const TimePoint now = RuntimeClock::now();
+    if (std::holds_alternative<DocumentRequest>(request.message) && m_document.text) {
+        return envelope(DocumentReply {{m_document.version, {}}, *m_document.text});
+    }
+    if (std::holds_alternative<TargetsRequest>(request.message) && m_list.readAt()) {
+        return envelope(TargetsReply {millisecondsUp(now - *m_list.readAt()), m_list.targets()});
+    }
+    return std::nullopt;
+}
+
+TimePoint ZoneControl::trustedUntil() const
+{
+    const auto provedAt = m_currency.currentAt();
+    return provedAt ? *provedAt + m_settings.bounds.keyLifetime - KeyMargin : TimePoint();
+}
+
+bool ZoneControl::ready(TimePoint now) const
+{
+    return !m_leaving && m_compiled && m_list.readAt() && now < trustedUntil();
+}
+
+void ZoneControl::publish(TimePoint now)
+{
+    m_publishDue = false;
+    m_publishedAt = now;
+    const boost::intrusive_ptr<Snapshot> snapshot(new Snapshot);
+    snapshot->compiled = m_compiled;
+    snapshot->leaving = m_leaving;
+    snapshot->trustedUntil = trustedUntil();
+    for (const auto &thread : m_threads) {
+        thread->publish(snapshot);
+    }
+}
+
+boost::asio::awaitable<void> ZoneControl::runPublisher()
+{
+    bool wasReady = false;
+    while (true) {
+        co_await sleepFor(m_scheduler.idle() ? Duration(config::ControlTick) : Duration(config::QueueServeInterval));
+        const TimePoint now = RuntimeClock::now();
+        sendLate();
+        if (m_publishDue || now - m_publishedAt >= config::PublishInterval) {
+            publish(now);
+        }
+        if (ready(now) != wasReady) {
+            wasReady = !wasReady;
+            Event("daemon", wasReady ? "ready" : "not-ready")
+                .add("document", static_cast<std::int64_t>(m_currency.held()))
+                .add("keys_left_ms", std::clamp<Duration>(trustedUntil() - now, Duration::zero(), std::chrono::hours(1)))
+                .add("targets", static_cast<std::int64_t>(m_list.revision()))
+                .add("leaving", m_leaving);
+        }
+        flushEvents();
+    }
+}
+
+boost::asio::awaitable<void> ZoneControl::leave()
+{
+    m_leaving = true;
+    const TimePoint now = RuntimeClock::now();
+    Event("daemon", "stopping").add("requests", static_cast<std::int64_t>(m_running.size()));
+    publish(now);
+    sendBeacons(now);
+    const auto gone = co_await m_directory.withdraw(m_self.id.name);
+    if (!gone) {
+        Event("registry", "not-withdrawn").add("reason", toString(gone.error()));
+    }
+}
+
+std::string ZoneControl::metricsText(TimePoint now) const
+{
+    std::vector<Gauge> gauges;
+    const auto provedAt = m_currency.currentAt();
+    gauges.push_back({"plumsill_document_version", static_cast<double>(m_currency.held())});
+    gauges.push_back({"plumsill_document_age_seconds", provedAt ? seconds(now - *provedAt) : -1});
+    gauges.push_back({"plumsill_targets_age_seconds", m_list.readAt() ? seconds(now - *m_list.readAt()) : -1});
+    gauges.push_back({"plumsill_targets_rejected", static_cast<double>(m_rejectedTargets)});
+    gauges.push_back({"plumsill_registered_daemons", static_cast<double>(m_hubs.registered().size())});
+    gauges.push_back({"plumsill_schedules_for", static_cast<double>(m_members.size())});
+    gauges.push_back({"plumsill_placements_by_hub", static_cast<double>(m_hubPlacements)});
+    gauges.push_back({"plumsill_placements_alone", static_cast<double>(m_localPlacements)});
+    gauges.push_back({"plumsill_running_requests", static_cast<double>(m_running.size())});
+    gauges.push_back({"plumsill_platform_calls", static_cast<double>(m_directory.calls())});
+    gauges.push_back({"plumsill_log_lines_left_out", static_cast<double>(droppedEvents())});
+    gauges.push_back({"plumsill_ready", ready(now) ? 1.0 : 0.0});
+    return m_metrics.prometheusText(gauges);
+}
+}
--- /dev/null
+++ b/src/net_zone_daemon.cpp
@@ -0,0 +1,202 @@
+#include "daemon_p.h"
+
+#include "supervisor_p.h"
+#include "text_port_p.h"
+#include "zone_p.h"
+
+#include <plumsill/config.h>
+#include <plumsill/event.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <ctime>
+#include <thread>
+
+namespace plumsill
+{
+namespace
+{
+// Left of the time to stop for the last writes before the process is ended from outside.
+constexpr auto StopMargin = std::chrono::milliseconds(300);
+
+class ZoneDaemon
+{
+public:
+    ZoneDaemon(const Settings &settings, const ReloadSettings &reload, const Dialect &dialect)
+        : m_settings(settings)
+        , m_reload(reload)
+        , m_dialect(dialect)
+        , m_peers(m_context, {})
+        , m_readiness(m_context)
+        , m_metrics(m_context)
+        , m_signals(m_context, SIGTERM, SIGINT)
+        , m_reloads(m_context, SIGHUP)
+        , m_supervisor("zone", m_context, [this] { fail(); })
+    { }
+
+    int run();
+
+private:
+    void open();
+    void addChildren();
+    void startThreads();
+    ControlPort controlPort();
+    void fail();
+    boost::asio::awaitable<void> stopOnSignal();
+    boost::asio::awaitable<void> reloadOnSignal();
+
+    const Settings m_settings;
+    const ReloadSettings m_reload;
+    const Dialect m_dialect;
+    boost::asio::io_context m_context {1};
+    PeerPort m_peers;
+    TextPort m_readiness;
+    TextPort m_metrics;
+    boost::asio::signal_set m_signals;
+    boost::asio::signal_set m_reloads;
+    Supervisor m_supervisor;
+    std::vector<std::unique_ptr<TrafficThread>> m_traffic;
+    std::unique_ptr<ZoneControl> m_control;
+    std::vector<std::thread> m_threads;
+    std::size_t m_running = 0;
+    int m_status = 0;
+};
+
+ControlPort ZoneDaemon::controlPort()
+{
+    ControlPort port;
+    port.report = [this](TrafficReport report) { boost::asio::post(m_context, [this, report = std::move(report)] { m_control->report(report); }); };
+    port.wantPlacement
+        = [this](PlacementWish wish) { boost::asio::post(m_context, [this, wish = std::move(wish)]() mutable { m_control->wantPlacement(std::move(wish)); }); };
+    port.withdrawWish = [this](std::uint64_t id) { boost::asio::post(m_context, [this, id] { m_control->withdrawWish(id); }); };
+    port.attemptEnded = [this](const AttemptReport &report) { boost::asio::post(m_context, [this, report] { m_control->attemptEnded(report); }); };
+    return port;
+}
+
+void ZoneDaemon::open()
+{
+    for (unsigned index = 0; index < m_settings.trafficThreads; ++index) {
+        m_traffic.push_back(std::make_unique<TrafficThread>(index, m_settings.trafficThreads, controlPort(), m_dialect));
+        m_traffic.back()->open(m_settings.trafficListen);
+    }
+    const auto peer = m_peers.open(m_settings.peerListen);
+    if (!peer) {
+        throw std::runtime_error("cannot listen on " + toString(m_settings.peerListen) + ": " + toString(peer.error()));
+    }
+    const RegisteredDaemon self {{m_settings.instance, newIncarnation()}, m_settings.zone, peer.assume_value(), m_settings.capacity};
+    m_control = std::make_unique<ZoneControl>(m_context, m_settings, m_peers, self, m_traffic);
+    m_readiness.add(m_settings.readinessPath, [this] {
+        const bool ready = m_control->ready(RuntimeClock::now());
+        return ready ? TextPage {200, "ready\n"} : TextPage {503, "not ready\n"};
+    });
+    m_readiness.open(m_settings.readinessListen);
+    m_metrics.add(m_settings.metricsPath, [this] { return TextPage {200, m_control->metricsText(RuntimeClock::now())}; });
+    m_metrics.open(m_settings.metricsListen);
+    Event("daemon", "started")
+        .add("instance", m_settings.instance.value)
+        .add("zone", m_settings.zone.value)
+        .add("traffic", toString(m_settings.trafficListen))
+        .add("readiness", toString(m_settings.readinessListen))
+        .add("peers", toString(peer.assume_value()))
+        .add("version", PLUMSILL_VERSION);
+    flushEvents();
+}
+
+void ZoneDaemon::addChildren()
+{
+    m_supervisor.add({"registry", [this] { return m_control->runRegistry(); }, {}});
+    m_supervisor.add({"reader", [this] { return m_control->runReader(); }, {}});
+    m_supervisor.add({"beats", [this] { return m_control->runBeats(); }, {}});
+    m_supervisor.add({"digests", [this] { return m_control->runDigests(); }, {}});
+    m_supervisor.add({"publisher", [this] { return m_control->runPublisher(); }, {}});
+    m_supervisor.add({"readiness", [this] { return m_readiness.run(); }, [this] { m_readiness.close(); }});
+    m_supervisor.add({"metrics", [this] { return m_metrics.run(); }, [this] { m_metrics.close(); }});
+}
+
+void ZoneDaemon::startThreads()
+{
+    m_running = m_traffic.size();
+    for (const auto &traffic : m_traffic) {
+        m_threads.emplace_back([this, &traffic] {
+            traffic->run();
+            boost::asio::post(m_context, [this] {
+                if (--m_running == 0) {
+                    m_context.stop();
+                }
+            });
+        });
+    }
+}
+
+void ZoneDaemon::fail()
+{
+    m_status = 1;
+    for (const auto &traffic : m_traffic) {
+        traffic->stop();
+    }
+}
+
+// Callers with open connections are served until most of the time to stop is used up.
+boost::asio::awaitable<void> ZoneDaemon::stopOnSignal()
+{
+    co_await m_signals.async_wait(boost::asio::use_awaitable);
+    const TimePoint end = RuntimeClock::now() + m_settings.bounds.stopGrace - StopMargin;
+    boost::asio::co_spawn(m_context, m_control->leave(), boost::asio::detached);
+    co_await sleepFor(config::LingerTime);
+    for (const auto &traffic : m_traffic) {
+        traffic->drain();
+    }
+    co_await sleepFor(std::max<Duration>(end - RuntimeClock::now(), Duration::zero()));
+    Event("daemon", "stopped-with-requests-left");
+    for (const auto &traffic : m_traffic) {
+        traffic->stop();
+    }
+}
+
+// What a running daemon takes over is its bounds alone; all else binds sockets or names it to others.
+boost::asio::awaitable<void> ZoneDaemon::reloadOnSignal()
+{
+    while (true) {
+        co_await m_reloads.async_wait(boost::asio::use_awaitable);
+        const ParsedSettings parsed = m_reload();
+        Event event("daemon", "reloaded");
+        event.add("valid", parsed.valid());
+        event.add("needs_restart",
+                  parsed.valid() && (parsed.settings.trafficListen != m_settings.trafficListen || parsed.settings.instance != m_settings.instance));
+        for (const auto &problem : parsed.problems) {
+            Event("daemon", "settings-problem").add("problem", toString(problem));
+        }
+    }
+}
+
+int ZoneDaemon::run()
+{
+    open();
+    m_peers.start([this](const Envelope &envelope) { m_control->received(envelope); }, [this](const Envelope &request) { return m_control->respond(request); });
+    addChildren();
+    m_supervisor.start();
+    boost::asio::co_spawn(m_context, stopOnSignal(), boost::asio::detached);
+    boost::asio::co_spawn(m_context, reloadOnSignal(), boost::asio::detached);
+    startThreads();
+    m_context.run();
+    m_supervisor.stop();
+    for (auto &thread : m_threads) {
+        thread.join();
+    }
+    m_peers.close();
+    Event("daemon", "stopped").add("status", static_cast<std::int64_t>(m_status));
+    flushEvents();
+    return m_status;
+}
+}
+
+int runZoneDaemon(const Settings &settings, const ReloadSettings &reload, const Dialect &dialect)
+{
+    ZoneDaemon daemon(settings, reload, dialect);
+    return daemon.run();
+}
+}
--- /dev/null
+++ b/src/net_zone_hubs.cpp
@@ -0,0 +1,291 @@
+#include "zone_p.h"
+
+#include <plumsill/config.h>
+#include <plumsill/event.h>
+
+namespace plumsill
+{
+namespace
+{
+// A heartbeat names at most this many running attempts, so that it fits a datagram.
+constexpr std::size_t MostNamedAttempts = 16;
+constexpr std::size_t MostNamedLoads = 90;
+constexpr std::size_t MostNamedTeams = 90;
+
+std::uint64_t stampOf(TimePoint time)
+{
+    return static_cast<std::uint64_t>(time.time_since_epoch().count());
+}
+
+TimePoint timeOf(std::uint64_t stamp)
+{
+    return TimePoint(Duration(static_cast<Duration::rep>(stamp)));
+}
+
+}
+
+void ZoneControl::received(const Envelope &envelope)
+{
+    if (envelope.sender == m_self.id) {
+        return;
+    }
+    m_hubs.heard(envelope.sender, envelope.replyTo, RuntimeClock::now());
+    if (const auto *place = std::get_if<PlaceRequest>(&envelope.message)) {
+        received(envelope, *place);
+    } else if (const auto *answer = std::get_if<PlaceReply>(&envelope.message)) {
+        received(envelope, *answer);
+    } else if (const auto *report = std::get_if<AttemptReport>(&envelope.message)) {
+        m_scheduler.finished({envelope.sender, report->id}, report->end, std::chrono::milliseconds(report->takenMilliseconds), RuntimeClock::now());
+        sendLate();
+    } else if (const auto *withdrawal = std::get_if<Withdrawal>(&envelope.message)) {
+        m_scheduler.withdraw({envelope.sender, withdrawal->id});
+    } else if (const auto *beat = std::get_if<MemberBeat>(&envelope.message)) {
+        received(envelope, *beat);
+    } else if (const auto *beacon = std::get_if<HubBeacon>(&envelope.message)) {
+        received(envelope, *beacon);
+    } else if (const auto *digest = std::get_if<HubDigest>(&envelope.message)) {
+        received(envelope, *digest);
+    }
+}
+
+// A scheduler is whoever is asked, or would be.
+bool ZoneControl::acting(TimePoint now) const
+{
+    if (m_hubs.isHub(now)) {
+        return true;
+    }
+    return std::any_of(m_members.begin(), m_members.end(), [now](const auto &entry) { return now - entry.second.heardAt < config::HubActiveTime; });
+}
+
+void ZoneControl::noteHub(TimePoint now)
+{
+    const auto present = hub(now);
+    const auto id = present ? std::optional(present->id) : std::nullopt;
+    if (id != m_hub) {
+        Event("hub", "hub-chosen").add("hub", id ? id->name.value : std::string()).add("self", present && isSelf(*present));
+        m_hub = id;
+        m_hubHeardAt = now;
+        if (present && !isSelf(*present)) {
+            sendBeat(*present, now);
+        }
+    }
+}
+
+boost::asio::awaitable<void> ZoneControl::runBeats()
+{
+    while (true) {
+        co_await sleepFor(config::BeatInterval);
+        const TimePoint now = RuntimeClock::now();
+        if (!m_enrolled) {
+            continue;
+        }
+        noteHub(now);
+        auto present = hub(now);
+        if (present && !isSelf(*present) && now - m_hubHeardAt > config::BeatInterval * config::BeatsBeforeSilence) {
+            hubSilent(*present, now);
+            noteHub(now);
+            present = hub(now);
+        }
+        if (present && !isSelf(*present)) {
+            sendBeat(*present, now);
+        }
+        const auto silent = m_hubs.silentHub(now);
+        if (silent && now >= m_nextProbe) {
+            m_nextProbe = now + config::SilentHubProbe;
+            sendBeat(*silent, now);
+        }
+        updateShares(now);
+    }
+}
+
+void ZoneControl::sendBeat(const RegisteredDaemon &to, TimePoint now)
+{
+    MemberBeat beat;
+    beat.sentAt = stampOf(now);
+    for (const auto &[id, running] : m_running) {
+        if (beat.running.size() == MostNamedAttempts) {
+            beat.complete = false;
+            break;
+        }
+        beat.running.push_back(running.attempt);
+        beat.running.back().ageMilliseconds = wholeMilliseconds(now - running.startedAt);
+    }
+    send(to.peer, std::move(beat));
+}
+
+void ZoneControl::received(const Envelope &envelope, const MemberBeat &beat)
+{
+    const TimePoint now = RuntimeClock::now();
+    // An earlier run of the daemon asks nothing any more.
+    std::erase_if(m_members,
+                  [&envelope](const auto &entry) { return entry.first.name == envelope.sender.name && entry.first.incarnation < envelope.sender.incarnation; });
+    MemberRecord &member = m_members[envelope.sender];
+    member.peer = envelope.replyTo;
+    member.heardAt = now;
+    member.beatSentAt = beat.sentAt;
+    member.beatAt = now;
+    if (beat.complete) {
+        m_scheduler.reconcile(envelope.sender, beat.running, now);
+    }
+    sendBeacon(envelope.sender, member, now);
+}
+
+void ZoneControl::sendBeacon(const MemberId & /*member*/, const MemberRecord &record, TimePoint now)
+{
+    HubBeacon beacon;
+    beacon.beatSentAt = record.beatSentAt;
+    beacon.heldMilliseconds = wholeMilliseconds(now - record.beatAt);
+    beacon.document = documentProof(now);
+    beacon.list = listProof(now);
+    beacon.registry = m_hubs.registryHash();
+    beacon.leaving = m_leaving;
+    send(record.peer, beacon);
+}
+
+void ZoneControl::sendBeacons(TimePoint now)
+{
+    for (const auto &[id, record] : m_members) {
+        if (record.beatSentAt != 0 && now - record.heardAt < config::MemberLifetime) {
+            sendBeacon(id, record, now);
+        }
+    }
+}
+
+// Ages are counted from when this daemon's own heartbeat was sent, so a beacon that lay in a buffer proves no more
+// than it did then.
+void ZoneControl::received(const Envelope &envelope, const HubBeacon &beacon)
+{
+    const TimePoint now = RuntimeClock::now();
+    if (beacon.leaving) {
+        m_hubs.leaving(envelope.sender, now);
+        askAgain(envelope.sender);
+        noteHub(now);
+    }
+    if (m_hub && m_hub->name == envelope.sender.name) {
+        m_hubHeardAt = now;
+    }
+    const TimePoint writtenAt = timeOf(beacon.beatSentAt) + std::chrono::milliseconds(beacon.heldMilliseconds);
+    if (beacon.beatSentAt == 0 || writtenAt > now) {
+        return;
+    }
+    noteProof(beacon.document, writtenAt, envelope.replyTo);
+    noteList(beacon.list, writtenAt, envelope.sender, envelope.replyTo);
+    if (beacon.registry != m_hubs.registryHash() && m_nextRegistryRead == TimePoint::max()) {
+        m_nextRegistryRead = now + std::chrono::milliseconds(m_random() % 1000);
+    }
+}
+
+SchedulerDemand ZoneControl::ownDemand(TimePoint now) const
+{
+    SchedulerDemand demand;
+    demand.members = 1;
+    for (const auto &[id, record] : m_members) {
+        demand.members += now - record.heardAt < config::MemberLifetime ? 1 : 0;
+    }
+    for (const auto &team : m_scheduler.teams()) {
+        const double value = m_scheduler.demand(team, now);
+        if (value > config::ToldDemand) {
+            demand.teams[shortHash(team.value)] = value;
+        }
+    }
+    return demand;
+}
+
+void ZoneControl::updateShares(TimePoint now)
+{
+    std::erase_if(m_members, [now](const auto &entry) { return now - entry.second.heardAt > config::MemberForgetAfter; });
+    std::erase_if(m_otherHubs, [now](const auto &entry) { return now - entry.second.heardAt > config::MemberForgetAfter; });
+    const SchedulerDemand own = ownDemand(now);
+    std::vector<const SchedulerDemand *> others;
+    if (acting(now)) {
+        for (const auto &[id, hub] : m_otherHubs) {
+            if (now - hub.heardAt < config::HubDigestLifetime) {
+                others.push_back(&hub.demand);
+            }
+        }
+    }
+    const auto registered = static_cast<unsigned>(m_hubs.registered().size());
+    for (const auto &team : m_scheduler.teams()) {
+        m_scheduler.setTeamShare(team, m_enrolled ? quotaShare(team, own, others, registered) : config::UnenrolledShare, now);
+    }
+    m_scheduler.setFleetShare(m_enrolled ? static_cast<double>(own.members) / std::max(registered, own.members) : config::UnenrolledShare);
+}
+
+boost::asio::awaitable<void> ZoneControl::runDigests()
+{
+    while (true) {
+        co_await sleepFor(config::HubDigestInterval);
+        const TimePoint now = RuntimeClock::now();
+        if (!m_enrolled || !acting(now)) {
+            continue;
+        }
+        std::map<InstanceName, RegisteredDaemon> receivers;
+        for (const auto &other : m_hubs.otherHubs(now)) {
+            receivers.emplace(other.id.name, other);
+        }
+        for (const auto &[id, other] : m_otherHubs) {
+            if (now - other.heardAt < config::HubDigestLifetime) {
+                receivers.emplace(id.name, RegisteredDaemon {id, other.zone, other.peer, 1});
+            }
+        }
+        for (const auto &[name, other] : receivers) {
+            sendDigest(other, now);
+        }
+    }
+}
+
+void ZoneControl::sendDigest(const RegisteredDaemon &to, TimePoint now)
+{
+    HubDigest digest;
+    digest.sentAt = stampOf(now);
+    const auto heard = m_otherHubs.find(to.id);
+    if (heard != m_otherHubs.end()) {
+        digest.echo = heard->second.sentAt;
+        digest.echoHeldMilliseconds = wholeMilliseconds(now - heard->second.heardAt);
+    }
+    digest.document = documentProof(now);
+    digest.list = listProof(now);
+    digest.zone = m_settings.zone;
+    const SchedulerDemand demand = ownDemand(now);
+    digest.members = demand.members;
+    for (const auto &[team, value] : demand.teams) {
+        if (digest.teams.size() < MostNamedTeams) {
+            digest.teams.push_back({team, static_cast<std::uint32_t>(value * 60)});
+        }
+    }
+    digest.loads = m_scheduler.loads(now);
+    digest.loads.resize(std::min(digest.loads.size(), MostNamedLoads));
+    send(to.peer, std::move(digest));
+    // A daemon of another zone that never answers doesn't schedule there.
+    auto &unanswered = m_unansweredDigests[to.id.name];
+    if (++unanswered > config::DigestsBeforeSilence && to.zone != m_settings.zone) {
+        unanswered = 0;
+        m_hubs.silent(to.id.name, now);
+    }
+}
+
+void ZoneControl::received(const Envelope &envelope, const HubDigest &digest)
+{
+    const TimePoint now = RuntimeClock::now();
+    HubRecord &record = m_otherHubs[envelope.sender];
+    record.peer = envelope.replyTo;
+    record.zone = digest.zone;
+    record.heardAt = now;
+    record.sentAt = digest.sentAt;
+    record.current
+        = digest.document.known && digest.document.ageMilliseconds < static_cast<std::uint32_t>(std::chrono::milliseconds(config::RelayPatience).count());
+    record.demand.members = digest.members;
+    record.demand.teams.clear();
+    for (const auto &team : digest.teams) {
+        record.demand.teams[team.team] = team.perMinute / 60.0;
+    }
+    m_unansweredDigests[envelope.sender.name] = 0;
+    m_scheduler.setRemoteLoads(digest.zone, digest.loads, now);
+    const TimePoint writtenAt = timeOf(digest.echo) + std::chrono::milliseconds(digest.echoHeldMilliseconds);
+    if (digest.echo == 0 || writtenAt > now) {
+        return;
+    }
+    noteProof(digest.document, writtenAt, envelope.replyTo);
+    noteList(digest.list, writtenAt, envelope.sender, envelope.replyTo);
+}
+}
--- a/src/peer_p.h
+++ b/src/peer_p.h
@@ -50,6 +50,8 @@
     PeerPort(const PeerPort &) = delete;
     PeerPort &operator=(const PeerPort &) = delete;
 
+    /// Secret for messages from now on; none are taken before it is set.
+    void setSecret(std::string secret);
     /// Binds both sockets; returns the endpoint with its real port.
     Outcome<Endpoint, PeerError> open(const Endpoint &listen);
     void start(Receiver receiver, Responder responder);
--- /dev/null
+++ b/src/quota.cpp
@@ -0,0 +1,115 @@
+#include <plumsill/quota.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace plumsill
+{
+namespace
+{
+using namespace std::chrono_literals;
+
+// Refill is this much slower than the rate, so that a fast clock stays within it.
+constexpr double RateMargin = 0.995;
+constexpr auto DemandTime = 1s;
+// Demand that each scheduler is taken to have at least, in requests a second and daemon, so that a team's first request there finds a token.
+constexpr double LeastDemand = 0.02;
+// Requests are told to come back for tokens due within this time; later ones spread over it.
+constexpr auto LongestPromise = 4s;
+constexpr auto ShortestPromise = 50ms;
+}
+
+void TeamBucket::refill(TimePoint now)
+{
+    const double passed = seconds(std::max(now - m_at, Duration::zero()));
+    m_at = std::max(m_at, now);
+    m_level = std::min(burst(), m_level + passed * rate() * RateMargin);
+    m_promised = std::max(0.0, m_promised - passed * rate());
+}
+
+// A share of a small burst would round to nothing.
+double TeamBucket::burst() const
+{
+    return std::max(1.0, m_rate.burst * m_share);
+}
+
+bool TeamBucket::take(TimePoint now)
+{
+    if (m_rate.rate <= 0) {
+        return true;
+    }
+    refill(now);
+    if (m_level < 1) {
+        return false;
+    }
+    m_level -= 1;
+    return true;
+}
+
+void TeamBucket::giveBack()
+{
+    m_level = std::min(burst(), m_level + 1);
+}
+
+void TeamBucket::setRate(const TeamRate &rate, TimePoint now)
+{
+    refill(now);
+    m_rate = rate;
+    m_level = std::min(m_level, burst());
+}
+
+void TeamBucket::setShare(double share, TimePoint now)
+{
+    refill(now);
+    m_share = share;
+    m_level = std::min(m_level, burst());
+}
+
+Duration TeamBucket::promise(TimePoint now)
+{
+    refill(now);
+    const double perSecond = std::max(rate(), 0.01);
+    const double most = perSecond * seconds(LongestPromise);
+    m_promised = m_promised + 1 > most ? std::max(1.0, most / 2) : m_promised + 1;
+    const double wait = (m_promised - m_level) / perSecond;
+    return std::clamp<Duration>(fromSeconds(wait), ShortestPromise, LongestPromise);
+}
+
+void DemandRate::add(TimePoint now)
+{
+    m_rate = value(now) + 1 / seconds(DemandTime);
+    m_at = now;
+}
+
+double DemandRate::value(TimePoint now) const
+{
+    return m_rate * std::exp(-seconds(std::max(now - m_at, Duration::zero())) / seconds(DemandTime));
+}
+
+std::uint32_t shortHash(const std::string &name)
+{
+    return static_cast<std::uint32_t>(XXH3_64bits(name.data(), name.size()));
+}
+
+double quotaShare(const TeamName &team, const SchedulerDemand &own, const std::vector<const SchedulerDemand *> &others, unsigned registered)
+{
+    const auto hash = shortHash(team.value);
+    const auto demandOf = [hash](const SchedulerDemand &demand) {
+        const auto found = demand.teams.find(hash);
+        return LeastDemand * demand.members + (found == demand.teams.end() ? 0.0 : found->second);
+    };
+    double members = own.members;
+    double demand = demandOf(own);
+    for (const auto *other : others) {
+        members += other->members;
+        demand += demandOf(*other);
+    }
+    const double fleet = std::max(members, static_cast<double>(registered));
+    if (fleet <= 0 || demand <= 0) {
+        return 0;
+    }
+    return members / fleet * demandOf(own) / demand;
+}
+}
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -106,12 +106,19 @@
     return segments == 0 ? path.substr(0, 1) : path.substr(0, end);
 }
 
-const RouteList *longestPrefix(const HostRoutes &routes, std::string_view path)
+// "/a/" in a request lies below the prefix "/a", though its normalized path is the same.
+bool matchesBelow(const RouteList &routes, std::string_view prefix, std::string_view path, bool endsWithSlash)
+{
+    const bool below = path.size() > prefix.size() || endsWithSlash;
+    return below || std::any_of(routes.begin(), routes.end(), [](const Route *route) { return !route->belowOnly; });
+}
+
+const RouteList *longestPrefix(const HostRoutes &routes, std::string_view path, bool endsWithSlash)
 {
     auto prefix = firstSegments(path, routes.deepest);
     while (true) {
         const auto found = routes.prefixes.find(prefix);
-        if (found != routes.prefixes.end()) {
+        if (found != routes.prefixes.end() && matchesBelow(found->second, prefix, path, endsWithSlash)) {
             return &found->second;
         }
         if (prefix.size() <= 1) {
@@ -199,9 +206,10 @@
         return BadPath {};
     }
     const auto name = normalizedHost(host);
+    const bool endsWithSlash = target.substr(0, target.find('?')).ends_with('/');
     for (const std::string_view candidate : {std::string_view(name), std::string_view()}) {
         const auto routes = m_index->hosts.find(candidate);
-        const auto *list = routes == m_index->hosts.end() ? nullptr : longestPrefix(routes->second, *path);
+        const auto *list = routes == m_index->hosts.end() ? nullptr : longestPrefix(routes->second, *path, endsWithSlash);
         if (list != nullptr) {
             return matchMethod(*list, method);
         }
--- a/src/session_p.h
+++ b/src/session_p.h
@@ -5,6 +5,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <boost/intrusive/list.hpp>
+
 #include <optional>
 #include <string>
 
@@ -12,11 +14,13 @@
 {
 class TrafficThread;
 
-/// A request that runs; its caller's connection is looked at now and then, as there is no one to answer once it is closed.
-struct ActiveRequest : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
-    int socket = -1;
-    TimePoint startedAt;
-    AttemptHandle handle;
+/// A caller's connection, as the sweep of its thread sees it.
+class SweptSession : public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+{
+public:
+    virtual ~SweptSession() = default;
+    /// Ends what has passed its time limit; @p closeIdle: nothing more is to be served on idle connections.
+    virtual void sweep(TimePoint now, bool closeIdle) = 0;
 };
 
 /// Serves one caller's connection until it ends.
@@ -36,15 +40,24 @@
 using CallerRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using CallerRequestHeader = boost::beast::http::request_header<>;
 
+/// What this daemon adds to a request.
+struct RequestMarks {
+    std::string requestId; ///< for a request that came without one
+    std::string callerAddress;
+    TeamName team; ///< empty on routes open to all
+};
+
 /// Fields that end at this hop, among them those that Connection names.
 void removeHopByHopFields(boost::beast::http::fields &fields);
 /// The answer that tells of a refusal.
-TargetAnswer refusalAnswer(const Refusal &refusal);
+TargetAnswer refusalAnswer(const Refusal &refusal, const Dialect &dialect = {});
 /// Finds messages that two readers could frame differently.
 std::optional<Refusal> checkFraming(const CallerRequestHeader &header);
+/// Turns a target in absolute form into a path; false where it is none.
+bool reduceAbsoluteForm(CallerRequestHeader &header);
 /// The message as bytes, for one write.
 std::string wireText(const TargetAnswer &answer);
 std::string wireText(const TargetRequest &request);
 /// The caller's request as a target gets it: no key, no hop-by-hop fields.
-TargetRequest requestForTarget(const CallerRequest &request, const std::string &requestId, const std::string &callerAddress);
+TargetRequest requestForTarget(const CallerRequest &request, const RequestMarks &marks, const Dialect &dialect);
 }
--- a/src/snapshot_p.h
+++ b/src/snapshot_p.h
@@ -9,7 +9,9 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <algorithm>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace plumsill
@@ -22,6 +24,12 @@
         , routes(document)
         , keys(*document)
     { }
+    /// Priority that the team has by itself.
+    std::optional<unsigned> priorityOf(const TeamName &team) const
+    {
+        const auto found = std::find_if(document->teams.begin(), document->teams.end(), [&team](const Team &entry) { return entry.name == team; });
+        return found == document->teams.end() ? std::nullopt : found->priority;
+    }
     const DocumentStamp stamp;
     const std::shared_ptr<const Document> document;
     const RouteTable routes;
--- /dev/null
+++ b/src/target_list.cpp
@@ -0,0 +1,81 @@
+#include <plumsill/target_list.h>
+
+namespace plumsill
+{
+namespace
+{
+using namespace std::chrono_literals;
+
+// A gap between two good reads that is longer than this is an outage: entries may have lapsed because of it.
+constexpr auto OutageGap = 2500ms;
+// Time in which lapsed entries come back after an outage.
+constexpr auto ReturnTime = 2300ms;
+
+// A write that came late, of an earlier run or of an earlier moment of the same run.
+bool isOlder(const Target &a, const Target &b)
+{
+    return a.startedAt < b.startedAt || (a.startedAt == b.startedAt && a.sequence < b.sequence);
+}
+
+bool sameRun(const Target &a, const Target &b)
+{
+    return a.endpoint == b.endpoint && a.service == b.service && a.startedAt == b.startedAt;
+}
+}
+
+void TargetList::read(const std::vector<Target> &targets, TimePoint sentAt, TimePoint now)
+{
+    if (m_readAt && sentAt <= *m_readAt) {
+        return;
+    }
+    if (m_readAt && sentAt - *m_readAt > OutageGap && !m_targets.empty()) {
+        m_graceUntil = now + ReturnTime;
+    }
+    m_readAt = sentAt;
+    std::map<TargetName, Target> listed;
+    for (const auto &target : targets) {
+        const auto known = m_targets.find(target.name);
+        const bool outdated = known != m_targets.end() && isOlder(target, known->second);
+        listed.emplace(target.name, outdated ? known->second : target);
+    }
+    if (m_graceUntil && sentAt < *m_graceUntil) {
+        // What another entry has taken the address of is gone for sure.
+        std::map<Endpoint, const Target *> taken;
+        for (const auto &target : targets) {
+            taken.emplace(target.endpoint, &target);
+        }
+        for (const auto &[name, target] : m_targets) {
+            if (!listed.contains(name) && !taken.contains(target.endpoint)) {
+                listed.emplace(name, target);
+            }
+        }
+    } else {
+        m_graceUntil.reset();
+    }
+    // The remaining time of a cold start changes with each read and is no change of the list.
+    bool changed = listed.size() != m_targets.size();
+    for (auto &[name, target] : listed) {
+        const auto known = m_targets.find(name);
+        changed = changed || known == m_targets.end() || !sameRun(known->second, target) || known->second.leaving != target.leaving;
+    }
+    m_targets = std::move(listed);
+    m_revision += changed ? 1 : 0;
+}
+
+void TargetList::confirm(TimePoint sentAt)
+{
+    if (m_readAt && sentAt > *m_readAt) {
+        m_readAt = sentAt;
+    }
+}
+
+std::vector<Target> TargetList::targets() const
+{
+    std::vector<Target> all;
+    all.reserve(m_targets.size());
+    for (const auto &[name, target] : m_targets) {
+        all.push_back(target);
+    }
+    return all;
+}
+}
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clock_p.h"
+#include "placement_p.h"
 #include "session_p.h"
 #include "snapshot_p.h"
 #include "upstream_p.h"
@@ -48,12 +49,16 @@
 struct ControlPort {
     std::function<void(TrafficReport)> report;
     std::function<void(TokenRequest)> wantToken;
+    /// Empty where this daemon places requests by itself.
+    std::function<void(PlacementWish)> wantPlacement;
+    std::function<void(std::uint64_t)> withdrawWish;
+    std::function<void(const AttemptReport &)> attemptEnded;
 };
 
 /// One target as one traffic thread uses it.
 struct TargetRuntime {
-    TargetRuntime(const Endpoint &endpoint, std::size_t connections)
-        : pool(endpoint, connections)
+    TargetRuntime(const Endpoint &endpoint, std::size_t connections, Duration connectTimeout = config::ConnectTimeout)
+        : pool(endpoint, connections, connectTimeout)
     { }
     TargetPool pool;
     LatencyEstimate latency;
@@ -66,18 +71,26 @@
 class TargetLease
 {
 public:
-    TargetLease(TargetName name, TargetRuntimePtr runtime, std::function<void()> released);
+    using Ended = std::function<void(AttemptEnd end, Duration taken)>;
+
+    TargetLease(TargetName name, TargetRuntimePtr runtime, Ended ended);
+    /// An attempt that ends without a word counts as abandoned.
     ~TargetLease();
     TargetLease(const TargetLease &) = delete;
     TargetLease &operator=(const TargetLease &) = delete;
 
     const TargetName &name() const { return m_name; }
     TargetRuntime &runtime() { return *m_runtime; }
+    void ended(AttemptEnd end, Duration taken);
+    /// Age at which a second target is asked beside this one; none: it isn't.
+    const std::optional<Duration> &hedgeAfter() const { return m_hedgeAfter; }
+    void setHedgeAfter(Duration age) { m_hedgeAfter = age; }
 
 private:
     TargetName m_name;
     TargetRuntimePtr m_runtime;
-    std::function<void()> m_released;
+    Ended m_ended; ///< empty once told
+    std::optional<Duration> m_hedgeAfter;
 };
 
 /// A request that waits for a target.
@@ -86,12 +99,19 @@
     TimePoint deadline;
     std::vector<TargetName> tried; ///< targets that failed it before
     bool idempotent = false; ///< only such a request is used as a trial
+    RouteName route;
+    ServiceName service;
+    unsigned priority = 0;
+    bool repeat = false; ///< an attempt of the request was made before
+    TimePoint objective; ///< an answer until then is of full use
+    AttemptHandle *handle = nullptr; ///< tells when the caller left
 };
 
-/// No target: either none is in use, or the request could not be served in time.
+/// No target: either none is in use, or the request could not be served in time, or the team is over its rate.
 struct NoTarget {
     bool overloaded = false;
     Duration retryAfter {};
+    bool overRate = false;
 };
 
 using DispatchResult = std::variant<std::unique_ptr<TargetLease>, NoTarget>;
@@ -145,7 +165,7 @@
 {
 public:
     /// @p threads: number of threads that share the daemon's connections to targets.
-    TrafficThread(unsigned index, unsigned threads, ControlPort control);
+    TrafficThread(unsigned index, unsigned threads, ControlPort control, Dialect dialect = {});
     ~TrafficThread();
     TrafficThread(const TrafficThread &) = delete;
     TrafficThread &operator=(const TrafficThread &) = delete;
@@ -163,21 +183,28 @@
     // For the sessions of this thread.
     const SnapshotPtr &snapshot() const { return m_snapshot; }
     TrafficReport &report() { return m_report; }
-    ServiceDispatch *dispatch(const ServiceName &service);
+    ServiceDispatch *dispatch(const ServiceName &service) const;
     std::string nextRequestId();
     /// Takes a token of the team's limit; asks control where this daemon has none left.
     boost::asio::awaitable<TokenAnswer> token(const TeamName &team, TimePoint deadline);
     /// Control's answer to a TokenRequest; may be called from any thread.
     void resolveToken(WaiterId waiter, TokenAnswer answer);
-    /// Looks at the caller's connection from time to time while the request runs.
-    void watch(ActiveRequest &request) { m_active.push_back(request); }
-    void sessionStarted() { ++m_sessions; }
+    /// Asks control for a target; may wait until the request's deadline.
+    boost::asio::awaitable<DispatchResult> place(const DispatchRequest &request);
+    /// Control's answer to a PlacementWish; may be called from any thread.
+    void resolvePlacement(std::uint64_t wish, Placement placement);
+    /// Where requests of this thread get their targets.
+    PlacementPort &placement() { return m_placement; }
+    const Dialect &dialect() const { return m_dialect; }
+    std::mt19937_64 &random() { return m_random; }
+    void sessionStarted(SweptSession &session);
     void sessionEnded();
 
 private:
     boost::asio::awaitable<void> acceptCallers();
     boost::asio::awaitable<void> reportRegularly();
-    boost::asio::awaitable<void> checkCallers();
+    void sweepSessions(TimePoint now);
+    TargetRuntimePtr runtimeOf(const TargetName &name, const Endpoint &endpoint);
     void forgetIdleTeams(TimePoint now);
     void takeSnapshot(SnapshotPtr snapshot);
 
@@ -190,7 +217,12 @@
         std::optional<TokenAnswer> answer;
     };
 
-    using ActiveRequests = boost::intrusive::list<ActiveRequest, boost::intrusive::constant_time_size<false>>;
+    struct WishWaiter {
+        RuntimeTimer timer;
+        std::optional<Placement> placement;
+    };
+
+    using Sessions = boost::intrusive::list<SweptSession, boost::intrusive::constant_time_size<false>>;
 
     const unsigned m_index;
     const std::size_t m_connections;
@@ -200,14 +232,20 @@
     ControlPort m_control;
     SnapshotPtr m_snapshot;
     TrafficReport m_report;
-    ActiveRequests m_active;
+    Sessions m_swept;
+    std::unordered_map<TargetName, TargetRuntimePtr> m_runtimes; ///< of targets that control named
+    std::map<std::uint64_t, WishWaiter *> m_wishes;
     std::unordered_map<ServiceName, std::unique_ptr<ServiceDispatch>> m_services;
     std::unordered_map<TeamName, KnownAllowance> m_allowances;
     TimePoint m_nextSweep;
     std::map<WaiterId, TokenWaiter *> m_tokenWaiters;
     WaiterId m_nextWaiter;
     std::mt19937_64 m_random;
+    const Dialect m_dialect;
+    PlacementPort m_placement;
+    std::uint64_t m_nextWish;
     std::size_t m_sessions = 0;
+    TimePoint m_leavingSince = TimePoint::max();
     bool m_draining = false;
 };
 }
--- a/src/upstream_p.h
+++ b/src/upstream_p.h
@@ -4,6 +4,7 @@
 
 #include <plumsill/attempt.h>
 #include <plumsill/config.h>
+#include <plumsill/dialect.h>
 #include <plumsill/types.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -59,22 +60,26 @@
     TimedSocket stream;
     boost::beast::flat_buffer buffer;
     ConnectionFacts facts;
+    bool writing = false; ///< a request is still being sent
 };
 
 /// The part of a request that its caller's connection can end: shared by the session and the running attempt.
 class AttemptHandle
 {
 public:
-    /// The caller closed its connection: an idempotent attempt is cancelled, any other is let run to its end.
-    void callerGone();
-    bool isCallerGone() const { return m_callerGone; }
+    /// Nobody waits for the answer any more: an idempotent attempt is cancelled, any other is let run to its end.
+    void abandon();
+    bool abandoned() const { return m_abandoned; }
+    /// Timer of the wait for a target, which the caller's leaving ends; null: none.
+    void setWaiting(RuntimeTimer *timer) { m_waiting = timer; }
     void attach(const boost::intrusive_ptr<TargetConnection> &connection, bool cancellable);
     void detach() { m_connection.reset(); }
 
 private:
     boost::intrusive_ptr<TargetConnection> m_connection;
+    RuntimeTimer *m_waiting = nullptr;
     bool m_cancellable = true;
-    bool m_callerGone = false;
+    bool m_abandoned = false;
 };
 
 /// How one attempt is to be made.
@@ -83,14 +88,15 @@
     Duration timeout {};
     const AnswerSink *sink = nullptr;
     AttemptHandle *handle = nullptr;
+    const Dialect *dialect = nullptr;
 };
 
 /// Connections of one traffic thread to one target.
 class TargetPool
 {
 public:
-    /// @p connections: most connections at once, idle ones included.
-    TargetPool(Endpoint endpoint, std::size_t connections);
+    /// @p connections: most connections at once, idle ones included. @p connectTimeout: longest wait for a new one.
+    TargetPool(Endpoint endpoint, std::size_t connections, Duration connectTimeout = config::ConnectTimeout);
     ~TargetPool();
     TargetPool(const TargetPool &) = delete;
     TargetPool &operator=(const TargetPool &) = delete;
@@ -100,6 +106,7 @@
     const Endpoint &endpoint() const { return m_endpoint; }
     /// Closes idle connections that may carry no more requests.
     void closeStale(TimePoint now);
+    bool unused() const { return m_active == 0 && m_idle.empty(); }
 
 private:
     using Connection = boost::intrusive_ptr<TargetConnection>;
@@ -111,11 +118,14 @@
     void noteSilence(TimePoint now);
     boost::asio::awaitable<Connection> open(Duration timeout, AttemptHandle *handle, AttemptFailure &failure);
 
+    static boost::asio::awaitable<AttemptResult> exchange(const Connection &connection, const TargetRequest &request, const AttemptOptions &options,
+                                                          bool &reuse);
     boost::asio::awaitable<AttemptResult> attemptOn(const Connection &connection, const TargetRequest &request, AttemptOptions options);
     void makeRoom();
 
     Endpoint m_endpoint;
     const std::size_t m_connections;
+    const Duration m_connectTimeout;
     std::size_t m_active = 0; ///< connections that carry a request or are being opened
     IdleList m_idle; // newest answer first; each holds one count
     std::optional<TimePoint> m_lastAnswerAt;
--- /dev/null
+++ b/src/zone_p.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include "../platform/object_directory.h"
+#include "clock_p.h"
+#include "peer_p.h"
+#include "snapshot_p.h"
+#include "traffic_p.h"
+
+#include <plumsill/currency.h>
+#include <plumsill/hubs.h>
+#include <plumsill/metrics.h>
+#include <plumsill/quota.h>
+#include <plumsill/scheduler.h>
+#include <plumsill/settings.h>
+#include <plumsill/target_list.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+/// Control thread of a daemon that works under its zone's scheduler, and can be that scheduler itself.
+namespace plumsill
+{
+/// Messages to and from the other daemons are signed by this run of this daemon.
+class ZoneControl
+{
+public:
+    ZoneControl(boost::asio::io_context &context, const Settings &settings, PeerPort &peers, RegisteredDaemon self,
+                std::vector<std::unique_ptr<TrafficThread>> &threads);
+
+    // Children of the supervisor.
+    boost::asio::awaitable<void> runRegistry();
+    boost::asio::awaitable<void> runReader();
+    boost::asio::awaitable<void> runBeats();
+    boost::asio::awaitable<void> runDigests();
+    boost::asio::awaitable<void> runPublisher();
+
+    // From the peer port.
+    void received(const Envelope &envelope);
+    std::optional<Envelope> respond(const Envelope &request);
+
+    // From the traffic threads, on the control thread.
+    void report(const TrafficReport &report) { m_metrics.add(report); }
+    void wantPlacement(PlacementWish wish);
+    void withdrawWish(std::uint64_t id);
+    void attemptEnded(const AttemptReport &report);
+
+    /// Planned stop: the balancer and the other daemons learn of it.
+    boost::asio::awaitable<void> leave();
+    bool ready(TimePoint now) const;
+    std::string metricsText(TimePoint now) const;
+
+private:
+    /// A request that waits for its placement.
+    struct Pending {
+        PlacementWish wish;
+        std::unique_ptr<RuntimeTimer> timer;
+        std::optional<MemberId> hub; ///< who was asked; none: this daemon
+        unsigned asks = 0; ///< of that one
+        unsigned hubs = 0; ///< that left it without an answer
+        bool queued = false;
+    };
+
+    /// An attempt that this daemon has running.
+    struct Running {
+        RunningAttempt attempt;
+        TimePoint startedAt;
+        bool placedHere = false;
+    };
+
+    /// A daemon that asks this one.
+    struct MemberRecord {
+        Endpoint peer;
+        TimePoint heardAt;
+        std::uint64_t beatSentAt = 0;
+        TimePoint beatAt;
+    };
+
+    /// What another scheduler told last.
+    struct HubRecord {
+        Endpoint peer;
+        ZoneName zone;
+        SchedulerDemand demand;
+        TimePoint heardAt;
+        std::uint64_t sentAt = 0; ///< to be echoed
+        bool current = false; ///< its proof was fresh
+    };
+
+    /// A list of targets that another daemon has.
+    struct ListSource {
+        MemberId daemon;
+        std::uint64_t revision = 0;
+
+        auto operator<=>(const ListSource &) const = default;
+    };
+
+    // Registry and reads.
+    boost::asio::awaitable<void> readRegistry();
+    boost::asio::awaitable<bool> readDocument();
+    boost::asio::awaitable<bool> readTargets();
+    boost::asio::awaitable<void> fetchDocument(Endpoint from);
+    boost::asio::awaitable<void> fetchTargets(Endpoint from, ListSource source);
+    bool readsForFleet(TimePoint now) const;
+    void adopt(const DocumentRead &read, const std::string &from);
+    void listChanged(const std::string &from);
+    void noteProof(const DocumentProof &proof, TimePoint writtenAt, const Endpoint &from);
+    void noteList(const ListProof &proof, TimePoint writtenAt, const MemberId &daemon, const Endpoint &from);
+    DocumentProof documentProof(TimePoint now) const;
+    ListProof listProof(TimePoint now) const;
+    void noteStore(bool reached, const char *call, const std::string &reason);
+
+    // Placement.
+    void askHub(std::uint64_t id);
+    void askHere(std::uint64_t id);
+    void askTimedOut(std::uint64_t id);
+    void askAgain(const MemberId &hub);
+    void deliver(std::uint64_t id, const Placement &placement, bool here);
+    void sendLate();
+    void reply(const Endpoint &to, std::uint64_t id, const Placement &placement);
+    void received(const Envelope &envelope, const PlaceRequest &request);
+    void received(const Envelope &envelope, const PlaceReply &reply);
+    void received(const Envelope &envelope, const MemberBeat &beat);
+    void received(const Envelope &envelope, const HubBeacon &beacon);
+    void received(const Envelope &envelope, const HubDigest &digest);
+    std::optional<RegisteredDaemon> hub(TimePoint now) const { return m_hubs.hub(m_settings.zone, now); }
+    bool isSelf(const RegisteredDaemon &daemon) const { return daemon.id.name == m_self.id.name; }
+    bool acting(TimePoint now) const;
+    void hubSilent(const RegisteredDaemon &hub, TimePoint now);
+
+    // Talk between schedulers and members.
+    void sendBeat(const RegisteredDaemon &to, TimePoint now);
+    void sendBeacon(const MemberId &member, const MemberRecord &record, TimePoint now);
+    void sendBeacons(TimePoint now);
+    void sendDigest(const RegisteredDaemon &to, TimePoint now);
+    void updateShares(TimePoint now);
+    void noteHub(TimePoint now);
+    SchedulerDemand ownDemand(TimePoint now) const;
+    void send(const Endpoint &to, Message message);
+    Envelope envelope(Message message) const;
+    void publish(TimePoint now);
+    TimePoint trustedUntil() const;
+
+    boost::asio::io_context &m_context;
+    const Settings &m_settings;
+    PeerPort &m_peers;
+    std::vector<std::unique_ptr<TrafficThread>> &m_threads;
+    const RegisteredDaemon m_self;
+    platform::ObjectDirectory m_directory;
+    HubDirectory m_hubs;
+    Currency m_currency;
+    TargetList m_list;
+    Scheduler m_scheduler;
+    Metrics m_metrics;
+    DocumentRead m_document;
+    boost::intrusive_ptr<const CompiledDocument> m_compiled;
+    std::optional<ListSource> m_listSource; ///< none: read by this daemon
+    bool m_fetchingDocument = false;
+    bool m_fetchingTargets = false;
+    bool m_storeReached = true;
+    unsigned m_rejectedTargets = 0;
+    std::map<std::uint64_t, Pending> m_pending;
+    std::map<std::uint64_t, Running> m_running;
+    std::map<MemberId, MemberRecord> m_members;
+    std::map<MemberId, HubRecord> m_otherHubs;
+    std::map<InstanceName, unsigned> m_unansweredDigests;
+    std::optional<MemberId> m_hub; ///< asked last
+    TimePoint m_hubHeardAt;
+    TimePoint m_nextProbe;
+    TimePoint m_nextRegistryRead;
+    TimePoint m_publishedAt;
+    std::mt19937_64 m_random {std::random_device()()};
+    std::uint64_t m_localPlacements = 0;
+    std::uint64_t m_hubPlacements = 0;
+    bool m_publishDue = true;
+    bool m_leaving = false;
+    bool m_enrolled = false;
+};
+}
--- a/tools/plumsilld.cpp
+++ b/tools/plumsilld.cpp
@@ -1,11 +1,15 @@
+#include "../platform/decode.h"
+#include "../platform/wire.h"
 #include "../src/daemon_p.h"
 
+#include <plumsill/event.h>
 #include <plumsill/log.h>
 
 #include <popt.h>
 
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -22,6 +26,7 @@
 
 struct Arguments {
     std::string config;
+    bool platform = false; ///< the users' platform starts the daemon
     bool check = false;
     bool version = false;
 };
@@ -29,24 +34,26 @@
 std::optional<Arguments> parseArguments(int argc, const char **argv)
 {
     char *config = nullptr;
+    int platform = 0;
     int check = 0;
     int version = 0;
     const poptOption options[] = {
         {"config", 'c', POPT_ARG_STRING, &config, 0, "read the settings from FILE", "FILE"},
+        {"platform", 'p', POPT_ARG_NONE, &platform, 0, "take the settings from the platform that starts the daemon", nullptr},
         {"check", 0, POPT_ARG_NONE, &check, 0, "check the settings and exit", nullptr},
         {"version", 'V', POPT_ARG_NONE, &version, 0, "print the version and exit", nullptr},
         POPT_AUTOHELP POPT_TABLEEND,
     };
     const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(poptGetContext("plumsilld", argc, argv, options, 0), poptFreeContext);
     const int result = poptGetNextOpt(context.get());
-    Arguments arguments {config == nullptr ? "" : config, check != 0, version != 0};
+    Arguments arguments {config == nullptr ? "" : config, platform != 0, check != 0, version != 0};
     free(config);
     if (result < -1) {
         std::cerr << "plumsilld: " << poptBadOption(context.get(), 0) << ": " << poptStrerror(result) << "\n";
         return std::nullopt;
     }
-    if (poptPeekArg(context.get()) != nullptr || (arguments.config.empty() && !arguments.version)) {
-        std::cerr << "plumsilld: usage: plumsilld --config FILE [--check] [--version] [--help]\n";
+    if (poptPeekArg(context.get()) != nullptr || (arguments.config.empty() && !arguments.platform && !arguments.version)) {
+        std::cerr << "plumsilld: usage: plumsilld (--config FILE | --platform) [--check] [--version] [--help]\n";
         return std::nullopt;
     }
     return arguments;
@@ -78,8 +85,47 @@
     return secret;
 }
 
+ParsedSettings readPlatformSettings(const std::string &path)
+{
+    const auto text = readFile(path);
+    if (!text) {
+        ParsedSettings unreadable;
+        unreadable.problems.push_back({path, 0, "settings", "cannot be read"});
+        return unreadable;
+    }
+    return platform::decodeSettings(*text, path);
+}
+
+int runOnPlatform(const Arguments &arguments)
+{
+    const char *variable = std::getenv(platform::SettingsVariable);
+    const std::string path = !arguments.config.empty() ? arguments.config : variable == nullptr ? "" : variable;
+    if (path.empty()) {
+        std::cerr << "plumsilld: " << platform::SettingsVariable << " is not set\n";
+        return ExitUsage;
+    }
+    const ParsedSettings parsed = readPlatformSettings(path);
+    for (const auto &problem : parsed.problems) {
+        std::cerr << toString(problem) << "\n";
+    }
+    if (!parsed.valid()) {
+        return ExitUsage;
+    }
+    if (arguments.check) {
+        std::cout << "ok\n";
+        return 0;
+    }
+    openEvents();
+    std::signal(SIGPIPE, SIG_IGN);
+    return runZoneDaemon(
+        parsed.settings, [path] { return readPlatformSettings(path); }, platform::dialect());
+}
+
 int run(const Arguments &arguments)
 {
+    if (arguments.platform) {
+        return runOnPlatform(arguments);
+    }
     const auto text = readFile(arguments.config);
     if (!text) {
         std::cerr << "plumsilld: cannot read " << arguments.config << "\n";
