Quota: schedulers share one level per team and divide what is left of it

Ruled out: a longer average of the demand alone (the cut stays), one holder a team across zones (a way between zones for each request). Change: the level is the pool's; digests tell tokens taken, and only the remaining level is divided.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -179,6 +179,7 @@
 inline constexpr auto RegistryReadInterval = 2000ms;
 inline constexpr auto RelayPatience = 900ms; ///< without proof from others, a daemon reads by itself
 inline constexpr auto QueueServeInterval = 20ms;
+inline constexpr auto FleetStartTime = 400ms; ///< in which all daemons of a fleet that starts have enrolled
 inline constexpr auto RegistrationRetry = 500ms;
 inline constexpr auto DirectoryCallTimeout = 1200ms; ///< three times the answers of a service that is slowed a hundredfold
 
--- a/include/plumsill/messages.h
+++ b/include/plumsill/messages.h
@@ -461,12 +461,13 @@
 struct TeamDemand {
     std::uint32_t team = 0; ///< shortHash() of its name
     std::uint32_t perMinute = 0;
+    std::uint32_t taken = 0; ///< tokens since the sender's start
 
     auto operator<=>(const TeamDemand &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(team, perMinute);
+        archive(team, perMinute, taken);
     }
 };
 
--- a/include/plumsill/quota.h
+++ b/include/plumsill/quota.h
@@ -18,7 +18,16 @@
     auto operator<=>(const TeamRate &) const = default;
 };
 
-/// Token bucket of one team at one scheduler.
+/// Part of a team's rate that a scheduler works with.
+struct QuotaPart {
+    double pool = 0; ///< of the fleet's rate: what the schedulers that hear each other give out together
+    double share = 0; ///< of the pool: what this scheduler gives out until the others are heard again
+
+    auto operator<=>(const QuotaPart &) const = default;
+};
+
+/// Token bucket of one team as one scheduler sees it. The level is that of the whole pool, after what the others have
+/// told of theirs; only what is left of it is divided anew each time, so no token is lost to a change of shares.
 class TeamBucket
 {
 public:
@@ -27,20 +36,25 @@
     /// Puts a token back that was not used.
     void giveBack();
     void setRate(const TeamRate &rate, TimePoint now);
-    /// Share of the fleet's rate that this bucket gives out.
-    void setShare(double share, TimePoint now);
+    void setPart(const QuotaPart &part, TimePoint now);
+    /// Tokens that another scheduler of the pool took.
+    void takenElsewhere(std::int32_t tokens, TimePoint now);
+    /// Tokens taken here since the start; wraps around.
+    std::uint32_t taken() const { return m_taken; }
     /// Time until a token is due for the next refused request; each call promises the token after the last promised one.
     Duration promise(TimePoint now);
 
 private:
     void refill(TimePoint now);
-    double rate() const { return m_rate.rate * m_share; }
+    double poolRate() const { return m_rate.rate * m_part.pool; }
     double burst() const;
 
     TeamRate m_rate;
-    double m_share = 0;
-    double m_level = 0; // tokens
+    QuotaPart m_part;
+    double m_level = 0; // tokens of the pool
+    double m_allowance = 0; // of these, tokens that this scheduler may take before it hears the others
     double m_promised = 0; // tokens told to refused requests
+    std::uint32_t m_taken = 0;
     TimePoint m_at;
 };
 
@@ -65,7 +79,7 @@
 /// Short name of a team in messages between schedulers.
 std::uint32_t shortHash(const std::string &name);
 
-/// This scheduler's share of a team's rate. @p registered: daemons of the fleet; those that no known scheduler serves
+/// This scheduler's part of a team's rate. @p registered: daemons of the fleet; those that no known scheduler serves
 /// keep their part, since a scheduler that can't be seen may be giving it out.
-double quotaShare(const TeamName &team, const SchedulerDemand &own, const std::vector<const SchedulerDemand *> &others, unsigned registered);
+QuotaPart quotaPart(const TeamName &team, const SchedulerDemand &own, const std::vector<const SchedulerDemand *> &others, unsigned registered);
 }
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -88,8 +88,12 @@
 
     void setDocument(const Document &document, TimePoint now);
     void setTargets(const std::vector<Target> &targets, TimePoint now);
-    /// Share of a team's rate that this scheduler gives out.
-    void setTeamShare(const TeamName &team, double share, TimePoint now);
+    /// Part of a team's rate that this scheduler gives out.
+    void setTeamPart(const TeamName &team, const QuotaPart &part, TimePoint now);
+    /// Tokens of a team that another scheduler took.
+    void takenElsewhere(const TeamName &team, std::int32_t tokens, TimePoint now);
+    /// Tokens of a team that this scheduler took since its start.
+    std::uint32_t taken(const TeamName &team) const;
     /// Share of the fleet's daemons that ask this scheduler.
     void setFleetShare(double share);
     /// What another scheduler has running and believes.
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -80,6 +80,7 @@
         }
         co_await sleepFor(config::RegistrationRetry + std::chrono::milliseconds(jitter(m_random)));
     }
+    co_await sleepFor(config::FleetStartTime);
     co_await readRegistry();
     while (true) {
         co_await sleepFor(config::RegistryReadInterval);
@@ -101,6 +102,7 @@
     }
     const std::uint32_t before = m_hubs.registryHash();
     m_hubs.setRegistered(daemons.assume_value());
+    m_registryRead = true;
     m_nextRegistryRead = TimePoint::max();
     if (m_hubs.registryHash() != before) {
         Event("registry", "registry-read").add("daemons", static_cast<std::int64_t>(m_hubs.registered().size()));
@@ -124,6 +126,14 @@
 
 boost::asio::awaitable<void> ZoneControl::runReader()
 {
+    // Most daemons learn the document and the targets from their hub; they read by themselves only where that fails.
+    const TimePoint start = RuntimeClock::now();
+    while (!m_hub && !m_currency.currentAt() && RuntimeClock::now() - start < config::FleetStartTime + 2 * config::BeatInterval) {
+        co_await sleepFor(config::ControlTick);
+    }
+    if (m_hub && m_hub->name != m_self.id.name) {
+        co_await sleepFor(config::BeatInterval);
+    }
     while (true) {
         const TimePoint now = RuntimeClock::now();
         const auto provedAt = m_currency.currentAt();
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -76,7 +76,7 @@
     while (true) {
         co_await sleepFor(config::BeatInterval);
         const TimePoint now = RuntimeClock::now();
-        if (!m_enrolled) {
+        if (!m_registryRead) {
             continue;
         }
         noteHub(now);
@@ -206,7 +206,7 @@
     }
     const auto registered = static_cast<unsigned>(m_hubs.registered().size());
     for (const auto &team : m_scheduler.teams()) {
-        m_scheduler.setTeamShare(team, m_enrolled ? quotaShare(team, own, others, registered) : config::UnenrolledShare, now);
+        m_scheduler.setTeamPart(team, m_enrolled ? quotaPart(team, own, others, registered) : QuotaPart {config::UnenrolledShare, 1}, now);
     }
     m_scheduler.setFleetShare(m_enrolled ? static_cast<double>(own.members) / std::max(registered, own.members) : config::UnenrolledShare);
 }
@@ -216,7 +216,7 @@
     while (true) {
         co_await sleepFor(config::HubDigestInterval);
         const TimePoint now = RuntimeClock::now();
-        if (!m_enrolled || !acting(now)) {
+        if (!m_registryRead || !acting(now)) {
             continue;
         }
         std::map<InstanceName, RegisteredDaemon> receivers;
@@ -248,9 +248,10 @@
     digest.zone = m_settings.zone;
     const SchedulerDemand demand = ownDemand(now);
     digest.members = demand.members;
-    for (const auto &[team, value] : demand.teams) {
-        if (digest.teams.size() < MostNamedTeams) {
-            digest.teams.push_back({team, static_cast<std::uint32_t>(value * 60)});
+    for (const auto &team : m_scheduler.teams()) {
+        const auto found = demand.teams.find(shortHash(team.value));
+        if (found != demand.teams.end() && digest.teams.size() < MostNamedTeams) {
+            digest.teams.push_back({found->first, static_cast<std::uint32_t>(found->second * 60), m_scheduler.taken(team)});
         }
     }
     digest.loads = m_scheduler.loads(now);
@@ -264,6 +265,23 @@
     }
 }
 
+// What a scheduler took before it was first heard isn't known; its part of the rate was kept for it until then.
+void ZoneControl::noteTaken(HubRecord &record, const HubDigest &digest, TimePoint now)
+{
+    for (const auto &team : m_scheduler.teams()) {
+        const auto hash = shortHash(team.value);
+        const auto told = std::find_if(digest.teams.begin(), digest.teams.end(), [hash](const TeamDemand &entry) { return entry.team == hash; });
+        if (told == digest.teams.end()) {
+            continue;
+        }
+        const auto [known, first] = record.taken.emplace(hash, told->taken);
+        if (!first) {
+            m_scheduler.takenElsewhere(team, static_cast<std::int32_t>(told->taken - known->second), now);
+            known->second = told->taken;
+        }
+    }
+}
+
 void ZoneControl::received(const Envelope &envelope, const HubDigest &digest)
 {
     const TimePoint now = RuntimeClock::now();
@@ -274,12 +292,14 @@
     record.sentAt = digest.sentAt;
     record.current
         = digest.document.known && digest.document.ageMilliseconds < static_cast<std::uint32_t>(std::chrono::milliseconds(config::RelayPatience).count());
+    noteTaken(record, digest, now);
     record.demand.members = digest.members;
     record.demand.teams.clear();
     for (const auto &team : digest.teams) {
         record.demand.teams[team.team] = team.perMinute / 60.0;
     }
     m_unansweredDigests[envelope.sender.name] = 0;
+    updateShares(now);
     m_scheduler.setRemoteLoads(digest.zone, digest.loads, now);
     const TimePoint writtenAt = timeOf(digest.echo) + std::chrono::milliseconds(digest.echoHeldMilliseconds);
     if (digest.echo == 0 || writtenAt > now) {
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -13,7 +13,9 @@
 
 // Refill is this much slower than the rate, so that a fast clock stays within it.
 constexpr double RateMargin = 0.995;
-constexpr auto DemandTime = 1s;
+constexpr auto DemandTime = 2s;
+// Tokens that a scheduler takes beyond its allowance; a few of them are within what a digest's delay costs anyhow.
+constexpr double AllowanceAhead = 2;
 // Demand that each scheduler is taken to have at least, in requests a second and daemon, so that a team's first request there finds a token.
 constexpr double LeastDemand = 0.02;
 // Requests are told to come back for tokens due within this time; later ones spread over it.
@@ -25,32 +27,40 @@
 {
     const double passed = seconds(std::max(now - m_at, Duration::zero()));
     m_at = std::max(m_at, now);
-    m_level = std::min(burst(), m_level + passed * rate() * RateMargin);
-    m_promised = std::max(0.0, m_promised - passed * rate());
+    const double tokens = passed * poolRate() * RateMargin;
+    m_level = std::min(burst(), m_level + tokens);
+    m_allowance = std::min(std::max(m_level, 0.0), m_allowance + tokens * m_part.share);
+    m_promised = std::max(0.0, m_promised - tokens * m_part.share);
 }
 
-// A share of a small burst would round to nothing.
+// A part of a small burst would round to nothing.
 double TeamBucket::burst() const
 {
-    return std::max(1.0, m_rate.burst * m_share);
+    return std::max(1.0, m_rate.burst * m_part.pool);
 }
 
+// Where the pool holds a token, a scheduler may run ahead of its allowance a little: the others learn of it within
+// their next digest, and the bucket's level pays for it.
 bool TeamBucket::take(TimePoint now)
 {
     if (m_rate.rate <= 0) {
         return true;
     }
     refill(now);
-    if (m_level < 1) {
+    if (m_level < 1 || m_allowance < 1 - AllowanceAhead) {
         return false;
     }
     m_level -= 1;
+    m_allowance -= 1;
+    ++m_taken;
     return true;
 }
 
 void TeamBucket::giveBack()
 {
     m_level = std::min(burst(), m_level + 1);
+    m_allowance += 1;
+    --m_taken;
 }
 
 void TeamBucket::setRate(const TeamRate &rate, TimePoint now)
@@ -60,20 +70,27 @@
     m_level = std::min(m_level, burst());
 }
 
-void TeamBucket::setShare(double share, TimePoint now)
+void TeamBucket::setPart(const QuotaPart &part, TimePoint now)
 {
     refill(now);
-    m_share = share;
+    m_part = part;
     m_level = std::min(m_level, burst());
+    m_allowance = std::max(m_level, 0.0) * part.share;
+}
+
+void TeamBucket::takenElsewhere(std::int32_t tokens, TimePoint now)
+{
+    refill(now);
+    m_level -= tokens;
 }
 
 Duration TeamBucket::promise(TimePoint now)
 {
     refill(now);
-    const double perSecond = std::max(rate(), 0.01);
+    const double perSecond = std::max(poolRate() * m_part.share, 0.01);
     const double most = perSecond * seconds(LongestPromise);
     m_promised = m_promised + 1 > most ? std::max(1.0, most / 2) : m_promised + 1;
-    const double wait = (m_promised - m_level) / perSecond;
+    const double wait = (m_promised - std::min(m_level, 0.0)) / perSecond;
     return std::clamp<Duration>(fromSeconds(wait), ShortestPromise, LongestPromise);
 }
 
@@ -93,7 +110,7 @@
     return static_cast<std::uint32_t>(XXH3_64bits(name.data(), name.size()));
 }
 
-double quotaShare(const TeamName &team, const SchedulerDemand &own, const std::vector<const SchedulerDemand *> &others, unsigned registered)
+QuotaPart quotaPart(const TeamName &team, const SchedulerDemand &own, const std::vector<const SchedulerDemand *> &others, unsigned registered)
 {
     const auto hash = shortHash(team.value);
     const auto demandOf = [hash](const SchedulerDemand &demand) {
@@ -108,8 +125,8 @@
     }
     const double fleet = std::max(members, static_cast<double>(registered));
     if (fleet <= 0 || demand <= 0) {
-        return 0;
+        return {};
     }
-    return members / fleet * demandOf(own) / demand;
+    return {members / fleet, demandOf(own) / demand};
 }
 }
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -69,14 +69,28 @@
     m_targets = std::move(kept);
 }
 
-void Scheduler::setTeamShare(const TeamName &team, double share, TimePoint now)
+void Scheduler::setTeamPart(const TeamName &team, const QuotaPart &part, TimePoint now)
 {
     const auto found = m_teamStates.find(team);
     if (found != m_teamStates.end()) {
-        found->second.bucket.setShare(share, now);
+        found->second.bucket.setPart(part, now);
     }
 }
 
+void Scheduler::takenElsewhere(const TeamName &team, std::int32_t tokens, TimePoint now)
+{
+    const auto found = m_teamStates.find(team);
+    if (found != m_teamStates.end()) {
+        found->second.bucket.takenElsewhere(tokens, now);
+    }
+}
+
+std::uint32_t Scheduler::taken(const TeamName &team) const
+{
+    const auto found = m_teamStates.find(team);
+    return found == m_teamStates.end() ? 0 : found->second.bucket.taken();
+}
+
 void Scheduler::setFleetShare(double share)
 {
     m_fleetShare = share;
@@ -128,7 +142,7 @@
     sum += state.target.zone == m_zone ? 0 : config::OtherZoneCost;
     sum += config::LoadCost * state.running / slots;
     sum += now < state.coldUntil ? config::ColdCost : 0;
-    const bool forgotten = now - state.lastPlaced > config::ForgottenAfter;
+    const bool forgotten = state.target.zone == m_zone && now - state.lastPlaced > config::ForgottenAfter;
     return sum - (forgotten ? config::ForgottenBonus : 0);
 }
 
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -86,6 +86,7 @@
         Endpoint peer;
         ZoneName zone;
         SchedulerDemand demand;
+        std::map<std::uint32_t, std::uint32_t> taken; ///< tokens that it told of, by team
         TimePoint heardAt;
         std::uint64_t sentAt = 0; ///< to be echoed
         bool current = false; ///< its proof was fresh
@@ -138,6 +139,7 @@
     void sendBeacons(TimePoint now);
     void sendDigest(const RegisteredDaemon &to, TimePoint now);
     void updateShares(TimePoint now);
+    void noteTaken(HubRecord &record, const HubDigest &digest, TimePoint now);
     void noteHub(TimePoint now);
     SchedulerDemand ownDemand(TimePoint now) const;
     void send(const Endpoint &to, Message message);
@@ -179,5 +181,6 @@
     bool m_publishDue = true;
     bool m_leaving = false;
     bool m_enrolled = false;
+    bool m_registryRead = false;
 };
 }
