Forwarder: an answer that ends while a second target is asked for is delivered

A stopping daemon went on reading pipelined requests until it was ended. Ruled out: loss on the target's connection (the run ended 200 and the connection stayed). Change: an attempt's end interrupts the wait for a further target, and ended attempts are looked at first; a stopping daemon reads no further request on a connection once it has answered one. Ages of running requests count before they are overdue.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -146,6 +146,7 @@
 inline constexpr double RiskyShare = 0.5; ///< belief above which a request waits for another target
 inline constexpr double HedgeShare = 0.04; ///< of good answers that are still to come when a second target is asked
 inline constexpr double OverdueShare = 0.03; ///< of good answers that take longer than an overdue request
+inline constexpr double WaitingShare = 0.5; ///< of good answers that are still to come where a request's age begins to speak against its target
 inline constexpr auto OverdueInterval = 20ms;
 inline constexpr auto ColdStartSlack = 300ms; ///< longer answers of a target that has just started
 inline constexpr auto FullPause = 60ms; ///< about a quarter of the usual work: then a slot is likely free again
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -124,6 +124,7 @@
         Target target;
         unsigned running = 0;
         TargetBelief belief;
+        double waiting = 1; ///< odds that its running requests' ages speak for a failure, as of the last look
         TimePoint coldUntil;
         TimePoint fullUntil; ///< it refused work for load
         TimePoint lastPlaced;
--- a/src/belief.cpp
+++ b/src/belief.cpp
@@ -20,8 +20,6 @@
 
 // Time constant in which a target's state is forgotten: partial failures last seconds, and so do the pauses between.
 constexpr auto MemoryTime = 2s;
-// Share of targets that fail at any time, as far as nothing is known.
-constexpr double UsualFailing = 0.08;
 constexpr double LeastBelief = 0.004;
 // Share of its requests that a failing target fails.
 constexpr double FailingShare = 0.75;
@@ -81,17 +79,22 @@
     return (FailingShare + (1 - FailingShare) * healthy) / healthy;
 }
 
-double TargetBelief::failing(TimePoint now) const
+double withOdds(double failing, double oddsRatio)
+{
+    const double before = std::clamp(failing, LeastBelief, 1 - LeastBelief);
+    const double odds = before / (1 - before) * oddsRatio;
+    return std::clamp(odds / (1 + odds), LeastBelief, 1 - LeastBelief);
+}
+
+double TargetBelief::failing(TimePoint now, double usual) const
 {
     const double passed = seconds(std::max(now - m_at, Duration::zero()));
-    return UsualFailing + (m_failing - UsualFailing) * std::exp(-passed / seconds(MemoryTime));
+    return usual + (m_failing - usual) * std::exp(-passed / seconds(MemoryTime));
 }
 
 void TargetBelief::observe(double oddsRatio, TimePoint now)
 {
-    const double before = std::clamp(failing(now), LeastBelief, 1 - LeastBelief);
-    const double odds = before / (1 - before) * oddsRatio;
-    m_failing = std::clamp(odds / (1 + odds), LeastBelief, 1 - LeastBelief);
+    m_failing = withOdds(failing(now), oddsRatio);
     m_at = now;
 }
 
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -283,7 +283,7 @@
     m_tried.push_back(lease->name());
     const bool hedge = lease->hedgeAfter() && m_attempts.mayHedge(static_cast<unsigned>(m_race->running()) + 1, RuntimeClock::now());
     m_hedgeAt = hedge ? std::optional(RuntimeClock::now() + *lease->hedgeAfter()) : std::nullopt;
-    m_race->start(std::move(lease), m_attempts, targetsLeft(), m_deadline, m_ticket.m_signal);
+    m_race->start(std::move(lease), m_attempts, targetsLeft(), m_deadline, m_ticket.m_signal, m_ticket.m_waiting);
 }
 
 boost::asio::awaitable<ForwardResult> Forwarder::forward()
@@ -293,14 +293,15 @@
         if (m_ticket.isCallerGone()) {
             co_return AbortCaller {};
         }
+        const bool alone = m_race->running() == 0 && !m_race->hasEnded();
         if (const auto *none = std::get_if<NoTarget>(&choice)) {
-            if (m_race->running() == 0) {
+            if (alone) {
                 co_return giveUpWithout(*none);
             }
             m_hedgeAt.reset();
         } else if (auto refusal = recheckAccess(*m_thread.snapshot(), m_access, RuntimeClock::now())) {
             // The request may have waited, so its key is looked at once more.
-            if (m_race->running() == 0) {
+            if (alone) {
                 refusal->outcome = m_attempts.outcome();
                 refusal->status = m_attempts.outcome() == RunOutcome::NotRun || refusal->status != 503 ? refusal->status : 502;
                 co_return refuse(*refusal);
--- a/src/net_race.cpp
+++ b/src/net_race.cpp
@@ -78,9 +78,11 @@
     , m_sink(sink)
 { }
 
-void RequestRace::start(std::unique_ptr<TargetLease> lease, const RequestAttempts &attempts, bool targetsLeft, TimePoint deadline, RuntimeTimer &signal)
+void RequestRace::start(std::unique_ptr<TargetLease> lease, const RequestAttempts &attempts, bool targetsLeft, TimePoint deadline, RuntimeTimer &signal,
+                        AttemptHandle &waiting)
 {
     m_signal = &signal;
+    m_waiting = &waiting;
     const boost::intrusive_ptr<RaceEntry> entry(new RaceEntry);
     entry->lease = std::move(lease);
     entry->startedAt = RuntimeClock::now();
@@ -116,6 +118,7 @@
 {
     m_sink = nullptr;
     m_signal = nullptr;
+    m_waiting = nullptr;
     const auto running = m_running;
     for (const auto &entry : running) {
         entry->handle.abandon();
@@ -183,8 +186,8 @@
     if (!entry->handle.abandoned()) {
         noteEvidence(*entry, result, now - entry->startedAt, slowAfter, watch->counted);
     }
-    ended(entry, result);
     entry->result = std::move(result);
+    ended(entry, *entry->result);
 }
 
 // The lease ends here, also where the request has been answered otherwise: its slot is free.
@@ -198,6 +201,7 @@
     m_ended.push_back(entry);
     if (m_signal != nullptr) {
         m_signal->cancel();
+        m_waiting->interrupt();
     }
 }
 
--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -295,6 +295,10 @@
     if (co_await readBody(std::get<Access>(access).route.bodyLimit) != ReadEnd::Whole) {
         co_return false;
     }
+    if (m_closing) {
+        // The answer that ends the connection was written meanwhile, so this request counts as unread.
+        co_return false;
+    }
     const ExchangePtr exchange(new Exchange(m_socket.get_executor()));
     exchange->access = std::get<Access>(access);
     exchange->request = m_parser->release();
@@ -340,10 +344,11 @@
     if (!co_await waitForTurn(exchange)) {
         co_return false;
     }
-    // Requests that stand behind this one are answered first, then the connection ends.
+    // A daemon that stops reads no further request: those that stand behind this one are answered, then the connection
+    // ends.
+    m_closing = m_closing || leaving() || !exchange->keepAlive;
     const bool last = m_exchanges.size() == 1;
-    const bool keepAlive = exchange->keepAlive && !(leaving() && last);
-    m_closing = m_closing || !keepAlive;
+    const bool keepAlive = exchange->keepAlive && !(m_closing && last);
     const bool sent = co_await sendAnswer(std::get<TargetAnswer>(result), keepAlive);
     co_return sent;
 }
--- a/src/net_upstream.cpp
+++ b/src/net_upstream.cpp
@@ -308,14 +308,19 @@
 void AttemptHandle::abandon()
 {
     m_abandoned = true;
-    if (m_waiting != nullptr) {
-        m_waiting->cancel();
-    }
+    interrupt();
     if (m_connection && m_cancellable) {
         m_connection->stream.close();
     }
 }
 
+void AttemptHandle::interrupt()
+{
+    if (m_waiting != nullptr) {
+        m_waiting->cancel();
+    }
+}
+
 void AttemptHandle::attach(const boost::intrusive_ptr<TargetConnection> &connection, bool cancellable)
 {
     m_connection = connection;
--- a/src/race_p.h
+++ b/src/race_p.h
@@ -10,8 +10,11 @@
 public:
     RequestRace(TrafficThread &thread, const Access &access, ServiceName service, TargetRequest request, const AnswerSink *sink);
 
-    /// Sends the request to the lease's target. @p signal is cancelled when the attempt has ended.
-    void start(std::unique_ptr<TargetLease> lease, const RequestAttempts &attempts, bool targetsLeft, TimePoint deadline, RuntimeTimer &signal);
+    /// Sends the request to the lease's target. When the attempt has ended, @p signal and the wait for a further target
+    /// end too.
+    void start(std::unique_ptr<TargetLease> lease, const RequestAttempts &attempts, bool targetsLeft, TimePoint deadline, RuntimeTimer &signal,
+               AttemptHandle &waiting);
+    bool hasEnded() const { return !m_ended.empty(); }
     /// Next attempt that has ended; null: none.
     boost::intrusive_ptr<RaceEntry> takeEnded();
     std::size_t running() const { return m_running.size(); }
@@ -33,6 +36,7 @@
     const AnswerSink *m_sink; ///< null once the race is closed
     const RaceEntry *m_streaming = nullptr; ///< whose answer goes to the caller
     RuntimeTimer *m_signal = nullptr; ///< null once the race is closed
+    AttemptHandle *m_waiting = nullptr; ///< null once the race is closed
     std::vector<boost::intrusive_ptr<RaceEntry>> m_running;
     std::deque<boost::intrusive_ptr<RaceEntry>> m_ended;
 };
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -112,7 +112,7 @@
 // The word of the scheduler in the target's own zone counts as much as what was seen here.
 double Scheduler::failing(const TargetState &state, TimePoint now) const
 {
-    double share = state.belief.failing(now);
+    double share = withOdds(state.belief.failing(now), state.waiting);
     for (const auto &[zone, remote] : state.remote) {
         if (now - remote.at < config::RemoteLoadLifetime) {
             share = std::max(share, remote.load.failingPercent / 100.0);
@@ -193,6 +193,9 @@
         return;
     }
     m_overdueAt = now;
+    for (auto &[name, target] : m_targets) {
+        target->waiting = 1;
+    }
     for (auto &[key, attempt] : m_running) {
         if (attempt.overdue || now < attempt.target->coldUntil) {
             continue;
@@ -203,6 +206,8 @@
         if (survival < config::OverdueShare) {
             attempt.overdue = true;
             attempt.target->belief.overdue(survival, now);
+        } else if (survival < config::WaitingShare) {
+            attempt.target->waiting *= waitingOdds(survival);
         }
     }
 }
@@ -459,7 +464,7 @@
 {
     std::vector<TargetLoad> loads;
     for (const auto &[name, state] : m_targets) {
-        const auto percent = static_cast<std::uint8_t>(100 * state->belief.failing(now));
+        const auto percent = static_cast<std::uint8_t>(100 * withOdds(state->belief.failing(now), state->waiting));
         if (state->running > 0 || percent > config::ToldFailingPercent) {
             loads.push_back({shortHash(name.value), static_cast<std::uint8_t>(std::min(state->running, 255U)), percent});
         }
--- a/src/upstream_p.h
+++ b/src/upstream_p.h
@@ -70,6 +70,8 @@
     /// Nobody waits for the answer any more: an idempotent attempt is cancelled, any other is let run to its end.
     void abandon();
     bool abandoned() const { return m_abandoned; }
+    /// Ends the wait for a target, if one is under way.
+    void interrupt();
     /// Timer of the wait for a target, which the caller's leaving ends; null: none.
     void setWaiting(RuntimeTimer *timer) { m_waiting = timer; }
     void attach(const boost::intrusive_ptr<TargetConnection> &connection, bool cancellable);
