Beliefs: failed trials back off, the usual share is learned, idle targets first

Change: memory of 3 s that doubles with each failed trial up to 12 s, requests prefer targets without running work, the share of failing targets is learned, what is idempotent tries suspected targets sooner.

--- a/include/plumsill/belief.h
+++ b/include/plumsill/belief.h
@@ -36,6 +36,8 @@
 class TargetBelief
 {
 public:
+    TargetBelief();
+
     /// @p usual: share of targets that fail at any time, to which the belief returns without news.
     double failing(TimePoint now, double usual = UsualFailing) const;
     void answeredWell(TimePoint now);
@@ -53,6 +55,7 @@
 
     double m_failing = 0;
     TimePoint m_at;
+    Duration m_memory; ///< in which suspicion fades; grows while trials go on to fail
 };
 
 /// How much less likely a healthy target leaves a request waiting than a failing one.
--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -136,17 +136,24 @@
 inline constexpr auto RetryAfterFailure = 1000ms;
 
 // Scheduling within a zone. Costs are in requests: one is what a request that isn't served costs its caller.
-inline constexpr double FailureCost = 2.0; ///< of a failing target; above 1, since a failed request also held a slot
+inline constexpr double FailureCost = 2.0; ///< of a failing target: its request is lost, and others follow it until that is known
 inline constexpr double RepeatableShare = 0.4; ///< of the failure's cost where another target can be tried
 inline constexpr double OtherZoneCost = 0.08; ///< bytes of one request between zones, by the prices of bytes and of requests
-inline constexpr double LoadCost = 0.3; ///< of a target's last slot: spreads requests while nothing else decides
+inline constexpr double LoadCost = 0.5; ///< of a target's last slot: what a failing target has running is lost with it
 inline constexpr double ColdCost = 0.3; ///< of a target that has just started and works at half speed
-inline constexpr double ForgottenBonus = 0.2; ///< above the cost at which an unknown target rests
+inline constexpr double ForgottenBonus = 1.5; ///< above what an unknown target costs
+inline constexpr double ForgottenShare = 0.4; ///< belief below which a target without news is tried again
+inline constexpr double RepeatableTrialShare = 0.7; ///< the same for requests that can be tried elsewhere
 inline constexpr auto ForgottenAfter = 1500ms; ///< below the 2 s in which each sound target is to get requests
 inline constexpr double RiskyShare = 0.5; ///< belief above which a request waits for another target
 inline constexpr double HedgeShare = 0.04; ///< of good answers that are still to come when a second target is asked
 inline constexpr double OverdueShare = 0.03; ///< of good answers that take longer than an overdue request
 inline constexpr double WaitingShare = 0.5; ///< of good answers that are still to come where a request's age begins to speak against its target
+inline constexpr auto UsualInterval = 200ms;
+inline constexpr double UsualWeight = 0.02; ///< of one look: ten seconds' memory
+inline constexpr double LeastUsual = 0.03;
+inline constexpr double MostUsual = 0.3; ///< above it nothing would be tried again
+inline constexpr auto NewsLifetime = 2000ms;
 inline constexpr auto OverdueInterval = 20ms;
 inline constexpr auto ColdStartSlack = 300ms; ///< longer answers of a target that has just started
 inline constexpr auto FullPause = 60ms; ///< about a quarter of the usual work: then a slot is likely free again
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -124,6 +124,7 @@
         Target target;
         unsigned running = 0;
         TargetBelief belief;
+        TimePoint newsAt; ///< last end of an attempt
         double waiting = 1; ///< odds that its running requests' ages speak for a failure, as of the last look
         TimePoint coldUntil;
         TimePoint fullUntil; ///< it refused work for load
@@ -170,7 +171,9 @@
     double cost(ServiceState &service, const TargetState &state, const PlacementAsk &ask, TimePoint now);
     bool hasRoom(const ServiceState &service, const TargetState &state, TimePoint now) const;
     double failing(const TargetState &state, TimePoint now) const;
+    double failingHere(const TargetState &state, TimePoint now) const;
     void countOverdue(TimePoint now);
+    void learnUsual(TimePoint now);
     void endAttempt(const Attempt &attempt);
     std::optional<Placement> admit(const PlacementAsk &ask, TimePoint now);
     Placement enqueue(ServiceState &service, const PlacementAsk &ask, TimePoint now);
@@ -195,5 +198,7 @@
     std::vector<LatePlacement> m_displaced; ///< decided while another request was queued
     std::uint64_t m_nextQueueId = 1;
     TimePoint m_overdueAt;
+    TimePoint m_usualAt;
+    double m_usual = UsualFailing; ///< share of the targets in use that fail at any time, as seen lately
 };
 }
--- a/src/belief.cpp
+++ b/src/belief.cpp
@@ -18,8 +18,12 @@
 constexpr double LongShare = 0.015;
 constexpr double LongFactor = 4;
 
-// Time constant in which a target's state is forgotten: partial failures last seconds, and so do the pauses between.
-constexpr auto MemoryTime = 2s;
+// Time constant in which a target's state is forgotten. Failures last seconds to tens of seconds: each trial that fails
+// doubles it, so that a lasting failure costs few trials, and good answers set it back.
+constexpr Duration MemoryTime = 3s;
+constexpr Duration LongestMemory = 12s;
+constexpr double Suspected = 0.5;
+constexpr double Cleared = 0.03;
 constexpr double LeastBelief = 0.004;
 // Share of its requests that a failing target fails.
 constexpr double FailingShare = 0.75;
@@ -89,12 +93,24 @@
 double TargetBelief::failing(TimePoint now, double usual) const
 {
     const double passed = seconds(std::max(now - m_at, Duration::zero()));
-    return usual + (m_failing - usual) * std::exp(-passed / seconds(MemoryTime));
+    const Duration memory = m_failing > usual ? m_memory : MemoryTime;
+    return usual + (m_failing - usual) * std::exp(-passed / seconds(memory));
 }
 
+TargetBelief::TargetBelief()
+    : m_memory(MemoryTime)
+{ }
+
 void TargetBelief::observe(double oddsRatio, TimePoint now)
 {
-    m_failing = withOdds(failing(now), oddsRatio);
+    const double before = failing(now);
+    const bool trial = m_failing > Suspected && before <= Suspected;
+    m_failing = withOdds(before, oddsRatio);
+    if (trial && m_failing > Suspected) {
+        m_memory = std::min(2 * m_memory, LongestMemory);
+    } else if (m_failing < Cleared) {
+        m_memory = MemoryTime;
+    }
     m_at = now;
 }
 
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -109,10 +109,15 @@
     }
 }
 
+double Scheduler::failingHere(const TargetState &state, TimePoint now) const
+{
+    return withOdds(state.belief.failing(now, m_usual), state.waiting);
+}
+
 // The word of the scheduler in the target's own zone counts as much as what was seen here.
 double Scheduler::failing(const TargetState &state, TimePoint now) const
 {
-    double share = withOdds(state.belief.failing(now), state.waiting);
+    double share = failingHere(state, now);
     for (const auto &[zone, remote] : state.remote) {
         if (now - remote.at < config::RemoteLoadLifetime) {
             share = std::max(share, remote.load.failingPercent / 100.0);
@@ -142,7 +147,8 @@
     sum += state.target.zone == m_zone ? 0 : config::OtherZoneCost;
     sum += config::LoadCost * state.running / slots;
     sum += now < state.coldUntil ? config::ColdCost : 0;
-    const bool forgotten = state.target.zone == m_zone && now - state.lastPlaced > config::ForgottenAfter;
+    const bool quiet = state.running == 0 && now - state.lastPlaced > config::ForgottenAfter;
+    const bool forgotten = quiet && state.target.zone == m_zone && failing(state, now) < (ask.idempotent ? config::RepeatableTrialShare : config::ForgottenShare);
     return sum - (forgotten ? config::ForgottenBonus : 0);
 }
 
@@ -160,7 +166,7 @@
         if (unreachable != state->unreachableFrom.end() && unreachable->second > now) {
             continue;
         }
-        const bool risky = failing(*state, now) > config::RiskyShare;
+        const bool risky = failing(*state, now) > (ask.idempotent ? config::RepeatableTrialShare : config::RiskyShare);
         sound = sound || !risky;
         if (!hasRoom(service, *state, now) || (risky && !acceptRisk)) {
             continue;
@@ -210,6 +216,28 @@
             attempt.target->waiting *= waitingOdds(survival);
         }
     }
+    learnUsual(now);
+}
+
+// How many of the targets in use fail decides how soon one is suspected, and how far one without news is trusted.
+void Scheduler::learnUsual(TimePoint now)
+{
+    if (now - m_usualAt < config::UsualInterval) {
+        return;
+    }
+    m_usualAt = now;
+    double sum = 0;
+    double count = 0;
+    for (const auto &[name, state] : m_targets) {
+        if (now - state->newsAt < config::NewsLifetime) {
+            sum += failingHere(*state, now);
+            count += 1;
+        }
+    }
+    if (count > 0) {
+        m_usual += config::UsualWeight * (sum / count - m_usual);
+        m_usual = std::clamp(m_usual, config::LeastUsual, config::MostUsual);
+    }
 }
 
 std::optional<Placement> Scheduler::admit(const PlacementAsk &ask, TimePoint now)
@@ -333,6 +361,7 @@
         return;
     }
     const Attempt attempt = found->second;
+    attempt.target->newsAt = now;
     m_running.erase(found);
     endAttempt(attempt);
     auto &state = service(attempt.service);
@@ -464,7 +493,7 @@
 {
     std::vector<TargetLoad> loads;
     for (const auto &[name, state] : m_targets) {
-        const auto percent = static_cast<std::uint8_t>(100 * withOdds(state->belief.failing(now), state->waiting));
+        const auto percent = static_cast<std::uint8_t>(100 * failingHere(*state, now));
         if (state->running > 0 || percent > config::ToldFailingPercent) {
             loads.push_back({shortHash(name.value), static_cast<std::uint8_t>(std::min(state->running, 255U)), percent});
         }
