Scheduler: a refusing target is a last choice, not a closed one; a restarted daemon reads at once

After a kill of all daemons the first 1.2 s served nothing, since restarted daemons waited for a fleet that starts for the first time. Ruled out: more repeats (the bound on repeats is used up: 14.6 a second). Change: the pause after a refusal is a cost; running requests cost 0.04 each whatever the slots; waits at the start only on the fleet's first start.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -138,8 +138,10 @@
 // Scheduling within a zone. Costs are in requests: one is what a request that isn't served costs its caller.
 inline constexpr double FailureCost = 2.0; ///< of a failing target: its request is lost, and others follow it until that is known
 inline constexpr double RepeatableShare = 0.4; ///< of the failure's cost where another target can be tried
-inline constexpr double OtherZoneCost = 0.08; ///< bytes of one request between zones, by the prices of bytes and of requests
-inline constexpr double LoadCost = 0.5; ///< of a target's last slot: what a failing target has running is lost with it
+inline constexpr double OtherZoneCost = 0.06; ///< bytes of one request between zones, by the prices of bytes and of requests
+inline constexpr double LoadCost = 0.04; ///< of each request that runs on the target: it is lost too if the target fails
+inline constexpr double LastSlotCost = 0.1; ///< the next request would have to wait
+inline constexpr double RefusedCost = 0.4; ///< of a target that refused work a moment ago
 inline constexpr double ColdCost = 0.3; ///< of a target that has just started and works at half speed
 inline constexpr double ForgottenBonus = 1.5; ///< above what an unknown target costs
 inline constexpr double ForgottenShare = 0.4; ///< belief below which a target without news is tried again
--- a/src/belief.cpp
+++ b/src/belief.cpp
@@ -29,7 +29,7 @@
 constexpr double FailingShare = 0.75;
 // Errors of healthy targets, in requests.
 constexpr double UsualErrors = 0.012;
-constexpr double RefusedOdds = 3;
+constexpr double RefusedOdds = 1.5;
 constexpr double UnreachableOdds = 6;
 
 double normalTail(double z)
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -80,7 +80,10 @@
         }
         co_await sleepFor(config::RegistrationRetry + std::chrono::milliseconds(jitter(m_random)));
     }
-    co_await sleepFor(config::FleetStartTime);
+    if (m_settings.firstStart) {
+        // All daemons enroll at this moment; what is read now would name a few of them.
+        co_await sleepFor(config::FleetStartTime);
+    }
     co_await readRegistry();
     while (true) {
         co_await sleepFor(config::RegistryReadInterval);
@@ -126,12 +129,13 @@
 
 boost::asio::awaitable<void> ZoneControl::runReader()
 {
-    // Most daemons learn the document and the targets from their hub; they read by themselves only where that fails.
+    // When the fleet starts nobody calls yet, so most daemons learn the document and the targets from their hub. One that
+    // comes back is waited for, and reads by itself.
     const TimePoint start = RuntimeClock::now();
-    while (!m_hub && !m_currency.currentAt() && RuntimeClock::now() - start < config::FleetStartTime + 2 * config::BeatInterval) {
+    while (m_settings.firstStart && !m_hub && !m_currency.currentAt() && RuntimeClock::now() - start < config::FleetStartTime + 2 * config::BeatInterval) {
         co_await sleepFor(config::ControlTick);
     }
-    if (m_hub && m_hub->name != m_self.id.name) {
+    if (m_settings.firstStart && m_hub && m_hub->name != m_self.id.name) {
         co_await sleepFor(config::BeatInterval);
     }
     while (true) {
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -126,6 +126,7 @@
     return share;
 }
 
+// A target that has just refused work has room by our count: it may refuse by chance, so it is only the last choice.
 bool Scheduler::hasRoom(const ServiceState &service, const TargetState &state, TimePoint now) const
 {
     unsigned running = state.running;
@@ -135,7 +136,7 @@
         }
     }
     const unsigned slots = state.target.slots > 0 ? state.target.slots : service.slots;
-    return running < slots && now >= state.fullUntil;
+    return running < slots;
 }
 
 // What a request to this target is expected to lose, in requests: it fails, or it costs bytes between zones, or it
@@ -145,7 +146,8 @@
     const unsigned slots = std::max(state.target.slots > 0 ? state.target.slots : service.slots, 1U);
     double sum = config::FailureCost * (ask.idempotent ? config::RepeatableShare : 1.0) * failing(state, now);
     sum += state.target.zone == m_zone ? 0 : config::OtherZoneCost;
-    sum += config::LoadCost * state.running / slots;
+    sum += config::LoadCost * state.running + (state.running + 1 >= slots ? config::LastSlotCost : 0);
+    sum += now < state.fullUntil ? config::RefusedCost : 0;
     sum += now < state.coldUntil ? config::ColdCost : 0;
     const bool quiet = state.running == 0 && now - state.lastPlaced > config::ForgottenAfter;
     const bool forgotten = quiet && state.target.zone == m_zone && failing(state, now) < (ask.idempotent ? config::RepeatableTrialShare : config::ForgottenShare);
