Stop: no connection takes a request after the lingering time; fewer platform calls

Ruled out: a late readiness (the connection was an old one). Change: from a published time on every connection stops reading, whether it is idle or not. The fleet's list of daemons is read by one scheduler and followed by its hash; document each 500 ms, targets each 700 ms; changes are told at once.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -185,7 +185,9 @@
 inline constexpr auto HubDigestLifetime = 1500ms;
 inline constexpr auto MemberLifetime = 1500ms; ///< six beats
 inline constexpr auto HubActiveTime = 2000ms; ///< after the last word of a member
-inline constexpr auto DocumentReadInterval = 400ms; ///< a fifth of the time in which a change is to be in force
+inline constexpr auto DocumentReadInterval = 500ms; ///< a quarter of the time in which a change is to be in force
+inline constexpr auto TargetsReadInterval = 700ms; ///< a third of the time in which a leaving target is to get nothing more
+inline constexpr auto FleetRegistryInterval = 4000ms;
 inline constexpr auto RegistryReadInterval = 2000ms;
 inline constexpr auto RelayPatience = 900ms; ///< without proof from others, a daemon reads by itself
 inline constexpr auto QueueServeInterval = 20ms;
@@ -227,6 +229,7 @@
 
 // Graceful shutdown.
 inline constexpr auto LingerTime = 3000ms;
+inline constexpr int LingerPart = 45; ///< per cent of the time to stop in which connections still take requests
 inline constexpr auto ShutdownLimit = 60'000ms;
 
 // Supervisor tree.
--- a/include/plumsill/messages.h
+++ b/include/plumsill/messages.h
@@ -478,6 +478,7 @@
     std::uint32_t echoHeldMilliseconds = 0; ///< since that digest came
     DocumentProof document;
     ListProof list;
+    std::uint32_t registry = 0; ///< hash over the registered daemons
     std::uint32_t members = 0; ///< daemons that ask the sender, itself included
     ZoneName zone;
     std::vector<TeamDemand> teams;
@@ -487,7 +488,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(sentAt, echo, echoHeldMilliseconds, document, list, members, zone, teams, loads);
+        archive(sentAt, echo, echoHeldMilliseconds, document, list, registry, members, zone, teams, loads);
     }
 };
 
--- a/src/control_p.h
+++ b/src/control_p.h
@@ -243,6 +243,7 @@
     std::unordered_map<ServiceName, std::shared_ptr<const ServiceView>> m_views;
     bool m_publishDue = true;
     bool m_leaving = false;
+    TimePoint m_closeAt = TimePoint::max(); ///< set when the daemon is being stopped
     bool m_serving = false;
 };
 }
--- a/src/net_control.cpp
+++ b/src/net_control.cpp
@@ -100,6 +100,7 @@
 void Control::startLeaving()
 {
     m_leaving = true;
+    m_closeAt = RuntimeClock::now() + config::LingerTime;
     m_membership.membership().leave();
     publish(RuntimeClock::now());
 }
@@ -227,6 +228,7 @@
     const boost::intrusive_ptr<Snapshot> snapshot(new Snapshot);
     snapshot->compiled = m_document.compiled();
     snapshot->leaving = m_leaving;
+    snapshot->closeAt = m_closeAt;
     snapshot->trustedUntil = m_document.holder().trustedUntil().value_or(TimePoint());
     if (snapshot->compiled) {
         for (const auto &service : snapshot->compiled->document->services) {
--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -97,7 +97,7 @@
     { }
 
     boost::asio::awaitable<void> run();
-    void sweep(TimePoint now, bool closeIdle) override;
+    void sweep(TimePoint now, bool closing) override;
 
 private:
     boost::asio::awaitable<bool> waitForRequest();
@@ -145,13 +145,14 @@
 }
 
 // A cancel ends a write too; a caller that is too slow in one direction is not waited for in the other.
-void CallerSession::sweep(TimePoint now, bool closeIdle)
+void CallerSession::sweep(TimePoint now, bool closing)
 {
     error_code ignored;
-    const bool unused = m_idle && m_exchanges.empty();
+    const bool stopsReading = closing && m_idle && !m_closing;
+    m_closing = m_closing || closing;
     if (now >= m_writeLimit) {
         abortConnection();
-    } else if (now >= m_readLimit || (closeIdle && unused)) {
+    } else if (now >= m_readLimit || stopsReading) {
         m_readExpired = true;
         m_readLimit = TimePoint::max();
         m_socket.cancel(ignored);
--- a/src/net_traffic.cpp
+++ b/src/net_traffic.cpp
@@ -266,11 +266,9 @@
 // One timer for all connections: limits on callers are seconds, so a quarter of one is exact enough.
 void TrafficThread::sweepSessions(TimePoint now)
 {
-    const bool leaving = m_snapshot->leaving;
-    m_leavingSince = leaving ? std::min(m_leavingSince, now) : TimePoint::max();
-    const bool closeIdle = leaving && now - m_leavingSince >= config::LingerTime;
+    const bool closing = m_draining || now >= m_snapshot->closeAt;
     for (auto &session : m_swept) {
-        session.sweep(now, closeIdle || m_draining);
+        session.sweep(now, closing);
     }
 }
 
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -88,9 +88,9 @@
     while (true) {
         co_await sleepFor(config::RegistryReadInterval);
         const TimePoint now = RuntimeClock::now();
-        // While the fleet grows daemons read it often enough to find each other; afterwards the hubs do.
-        const bool young = m_hubs.registered().size() < 2;
-        if (acting(now) || young || now >= m_nextRegistryRead) {
+        // One scheduler reads it for all; the others follow when its word of it differs from what they have.
+        const bool due = readsForFleet(now) && now - m_registryReadAt >= config::FleetRegistryInterval;
+        if (due || !m_registryRead || now >= m_nextRegistryRead) {
             co_await readRegistry();
         }
     }
@@ -106,6 +106,7 @@
     const std::uint32_t before = m_hubs.registryHash();
     m_hubs.setRegistered(daemons.assume_value());
     m_registryRead = true;
+    m_registryReadAt = RuntimeClock::now();
     m_nextRegistryRead = TimePoint::max();
     if (m_hubs.registryHash() != before) {
         Event("registry", "registry-read").add("daemons", static_cast<std::int64_t>(m_hubs.registered().size()));
@@ -148,7 +149,8 @@
         if (documentDue) {
             co_await readDocument();
         }
-        if (listDue) {
+        if (listDue && now >= m_nextListRead) {
+            m_nextListRead = now + config::TargetsReadInterval;
             const bool read = co_await readTargets();
             if (!read && !m_otherHubs.empty() && !m_fetchingTargets) {
                 const auto &[id, hub] = *std::next(m_otherHubs.begin(), static_cast<std::ptrdiff_t>(m_random() % m_otherHubs.size()));
@@ -188,6 +190,7 @@
         .add("teams", static_cast<std::int64_t>(read.document->teams.size()));
     publish(now);
     sendBeacons(now);
+    sendDigests(now);
 }
 
 boost::asio::awaitable<bool> ZoneControl::readTargets()
@@ -223,6 +226,7 @@
         .add("targets", static_cast<std::int64_t>(targets.size()))
         .add("leaving", static_cast<std::int64_t>(leaving));
     sendBeacons(now);
+    sendDigests(now);
     sendLate();
 }
 
@@ -336,6 +340,7 @@
     const boost::intrusive_ptr<Snapshot> snapshot(new Snapshot);
     snapshot->compiled = m_compiled;
     snapshot->leaving = m_leaving;
+    snapshot->closeAt = m_closeAt;
     snapshot->trustedUntil = trustedUntil();
     for (const auto &thread : m_threads) {
         thread->publish(snapshot);
@@ -368,6 +373,7 @@
 {
     m_leaving = true;
     const TimePoint now = RuntimeClock::now();
+    m_closeAt = now + std::min<Duration>(config::LingerTime, m_settings.bounds.stopGrace * config::LingerPart / 100);
     Event("daemon", "stopping").add("requests", static_cast<std::int64_t>(m_running.size()));
     publish(now);
     sendBeacons(now);
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -170,7 +170,12 @@
     }
     noteProof(beacon.document, writtenAt, envelope.replyTo);
     noteList(beacon.list, writtenAt, envelope.sender, envelope.replyTo);
-    if (beacon.registry != m_hubs.registryHash() && m_nextRegistryRead == TimePoint::max()) {
+    noteRegistry(beacon.registry, now);
+}
+
+void ZoneControl::noteRegistry(std::uint32_t hash, TimePoint now)
+{
+    if (hash != m_hubs.registryHash() && m_nextRegistryRead == TimePoint::max()) {
         m_nextRegistryRead = now + std::chrono::milliseconds(m_random() % 1000);
     }
 }
@@ -215,23 +220,27 @@
 {
     while (true) {
         co_await sleepFor(config::HubDigestInterval);
-        const TimePoint now = RuntimeClock::now();
-        if (!m_registryRead || !acting(now)) {
-            continue;
-        }
-        std::map<InstanceName, RegisteredDaemon> receivers;
-        for (const auto &other : m_hubs.otherHubs(now)) {
-            receivers.emplace(other.id.name, other);
-        }
-        for (const auto &[id, other] : m_otherHubs) {
-            if (now - other.heardAt < config::HubDigestLifetime) {
-                receivers.emplace(id.name, RegisteredDaemon {id, other.zone, other.peer, 1});
-            }
-        }
-        for (const auto &[name, other] : receivers) {
-            sendDigest(other, now);
+        sendDigests(RuntimeClock::now());
+    }
+}
+
+void ZoneControl::sendDigests(TimePoint now)
+{
+    if (!m_registryRead || !acting(now)) {
+        return;
+    }
+    std::map<InstanceName, RegisteredDaemon> receivers;
+    for (const auto &other : m_hubs.otherHubs(now)) {
+        receivers.emplace(other.id.name, other);
+    }
+    for (const auto &[id, other] : m_otherHubs) {
+        if (now - other.heardAt < config::HubDigestLifetime) {
+            receivers.emplace(id.name, RegisteredDaemon {id, other.zone, other.peer, 1});
         }
     }
+    for (const auto &[name, other] : receivers) {
+        sendDigest(other, now);
+    }
 }
 
 void ZoneControl::sendDigest(const RegisteredDaemon &to, TimePoint now)
@@ -246,6 +255,7 @@
     digest.document = documentProof(now);
     digest.list = listProof(now);
     digest.zone = m_settings.zone;
+    digest.registry = m_hubs.registryHash();
     const SchedulerDemand demand = ownDemand(now);
     digest.members = demand.members;
     for (const auto &team : m_scheduler.teams()) {
@@ -305,6 +315,7 @@
     if (digest.echo == 0 || writtenAt > now) {
         return;
     }
+    noteRegistry(digest.registry, now);
     noteProof(digest.document, writtenAt, envelope.replyTo);
     noteList(digest.list, writtenAt, envelope.sender, envelope.replyTo);
 }
--- a/src/session_p.h
+++ b/src/session_p.h
@@ -19,8 +19,8 @@
 {
 public:
     virtual ~SweptSession() = default;
-    /// Ends what has passed its time limit; @p closeIdle: nothing more is to be served on idle connections.
-    virtual void sweep(TimePoint now, bool closeIdle) = 0;
+    /// Ends what has passed its time limit; @p closing: no further request is to be read.
+    virtual void sweep(TimePoint now, bool closing) = 0;
 };
 
 /// Serves one caller's connection until it ends.
--- a/src/snapshot_p.h
+++ b/src/snapshot_p.h
@@ -42,6 +42,7 @@
     std::unordered_map<ServiceName, std::shared_ptr<const ServiceView>> services;
     TimePoint trustedUntil; ///< keys of the document hold until then
     bool leaving = false; ///< the daemon is being stopped
+    TimePoint closeAt = TimePoint::max(); ///< from then on no connection takes a further request
 };
 
 using SnapshotPtr = boost::intrusive_ptr<const Snapshot>;
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -245,7 +245,6 @@
     PlacementPort m_placement;
     std::uint64_t m_nextWish;
     std::size_t m_sessions = 0;
-    TimePoint m_leavingSince = TimePoint::max();
     bool m_draining = false;
 };
 }
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -137,7 +137,9 @@
     void sendBeat(const RegisteredDaemon &to, TimePoint now);
     void sendBeacon(const MemberId &member, const MemberRecord &record, TimePoint now);
     void sendBeacons(TimePoint now);
+    void sendDigests(TimePoint now);
     void sendDigest(const RegisteredDaemon &to, TimePoint now);
+    void noteRegistry(std::uint32_t hash, TimePoint now);
     void updateShares(TimePoint now);
     void noteTaken(HubRecord &record, const HubDigest &digest, TimePoint now);
     void noteHub(TimePoint now);
@@ -174,12 +176,15 @@
     TimePoint m_hubHeardAt;
     TimePoint m_nextProbe;
     TimePoint m_nextRegistryRead;
+    TimePoint m_registryReadAt;
+    TimePoint m_nextListRead;
     TimePoint m_publishedAt;
     std::mt19937_64 m_random {std::random_device()()};
     std::uint64_t m_localPlacements = 0;
     std::uint64_t m_hubPlacements = 0;
     bool m_publishDue = true;
     bool m_leaving = false;
+    TimePoint m_closeAt = TimePoint::max(); ///< set when the daemon is being stopped
     bool m_enrolled = false;
     bool m_registryRead = false;
 };
