Quota: a restarted fleet gives out a part of the burst at once

Ruled out: shares not yet known (the teams' whole demand was refused, in all zones). Change: while a scheduler is younger than 4 s its part of the pool brings half of the burst, 10 tokens at most: half of the slack of the fleet's limit.

--- a/include/plumsill/quota.h
+++ b/include/plumsill/quota.h
@@ -4,6 +4,7 @@
 #include <plumsill/types.h>
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -56,6 +57,7 @@
     double m_promised = 0; // tokens told to refused requests
     std::uint32_t m_taken = 0;
     TimePoint m_at;
+    std::optional<TimePoint> m_startedAt;
 };
 
 /// Requests of one team a second, recently.
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -18,6 +18,9 @@
 constexpr double AllowanceAhead = 2;
 // Demand that each scheduler is taken to have at least, in requests a second and daemon, so that a team's first request there finds a token.
 constexpr double LeastDemand = 0.02;
+// Tokens that a team finds when all schedulers have just started; half of the slack that a fleet's limit has.
+constexpr double StartTokens = 10;
+constexpr auto StartTime = 4s;
 // Requests are told to come back for tokens due within this time; later ones spread over it.
 constexpr auto LongestPromise = 4s;
 constexpr auto ShortestPromise = 50ms;
@@ -73,6 +76,11 @@
 void TeamBucket::setPart(const QuotaPart &part, TimePoint now)
 {
     refill(now);
+    m_startedAt = m_startedAt.value_or(now);
+    // What was taken before a restart of all daemons is forgotten, so only a part of the burst is given out anew.
+    if (now - *m_startedAt < StartTime && part.pool > m_part.pool) {
+        m_level += (part.pool - m_part.pool) * std::min(StartTokens, m_rate.burst / 2);
+    }
     m_part = part;
     m_level = std::min(m_level, burst());
     m_allowance = std::max(m_level, 0.0) * part.share;
