--- a/include/plumsill/messages.h
+++ b/include/plumsill/messages.h
@@ -417,12 +417,13 @@
     bool known = false;
     std::uint64_t version = 0;
     std::uint32_t ageMilliseconds = 0;
+    std::uint32_t bytes = 0; ///< of the document's text
 
     auto operator<=>(const DocumentProof &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(known, version, ageMilliseconds);
+        archive(known, version, ageMilliseconds, bytes);
     }
 };
 
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -130,6 +130,7 @@
         TimePoint fullUntil; ///< it refused work for load
         TimePoint lastPlaced;
         std::map<ZoneName, RemoteLoad> remote;
+        std::map<InstanceName, TimePoint> answeredTo; ///< daemon to the last good answer: it may hold a connection
         std::map<InstanceName, TimePoint> unreachableFrom; ///< daemon to the end of its avoidance
         bool wrong = false; ///< another target answered at its address
     };
--- a/src/forward_p.h
+++ b/src/forward_p.h
@@ -104,5 +104,7 @@
     std::optional<HeldAnswer> m_lastFailure; ///< a target's own answer, where no other attempt can be made
     std::optional<TimePoint> m_hedgeAt;
     std::string m_reason; ///< why it ended so, for the log
+    std::string m_endpoint; ///< of the last target
+    Duration m_placing {}; ///< time spent on waits for targets
 };
 }
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -281,6 +281,7 @@
 void Forwarder::start(std::unique_ptr<TargetLease> lease)
 {
     m_tried.push_back(lease->name());
+    m_endpoint = toString(lease->runtime().pool.endpoint());
     const bool hedge = lease->hedgeAfter() && m_attempts.mayHedge(static_cast<unsigned>(m_race->running()) + 1, RuntimeClock::now());
     m_hedgeAt = hedge ? std::optional(RuntimeClock::now() + *lease->hedgeAfter()) : std::nullopt;
     m_race->start(std::move(lease), m_attempts, targetsLeft(), m_deadline, m_ticket.m_signal, m_ticket.m_waiting);
@@ -289,7 +290,9 @@
 boost::asio::awaitable<ForwardResult> Forwarder::forward()
 {
     while (true) {
+        const TimePoint asked = RuntimeClock::now();
         DispatchResult choice = co_await acquire();
+        m_placing += RuntimeClock::now() - asked;
         if (m_ticket.isCallerGone()) {
             co_return AbortCaller {};
         }
@@ -432,6 +435,7 @@
     event.add("reason", std::holds_alternative<AbortCaller>(result) ? std::string("caller-left-or-cut") : m_reason);
     event.add("attempts", static_cast<std::int64_t>(m_tried.size()));
     event.add("target", m_tried.empty() ? std::string() : m_tried.back().value);
+    event.add("endpoint", m_endpoint).add("placing_ms", m_placing);
     event.add("took_ms", RuntimeClock::now() - m_start).add("deadline_ms", m_deadline - m_start);
     event.add("document", static_cast<std::int64_t>(snapshot.compiled ? snapshot.compiled->stamp.version : 0));
     event.add("keys_left_ms", std::min<Duration>(snapshot.trustedUntil - RuntimeClock::now(), std::chrono::hours(1)));
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -230,25 +230,33 @@
     sendLate();
 }
 
-boost::asio::awaitable<void> ZoneControl::fetchDocument(Endpoint from)
+boost::asio::awaitable<void> ZoneControl::fetchDocument(std::optional<Endpoint> from)
 {
     if (m_fetchingDocument) {
         co_return;
     }
     m_fetchingDocument = true;
-    const Envelope request = envelope(DocumentRequest {{m_currency.held(), {}}});
-    const auto reply = co_await m_peers.request(from, request);
-    m_fetchingDocument = false;
-    const auto *told = reply ? std::get_if<DocumentReply>(&reply.assume_value().message) : nullptr;
-    if (told != nullptr && told->stamp.version > m_currency.held()) {
-        const auto parsed = platform::ObjectDirectory::parse(told->text);
-        if (parsed) {
-            adopt(parsed.assume_value(), toString(from));
-        }
+    if (from) {
+        co_await fetchDocumentFrom(*from);
     }
     if (m_currency.fetchDue()) {
         co_await readDocument();
     }
+    m_fetchingDocument = false;
+}
+
+boost::asio::awaitable<void> ZoneControl::fetchDocumentFrom(Endpoint from)
+{
+    const Envelope request = envelope(DocumentRequest {{m_currency.held(), {}}});
+    auto reply = co_await m_peers.request(from, request);
+    auto *told = reply ? std::get_if<DocumentReply>(&reply.assume_value().message) : nullptr;
+    if (told == nullptr || told->stamp.version <= m_currency.held()) {
+        co_return;
+    }
+    const auto parsed = platform::ObjectDirectory::parse(std::move(told->text));
+    if (parsed) {
+        adopt(parsed.assume_value(), toString(from));
+    }
 }
 
 boost::asio::awaitable<void> ZoneControl::fetchTargets(Endpoint from, ListSource source)
@@ -280,7 +288,9 @@
     }
     m_currency.proved(proof.version, writtenAt - std::chrono::milliseconds(proof.ageMilliseconds));
     if (m_currency.fetchDue() && !m_fetchingDocument) {
-        boost::asio::co_spawn(m_context, fetchDocument(from), boost::asio::detached);
+        // One scheduler's link would be too slow for all its members' copies of a large document.
+        const bool relayed = proof.bytes <= config::RelayedDocumentBytes;
+        boost::asio::co_spawn(m_context, fetchDocument(relayed ? std::optional(from) : std::nullopt), boost::asio::detached);
     }
 }
 
@@ -301,7 +311,10 @@
 DocumentProof ZoneControl::documentProof(TimePoint now) const
 {
     const auto provedAt = m_currency.currentAt();
-    return provedAt ? DocumentProof {true, m_currency.held(), millisecondsUp(now - *provedAt)} : DocumentProof {};
+    if (!provedAt) {
+        return {};
+    }
+    return {true, m_currency.held(), millisecondsUp(now - *provedAt), static_cast<std::uint32_t>(m_document.text->size())};
 }
 
 ListProof ZoneControl::listProof(TimePoint now) const
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -149,6 +149,8 @@
     sum += config::LoadCost * state.running + (state.running + 1 >= slots ? config::LastSlotCost : 0);
     sum += now < state.fullUntil ? config::RefusedCost : 0;
     sum += now < state.coldUntil ? config::ColdCost : 0;
+    const auto answered = state.answeredTo.find(ask.key.member.name);
+    sum -= answered != state.answeredTo.end() && now - answered->second < config::FreshConnectionAge ? config::KeptConnectionBonus : 0;
     const bool quiet = state.running == 0 && now - state.lastPlaced > config::ForgottenAfter;
     const bool forgotten = quiet && state.target.zone == m_zone && failing(state, now) < (ask.idempotent ? config::RepeatableTrialShare : config::ForgottenShare);
     return sum - (forgotten ? config::ForgottenBonus : 0);
@@ -373,6 +375,7 @@
     case AttemptEnd::Good:
         target.belief.answeredWell(now);
         target.unreachableFrom.erase(key.member.name);
+        target.answeredTo[key.member.name] = now;
         if (now >= target.coldUntil) {
             latency(state, attempt.route, taken).add(taken);
         }
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -104,7 +104,8 @@
     boost::asio::awaitable<void> readRegistry();
     boost::asio::awaitable<bool> readDocument();
     boost::asio::awaitable<bool> readTargets();
-    boost::asio::awaitable<void> fetchDocument(Endpoint from);
+    boost::asio::awaitable<void> fetchDocument(std::optional<Endpoint> from);
+    boost::asio::awaitable<void> fetchDocumentFrom(Endpoint from);
     boost::asio::awaitable<void> fetchTargets(Endpoint from, ListSource source);
     bool readsForFleet(TimePoint now) const;
     void adopt(const DocumentRead &read, const std::string &from);
--- /dev/null
+++ b/tests/test_quota.cpp
@@ -0,0 +1,178 @@
+#include <plumsill/quota.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <array>
+
+using namespace plumsill;
+using namespace std::chrono_literals;
+
+namespace
+{
+const TimePoint t0 = TimePoint(50s);
+const TeamName red {"red"};
+const TeamRate usual {20, 30};
+constexpr unsigned Hubs = 3;
+
+/// Three schedulers with one team, which tell each other what they took every @p delay.
+struct Pool {
+    std::array<TeamBucket, Hubs> buckets;
+    std::array<std::uint32_t, Hubs> told {};
+
+    explicit Pool(const TeamRate &rate, TimePoint now)
+    {
+        for (auto &bucket : buckets) {
+            bucket.setRate(rate, now);
+            bucket.setPart({1, 1.0 / Hubs}, now);
+        }
+    }
+    void exchange(const std::array<double, Hubs> &shares, TimePoint now)
+    {
+        const auto before = told;
+        for (unsigned from = 0; from < Hubs; ++from) {
+            told[from] = buckets[from].taken();
+            for (unsigned to = 0; to < Hubs; ++to) {
+                if (to != from) {
+                    buckets[to].takenElsewhere(static_cast<std::int32_t>(told[from] - before[from]), now);
+                }
+            }
+        }
+        for (unsigned hub = 0; hub < Hubs; ++hub) {
+            buckets[hub].setPart({1, shares[hub]}, now);
+        }
+    }
+};
+
+/// Requests admitted in 30 s where hub h is asked @p perSecond[h] times a second; most in any window of 5 s.
+struct Outcome {
+    unsigned admitted = 0;
+    unsigned asked = 0;
+    unsigned mostInWindow = 0;
+};
+
+Outcome simulate(Pool &pool, const std::array<double, Hubs> &perSecond, Duration length = 30s)
+{
+    Outcome outcome;
+    std::vector<TimePoint> times;
+    std::array<double, Hubs> due {};
+    const double total = perSecond[0] + perSecond[1] + perSecond[2];
+    const std::array<double, Hubs> shares {perSecond[0] / total, perSecond[1] / total, perSecond[2] / total};
+    for (TimePoint now = t0 + 10s; now < t0 + 10s + length; now += 10ms) {
+        for (unsigned hub = 0; hub < Hubs; ++hub) {
+            due[hub] += perSecond[hub] / 100;
+            while (due[hub] >= 1) {
+                due[hub] -= 1;
+                ++outcome.asked;
+                if (pool.buckets[hub].take(now)) {
+                    ++outcome.admitted;
+                    times.push_back(now);
+                }
+            }
+        }
+        if ((now - t0) % 300ms == 0ms) {
+            pool.exchange(shares, now);
+        }
+    }
+    for (std::size_t first = 0, last = 0; last < times.size(); ++last) {
+        while (times[last] - times[first] > 5s) {
+            ++first;
+        }
+        outcome.mostInWindow = std::max(outcome.mostInWindow, static_cast<unsigned>(last - first + 1));
+    }
+    return outcome;
+}
+}
+
+TEST_GROUP(Quota)
+{
+};
+
+TEST(Quota, DemandWithinTheRateIsNeverRefused)
+{
+    Pool pool(usual, t0);
+    const Outcome outcome = simulate(pool, {8, 6, 4});
+    LONGS_EQUAL(outcome.asked, outcome.admitted);
+}
+
+TEST(Quota, DemandInOneZoneAloneMayUseTheWholeRate)
+{
+    Pool pool(usual, t0);
+    const Outcome outcome = simulate(pool, {18, 0, 0});
+    LONGS_EQUAL(outcome.asked, outcome.admitted);
+}
+
+// One team at 7.5 times its usual requests: the fleet's limit is rate times window and burst, and 20 for its delays.
+TEST(Quota, AHotTeamStaysWithinItsLimitInEachWindow)
+{
+    Pool pool(usual, t0);
+    const Outcome outcome = simulate(pool, {60, 50, 40});
+    const double limit = 20 * 5 + 30 + 20;
+    CHECK(outcome.mostInWindow <= limit);
+    CHECK(outcome.admitted > 0.9 * 20 * 30);
+}
+
+TEST(Quota, WithoutWordOfTheOthersASchedulerKeepsToItsMembersPart)
+{
+    SchedulerDemand own;
+    own.members = 16;
+    own.teams[shortHash("red")] = 10;
+    const QuotaPart alone = quotaPart(red, own, {}, 48);
+    DOUBLES_EQUAL(16.0 / 48, alone.pool, 1e-9);
+    DOUBLES_EQUAL(1, alone.share, 1e-9);
+}
+
+TEST(Quota, PartsFollowTheDemand)
+{
+    SchedulerDemand own;
+    own.members = 16;
+    own.teams[shortHash("red")] = 9;
+    SchedulerDemand other;
+    other.members = 32;
+    other.teams[shortHash("red")] = 3;
+    const QuotaPart part = quotaPart(red, own, {&other}, 48);
+    DOUBLES_EQUAL(1, part.pool, 1e-9);
+    CHECK(part.share > 0.65);
+    CHECK(part.share < 0.8);
+    const QuotaPart theirs = quotaPart(red, other, {&own}, 48);
+    DOUBLES_EQUAL(1, part.share + theirs.share, 1e-9);
+}
+
+TEST(Quota, NoLimitAdmitsAll)
+{
+    TeamBucket bucket;
+    bucket.setRate({0, 0}, t0);
+    for (unsigned i = 0; i < 1000; ++i) {
+        CHECK(bucket.take(t0));
+    }
+}
+
+// Refused requests are told different times, so that they don't come back as one wave.
+TEST(Quota, PromisesAreSpread)
+{
+    TeamBucket bucket;
+    bucket.setRate({10, 1}, t0);
+    bucket.setPart({1, 1}, t0 + 10s);
+    while (bucket.take(t0 + 10s)) {
+    }
+    Duration last {};
+    for (unsigned i = 0; i < 10; ++i) {
+        const Duration wait = bucket.promise(t0 + 10s);
+        CHECK(wait >= last);
+        last = wait;
+    }
+    CHECK(last >= 800ms);
+}
+
+// A restart of all schedulers forgets what was taken, so it must not bring a whole burst anew.
+TEST(Quota, ARestartedFleetBringsAPartOfTheBurst)
+{
+    TeamBucket bucket;
+    bucket.setRate({20, 200}, t0);
+    bucket.setPart({1, 1}, t0);
+    unsigned taken = 0;
+    while (bucket.take(t0)) {
+        ++taken;
+    }
+    CHECK(taken >= 5);
+    CHECK(taken <= 10);
+}
--- /dev/null
+++ b/tests/test_zone_modules.cpp
@@ -0,0 +1,242 @@
+#include <plumsill/currency.h>
+#include <plumsill/hubs.h>
+#include <plumsill/repeats.h>
+#include <plumsill/target_list.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plumsill;
+using namespace std::chrono_literals;
+
+namespace
+{
+const TimePoint t0 = TimePoint(50s);
+
+Target target(const std::string &name, std::uint16_t port = 1, std::uint64_t startedAt = 100, std::uint64_t sequence = 1)
+{
+    return {{name}, {"s"}, {"z"}, {"10.0.0.1", port}, false, 3, 0, startedAt, sequence};
+}
+
+RegisteredDaemon daemon(const std::string &name, const std::string &zone, std::uint64_t incarnation = 1)
+{
+    return {{{name}, incarnation}, {zone}, {"10.0.0." + name.substr(1), 7000}, 0.2};
+}
+
+std::vector<std::string> namesOf(const std::vector<Target> &targets)
+{
+    std::vector<std::string> names;
+    for (const auto &entry : targets) {
+        names.push_back(entry.name.value);
+    }
+    return names;
+}
+}
+
+TEST_GROUP(Currency)
+{
+    Currency currency;
+};
+
+TEST(Currency, AProofCountsFromWhenItsReadWasSent)
+{
+    currency.proved(7, t0);
+    CHECK(!currency.currentAt());
+    CHECK(currency.adopt(7));
+    CHECK(currency.currentAt() == t0);
+    currency.proved(7, t0 + 1s);
+    currency.proved(7, t0 + 500ms);
+    CHECK(currency.currentAt() == t0 + 1s);
+}
+
+TEST(Currency, ANewerVersionEndsTheProofAtOnce)
+{
+    currency.proved(7, t0);
+    currency.adopt(7);
+    currency.proved(9, t0 + 1s);
+    CHECK(!currency.currentAt());
+    CHECK(currency.fetchDue());
+    currency.proved(7, t0 + 2s);
+    CHECK(!currency.currentAt());
+    CHECK(currency.adopt(9));
+    CHECK(currency.currentAt() == t0 + 1s);
+}
+
+TEST(Currency, NeverBackwards)
+{
+    currency.adopt(9);
+    CHECK(!currency.adopt(8));
+    LONGS_EQUAL(9, currency.held());
+}
+
+TEST(Currency, ADocumentAheadOfAllProofsIsNotProvedByAnOlderOne)
+{
+    currency.proved(7, t0);
+    currency.adopt(9);
+    CHECK(!currency.currentAt());
+}
+
+TEST_GROUP(TargetList)
+{
+    TargetList list;
+};
+
+TEST(TargetList, AMissingEntryIsGoneAtOnceInQuietTimes)
+{
+    list.read({target("a"), target("b", 2)}, t0, t0);
+    list.read({target("a")}, t0 + 500ms, t0 + 500ms);
+    LONGS_EQUAL(1, list.targets().size());
+}
+
+TEST(TargetList, EntriesThatLapsedInAnOutageHaveTimeToComeBack)
+{
+    list.read({target("a"), target("b", 2)}, t0, t0);
+    list.read({target("a")}, t0 + 6s, t0 + 6s);
+    LONGS_EQUAL(2, list.targets().size());
+    list.read({target("a")}, t0 + 8s, t0 + 8s);
+    LONGS_EQUAL(2, list.targets().size());
+    list.read({target("a")}, t0 + 8500ms, t0 + 8500ms);
+    LONGS_EQUAL(1, list.targets().size());
+}
+
+TEST(TargetList, AnAddressThatAnotherEntryTookIsGoneAlsoAfterAnOutage)
+{
+    list.read({target("a"), target("b", 2)}, t0, t0);
+    list.read({target("a"), target("c", 2)}, t0 + 6s, t0 + 6s);
+    const auto names = namesOf(list.targets());
+    LONGS_EQUAL(2, names.size());
+    CHECK(names[1] == "c");
+}
+
+TEST(TargetList, AnOlderWordChangesNothing)
+{
+    auto leaving = target("a", 1, 100, 8);
+    leaving.leaving = true;
+    list.read({leaving}, t0, t0);
+    list.read({target("a", 1, 100, 7)}, t0 + 1s, t0 + 1s);
+    CHECK(list.targets().front().leaving);
+    list.read({target("a", 1, 90, 9)}, t0 + 1500ms, t0 + 1500ms);
+    CHECK(list.targets().front().leaving);
+    list.read({target("a", 1, 200, 1)}, t0 + 2s, t0 + 2s);
+    CHECK(!list.targets().front().leaving);
+}
+
+TEST(TargetList, RevisionRisesWithChangesOnly)
+{
+    list.read({target("a")}, t0, t0);
+    const auto before = list.revision();
+    auto warmer = target("a", 1, 100, 2);
+    warmer.coldMilliseconds = 500;
+    list.read({warmer}, t0 + 1s, t0 + 1s);
+    LONGS_EQUAL(before, list.revision());
+    warmer.leaving = true;
+    list.read({warmer}, t0 + 2s, t0 + 2s);
+    LONGS_EQUAL(before + 1, list.revision());
+}
+
+TEST(TargetList, AReadThatWasSentEarlierIsIgnored)
+{
+    list.read({target("a"), target("b", 2)}, t0 + 1s, t0 + 1s);
+    list.read({target("a")}, t0, t0 + 2s);
+    LONGS_EQUAL(2, list.targets().size());
+}
+
+TEST_GROUP(Hubs)
+{
+    HubDirectory hubs {daemon("d1", "x")};
+
+    void setup() override
+    {
+        std::vector<RegisteredDaemon> all;
+        for (unsigned i = 1; i <= 9; ++i) {
+            all.push_back(daemon("d" + std::to_string(i), i <= 5 ? "x" : "y"));
+        }
+        hubs.setRegistered(all);
+    }
+};
+
+TEST(Hubs, AllDaemonsOfAZoneNameTheSameHub)
+{
+    const auto here = hubs.hub({"x"}, t0);
+    std::vector<RegisteredDaemon> all = hubs.registered();
+    for (unsigned i = 2; i <= 5; ++i) {
+        HubDirectory other {daemon("d" + std::to_string(i), "x")};
+        other.setRegistered(all);
+        CHECK(other.hub({"x"}, t0)->id == here->id);
+    }
+}
+
+TEST(Hubs, ASilentHubIsReplacedUntilItIsHeard)
+{
+    const auto first = *hubs.hub({"y"}, t0);
+    hubs.silent(first.id.name, t0);
+    const auto second = *hubs.hub({"y"}, t0);
+    CHECK(second.id != first.id);
+    hubs.heard(first.id, first.peer, t0 + 1s);
+    CHECK(hubs.hub({"y"}, t0 + 1s)->id == first.id);
+}
+
+TEST(Hubs, ALeavingHubIsNotTakenBackByItsLastWords)
+{
+    const auto first = *hubs.hub({"y"}, t0);
+    hubs.leaving(first.id, t0);
+    hubs.heard(first.id, first.peer, t0 + 100ms);
+    CHECK(hubs.hub({"y"}, t0 + 100ms)->id != first.id);
+    MemberId next = first.id;
+    next.incarnation += 1;
+    hubs.heard(next, first.peer, t0 + 3s);
+    CHECK(hubs.hub({"y"}, t0 + 3s)->id == next);
+}
+
+TEST(Hubs, SilentHubsAreAskedNowAndThen)
+{
+    std::optional<RegisteredDaemon> hub = hubs.hub({"x"}, t0);
+    while (hub && hub->id.name.value != "d1") {
+        hubs.silent(hub->id.name, t0);
+        hub = hubs.hub({"x"}, t0);
+    }
+    CHECK(hubs.isHub(t0));
+    const bool first = hubs.registered().front().zone.value != "x" || hubs.registered().front().id.name.value != "d1";
+    CHECK(!first || hubs.silentHub(t0).has_value() || hubs.registered().front().zone.value == "y");
+}
+
+TEST(Hubs, LargeInstancesScheduleMoreOften)
+{
+    unsigned large = 0;
+    for (unsigned zone = 0; zone < 200; ++zone) {
+        const ZoneName name {"zone" + std::to_string(zone)};
+        RegisteredDaemon big = daemon("d1", name.value);
+        big.capacity = 0.5;
+        double bestSmall = 0;
+        for (unsigned i = 2; i <= 9; ++i) {
+            RegisteredDaemon small = daemon("d" + std::to_string(i), name.value);
+            small.capacity = 0.1;
+            bestSmall = std::max(bestSmall, hubRank(name, small));
+        }
+        large += hubRank(name, big) > bestSmall ? 1 : 0;
+    }
+    CHECK(large > 120);
+}
+
+TEST_GROUP(Repeats)
+{
+    RepeatCounter counter {{0.2, 5, 10s}};
+};
+
+TEST(Repeats, StayWithinShareAndSlackInEachWindow)
+{
+    unsigned repeats = 0;
+    for (unsigned i = 0; i < 100; ++i) {
+        counter.request(t0 + 50ms * i);
+        repeats += counter.repeat(t0 + 50ms * i) ? 1 : 0;
+    }
+    CHECK(repeats <= 25);
+    CHECK(repeats >= 20);
+}
+
+TEST(Repeats, OldOnesAreForgotten)
+{
+    while (counter.repeat(t0)) {
+    }
+    CHECK(!counter.repeat(t0 + 5s));
+    CHECK(counter.repeat(t0 + 11s));
+}
