Daemons read by themselves only after the relays had their time

A list that comes by one read, a digest and a heartbeat is up to 1.2 s old, but daemons lost patience after 0.9 s and read by themselves.

--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -145,7 +145,7 @@
         const bool reads = readsForFleet(now);
         const bool documentDue = reads || !provedAt || now - *provedAt > config::RelayPatience;
         const auto listedAt = m_list.readAt();
-        const bool listDue = reads || !listedAt || now - *listedAt > config::RelayPatience;
+        const bool listDue = reads || !listedAt || now - *listedAt > config::ListPatience;
         if (documentDue) {
             co_await readDocument();
         }
--- a/src/net_zone_daemon.cpp
+++ b/src/net_zone_daemon.cpp
@@ -151,7 +151,7 @@
         traffic->drain();
     }
     co_await sleepFor(std::max<Duration>(end - RuntimeClock::now(), Duration::zero()));
-    Event("daemon", "stopped-with-requests-left");
+    Event("daemon", "stop-time-over").add("grace_ms", m_settings.bounds.stopGrace);
     for (const auto &traffic : m_traffic) {
         traffic->stop();
     }
