--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -189,6 +189,7 @@
 inline constexpr auto DocumentReadInterval = 500ms; ///< a quarter of the time in which a change is to be in force
 inline constexpr std::uint32_t RelayedDocumentBytes = 100'000; ///< 30 copies leave a link of 50 Mbit/s within half a second
 inline constexpr auto TargetsReadInterval = 700ms; ///< a third of the time in which a leaving target is to get nothing more
+inline constexpr auto RegistryFollowInterval = 10'000ms; ///< a daemon that joins serves callers before the others know it
 inline constexpr auto FleetRegistryInterval = 4000ms;
 inline constexpr auto NewerListMargin = 500ms; ///< a beacon's age: a list that is newer by more shows what the scheduler can't know
 inline constexpr auto RegistryReadInterval = 2000ms;
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -107,6 +107,7 @@
     m_hubs.setRegistered(daemons.assume_value());
     m_registryRead = true;
     m_registryReadAt = RuntimeClock::now();
+    ++m_registryReads;
     m_nextRegistryRead = TimePoint::max();
     if (m_hubs.registryHash() != before) {
         Event("registry", "registry-read").add("daemons", static_cast<std::int64_t>(m_hubs.registered().size()));
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -180,7 +180,9 @@
 void ZoneControl::noteRegistry(std::uint32_t hash, TimePoint now)
 {
     if (hash != m_hubs.registryHash() && m_nextRegistryRead == TimePoint::max()) {
-        m_nextRegistryRead = now + std::chrono::milliseconds(m_random() % 1000);
+        // In a rolling stop the fleet changes all the time; only at the start is it urgent to find the others.
+        const Duration pause = m_registryReads < 2 ? Duration::zero() : Duration(config::RegistryFollowInterval);
+        m_nextRegistryRead = std::max<TimePoint>(now, m_registryReadAt + pause) + std::chrono::milliseconds(m_random() % 1000);
     }
 }
 
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -180,6 +180,7 @@
     TimePoint m_nextProbe;
     TimePoint m_nextRegistryRead;
     TimePoint m_registryReadAt;
+    unsigned m_registryReads = 0;
     TimePoint m_nextListRead;
     std::optional<TimePoint> m_storeReadAt; ///< when this daemon's last good read of the list of targets was sent
     TimePoint m_publishedAt;
--- a/tests/test_zone_modules.cpp
+++ b/tests/test_zone_modules.cpp
@@ -25,6 +25,7 @@
 std::vector<std::string> namesOf(const std::vector<Target> &targets)
 {
     std::vector<std::string> names;
+    names.reserve(targets.size());
     for (const auto &entry : targets) {
         names.push_back(entry.name.value);
     }
