--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -26,7 +26,7 @@
 /// Control thread of a daemon that works under its zone's scheduler, and can be that scheduler itself.
 namespace plumsill
 {
-/// Messages to and from the other daemons are signed by this run of this daemon.
+/// Membership, document, targets and placements of one daemon; used by its control thread alone.
 class ZoneControl
 {
 public:
