Read-through: dead constants and forward declarations out

Ruled out: users in tests and tools (none). No behaviour changed. Checked: the six sources that include them compile, format clean; the whole suite was not rerun.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -221,9 +221,7 @@
 
 // Traffic threads.
 inline constexpr auto AcceptRetryDelay = 50ms;
-inline constexpr auto IdleCheckInterval = 500ms;
 inline constexpr auto LimitCheckInterval = 500ms;
-inline constexpr auto CallerCheckInterval = 20ms;
 inline constexpr auto CloseDrainTime = 500ms;
 inline constexpr std::size_t ReadBytes = 16 * 1024;
 inline constexpr std::size_t MaxIgnoredBytes = 256 * 1024; ///< sent behind a request that closes the connection
--- a/src/placement_p.h
+++ b/src/placement_p.h
@@ -13,10 +13,6 @@
 /// Where a request gets its target: from this daemon's own balancer, or from the scheduler of its zone.
 namespace plumsill
 {
-class TrafficThread;
-struct Access;
-struct DispatchRequest;
-struct Refusal;
 
 /// A traffic thread asks control for a target.
 struct PlacementWish {
