--- a/makefile
+++ b/makefile
@@ -10,10 +10,10 @@
 export CCACHE_NOHASHDIR := 1
 export CCACHE_SLOPPINESS := pch_defines,time_macros,include_file_mtime,include_file_ctime
 
-.PHONY: help setup build demo test lint format bench matrix fuzz clean
+.PHONY: help setup build demo test lint format bench matrix fuzz platform-day clean
 
 help: ## lists the commands
-	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 12
+	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
 
 setup: ## installs the Debian packages that the build needs
 	@scripts/setup
@@ -43,5 +43,9 @@
 fuzz: build ## runs the stateful tests for long; SEED= replays one seed, RUNS= sets the number
 	@scripts/fuzz $(BUILD) "$(SEED)" "$(RUNS)"
 
+platform-day: ## plays a day of the users' bench: SITE=path DAY=name, where the bench is laid beside the project
+	@test -n "$(SITE)" -a -n "$(DAY)" || { echo "usage: make platform-day SITE=path DAY=name"; exit 2; }
+	@../given/kit/more/system/bin/fleetbench run $(SITE) $(DAY)
+
 clean: ## removes the build folder
 	@rm -rf $(BUILD)
