Tokens that members give out count for their scheduler; entries stay until the end of a stop

Change: heartbeats tell tokens that a daemon gave out by itself, and its scheduler counts them; a scheduler younger than 2 s keeps to its zone's part until it has heard of the others, and only it takes over a level, only from an older one; the registry entry goes at the end of a stop.

--- a/include/plumsill/messages.h
+++ b/include/plumsill/messages.h
@@ -428,17 +428,33 @@
     }
 };
 
+/// Tokens of one team that a daemon gave out by itself since its start.
+struct TokensTaken {
+    std::uint32_t team = 0; ///< shortHash() of its name
+    std::uint32_t taken = 0;
+
+    auto operator<=>(const TokensTaken &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(team, taken);
+    }
+};
+
 /// Heartbeat of a daemon to the scheduler that it asks.
 struct MemberBeat {
+    static constexpr std::size_t MostTaken = 30; ///< what a datagram holds beside the attempts
+
     std::uint64_t sentAt = 0; ///< sender's clock, nanoseconds; comes back in the beacon
     bool complete = true; ///< all running attempts are named
     std::vector<RunningAttempt> running;
+    std::vector<TokensTaken> taken; ///< where it placed requests by itself a moment ago
 
     auto operator<=>(const MemberBeat &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(sentAt, complete, running);
+        archive(sentAt, complete, running, taken);
     }
 };
 
@@ -490,10 +506,12 @@
 
 /// Requests of one team a second, as one scheduler sees them.
 struct TeamDemand {
+    static constexpr std::uint32_t UnknownLeft = 0xffff; ///< the sender has just begun
+
     std::uint32_t team = 0; ///< shortHash() of its name
     std::uint32_t perMinute = 0;
     std::uint32_t taken = 0; ///< tokens since the sender's start
-    std::uint32_t left = 0; ///< tokens that the sender believes the whole pool to have
+    std::uint32_t left = UnknownLeft; ///< tokens that the sender believes the whole pool to have
 
     auto operator<=>(const TeamDemand &) const = default;
     template<class Archive>
--- a/include/plumsill/quota.h
+++ b/include/plumsill/quota.h
@@ -45,6 +45,8 @@
     void levelElsewhere(std::uint32_t level, TimePoint now);
     /// Whole tokens of the pool that are left.
     std::uint32_t level(TimePoint now) const;
+    /// Tokens that a daemon gave out by itself which asks this scheduler; they count as taken here.
+    void takenByMember(std::uint32_t tokens, TimePoint now);
     /// Tokens taken here since the start; wraps around.
     std::uint32_t taken() const { return m_taken; }
     /// Time until a token is due for the next refused request; each call promises the token after the last promised one.
@@ -87,6 +89,6 @@
 std::uint32_t shortHash(const std::string &name);
 
 /// This scheduler's part of a team's rate. @p registered: daemons of the fleet; those that no known scheduler serves
-/// keep their part, since a scheduler that can't be seen may be giving it out.
-QuotaPart quotaPart(const TeamName &team, const SchedulerDemand &own, const std::vector<const SchedulerDemand *> &others, unsigned registered);
+/// keep their part, since a scheduler that can't be seen may be giving it out. @p largest bounds the pool.
+QuotaPart quotaPart(const TeamName &team, const SchedulerDemand &own, const std::vector<const SchedulerDemand *> &others, unsigned registered, double largest);
 }
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -92,6 +92,8 @@
     void setTeamPart(const TeamName &team, const QuotaPart &part, TimePoint now);
     /// Tokens of a team that another scheduler took.
     void takenElsewhere(const TeamName &team, std::int32_t tokens, TimePoint now);
+    /// Tokens of a team that a daemon gave out by itself which asks this scheduler.
+    void takenByMember(const TeamName &team, std::uint32_t tokens, TimePoint now);
     /// Level of a team's pool as a scheduler sees it that is heard for the first time.
     void levelElsewhere(const TeamName &team, std::uint32_t level, TimePoint now);
     /// Tokens that this scheduler believes the team's pool to have.
--- a/include/plumsill/settings.h
+++ b/include/plumsill/settings.h
@@ -32,6 +32,7 @@
     InstanceName instance;
     ZoneName zone;
     std::string region;
+    unsigned zones = 1; ///< availability zones of the fleet
     Endpoint trafficListen;
     unsigned trafficThreads = 1;
     Endpoint adminListen;
--- a/src/net_daemon.cpp
+++ b/src/net_daemon.cpp
@@ -38,7 +38,7 @@
         , m_admin(m_context, secrets.adminToken)
         , m_signals(m_context, SIGTERM, SIGINT)
         , m_supervisor("control", m_context, [this] { fail(); })
-        , m_traffic(m_context)
+        , m_traffic(m_context, [this] { m_context.stop(); })
     { }
 
     int run();
--- a/src/net_traffic_threads.cpp
+++ b/src/net_traffic_threads.cpp
@@ -4,8 +4,9 @@
 
 namespace plumsill
 {
-TrafficThreads::TrafficThreads(boost::asio::io_context &control)
+TrafficThreads::TrafficThreads(boost::asio::io_context &control, std::function<void()> ended)
     : m_control(control)
+    , m_ended(std::move(ended))
 { }
 
 // The first one may be given a port by the system; the others share it.
@@ -26,7 +27,7 @@
             traffic->run();
             boost::asio::post(m_control, [this] {
                 if (--m_running == 0) {
-                    m_control.stop();
+                    m_ended();
                 }
             });
         });
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -430,7 +430,24 @@
     Event("daemon", "stopping").add("requests", static_cast<std::int64_t>(m_running.size()));
     publish(now);
     sendBeacons(now);
+    co_await sleepFor(m_closeAt - now);
+    co_await withdraw();
+}
+
+// While it takes requests it is part of the fleet: one that left the registry earlier would still give out tokens, and the
+// others would divide the rates without it.
+boost::asio::awaitable<void> ZoneControl::withdraw()
+{
+    while (m_withdrawing) {
+        co_await sleepFor(config::ControlTick);
+    }
+    if (m_withdrawn) {
+        co_return;
+    }
+    m_withdrawing = true;
     const auto gone = co_await m_directory.withdraw(m_self.id.name);
+    m_withdrawing = false;
+    m_withdrawn = true;
     if (!gone) {
         Event("registry", "not-withdrawn").add("reason", toString(gone.error()));
     }
--- a/src/net_zone_daemon.cpp
+++ b/src/net_zone_daemon.cpp
@@ -34,7 +34,7 @@
         , m_signals(m_context, SIGTERM, SIGINT)
         , m_reloads(m_context, SIGHUP)
         , m_supervisor("zone", m_context, [this] { fail(); })
-        , m_traffic(m_context)
+        , m_traffic(m_context, [this] { boost::asio::co_spawn(m_context, end(), boost::asio::detached); })
     { }
 
     int run();
@@ -45,6 +45,7 @@
     ControlPort controlPort();
     void fail();
     boost::asio::awaitable<void> stopOnSignal();
+    boost::asio::awaitable<void> end();
     boost::asio::awaitable<void> reloadOnSignal();
 
     Settings m_settings;
@@ -128,6 +129,14 @@
     m_traffic.stop();
 }
 
+boost::asio::awaitable<void> ZoneDaemon::end()
+{
+    if (m_status == 0) {
+        co_await m_control->withdraw();
+    }
+    m_context.stop();
+}
+
 boost::asio::awaitable<void> ZoneDaemon::reloadOnSignal()
 {
     while (true) {
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -3,6 +3,8 @@
 #include <plumsill/config.h>
 #include <plumsill/event.h>
 
+#include <utility>
+
 namespace plumsill
 {
 namespace
@@ -111,9 +113,46 @@
         beat.running.push_back(running.attempt);
         beat.running.back().ageMilliseconds = wholeMilliseconds(now - running.startedAt);
     }
+    beat.taken = recentlyTaken();
     send(to.peer, std::move(beat));
 }
 
+// A daemon whose questions stay unanswered places by itself, while its scheduler still counts it. What it gives out then
+// is told for a few heartbeats, since some of them may be lost.
+std::vector<TokensTaken> ZoneControl::recentlyTaken()
+{
+    std::vector<TokensTaken> taken;
+    for (const auto &team : m_scheduler.teams()) {
+        const std::uint32_t present = m_scheduler.taken(team);
+        ToldTokens &told = m_toldTokens[team];
+        if (told.taken != present) {
+            told = {present, config::BeatsOfTakenTokens};
+        }
+        if (told.beats > 0 && taken.size() < MemberBeat::MostTaken) {
+            --told.beats;
+            taken.push_back({shortHash(team.value), present});
+        }
+    }
+    return taken;
+}
+
+// What it took before it became a member was told to others, or was its own part of the rate.
+void ZoneControl::noteTaken(MemberRecord &record, const MemberBeat &beat, TimePoint now)
+{
+    const bool first = record.beatSentAt == 0;
+    for (const auto &team : m_scheduler.teams()) {
+        const auto hash = shortHash(team.value);
+        const auto told = std::find_if(beat.taken.begin(), beat.taken.end(), [hash](const TokensTaken &entry) { return entry.team == hash; });
+        if (told == beat.taken.end()) {
+            continue;
+        }
+        const std::uint32_t tokens = told->taken - std::exchange(record.taken[hash], told->taken);
+        if (!first && tokens <= config::MostTokensOfBeat) {
+            m_scheduler.takenByMember(team, tokens, now);
+        }
+    }
+}
+
 void ZoneControl::received(const Envelope &envelope, const MemberBeat &beat)
 {
     const TimePoint now = RuntimeClock::now();
@@ -121,6 +160,7 @@
     std::erase_if(m_members,
                   [&envelope](const auto &entry) { return entry.first.name == envelope.sender.name && entry.first.incarnation < envelope.sender.incarnation; });
     MemberRecord &member = m_members[envelope.sender];
+    noteTaken(member, beat, now);
     member.peer = envelope.replyTo;
     member.heardAt = now;
     member.beatSentAt = beat.sentAt;
@@ -202,6 +242,32 @@
     return demand;
 }
 
+bool ZoneControl::young(TimePoint now) const
+{
+    return !m_actingSince || now - *m_actingSince < config::YoungSchedulerTime;
+}
+
+// One that has just begun, perhaps with the whole fleet, doesn't know yet who else gives out tokens: it keeps to its
+// zone's part until it has heard of the others, or has had the time to.
+double ZoneControl::largestPool(TimePoint now)
+{
+    if (!acting(now)) {
+        m_actingSince.reset();
+        return 1;
+    }
+    m_actingSince = m_actingSince.value_or(now);
+    if (m_settings.zones <= 1 || !young(now)) {
+        return 1;
+    }
+    std::set<ZoneName> heard {m_settings.zone};
+    for (const auto &[id, hub] : m_otherHubs) {
+        if (now - hub.heardAt < config::HubDigestLifetime) {
+            heard.insert(hub.zone);
+        }
+    }
+    return static_cast<double>(heard.size()) / m_settings.zones;
+}
+
 void ZoneControl::updateShares(TimePoint now)
 {
     std::erase_if(m_members, [now](const auto &entry) { return now - entry.second.heardAt > config::MemberForgetAfter; });
@@ -216,8 +282,9 @@
         }
     }
     const auto registered = static_cast<unsigned>(m_hubs.registered().size());
+    const double largest = largestPool(now);
     for (const auto &team : m_scheduler.teams()) {
-        m_scheduler.setTeamPart(team, m_enrolled ? quotaPart(team, own, others, registered) : QuotaPart {config::UnenrolledShare, 1}, now);
+        m_scheduler.setTeamPart(team, m_enrolled ? quotaPart(team, own, others, registered, largest) : QuotaPart {config::UnenrolledShare, 1}, now);
     }
     m_scheduler.setFleetShare(m_enrolled ? static_cast<double>(own.members) / std::max(registered, own.members) : config::UnenrolledShare);
 }
@@ -268,7 +335,8 @@
     for (const auto &team : m_scheduler.teams()) {
         const auto found = demand.teams.find(shortHash(team.value));
         if (found != demand.teams.end()) {
-            digest.teams.push_back({found->first, static_cast<std::uint32_t>(found->second * 60), m_scheduler.taken(team), m_scheduler.level(team, now)});
+            digest.teams.push_back({found->first, static_cast<std::uint32_t>(found->second * 60), m_scheduler.taken(team),
+                                    young(now) ? TeamDemand::UnknownLeft : m_scheduler.level(team, now)});
         }
     }
     if (digest.teams.size() > HubDigest::MostTeams) {
@@ -302,9 +370,10 @@
             continue;
         }
         const auto [known, first] = record.taken.emplace(hash, told->taken);
-        if (first) {
+        if (first && young(now) && told->left != TeamDemand::UnknownLeft) {
             m_scheduler.levelElsewhere(team, told->left, now);
-        } else {
+        }
+        if (!first) {
             m_scheduler.takenElsewhere(team, static_cast<std::int32_t>(told->taken - known->second), now);
             known->second = told->taken;
         }
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -92,6 +92,14 @@
     m_level -= tokens;
 }
 
+void TeamBucket::takenByMember(std::uint32_t tokens, TimePoint now)
+{
+    refill(now);
+    m_level -= tokens;
+    m_allowance -= tokens;
+    m_taken += tokens;
+}
+
 void TeamBucket::levelElsewhere(std::uint32_t level, TimePoint now)
 {
     refill(now);
@@ -130,7 +138,7 @@
     return static_cast<std::uint32_t>(XXH3_64bits(name.data(), name.size()));
 }
 
-QuotaPart quotaPart(const TeamName &team, const SchedulerDemand &own, const std::vector<const SchedulerDemand *> &others, unsigned registered)
+QuotaPart quotaPart(const TeamName &team, const SchedulerDemand &own, const std::vector<const SchedulerDemand *> &others, unsigned registered, double largest)
 {
     const auto hash = shortHash(team.value);
     const auto demandOf = [hash](const SchedulerDemand &demand) {
@@ -147,6 +155,6 @@
     if (fleet <= 0 || demand <= 0) {
         return {};
     }
-    return {members / fleet, demandOf(own) / demand};
+    return {std::min(members / fleet, largest), demandOf(own) / demand};
 }
 }
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -85,6 +85,14 @@
     }
 }
 
+void Scheduler::takenByMember(const TeamName &team, std::uint32_t tokens, TimePoint now)
+{
+    const auto found = m_teamStates.find(team);
+    if (found != m_teamStates.end()) {
+        found->second.bucket.takenByMember(tokens, now);
+    }
+}
+
 void Scheduler::levelElsewhere(const TeamName &team, std::uint32_t level, TimePoint now)
 {
     const auto found = m_teamStates.find(team);
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -13,6 +13,7 @@
 using Reason = std::string; // empty: the value was taken
 
 constexpr unsigned MaxTrafficThreads = 64;
+constexpr unsigned MaxZones = 100;
 
 Reason takeEndpoint(const std::string &value, Endpoint &endpoint)
 {
@@ -98,6 +99,16 @@
     return {};
 }
 
+Reason takeZones(const std::string &value, unsigned &zones)
+{
+    const auto number = parseNumber(value);
+    if (!number || *number < 1 || *number > MaxZones || *number != static_cast<unsigned>(*number)) {
+        return "not a whole number from 1 to " + std::to_string(MaxZones) + ": " + value;
+    }
+    zones = static_cast<unsigned>(*number);
+    return {};
+}
+
 Reason takePath(const std::string &value, std::string &path)
 {
     if (!value.starts_with('/')) {
@@ -159,6 +170,7 @@
     Field {"log.format", Needed::Never, [](const std::string &value, Settings &settings) { return takeFormat(value, settings.logFormat); }},
     Field {"log.file", Needed::Never, [](const std::string &value, Settings &settings) { return takeText(value, settings.logFile); }},
     Field {"fleet.form", Needed::Never, [](const std::string &value, Settings &settings) { return takeForm(value, settings.form); }},
+    Field {"fleet.zones", Needed::Never, [](const std::string &value, Settings &settings) { return takeZones(value, settings.zones); }},
     Field {"instance.capacity", Needed::Never, [](const std::string &value, Settings &settings) { return takePositive(value, settings.capacity); }},
     Field {"readiness.listen", Needed::Zone, [](const std::string &value, Settings &settings) { return takeEndpoint(value, settings.readinessListen); }},
     Field {"readiness.path", Needed::Never, [](const std::string &value, Settings &settings) { return takePath(value, settings.readinessPath); }},
--- a/src/traffic_threads_p.h
+++ b/src/traffic_threads_p.h
@@ -4,17 +4,19 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 #include <thread>
 #include <vector>
 
 namespace plumsill
 {
-/// The traffic threads of a daemon. When the last one has ended, the control thread's loop stops.
+/// The traffic threads of a daemon.
 class TrafficThreads
 {
 public:
-    explicit TrafficThreads(boost::asio::io_context &control);
+    /// @p ended is called on the control thread's loop when the last one has ended.
+    TrafficThreads(boost::asio::io_context &control, std::function<void()> ended);
 
     /// Binds all of them to one address, which it returns. Throws system_error.
     Endpoint open(unsigned count, Endpoint listen, const ControlPort &port, const Dialect &dialect);
@@ -27,6 +29,7 @@
 
 private:
     boost::asio::io_context &m_control;
+    std::function<void()> m_ended;
     std::vector<std::unique_ptr<TrafficThread>> m_traffic;
     std::vector<std::thread> m_threads;
     std::size_t m_running = 0;
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -55,6 +55,8 @@
     bool reload(const Settings &settings);
     /// Planned stop: the balancer and the other daemons learn of it.
     boost::asio::awaitable<void> leave();
+    /// Takes its entry out of the registry; returns once that is done or has failed.
+    boost::asio::awaitable<void> withdraw();
     bool ready(TimePoint now) const;
     std::string metricsText(TimePoint now) const;
 
@@ -69,6 +71,12 @@
         bool queued = false;
     };
 
+    /// Tokens that this daemon gave out by itself, and in how many heartbeats they are still told.
+    struct ToldTokens {
+        std::uint32_t taken = 0;
+        unsigned beats = 0;
+    };
+
     /// An attempt that this daemon has running.
     struct Running {
         RunningAttempt attempt;
@@ -82,6 +90,7 @@
         TimePoint heardAt;
         std::uint64_t beatSentAt = 0;
         TimePoint beatAt;
+        std::map<std::uint32_t, std::uint32_t> taken; ///< tokens that it told of, by team
     };
 
     /// What another scheduler told last.
@@ -132,6 +141,10 @@
 
     // Talk between schedulers and members.
     void sendBeat(const RegisteredDaemon &to, TimePoint now);
+    std::vector<TokensTaken> recentlyTaken();
+    void noteTaken(MemberRecord &record, const MemberBeat &beat, TimePoint now);
+    double largestPool(TimePoint now);
+    bool young(TimePoint now) const;
     void sendBeacon(const MemberId &member, const MemberRecord &record, TimePoint now);
     void sendBeacons(TimePoint now);
     void sendDigests(TimePoint now);
@@ -170,6 +183,8 @@
     std::map<MemberId, MemberRecord> m_members;
     std::map<MemberId, HubRecord> m_otherHubs;
     std::map<InstanceName, unsigned> m_unansweredDigests;
+    std::map<TeamName, ToldTokens> m_toldTokens;
+    std::optional<TimePoint> m_actingSince; ///< since when this daemon schedules for others or may be asked to
     std::optional<MemberId> m_hub; ///< asked last
     TimePoint m_hubListAt; ///< when the read was sent that its list of targets rests on
     TimePoint m_hubHeardAt;
@@ -187,6 +202,8 @@
     bool m_leaving = false;
     TimePoint m_closeAt = TimePoint::max(); ///< set when the daemon is being stopped
     TimePoint m_answerBy = TimePoint::max(); ///< likewise
+    bool m_withdrawing = false;
+    bool m_withdrawn = false;
     bool m_enrolled = false;
     bool m_entryDue = false; ///< its entry in the registry is out of date
     bool m_registryRead = false;
--- a/tests/test_codec.cpp
+++ b/tests/test_codec.cpp
@@ -95,6 +95,7 @@
         MemberBeat beat;
         beat.sentAt = anyNumber();
         beat.running = {{anyNumber(), service, TargetName {anyText()}, 4, 5}};
+        beat.taken = {{1, 2}};
         return beat;
     }
     case 17: {
--- a/tests/test_quota.cpp
+++ b/tests/test_quota.cpp
@@ -115,7 +115,7 @@
     SchedulerDemand own;
     own.members = 16;
     own.teams[shortHash("red")] = 10;
-    const QuotaPart alone = quotaPart(red, own, {}, 48);
+    const QuotaPart alone = quotaPart(red, own, {}, 48, 1);
     DOUBLES_EQUAL(16.0 / 48, alone.pool, 1e-9);
     DOUBLES_EQUAL(1, alone.share, 1e-9);
 }
@@ -128,11 +128,11 @@
     SchedulerDemand other;
     other.members = 32;
     other.teams[shortHash("red")] = 3;
-    const QuotaPart part = quotaPart(red, own, {&other}, 48);
+    const QuotaPart part = quotaPart(red, own, {&other}, 48, 1);
     DOUBLES_EQUAL(1, part.pool, 1e-9);
     CHECK(part.share > 0.65);
     CHECK(part.share < 0.8);
-    const QuotaPart theirs = quotaPart(red, other, {&own}, 48);
+    const QuotaPart theirs = quotaPart(red, other, {&own}, 48, 1);
     DOUBLES_EQUAL(1, part.share + theirs.share, 1e-9);
 }
 
@@ -203,3 +203,42 @@
     CHECK(admitted <= usual.rate * 5 + usual.burst);
     CHECK(admitted >= usual.rate * 5 * 0.9);
 }
+
+// Load: a team asks far beyond its rate, and the daemons of a zone place by themselves now and then, since their questions
+// go unanswered on a busy machine. What they give out has to come from the same pool.
+TEST(Quota, TokensThatMembersGiveOutByThemselvesCountForTheirScheduler)
+{
+    constexpr unsigned Members = 5;
+    TeamBucket scheduler;
+    scheduler.setRate(usual, t0);
+    scheduler.setPart({1, 1}, t0);
+    std::array<TeamBucket, Members> alone;
+    for (auto &bucket : alone) {
+        bucket.setRate(usual, t0);
+        bucket.setPart({1.0 / Members, 1}, t0);
+    }
+    unsigned admitted = 0;
+    const TimePoint begin = t0 + 20s;
+    for (TimePoint now = begin; now < begin + 20s; now += 5ms) {
+        admitted += scheduler.take(now) ? 1 : 0;
+        const bool beat = (now - begin) % 250ms == 0ms;
+        for (auto &bucket : alone) {
+            const auto before = bucket.taken();
+            admitted += bucket.take(now) ? 1 : 0;
+            if (beat || bucket.taken() != before) {
+                scheduler.takenByMember(bucket.taken() - before, now);
+            }
+        }
+    }
+    // Its own burst, and what each daemon may hold of it.
+    CHECK(admitted <= usual.rate * 20 + 2 * usual.burst);
+}
+
+TEST(Quota, ThePoolOfASchedulerThatHasJustBegunIsBound)
+{
+    SchedulerDemand own;
+    own.members = 3;
+    DOUBLES_EQUAL(1, quotaPart(red, own, {}, 3, 1).pool, 1e-9);
+    DOUBLES_EQUAL(1.0 / 3, quotaPart(red, own, {}, 3, 1.0 / 3).pool, 1e-9);
+    DOUBLES_EQUAL(3.0 / 48, quotaPart(red, own, {}, 48, 1.0 / 3).pool, 1e-9);
+}
--- a/tests/zone_fleet.h
+++ b/tests/zone_fleet.h
@@ -189,6 +189,7 @@
             {"node-name", name},
             {"zone", daemon.zone},
             {"region", "test"},
+            {"zones", {{"z0", "test"}, {"z1", "test"}, {"z2", "test"}}},
             {"ip", daemon.address},
             {"listen", {{"front", toString(daemon.traffic())}, {"ready", toString(daemon.readiness())}}},
             {"internal-ports", {7340, 7355}},
