--- a/tests/process_directory.cpp
+++ b/tests/process_directory.cpp
@@ -186,7 +186,8 @@
         const std::string name = "d" + std::to_string(number);
         addresses.push_back(network + std::to_string(10 + number));
         const auto &ip = addresses.back();
-        const std::string file = folder + "/" + name;
+        std::string file = folder + "/";
+        file += name;
         std::ofstream(file + ".ini") << "[instance]\nid = " << name << "\nzone = z" << number
                                      << "\nregion = test\n[fleet]\nform = zone\nzones = 3\n[traffic]\nlisten = " << ip << ":8080\n[readiness]\nlisten = " << ip
                                      << ":8081\n[metrics]\nlisten = " << ip << ":8082\n[peer]\nlisten = " << ip << ":8083\n[platform]\nurl = http://"
