--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -136,6 +136,8 @@
     CHECK(!decodedTarget(entry("state", "\"resting\"")));
     CHECK(!decodedTarget(entry("address", "\"10.1.1.1\"")));
     CHECK(!decodedTarget(entry("address", "\"10.1.1.1:99999\"")));
+    CHECK(!decodedTarget(entry("address", "\"10.1.1.1:0\"")));
+    CHECK(!decodedTarget(entry("address", "\"nowhere:80\"")));
     CHECK(!decodedTarget(entry("slots", "-3")));
     CHECK(!decodedTarget(entry("slots", "2.5")));
     CHECK(!decodedTarget(entry("born", "\"soon\"")));
