Digests are made once for all receivers; one lookup of a team's tokens

Cause: read-through of the zone form. sendDigest made the whole digest, the demand of all teams and the loads of all targets anew for each receiver; each heartbeat and digest was matched against all teams by a search in it for each, with the team's hash computed each time, also where it told of none; six functions of Scheduler were a lookup and one call of TeamBucket each; sameRun stood in target_list.cpp and again in Scheduler::setTargets; ZoneDaemon kept a second copy of the bounds and m_publishDue was true until the first publication alone. Ruled out: a table of teams by hash kept in the scheduler; the entries of one message are few, and teams of one hash would need care. Change: ownDigest and ownLoads once a round, forEachTold, forEachHeardHub, Scheduler::bucket, sameRun and targetsOf in target_list.h, noteStore from a result, stopGrace() asked of ZoneControl. No message, bound or event changes.

--- a/include/plumsill/list_relay.h
+++ b/include/plumsill/list_relay.h
@@ -30,7 +30,7 @@
     /// Takes over the reply of that daemon; false for changes of a list that isn't held: ask for the whole.
     bool apply(const InstanceName &daemon, const ListReply &reply);
     std::optional<ListSource> source() const { return m_source; }
-    std::vector<Target> targets() const;
+    std::vector<Target> targets() const { return targetsOf(m_targets); }
 
 private:
     std::optional<ListSource> m_source;
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -88,18 +88,8 @@
 
     void setDocument(const Document &document, TimePoint now);
     void setTargets(const std::vector<Target> &targets, TimePoint now);
-    /// Part of a team's rate that this scheduler gives out.
-    void setTeamPart(const TeamName &team, const QuotaPart &part, TimePoint now);
-    /// Tokens of a team that another scheduler took.
-    void takenElsewhere(const TeamName &team, std::int32_t tokens, TimePoint now);
-    /// Tokens of a team that a daemon gave out by itself which asks this scheduler.
-    void takenByMember(const TeamName &team, std::uint32_t tokens, TimePoint now);
-    /// Level of a team's pool as a scheduler sees it that is heard for the first time.
-    void levelElsewhere(const TeamName &team, std::uint32_t level, TimePoint now);
-    /// Tokens that this scheduler believes the team's pool to have.
-    std::uint32_t level(const TeamName &team, TimePoint now) const;
-    /// Tokens of a team that this scheduler took since its start.
-    std::uint32_t taken(const TeamName &team) const;
+    /// Tokens of a team as this scheduler sees them; null: there is no such team.
+    TeamBucket *bucket(const TeamName &team);
     /// Changes the bound on repeats of the whole fleet.
     void setRepeatBound(const RepeatBound &repeats);
     /// Share of the fleet's daemons that ask this scheduler.
--- a/include/plumsill/target_list.h
+++ b/include/plumsill/target_list.h
@@ -11,6 +11,12 @@
 
 namespace plumsill
 {
+/// Whether both tell of the same run of a target.
+bool sameRun(const Target &a, const Target &b);
+
+/// Targets by name, in the order of their names.
+std::vector<Target> targetsOf(const std::map<TargetName, Target> &byName);
+
 /// What happened to a list since an earlier revision of it.
 struct ListChanges {
     std::vector<Target> changed; ///< came, or are no longer what they were
@@ -28,7 +34,7 @@
     /// Another daemon's read, sent at @p sentAt, showed the same list.
     void confirm(TimePoint sentAt);
     /// Targets in use or leaving; one that the list lost after an outage stays until it had time to come back.
-    std::vector<Target> targets() const;
+    std::vector<Target> targets() const { return targetsOf(m_targets); }
     /// The target of that name; null: none is listed.
     const Target *find(const TargetName &name) const;
     /// What changed after that revision; none where that is too long ago to be known.
--- a/src/list_relay.cpp
+++ b/src/list_relay.cpp
@@ -43,14 +43,4 @@
     m_source = ListSource {from, reply.revision};
     return true;
 }
-
-std::vector<Target> RelayedList::targets() const
-{
-    std::vector<Target> all;
-    all.reserve(m_targets.size());
-    for (const auto &[name, target] : m_targets) {
-        all.push_back(target);
-    }
-    return all;
-}
 }
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -94,7 +94,7 @@
         if (m_entryDue && !m_leaving) {
             const auto written = co_await m_directory.enroll(m_self, false);
             m_entryDue = !written.has_value();
-            noteStore(written.has_value(), "enroll", written ? "" : toString(written.error()));
+            noteStore("enroll", written);
         }
         const TimePoint now = RuntimeClock::now();
         // One scheduler reads it for all; the others follow when its word of it differs from what they have.
@@ -174,7 +174,7 @@
 boost::asio::awaitable<bool> ZoneControl::readDocument()
 {
     const auto read = co_await m_directory.document();
-    noteStore(read.has_value(), "document", read ? "" : toString(read.error()));
+    noteStore("document", read);
     if (!read) {
         co_return false;
     }
@@ -206,7 +206,7 @@
 boost::asio::awaitable<bool> ZoneControl::readTargets()
 {
     const auto result = co_await m_directory.targets();
-    noteStore(result.has_value(), "targets", result ? "" : toString(result.error()));
+    noteStore("targets", result);
     if (!result) {
         co_return false;
     }
@@ -365,7 +365,6 @@
 
 void ZoneControl::publish(TimePoint now)
 {
-    m_publishDue = false;
     m_publishedAt = now;
     const boost::intrusive_ptr<Snapshot> snapshot(new Snapshot);
     snapshot->compiled = m_compiled;
@@ -385,7 +384,7 @@
         co_await sleepFor(m_scheduler.idle() ? Duration(config::ControlTick) : Duration(config::QueueServeInterval));
         const TimePoint now = RuntimeClock::now();
         sendLate();
-        if (m_publishDue || now - m_publishedAt >= config::PublishInterval) {
+        if (!m_publishedAt || now - *m_publishedAt >= config::PublishInterval) {
             publish(now);
         }
         if (ready(now) != wasReady) {
@@ -425,8 +424,8 @@
 {
     m_leaving = true;
     const TimePoint now = RuntimeClock::now();
-    m_closeAt = now + std::min<Duration>(config::LingerTime, m_settings.bounds.stopGrace * config::LingerPart / 100);
-    m_answerBy = now + m_settings.bounds.stopGrace * config::AnswerPart / 100;
+    m_closeAt = now + std::min<Duration>(config::LingerTime, stopGrace() * config::LingerPart / 100);
+    m_answerBy = now + stopGrace() * config::AnswerPart / 100;
     Event("daemon", "stopping").add("requests", static_cast<std::int64_t>(m_running.size()));
     publish(now);
     sendBeacons(now);
--- a/src/net_zone_daemon.cpp
+++ b/src/net_zone_daemon.cpp
@@ -48,7 +48,7 @@
     boost::asio::awaitable<void> end();
     boost::asio::awaitable<void> reloadOnSignal();
 
-    Settings m_settings;
+    const Settings m_settings;
     const ZoneDaemonPorts m_ports;
     boost::asio::io_context m_context {1};
     PeerPort m_peers;
@@ -120,12 +120,13 @@
 boost::asio::awaitable<void> ZoneDaemon::stopOnSignal()
 {
     co_await m_signals.async_wait(boost::asio::use_awaitable);
-    const TimePoint end = RuntimeClock::now() + m_settings.bounds.stopGrace - StopMargin;
+    const Duration grace = m_control->stopGrace();
+    const TimePoint end = RuntimeClock::now() + grace - StopMargin;
     boost::asio::co_spawn(m_context, m_control->leave(), boost::asio::detached);
     co_await sleepFor(config::LingerTime);
     m_traffic.drain();
     co_await sleepFor(std::max<Duration>(end - RuntimeClock::now(), Duration::zero()));
-    Event("daemon", "stop-time-over").add("grace_ms", m_settings.bounds.stopGrace);
+    Event("daemon", "stop-time-over").add("grace_ms", grace);
     m_traffic.stop();
 }
 
@@ -144,9 +145,6 @@
         const ParsedSettings parsed = m_ports.reload();
         const bool whole = parsed.valid() && m_control->reload(parsed.settings);
         Event("daemon", "reloaded").add("valid", parsed.valid()).add("needs_restart", parsed.valid() && !whole);
-        if (parsed.valid()) {
-            m_settings.bounds = parsed.settings.bounds;
-        }
         for (const auto &problem : parsed.problems) {
             Event("daemon", "settings-problem").add("problem", toString(problem));
         }
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -3,6 +3,7 @@
 #include <plumsill/config.h>
 #include <plumsill/event.h>
 
+#include <unordered_map>
 #include <utility>
 
 namespace plumsill
@@ -22,6 +23,24 @@
     return TimePoint(Duration(static_cast<Duration::rep>(stamp)));
 }
 
+/// Calls @p apply with each team and the first entry that tells of it; entries name teams by their hash alone.
+template<class Told, class Apply>
+void forEachTold(const std::vector<TeamName> &teams, const std::vector<Told> &told, Apply apply)
+{
+    if (told.empty()) {
+        return;
+    }
+    std::unordered_map<std::uint32_t, const Told *> byTeam;
+    for (const auto &entry : told) {
+        byTeam.emplace(entry.team, &entry);
+    }
+    for (const auto &team : teams) {
+        const auto found = byTeam.find(shortHash(team.value));
+        if (found != byTeam.end()) {
+            apply(team, *found->second);
+        }
+    }
+}
 }
 
 void ZoneControl::received(const Envelope &envelope)
@@ -123,7 +142,7 @@
 {
     std::vector<TokensTaken> taken;
     for (const auto &team : m_scheduler.teams()) {
-        const std::uint32_t present = m_scheduler.taken(team);
+        const std::uint32_t present = m_scheduler.bucket(team)->taken();
         ToldTokens &told = m_toldTokens[team];
         if (told.taken != present) {
             told = {present, config::BeatsOfTakenTokens};
@@ -140,17 +159,12 @@
 void ZoneControl::noteTaken(MemberRecord &record, const MemberBeat &beat, TimePoint now)
 {
     const bool first = record.beatSentAt == 0;
-    for (const auto &team : m_scheduler.teams()) {
-        const auto hash = shortHash(team.value);
-        const auto told = std::find_if(beat.taken.begin(), beat.taken.end(), [hash](const TokensTaken &entry) { return entry.team == hash; });
-        if (told == beat.taken.end()) {
-            continue;
-        }
-        const std::uint32_t tokens = told->taken - std::exchange(record.taken[hash], told->taken);
+    forEachTold(m_scheduler.teams(), beat.taken, [&](const TeamName &team, const TokensTaken &told) {
+        const std::uint32_t tokens = told.taken - std::exchange(record.taken[told.team], told.taken);
         if (!first && tokens <= config::MostTokensOfBeat) {
-            m_scheduler.takenByMember(team, tokens, now);
+            m_scheduler.bucket(team)->takenByMember(tokens, now);
         }
-    }
+    });
 }
 
 void ZoneControl::received(const Envelope &envelope, const MemberBeat &beat)
@@ -168,10 +182,10 @@
     if (beat.complete) {
         m_scheduler.reconcile(envelope.sender, beat.running, now);
     }
-    sendBeacon(envelope.sender, member, now);
+    sendBeacon(member, now);
 }
 
-void ZoneControl::sendBeacon(const MemberId & /*member*/, const MemberRecord &record, TimePoint now)
+void ZoneControl::sendBeacon(const MemberRecord &record, TimePoint now)
 {
     HubBeacon beacon;
     beacon.beatSentAt = record.beatSentAt;
@@ -187,7 +201,7 @@
 {
     for (const auto &[id, record] : m_members) {
         if (record.beatSentAt != 0 && now - record.heardAt < config::MemberLifetime) {
-            sendBeacon(id, record, now);
+            sendBeacon(record, now);
         }
     }
 }
@@ -260,11 +274,7 @@
         return 1;
     }
     std::set<ZoneName> heard {m_settings.zone};
-    for (const auto &[id, hub] : m_otherHubs) {
-        if (now - hub.heardAt < config::HubDigestLifetime) {
-            heard.insert(hub.zone);
-        }
-    }
+    forEachHeardHub(now, [&heard](const MemberId & /*id*/, const HubRecord &hub) { heard.insert(hub.zone); });
     return static_cast<double>(heard.size()) / m_settings.zones;
 }
 
@@ -281,16 +291,12 @@
     const SchedulerDemand own = ownDemand(now);
     std::vector<const SchedulerDemand *> others;
     if (acting(now)) {
-        for (const auto &[id, hub] : m_otherHubs) {
-            if (now - hub.heardAt < config::HubDigestLifetime) {
-                others.push_back(&hub.demand);
-            }
-        }
+        forEachHeardHub(now, [&others](const MemberId & /*id*/, const HubRecord &hub) { others.push_back(&hub.demand); });
     }
     const auto registered = static_cast<unsigned>(m_hubs.registered().size());
     const double largest = largestPool(now);
     for (const auto &team : m_scheduler.teams()) {
-        m_scheduler.setTeamPart(team, m_enrolled ? quotaPart(team, own, others, registered, largest) : QuotaPart {config::UnenrolledShare, 1}, now);
+        m_scheduler.bucket(team)->setPart(m_enrolled ? quotaPart(team, own, others, registered, largest) : QuotaPart {config::UnenrolledShare, 1}, now);
     }
     m_scheduler.setFleetShare(m_enrolled ? static_cast<double>(own.members) / std::max(registered, own.members) : config::UnenrolledShare);
 }
@@ -312,25 +318,24 @@
     for (const auto &other : m_hubs.otherHubs(now)) {
         receivers.emplace(other.id.name, other);
     }
-    for (const auto &[id, other] : m_otherHubs) {
-        if (now - other.heardAt < config::HubDigestLifetime) {
-            receivers.emplace(id.name, RegisteredDaemon {id, other.zone, other.peer, 1});
-        }
+    forEachHeardHub(now, [&receivers](const MemberId &id, const HubRecord &hub) { receivers.emplace(id.name, RegisteredDaemon {id, hub.zone, hub.peer, 1}); });
+    if (receivers.empty()) {
+        return;
     }
+    const HubDigest digest = ownDigest(now);
+    const std::vector<HubLoads> loads = ownLoads(now);
     for (const auto &[name, other] : receivers) {
-        sendDigest(other, now);
+        sendDigest(other, digest, now);
+        for (const auto &piece : loads) {
+            send(other.peer, piece);
+        }
     }
 }
 
-void ZoneControl::sendDigest(const RegisteredDaemon &to, TimePoint now)
+HubDigest ZoneControl::ownDigest(TimePoint now)
 {
     HubDigest digest;
     digest.sentAt = stampOf(now);
-    const auto heard = m_otherHubs.find(to.id);
-    if (heard != m_otherHubs.end()) {
-        digest.echo = heard->second.sentAt;
-        digest.echoHeldMilliseconds = wholeMilliseconds(now - heard->second.heardAt);
-    }
     digest.document = documentProof(now);
     digest.list = listProof(now);
     digest.zone = m_settings.zone;
@@ -341,8 +346,8 @@
     for (const auto &team : m_scheduler.teams()) {
         const auto found = demand.teams.find(shortHash(team.value));
         if (found != demand.teams.end()) {
-            digest.teams.push_back({found->first, static_cast<std::uint32_t>(found->second * 60), m_scheduler.taken(team),
-                                    young(now) ? TeamDemand::UnknownLeft : m_scheduler.level(team, now)});
+            digest.teams.push_back({found->first, static_cast<std::uint32_t>(found->second * 60), m_scheduler.bucket(team)->taken(),
+                                    young(now) ? TeamDemand::UnknownLeft : m_scheduler.bucket(team)->level(now)});
         }
     }
     if (digest.teams.size() > HubDigest::MostTeams) {
@@ -351,13 +356,29 @@
                           [](const TeamDemand &a, const TeamDemand &b) { return a.perMinute > b.perMinute; });
         digest.teams.resize(HubDigest::MostTeams);
     }
-    send(to.peer, std::move(digest));
+    return digest;
+}
+
+std::vector<HubLoads> ZoneControl::ownLoads(TimePoint now) const
+{
+    std::vector<HubLoads> pieces;
     const auto loads = m_scheduler.loads(now);
     for (std::size_t first = 0; first < loads.size(); first += HubLoads::MostLoads) {
         const auto begin = loads.begin() + static_cast<std::ptrdiff_t>(first);
         const auto count = static_cast<std::ptrdiff_t>(std::min(HubLoads::MostLoads, loads.size() - first));
-        send(to.peer, HubLoads {m_settings.zone, {begin, begin + count}});
+        pieces.push_back({m_settings.zone, {begin, begin + count}});
     }
+    return pieces;
+}
+
+void ZoneControl::sendDigest(const RegisteredDaemon &to, HubDigest digest, TimePoint now)
+{
+    const auto heard = m_otherHubs.find(to.id);
+    if (heard != m_otherHubs.end()) {
+        digest.echo = heard->second.sentAt;
+        digest.echoHeldMilliseconds = wholeMilliseconds(now - heard->second.heardAt);
+    }
+    send(to.peer, std::move(digest));
     // A daemon of another zone that never answers doesn't schedule there.
     auto &unanswered = m_unansweredDigests[to.id.name];
     if (++unanswered > config::DigestsBeforeSilence && to.zone != m_settings.zone) {
@@ -369,21 +390,16 @@
 // What a scheduler took before it was first heard isn't known; its part of the rate was kept for it until then.
 void ZoneControl::noteTaken(HubRecord &record, const HubDigest &digest, TimePoint now)
 {
-    for (const auto &team : m_scheduler.teams()) {
-        const auto hash = shortHash(team.value);
-        const auto told = std::find_if(digest.teams.begin(), digest.teams.end(), [hash](const TeamDemand &entry) { return entry.team == hash; });
-        if (told == digest.teams.end()) {
-            continue;
-        }
-        const auto [known, first] = record.taken.emplace(hash, told->taken);
-        if (first && young(now) && told->left != TeamDemand::UnknownLeft) {
-            m_scheduler.levelElsewhere(team, told->left, now);
+    forEachTold(m_scheduler.teams(), digest.teams, [&](const TeamName &team, const TeamDemand &told) {
+        const auto [known, first] = record.taken.emplace(told.team, told.taken);
+        if (first && young(now) && told.left != TeamDemand::UnknownLeft) {
+            m_scheduler.bucket(team)->levelElsewhere(told.left, now);
         }
         if (!first) {
-            m_scheduler.takenElsewhere(team, static_cast<std::int32_t>(told->taken - known->second), now);
-            known->second = told->taken;
+            m_scheduler.bucket(team)->takenElsewhere(static_cast<std::int32_t>(told.taken - known->second), now);
+            known->second = told.taken;
         }
-    }
+    });
 }
 
 void ZoneControl::received(const Envelope &envelope, const HubDigest &digest)
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -1,6 +1,7 @@
 #include <plumsill/scheduler.h>
 
 #include <plumsill/config.h>
+#include <plumsill/target_list.h>
 
 #include <algorithm>
 #include <limits>
@@ -55,10 +56,9 @@
     for (const auto &target : targets) {
         TargetStatePtr state;
         const auto known = m_targets.find(target.name);
-        const bool sameRun = known != m_targets.end() && known->second->target.endpoint == target.endpoint
-            && known->second->target.startedAt == target.startedAt && known->second->target.service == target.service;
-        state = sameRun ? known->second : std::make_shared<TargetState>();
-        if (!sameRun) {
+        const bool runsOn = known != m_targets.end() && sameRun(known->second->target, target);
+        state = runsOn ? known->second : std::make_shared<TargetState>();
+        if (!runsOn) {
             state->coldUntil = now + std::chrono::milliseconds(target.coldMilliseconds);
         }
         state->target = target;
@@ -69,48 +69,10 @@
     m_targets = std::move(kept);
 }
 
-void Scheduler::setTeamPart(const TeamName &team, const QuotaPart &part, TimePoint now)
+TeamBucket *Scheduler::bucket(const TeamName &team)
 {
     const auto found = m_teamStates.find(team);
-    if (found != m_teamStates.end()) {
-        found->second.bucket.setPart(part, now);
-    }
-}
-
-void Scheduler::takenElsewhere(const TeamName &team, std::int32_t tokens, TimePoint now)
-{
-    const auto found = m_teamStates.find(team);
-    if (found != m_teamStates.end()) {
-        found->second.bucket.takenElsewhere(tokens, now);
-    }
-}
-
-void Scheduler::takenByMember(const TeamName &team, std::uint32_t tokens, TimePoint now)
-{
-    const auto found = m_teamStates.find(team);
-    if (found != m_teamStates.end()) {
-        found->second.bucket.takenByMember(tokens, now);
-    }
-}
-
-void Scheduler::levelElsewhere(const TeamName &team, std::uint32_t level, TimePoint now)
-{
-    const auto found = m_teamStates.find(team);
-    if (found != m_teamStates.end()) {
-        found->second.bucket.levelElsewhere(level, now);
-    }
-}
-
-std::uint32_t Scheduler::level(const TeamName &team, TimePoint now) const
-{
-    const auto found = m_teamStates.find(team);
-    return found == m_teamStates.end() ? std::uint32_t {0} : found->second.bucket.level(now);
-}
-
-std::uint32_t Scheduler::taken(const TeamName &team) const
-{
-    const auto found = m_teamStates.find(team);
-    return found == m_teamStates.end() ? 0 : found->second.bucket.taken();
+    return found == m_teamStates.end() ? nullptr : &found->second.bucket;
 }
 
 void Scheduler::setRepeatBound(const RepeatBound &repeats)
@@ -359,9 +321,9 @@
 
 void Scheduler::refund(const PlacementAsk &ask)
 {
-    const auto team = m_teamStates.find(ask.team);
-    if (!ask.repeat && team != m_teamStates.end()) {
-        team->second.bucket.giveBack();
+    TeamBucket *tokens = bucket(ask.team);
+    if (!ask.repeat && tokens != nullptr) {
+        tokens->giveBack();
     }
 }
 
--- a/src/target_list.cpp
+++ b/src/target_list.cpp
@@ -21,11 +21,21 @@
 {
     return a.startedAt < b.startedAt || (a.startedAt == b.startedAt && a.sequence < b.sequence);
 }
+}
 
 bool sameRun(const Target &a, const Target &b)
 {
     return a.endpoint == b.endpoint && a.service == b.service && a.startedAt == b.startedAt;
 }
+
+std::vector<Target> targetsOf(const std::map<TargetName, Target> &byName)
+{
+    std::vector<Target> all;
+    all.reserve(byName.size());
+    for (const auto &[name, target] : byName) {
+        all.push_back(target);
+    }
+    return all;
 }
 
 void TargetList::read(const std::vector<Target> &targets, TimePoint sentAt, TimePoint now)
@@ -45,9 +55,9 @@
     }
     if (m_graceUntil && sentAt < *m_graceUntil) {
         // What another entry has taken the address of is gone for sure.
-        std::map<Endpoint, const Target *> taken;
+        std::set<Endpoint> taken;
         for (const auto &target : targets) {
-            taken.emplace(target.endpoint, &target);
+            taken.insert(target.endpoint);
         }
         for (const auto &[name, target] : m_targets) {
             if (!listed.contains(name) && !taken.contains(target.endpoint)) {
@@ -116,14 +126,4 @@
     const auto found = m_targets.find(name);
     return found == m_targets.end() ? nullptr : &found->second;
 }
-
-std::vector<Target> TargetList::targets() const
-{
-    std::vector<Target> all;
-    all.reserve(m_targets.size());
-    for (const auto &[name, target] : m_targets) {
-        all.push_back(target);
-    }
-    return all;
-}
 }
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -6,6 +6,7 @@
 #include "snapshot_p.h"
 #include "traffic_p.h"
 
+#include <plumsill/config.h>
 #include <plumsill/currency.h>
 #include <plumsill/hubs.h>
 #include <plumsill/list_relay.h>
@@ -53,6 +54,8 @@
 
     /// Takes over what changed in the settings; false where some of it needs a restart.
     bool reload(const Settings &settings);
+    /// Time that a planned stop may take.
+    Duration stopGrace() const { return m_settings.bounds.stopGrace; }
     /// Planned stop: the balancer and the other daemons learn of it.
     boost::asio::awaitable<void> leave();
     /// Takes its entry out of the registry; returns once that is done or has failed.
@@ -119,6 +122,11 @@
     DocumentProof documentProof(TimePoint now) const;
     ListProof listProof(TimePoint now) const;
     void noteStore(bool reached, const char *call, const std::string &reason);
+    template<class Value>
+    void noteStore(const char *call, const DirectoryResult<Value> &result)
+    {
+        noteStore(result.has_value(), call, result ? "" : toString(result.error()));
+    }
 
     // Placement.
     void askHub(std::uint64_t id);
@@ -145,10 +153,23 @@
     void noteTaken(MemberRecord &record, const MemberBeat &beat, TimePoint now);
     double largestPool(TimePoint now);
     bool young(TimePoint now) const;
-    void sendBeacon(const MemberId &member, const MemberRecord &record, TimePoint now);
+    void sendBeacon(const MemberRecord &record, TimePoint now);
     void sendBeacons(TimePoint now);
     void sendDigests(TimePoint now);
-    void sendDigest(const RegisteredDaemon &to, TimePoint now);
+    /// What all other schedulers are told alike.
+    HubDigest ownDigest(TimePoint now);
+    std::vector<HubLoads> ownLoads(TimePoint now) const;
+    void sendDigest(const RegisteredDaemon &to, HubDigest digest, TimePoint now);
+    /// Calls @p visit with each other scheduler whose last digest still holds.
+    template<class Visit>
+    void forEachHeardHub(TimePoint now, Visit visit) const
+    {
+        for (const auto &[id, hub] : m_otherHubs) {
+            if (now - hub.heardAt < config::HubDigestLifetime) {
+                visit(id, hub);
+            }
+        }
+    }
     void noteRegistry(std::uint32_t hash, TimePoint now);
     void updateShares(TimePoint now);
     void noteTaken(HubRecord &record, const HubDigest &digest, TimePoint now);
@@ -194,11 +215,10 @@
     unsigned m_registryReads = 0;
     TimePoint m_nextListRead;
     std::optional<TimePoint> m_storeReadAt; ///< when this daemon's last good read of the list of targets was sent
-    TimePoint m_publishedAt;
+    std::optional<TimePoint> m_publishedAt; ///< none: not yet
     std::mt19937_64 m_random {std::random_device()()};
     std::uint64_t m_localPlacements = 0;
     std::uint64_t m_hubPlacements = 0;
-    bool m_publishDue = true;
     bool m_leaving = false;
     TimePoint m_closeAt = TimePoint::max(); ///< set when the daemon is being stopped
     TimePoint m_answerBy = TimePoint::max(); ///< likewise
--- a/tests/test_scheduler.cpp
+++ b/tests/test_scheduler.cpp
@@ -46,7 +46,7 @@
         scheduler.setDocument(documentWith(rate, burst), t0);
         scheduler.setTargets(targets, t0);
         scheduler.setFleetShare(1);
-        scheduler.setTeamPart(red, {1, 1}, t0);
+        scheduler.bucket(red)->setPart({1, 1}, t0);
     }
     PlacementAsk request(TimePoint now, bool idempotent = false)
     {
