--- a/include/plumsill/messages.h
+++ b/include/plumsill/messages.h
@@ -493,17 +493,20 @@
     std::uint32_t team = 0; ///< shortHash() of its name
     std::uint32_t perMinute = 0;
     std::uint32_t taken = 0; ///< tokens since the sender's start
+    std::uint32_t left = 0; ///< tokens that the sender believes the whole pool to have
 
     auto operator<=>(const TeamDemand &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(team, perMinute, taken);
+        archive(team, perMinute, taken, left);
     }
 };
 
 /// What schedulers tell each other regularly.
 struct HubDigest {
+    static constexpr std::size_t MostTeams = 75; ///< what a datagram holds beside the other fields
+
     std::uint64_t sentAt = 0; ///< sender's clock, nanoseconds
     std::uint64_t echo = 0; ///< `sentAt` of the receiver's last digest
     std::uint32_t echoHeldMilliseconds = 0; ///< since that digest came
@@ -514,19 +517,33 @@
     std::uint32_t members = 0; ///< daemons that ask the sender, itself included
     ZoneName zone;
     std::vector<TeamDemand> teams;
-    std::vector<TargetLoad> loads;
 
     auto operator<=>(const HubDigest &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(sentAt, echo, echoHeldMilliseconds, document, list, registry, readsStore, members, zone, teams, loads);
+        archive(sentAt, echo, echoHeldMilliseconds, document, list, registry, readsStore, members, zone, teams);
+    }
+};
+
+/// What a scheduler has running and believes of targets; goes with its digest, in as many pieces as it takes.
+struct HubLoads {
+    static constexpr std::size_t MostLoads = 150; ///< what a datagram holds
+
+    ZoneName zone;
+    std::vector<TargetLoad> loads;
+
+    auto operator<=>(const HubLoads &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(zone, loads);
     }
 };
 
-using Message
-    = std::variant<Pulse, PulseAck, GrantRequest, Grant, GiveBack, HandOver, HealthDigest, Verdict, DocumentRequest, DocumentReply, RosterRequest, RosterReply,
-                   TargetsRequest, TargetsReply, PlaceRequest, PlaceReply, AttemptReport, Withdrawal, MemberBeat, HubBeacon, HubDigest, ListRequest, ListReply>;
+using Message = std::variant<Pulse, PulseAck, GrantRequest, Grant, GiveBack, HandOver, HealthDigest, Verdict, DocumentRequest, DocumentReply, RosterRequest,
+                             RosterReply, TargetsRequest, TargetsReply, PlaceRequest, PlaceReply, AttemptReport, Withdrawal, MemberBeat, HubBeacon, HubDigest,
+                             HubLoads, ListRequest, ListReply>;
 
 /// A message with its sender, as it crosses the network under a MAC.
 struct Envelope {
--- a/include/plumsill/quota.h
+++ b/include/plumsill/quota.h
@@ -40,6 +40,11 @@
     void setPart(const QuotaPart &part, TimePoint now);
     /// Tokens that another scheduler of the pool took.
     void takenElsewhere(std::int32_t tokens, TimePoint now);
+    /// What a scheduler that is heard for the first time believes the level to be: it may know of tokens that this one
+    /// doesn't, such as those that the last scheduler of this zone gave out.
+    void levelElsewhere(std::uint32_t level, TimePoint now);
+    /// Whole tokens of the pool that are left.
+    std::uint32_t level(TimePoint now) const;
     /// Tokens taken here since the start; wraps around.
     std::uint32_t taken() const { return m_taken; }
     /// Time until a token is due for the next refused request; each call promises the token after the last promised one.
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -92,6 +92,10 @@
     void setTeamPart(const TeamName &team, const QuotaPart &part, TimePoint now);
     /// Tokens of a team that another scheduler took.
     void takenElsewhere(const TeamName &team, std::int32_t tokens, TimePoint now);
+    /// Level of a team's pool as a scheduler sees it that is heard for the first time.
+    void levelElsewhere(const TeamName &team, std::uint32_t level, TimePoint now);
+    /// Tokens that this scheduler believes the team's pool to have.
+    std::uint32_t level(const TeamName &team, TimePoint now) const;
     /// Tokens of a team that this scheduler took since its start.
     std::uint32_t taken(const TeamName &team) const;
     /// Changes the bound on repeats of the whole fleet.
--- a/makefile
+++ b/makefile
@@ -10,7 +10,7 @@
 export CCACHE_NOHASHDIR := 1
 export CCACHE_SLOPPINESS := pch_defines,time_macros,include_file_mtime,include_file_ctime
 
-.PHONY: help setup build demo test lint format bench matrix fuzz platform-day clean
+.PHONY: help setup build demo test lint format bench matrix fuzz soak platform-day clean
 
 help: ## lists the commands
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
@@ -43,6 +43,9 @@
 fuzz: build ## runs the stateful tests for long; SEED= replays one seed, RUNS= sets the number
 	@scripts/fuzz $(BUILD) "$(SEED)" "$(RUNS)"
 
+soak: build ## runs real processes under random faults and checks the promises: SEED= the first seed, RUNS= how many
+	@scripts/soak $(BUILD) $(or $(SEED),$$(date +%s)) $(or $(RUNS),1)
+
 platform-day: ## plays a day of the users' bench: SITE=path DAY=name, where the bench is laid beside the project
 	@test -n "$(SITE)" -a -n "$(DAY)" || { echo "usage: make platform-day SITE=path DAY=name"; exit 2; }
 	@../given/kit/more/system/bin/fleetbench run $(SITE) $(DAY)
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -9,8 +9,6 @@
 {
 // A heartbeat names at most this many running attempts, so that it fits a datagram.
 constexpr std::size_t MostNamedAttempts = 16;
-constexpr std::size_t MostNamedLoads = 90;
-constexpr std::size_t MostNamedTeams = 90;
 
 std::uint64_t stampOf(TimePoint time)
 {
@@ -45,6 +43,8 @@
         received(envelope, *beacon);
     } else if (const auto *digest = std::get_if<HubDigest>(&envelope.message)) {
         received(envelope, *digest);
+    } else if (const auto *told = std::get_if<HubLoads>(&envelope.message)) {
+        m_scheduler.setRemoteLoads(told->zone, told->loads, RuntimeClock::now());
     }
 }
 
@@ -267,13 +267,23 @@
     digest.members = demand.members;
     for (const auto &team : m_scheduler.teams()) {
         const auto found = demand.teams.find(shortHash(team.value));
-        if (found != demand.teams.end() && digest.teams.size() < MostNamedTeams) {
-            digest.teams.push_back({found->first, static_cast<std::uint32_t>(found->second * 60), m_scheduler.taken(team)});
+        if (found != demand.teams.end()) {
+            digest.teams.push_back({found->first, static_cast<std::uint32_t>(found->second * 60), m_scheduler.taken(team), m_scheduler.level(team, now)});
         }
     }
-    digest.loads = m_scheduler.loads(now);
-    digest.loads.resize(std::min(digest.loads.size(), MostNamedLoads));
+    if (digest.teams.size() > HubDigest::MostTeams) {
+        // Those that ask most share first; the others keep to what the last digests said of them.
+        std::partial_sort(digest.teams.begin(), digest.teams.begin() + HubDigest::MostTeams, digest.teams.end(),
+                          [](const TeamDemand &a, const TeamDemand &b) { return a.perMinute > b.perMinute; });
+        digest.teams.resize(HubDigest::MostTeams);
+    }
     send(to.peer, std::move(digest));
+    const auto loads = m_scheduler.loads(now);
+    for (std::size_t first = 0; first < loads.size(); first += HubLoads::MostLoads) {
+        const auto begin = loads.begin() + static_cast<std::ptrdiff_t>(first);
+        const auto count = static_cast<std::ptrdiff_t>(std::min(HubLoads::MostLoads, loads.size() - first));
+        send(to.peer, HubLoads {m_settings.zone, {begin, begin + count}});
+    }
     // A daemon of another zone that never answers doesn't schedule there.
     auto &unanswered = m_unansweredDigests[to.id.name];
     if (++unanswered > config::DigestsBeforeSilence && to.zone != m_settings.zone) {
@@ -292,7 +302,9 @@
             continue;
         }
         const auto [known, first] = record.taken.emplace(hash, told->taken);
-        if (!first) {
+        if (first) {
+            m_scheduler.levelElsewhere(team, told->left, now);
+        } else {
             m_scheduler.takenElsewhere(team, static_cast<std::int32_t>(told->taken - known->second), now);
             known->second = told->taken;
         }
@@ -316,7 +328,6 @@
     }
     m_unansweredDigests[envelope.sender.name] = 0;
     updateShares(now);
-    m_scheduler.setRemoteLoads(digest.zone, digest.loads, now);
     const TimePoint writtenAt = timeOf(digest.echo) + std::chrono::milliseconds(digest.echoHeldMilliseconds);
     if (digest.echo == 0 || writtenAt > now) {
         return;
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -92,6 +92,18 @@
     m_level -= tokens;
 }
 
+void TeamBucket::levelElsewhere(std::uint32_t level, TimePoint now)
+{
+    refill(now);
+    m_level = std::min(m_level, static_cast<double>(level) + 1); // told in whole tokens
+}
+
+std::uint32_t TeamBucket::level(TimePoint now) const
+{
+    const double due = seconds(std::max(now - m_at, Duration::zero())) * poolRate() * RateMargin;
+    return static_cast<std::uint32_t>(std::max(std::floor(std::min(burst(), m_level + due)), 0.0));
+}
+
 Duration TeamBucket::promise(TimePoint now)
 {
     refill(now);
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -85,6 +85,20 @@
     }
 }
 
+void Scheduler::levelElsewhere(const TeamName &team, std::uint32_t level, TimePoint now)
+{
+    const auto found = m_teamStates.find(team);
+    if (found != m_teamStates.end()) {
+        found->second.bucket.levelElsewhere(level, now);
+    }
+}
+
+std::uint32_t Scheduler::level(const TeamName &team, TimePoint now) const
+{
+    const auto found = m_teamStates.find(team);
+    return found == m_teamStates.end() ? std::uint32_t {0} : found->second.bucket.level(now);
+}
+
 std::uint32_t Scheduler::taken(const TeamName &team) const
 {
     const auto found = m_teamStates.find(team);
--- a/tests/test_quota.cpp
+++ b/tests/test_quota.cpp
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <array>
+#include <utility>
 
 using namespace plumsill;
 using namespace std::chrono_literals;
@@ -174,3 +175,31 @@
     CHECK(taken >= 5);
     CHECK(taken <= 10);
 }
+
+// Load: one team asks far beyond its rate while the schedulers of a zone stop one after the other. Each new one would
+// start with tokens of its own, were it not told what the pool has left.
+TEST(Quota, SuccessiveSchedulersOfAZoneStartFromTheLevelOfThePool)
+{
+    unsigned admitted = 0;
+    TeamBucket steady;
+    steady.setRate(usual, t0);
+    steady.setPart({1, 0.5}, t0);
+    std::uint32_t told = 0;
+    for (int successor = 0; successor < 10; ++successor) {
+        const TimePoint begin = t0 + 10s + successor * 500ms;
+        TeamBucket fresh;
+        fresh.setRate(usual, begin);
+        fresh.setPart({1, 0.5}, begin);
+        fresh.levelElsewhere(steady.level(begin), begin);
+        for (TimePoint now = begin; now < begin + 500ms; now += 5ms) {
+            admitted += steady.take(now) ? 1 : 0;
+            fresh.takenElsewhere(static_cast<std::int32_t>(steady.taken() - std::exchange(told, steady.taken())), now);
+            if (fresh.take(now)) {
+                ++admitted;
+                steady.takenElsewhere(1, now);
+            }
+        }
+    }
+    CHECK(admitted <= usual.rate * 5 + usual.burst);
+    CHECK(admitted >= usual.rate * 5 * 0.9);
+}
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -1,266 +1,673 @@
-// Faulted load over real processes: counts requests run twice, false "not-run", wrong answers and cut requests.
-#include "fleet_process.h"
+// Randomized fault soak: a fleet of real processes, faults from outside in overlapping series, and the fleet's promises
+// checked against what callers and targets see.
+#include "../src/clock_p.h"
+#include "../src/http_client_p.h"
+#include "../src/standin_p.h"
+#include "soak_oracle.h"
+#include "soak_plan.h"
+#include "zone_fleet.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/json/parse.hpp>
+
+#include <popt.h>
+#include <xxhash.h>
 
-#include <array>
 #include <iostream>
-#include <sstream>
+#include <random>
 
 using namespace plumsill;
-using namespace plumsill::test;
-using namespace std::chrono_literals;
+using namespace plumsill::soak;
+using standin::unixMilliseconds;
+namespace asio = boost::asio;
+namespace json = boost::json;
 
 namespace
 {
-constexpr unsigned Daemons = 4;
-constexpr unsigned Targets = 6;
-constexpr int CallerRate = 300; ///< requests a second of each of the four callers
-constexpr int PhaseSeconds = 30;
-constexpr auto FaultAfter = 8s;
-constexpr auto PauseTime = 5s;
+constexpr Time CallerPatience = 6000; ///< milliseconds; the deadline that is told to the fleet is shorter
+constexpr unsigned ToldDeadline = 4000; ///< milliseconds
+constexpr Time ContactTime = 3000; ///< milliseconds until a machine without disturbance is in touch again, as the users' sites have it
+constexpr Time DisturbanceMargin = 1500; ///< milliseconds; the fault's own end is seen late on a busy machine
+constexpr auto StopGrace = std::chrono::seconds(6);
+constexpr auto RecoveryTime = std::chrono::seconds(15);
+constexpr auto RecoveryWindow = std::chrono::seconds(2);
+constexpr double RecoveredShare = 0.9;
+constexpr auto PollInterval = std::chrono::milliseconds(200);
+constexpr auto ThinkTime = std::chrono::milliseconds(30);
+constexpr auto ControlTimeout = std::chrono::seconds(1);
+const char *const Services[] = {"lookup", "payments", "records"};
+const TeamQuota BlueQuota {40, 20};
 
-/// What the callers of one phase were told.
-struct PhaseResult {
-    std::map<std::string, std::int64_t> sums; ///< by the name in the caller's report
+struct Options {
+    long seed = 1;
+    int seconds = 20;
+    int daemons = 8;
+    int targets = 12;
+    int callers = 3; ///< of each daemon
+    int keepLogs = 0;
 };
 
-/// What one request was told.
-struct Told {
-    unsigned status = 0;
-    std::string outcome;
+class Soak
+{
+public:
+    explicit Soak(const Options &options)
+        : m_options(options)
+        , m_random(static_cast<std::uint64_t>(options.seed))
+        , m_fleet({true, static_cast<unsigned>(options.seed), 500, 2000})
+        , m_oracle({}, {{"blue", BlueQuota}})
+    { }
+
+    /// True when every promise was kept.
+    bool run();
+
+private:
+    struct DaemonState {
+        unsigned run = 0;
+        Time disturbedUntil = 0;
+        bool stopping = false; ///< it was told to
+        bool down = false; ///< between its end and its next start
+    };
+
+    // Surroundings.
+    bool start();
+    void startDaemon(const std::string &name);
+    void startTarget(unsigned slot);
+    void publish();
+    test::PlatformDocument document() const;
+    asio::awaitable<void> drive();
+    asio::awaitable<void> recover();
+
+    // Callers.
+    asio::awaitable<void> call(std::string daemon, unsigned number);
+    asio::awaitable<HttpResult> exchange(HttpClient &client, Endpoint to, HttpRequest request);
+    Asked nextRequest(const std::string &daemon, unsigned number);
+    HttpRequest toRequest(const Asked &asked) const;
+    void note(const Asked &asked, const HttpResult &result, bool sent);
+    static bool isOwn(const Asked &asked, const HttpAnswer &answer);
+
+    // Observation.
+    asio::awaitable<void> followTarget(std::string name, Endpoint control);
+    asio::awaitable<void> followService();
+    void checkProcesses();
+    void report();
+
+    // Faults.
+    asio::awaitable<void> apply(PlannedFault planned);
+    asio::awaitable<void> applyToDaemon(PlannedFault planned);
+    asio::awaitable<void> applyToTarget(PlannedFault planned);
+    asio::awaitable<void> applyToLink(PlannedFault planned);
+    asio::awaitable<void> applyToStore(PlannedFault planned);
+    asio::awaitable<void> applyToDocument(PlannedFault planned);
+    asio::awaitable<void> kill(std::string daemon, Duration downtime);
+    asio::awaitable<void> stop(std::string daemon);
+    void disturb(const std::string &daemon, Duration duration);
+    void disturbAll(Duration duration);
+    std::string daemonName(std::uint32_t subject) const { return "d" + std::to_string(subject % static_cast<unsigned>(m_options.daemons)); }
+    std::string targetName(std::uint32_t subject) const;
+
+    const Options m_options;
+    std::mt19937_64 m_random;
+    asio::io_context m_loop {1};
+    test::ZoneFleet m_fleet;
+    Oracle m_oracle;
+    std::map<std::string, DaemonState> m_daemons;
+    std::map<unsigned, std::string> m_targetOf; ///< name of the present target of each slot
+    std::set<std::string> m_endedTargets; ///< ended by the soak
+    std::set<std::string> m_frozen; ///< daemons and targets that are paused
+    unsigned m_targetRuns = 0;
+    unsigned m_version = 0;
+    unsigned m_keyNumber = 0;
+    std::vector<std::string> m_oldKeys;
+    std::uint64_t m_nextId = 0;
+    bool m_ended = false;
+    unsigned m_violations = 0;
+    std::map<std::string, unsigned> m_outcomes;
 };
 
-std::string document()
+test::PlatformDocument Soak::document() const
 {
-    return "[service lookup]\nfloor = 50%\nslots = 3\nprofile = fast-detection\nobjective = 99.9%\n"
-           "[team red]\nrate = 2000/s\nburst = 1000\nkey = "
-        + sha256Hex(RedKey) + "\n[team blue]\nrate = 2000/s\nburst = 1000\nkey = " + sha256Hex(BlueKey)
-        + "\n[route listing]\nprefix = /listing\nmethods = GET\nservice = lookup\nidempotent = yes\naccess = team\ntimeout = 2s\n"
-          "[route order]\nprefix = /order\nmethods = POST\nservice = lookup\nidempotent = no\naccess = team\ntimeout = 2s\n";
+    test::PlatformDocument document;
+    document.version = m_version;
+    for (const char *service : Services) {
+        document.services.emplace_back(service);
+    }
+    document.routes = {{"read", "/read/", "lookup", true, false, 2, 3000, 1000},
+                       {"order", "/order/", "payments", false, false, 1, 3000, 1000},
+                       {"open", "/open/", "records", true, true, 2, 3000, 1000}};
+    const unsigned oldest = m_version >= Oracle::KeptVersions ? m_version - Oracle::KeptVersions + 1 : 1;
+    for (unsigned version = oldest; version <= m_version; ++version) {
+        const std::string number = std::to_string(version);
+        document.routes.push_back({"version-" + number, "/v" + number + "/", "lookup", true, true, 2, 3000, 1000});
+    }
+    document.teams = {{"red", {"red-key-0000"}, 0, 0},
+                      {"blue", {"blue-key-0000"}, BlueQuota.rate, BlueQuota.burst},
+                      {"green", {"green-key-" + std::to_string(m_keyNumber)}, 0, 0}};
+    return document;
 }
 
-void pause(std::chrono::milliseconds time)
+void Soak::publish()
 {
-    ::poll(nullptr, 0, static_cast<int>(time.count()));
+    ++m_version;
+    if (!m_fleet.publish(document())) {
+        throw std::runtime_error("the object service refused a document");
+    }
+    m_oracle.documentAccepted(m_version, unixMilliseconds());
 }
 
-void print(const std::string &name, std::int64_t value)
+void Soak::startDaemon(const std::string &name)
 {
-    std::cout << name << " " << value << " requests" << std::endl;
+    const auto number = static_cast<unsigned>(std::stoul(name.substr(1)));
+    DaemonState &state = m_daemons[name];
+    m_fleet.startDaemon(name, "z" + std::to_string(number % 3), state.run == 0);
+    ++state.run;
+    state.stopping = false;
+    state.down = false;
 }
 
-class Soak
+void Soak::startTarget(unsigned slot)
 {
-public:
-    explicit Soak(int seed)
-        : m_seed(seed)
-    { }
-
-    /// True when every count that must be 0 is.
-    bool run();
+    const std::string name = "t" + std::to_string(slot) + "-" + std::to_string(++m_targetRuns);
+    m_fleet.startTarget(name, Services[slot % std::size(Services)], "z" + std::to_string(slot % 3));
+    m_targetOf[slot] = name;
+    asio::co_spawn(m_loop, followTarget(name, m_fleet.targets.at(name).control), asio::detached);
+}
 
-private:
-    bool start();
-    void setFaults();
-    std::unique_ptr<ChildProcess> caller(const std::string &label, const std::string &method, const std::string &path, const std::string &key);
-    PhaseResult phase(const std::string &name, const std::function<void()> &fault);
-    void readIds(const std::string &label);
-    void pauseTarget();
-    void killDaemon();
-    void stopDaemon();
-    void mustBeNone(const std::string &name, std::int64_t count);
-    std::map<std::string, std::int64_t> readRuns();
-    void judgeRuns();
-
-    int m_seed;
-    FleetProcesses m_fleet {Daemons, Targets};
-    std::map<std::string, Told> m_told;
-    std::vector<std::string> m_files;
-    bool m_good = true;
-};
+std::string Soak::targetName(std::uint32_t subject) const
+{
+    return m_targetOf.at(subject % static_cast<unsigned>(m_options.targets));
+}
 
 bool Soak::start()
 {
-    return m_fleet.promote(document(), "d0") && eventually(30s, [&] { return m_fleet.allMembersOfOneEpoch(); }) && eventually(30s, [&] {
-               return std::all_of(m_fleet.daemons.begin(), m_fleet.daemons.end(), [&](const auto &entry) {
-                   return m_fleet.listing(entry.first).status == 200 && m_fleet.listing(entry.first, BlueKey).status == 200;
-               });
-           });
+    publish();
+    for (unsigned slot = 0; slot < static_cast<unsigned>(m_options.targets); ++slot) {
+        startTarget(slot);
+    }
+    for (int number = 0; number < m_options.daemons; ++number) {
+        startDaemon("d" + std::to_string(number));
+    }
+    return test::eventually(std::chrono::seconds(60), [this] { return m_fleet.allReady(); });
 }
 
-void Soak::setFaults()
+// Until a machine is in touch again, what it does is excused where the fleet's promises say so.
+void Soak::disturb(const std::string &daemon, Duration duration)
 {
-    m_fleet.targetFault("t0", R"({"crash_before_first_byte_share":0.1,"truncate_share":0.1})");
-    m_fleet.targetFault("t1", R"({"crash_after_first_byte_share":0.2,"late_ms":30})");
-    m_fleet.targetFault("t2", R"({"error_share":0.1,"stray_share":0.1})");
+    const Time until = unixMilliseconds() + wholeMilliseconds(duration) + ContactTime + DisturbanceMargin;
+    Time &known = m_daemons.at(daemon).disturbedUntil;
+    known = std::max(known, until);
 }
 
-std::unique_ptr<ChildProcess> Soak::caller(const std::string &label, const std::string &method, const std::string &path, const std::string &key)
+void Soak::disturbAll(Duration duration)
 {
-    std::string all;
-    for (const auto &[name, daemon] : m_fleet.daemons) {
-        all += (all.empty() ? "" : ",") + toString(daemon.traffic);
-    }
-    const std::string file = m_fleet.folder() + "/" + label + ".ids";
-    m_files.push_back(file);
-    return std::make_unique<ChildProcess>("standin-caller", std::vector<std::string> {"--to",         all,
-                                                                                      "--rate",       std::to_string(CallerRate),
-                                                                                      "--seconds",    std::to_string(PhaseSeconds),
-                                                                                      "--key",        key,
-                                                                                      "--path",       path,
-                                                                                      "--method",     method,
-                                                                                      "--team-label", label,
-                                                                                      "--timeout",    "10s",
-                                                                                      "--ids-file",   file,
-                                                                                      "--seed",       std::to_string(m_seed++),
-                                                                                      "--json"});
+    for (const auto &[name, state] : m_daemons) {
+        disturb(name, duration);
+    }
+}
+
+Asked Soak::nextRequest(const std::string &daemon, unsigned number)
+{
+    Asked asked;
+    asked.id = std::to_string(m_options.seed) + "-" + std::to_string(++m_nextId);
+    asked.daemon = daemon + "#" + std::to_string(m_daemons.at(daemon).run);
+    asked.method = "GET";
+    const auto kind = m_random() % 10;
+    if (number == 0) {
+        // Keeps asking for the newest routes, and for one that went not long ago.
+        asked.version = m_version - std::min<unsigned>(static_cast<unsigned>(m_random() % 2), m_version - 1);
+        asked.path = "/v" + std::to_string(asked.version) + "/x";
+        return asked;
+    }
+    asked.path = kind < 4 ? "/order/" : kind < 9 ? "/read/" : "/open/";
+    asked.path += asked.id;
+    if (kind < 4) {
+        asked.method = "POST";
+        asked.idempotent = false;
+    }
+    if (kind == 9) {
+        return asked;
+    }
+    const auto team = m_random() % 8;
+    if (team < 4) {
+        asked.team = "red";
+        asked.key = "red-key-0000";
+    } else if (team < 6) {
+        asked.team = "blue";
+        asked.key = "blue-key-0000";
+    } else if (team == 6 || m_oldKeys.empty()) {
+        asked.team = "green";
+        asked.key = "green-key-" + std::to_string(m_keyNumber);
+    } else if (m_random() % 2 == 0) {
+        asked.team = "green";
+        asked.key = m_oldKeys[m_random() % m_oldKeys.size()];
+    } else {
+        asked.key = "nobodys-key-00";
+        asked.mayRun = false;
+    }
+    return asked;
+}
+
+HttpRequest Soak::toRequest(const Asked &asked) const
+{
+    HttpRequest request;
+    request.method = asked.method;
+    request.target = asked.path;
+    request.fields = {{"Host", test::FleetHost}, {"Plumsill-Request-Id", asked.id}, {"Plumsill-Deadline-Ms", std::to_string(ToldDeadline)}};
+    if (!asked.key.empty()) {
+        request.fields.push_back({"Authorization", "Bearer " + asked.key});
+    }
+    request.body = asked.method == "POST" ? "order " + asked.id : "";
+    return request;
 }
 
-void Soak::readIds(const std::string &label)
+bool Soak::isOwn(const Asked &asked, const HttpAnswer &answer)
 {
-    std::ifstream file(m_fleet.folder() + "/" + label + ".ids");
-    std::string id;
+    const std::string signature = fieldValue(answer.fields, "Plumsill-Response-Seal");
+    if (signature.empty()) {
+        return answer.status < 200 || answer.status > 299;
+    }
+    const std::string sealed = asked.id + " " + std::to_string(answer.status) + " " + answer.body;
+    std::array<char, 20> expected {};
+    std::snprintf(expected.data(), expected.size(), "%llx", static_cast<unsigned long long>(XXH64(sealed.data(), sealed.size(), 0)));
+    return signature == expected.data();
+}
+
+void Soak::note(const Asked &asked, const HttpResult &result, bool sent)
+{
+    const std::string name = asked.daemon.substr(0, asked.daemon.find('#'));
     Told told;
-    while (file >> id >> told.status >> told.outcome) {
-        m_told[id] = told;
+    told.endedAt = unixMilliseconds();
+    told.calm = m_daemons.at(name).disturbedUntil < asked.sentAt;
+    if (result) {
+        told.status = result.assume_value().status;
+        told.own = isOwn(asked, result.assume_value());
+    } else if (!sent) {
+        told.ending = Ending::NotSent;
+    } else {
+        told.ending = result.assume_error() == HttpError::TimedOut ? Ending::Silent : Ending::Cut;
     }
-    ::unlink((m_fleet.folder() + "/" + label + ".ids").c_str());
+    ++m_outcomes[result ? std::to_string(told.status) : !sent ? "not sent" : toString(result.assume_error())];
+    m_oracle.told(asked.id, told);
 }
 
-PhaseResult Soak::phase(const std::string &name, const std::function<void()> &fault)
-{
-    const std::array<std::string, 4> labels {"order-red-" + name, "order-blue-" + name, "listing-red-" + name, "listing-blue-" + name};
-    std::vector<std::unique_ptr<ChildProcess>> callers;
-    for (const auto &label : labels) {
-        const bool order = label.starts_with("order");
-        const std::string key = label.find("red") != std::string::npos ? RedKey : BlueKey;
-        callers.push_back(caller(label, order ? "POST" : "GET", order ? "/order" : "/listing/1", key));
-    }
-    pause(FaultAfter);
-    fault();
-    PhaseResult result;
-    for (const auto &process : callers) {
-        const auto report = boost::json::parse(process->line(120'000)).as_object();
-        process->wait();
-        for (const char *figure : {"sent", "answered", "mismatched", "truncated", "malformed", "cut", "refused", "timed_out"}) {
-            result.sums[figure] += report.at(figure).to_number<std::int64_t>();
+asio::awaitable<HttpResult> Soak::exchange(HttpClient &client, Endpoint to, HttpRequest request)
+{
+    using namespace asio::experimental::awaitable_operators;
+    if (!client.usable()) {
+        const auto connected = co_await (client.connect(std::move(to)) || sleepFor(ControlTimeout));
+        if (connected.index() == 1 || !std::get<0>(connected)) {
+            client.close();
+            co_return HttpError::Refused;
         }
-        for (const char *kind : {"statuses", "errors"}) {
-            for (const auto &entry : report.at(kind).as_object()) {
-                result.sums[std::string(kind) + "_" + std::string(entry.key())] += entry.value().to_number<std::int64_t>();
+    }
+    const Duration patience = std::chrono::milliseconds(CallerPatience);
+    co_return co_await client.exchange(std::move(request), patience);
+}
+
+// Keeps its connection until the process behind it is gone.
+asio::awaitable<void> Soak::call(std::string daemon, unsigned number)
+{
+    HttpClient client(m_loop);
+    while (!m_ended) {
+        co_await sleepFor(ThinkTime);
+        Asked asked = nextRequest(daemon, number);
+        asked.sentAt = unixMilliseconds();
+        m_oracle.asked(asked);
+        HttpRequest request = toRequest(asked);
+        const Endpoint to = m_fleet.daemons.at(daemon).traffic();
+        const HttpResult result = co_await exchange(client, to, std::move(request));
+        const bool sent = result || result.assume_error() != HttpError::Refused;
+        note(asked, result, sent);
+    }
+}
+
+asio::awaitable<void> Soak::followTarget(std::string name, Endpoint control)
+{
+    HttpClient client(m_loop);
+    std::size_t from = 0;
+    while (!m_ended) {
+        co_await sleepFor(PollInterval);
+        HttpRequest request {"GET", "/control/log?from=" + std::to_string(from), {{"Host", "target"}}, {}};
+        const HttpResult result = co_await exchange(client, control, std::move(request));
+        if (!result) {
+            if (m_endedTargets.contains(name)) {
+                co_return;
             }
+            continue;
+        }
+        const json::value runs = json::parse(result.assume_value().body);
+        for (const auto &entry : runs.as_array()) {
+            const auto text = [&entry](const char *field) { return std::string(entry.at(field).as_string()); };
+            m_oracle.ran({text("id"), text("method"), text("path"), text("team"), name});
+            ++from;
         }
     }
-    for (const auto &label : labels) {
-        readIds(label);
-    }
-    for (const auto &[figure, count] : result.sums) {
-        std::cout << name << "_" << figure << " " << count << " requests" << std::endl;
+}
+
+asio::awaitable<void> Soak::followService()
+{
+    HttpClient client(m_loop);
+    while (!m_ended) {
+        HttpRequest request {"GET", "/control/leaving", {{"Host", "service"}}, {}};
+        const HttpResult result = co_await exchange(client, m_fleet.storeControl, std::move(request));
+        if (result) {
+            const json::value leaving = json::parse(result.assume_value().body);
+            std::map<std::string, Time> left;
+            for (const auto &[name, at] : leaving.as_object()) {
+                left[std::string(name)] = at.to_number<Time>();
+            }
+            m_oracle.targetsLeft(std::move(left));
+        }
+        checkProcesses();
+        report();
+        co_await sleepFor(PollInterval);
     }
-    return result;
 }
 
-void Soak::pauseTarget()
+void Soak::checkProcesses()
 {
-    m_fleet.targetProcesses.at("t3")->signal(SIGSTOP);
-    pause(PauseTime);
-    m_fleet.targetProcesses.at("t3")->signal(SIGCONT);
+    for (const auto &[name, daemon] : m_fleet.daemons) {
+        DaemonState &state = m_daemons.at(name);
+        if (!state.down && !state.stopping && daemon.process->ended() >= 0) {
+            std::cout << "DIED " << name << " with status " << daemon.process->ended() << std::endl;
+            ++m_violations;
+            state.down = true;
+            startDaemon(name);
+        }
+    }
+    for (auto &[name, target] : m_fleet.targets) {
+        if (!m_endedTargets.contains(name) && target.process->ended() >= 0) {
+            std::cout << "DIED " << name << " with status " << target.process->ended() << std::endl;
+            ++m_violations;
+            m_endedTargets.insert(name);
+        }
+    }
 }
 
-void Soak::killDaemon()
+void Soak::report()
 {
-    m_fleet.daemons.at("d3").process->signal(SIGKILL);
-    m_fleet.daemons.at("d3").process->wait();
-    m_fleet.daemons.erase("d3");
+    for (const auto &violation : m_oracle.takeViolations()) {
+        std::cout << unixMilliseconds() << " " << violation.rule << " " << violation.text << std::endl;
+        ++m_violations;
+    }
 }
 
-void Soak::stopDaemon()
+asio::awaitable<void> Soak::kill(std::string daemon, Duration downtime)
 {
-    m_fleet.daemons.at("d2").process->signal(SIGTERM);
-    const int status = m_fleet.daemons.at("d2").process->wait();
-    m_fleet.daemons.erase("d2");
-    std::cout << "planned_stop_exit_status " << status << " status" << std::endl;
-    m_good = m_good && status == 0;
+    DaemonState &state = m_daemons.at(daemon);
+    if (state.down || state.stopping) {
+        co_return;
+    }
+    state.down = true;
+    disturb(daemon, downtime);
+    m_fleet.daemons.at(daemon).process->signal(SIGCONT);
+    m_fleet.daemons.at(daemon).process->signal(SIGKILL);
+    m_fleet.daemons.at(daemon).process->wait();
+    co_await sleepFor(downtime);
+    startDaemon(daemon);
+    disturb(daemon, std::chrono::seconds(1));
 }
 
-void Soak::mustBeNone(const std::string &name, std::int64_t count)
+asio::awaitable<void> Soak::stop(std::string daemon)
 {
-    std::cout << name << " " << count << " requests bound 0 " << (count == 0 ? "met" : "MISSED") << std::endl;
-    m_good = m_good && count == 0;
+    DaemonState &state = m_daemons.at(daemon);
+    if (state.down || state.stopping || m_frozen.contains(daemon)) {
+        co_return;
+    }
+    state.stopping = true;
+    const auto &process = m_fleet.daemons.at(daemon).process;
+    process->signal(SIGTERM);
+    const TimePoint begun = RuntimeClock::now();
+    while (process->ended() < 0 && RuntimeClock::now() - begun < StopGrace + std::chrono::seconds(1)) {
+        co_await sleepFor(std::chrono::milliseconds(20));
+    }
+    const bool calm = state.disturbedUntil < unixMilliseconds() - wholeMilliseconds(RuntimeClock::now() - begun);
+    if (process->ended() != 0 && calm) {
+        std::cout << "STOP " << daemon << " ended with status " << process->ended() << " (-1: not in time)" << std::endl;
+        ++m_violations;
+    }
+    state.down = true;
+    co_await sleepFor(std::chrono::milliseconds(200 + m_random() % 800));
+    startDaemon(daemon);
+    disturb(daemon, std::chrono::seconds(1));
 }
 
-// A target whose runs can't be read leaves the counts below unknown, so the whole run fails then.
-std::map<std::string, std::int64_t> Soak::readRuns()
-{
-    std::map<std::string, std::int64_t> sum;
-    for (const auto &[name, endpoint] : m_fleet.targetControls) {
-        const auto answer = httpCall(endpoint, "GET", "/control/runs");
-        boost::system::error_code error;
-        const auto told = boost::json::parse(answer.body, error);
-        if (error) {
-            std::cout << "unreadable_runs_of_" << name << " " << answer.body.size() << " bytes, head: " << answer.text.substr(0, 120) << std::endl;
-            m_good = false;
-            continue;
+asio::awaitable<void> Soak::applyToDaemon(PlannedFault planned)
+{
+    const std::string name = daemonName(planned.subject);
+    const Duration downtime = std::chrono::milliseconds(300 + planned.subject % 900);
+    if (planned.fault == Fault::PauseDaemon) {
+        if (m_daemons.at(name).down || m_daemons.at(name).stopping || !m_frozen.insert(name).second) {
+            co_return;
+        }
+        disturb(name, planned.duration);
+        const unsigned run = m_daemons.at(name).run;
+        m_fleet.daemons.at(name).process->signal(SIGSTOP);
+        co_await sleepFor(planned.duration);
+        if (m_daemons.at(name).run == run && !m_daemons.at(name).down) {
+            m_fleet.daemons.at(name).process->signal(SIGCONT);
         }
-        for (const auto &entry : told.as_object()) {
-            sum[std::string(entry.key())] += entry.value().to_number<std::int64_t>();
+        m_frozen.erase(name);
+    } else if (planned.fault == Fault::KillDaemon) {
+        co_await kill(name, downtime);
+    } else if (planned.fault == Fault::HerdKill) {
+        for (int number = 0; number < m_options.daemons; number += 2) {
+            asio::co_spawn(m_loop, kill(daemonName(planned.subject + static_cast<unsigned>(number)), downtime), asio::detached);
         }
+    } else if (planned.fault == Fault::StopDaemon) {
+        co_await stop(name);
+    } else if (planned.fault == Fault::RollingStop) {
+        for (int number = 0; number < m_options.daemons / 2; ++number) {
+            asio::co_spawn(m_loop, stop(daemonName(planned.subject + static_cast<unsigned>(number))), asio::detached);
+            co_await sleepFor(std::chrono::milliseconds(300));
+        }
+    } else if (!m_daemons.at(name).down) {
+        m_fleet.daemons.at(name).process->signal(SIGHUP);
+    }
+}
+
+asio::awaitable<void> Soak::applyToTarget(PlannedFault planned)
+{
+    const unsigned slot = planned.subject % static_cast<unsigned>(m_options.targets);
+    const std::string name = m_targetOf.at(slot);
+    const auto &process = m_fleet.targets.at(name).process;
+    if (m_frozen.contains(name)) {
+        co_return; // its control port wouldn't answer
+    }
+    if (planned.fault == Fault::PauseTarget) {
+        m_frozen.insert(name);
+        process->signal(SIGSTOP);
+        co_await sleepFor(planned.duration);
+        process->signal(SIGCONT);
+        m_frozen.erase(name);
+    } else if (planned.fault == Fault::KillTarget || planned.fault == Fault::StopTarget) {
+        m_endedTargets.insert(name);
+        process->signal(planned.fault == Fault::KillTarget ? SIGKILL : SIGTERM);
+        co_await sleepFor(std::chrono::milliseconds(500));
+        startTarget(slot);
+    } else {
+        const bool slow = planned.fault == Fault::SlowTarget;
+        m_fleet.targetFault(
+            name,
+            slow ? R"({"slow_factor":30})"
+                 : R"({"error_share":0.1,"truncate_share":0.1,"stray_share":0.1,"crash_before_first_byte_share":0.15,"crash_after_first_byte_share":0.1})");
+        co_await sleepFor(planned.duration);
+        if (!m_endedTargets.contains(name) && !m_frozen.contains(name)) {
+            m_fleet.targetFault(
+                name,
+                R"({"slow_factor":1,"error_share":0,"truncate_share":0,"stray_share":0,"crash_before_first_byte_share":0,"crash_after_first_byte_share":0})");
+        }
+    }
+}
+
+asio::awaitable<void> Soak::applyToLink(PlannedFault planned)
+{
+    const bool store = planned.fault == Fault::CutStoreLink || planned.fault == Fault::ResetStoreLink || planned.fault == Fault::SilenceStoreLink;
+    const std::string link = store ? "store-" + daemonName(planned.subject) : targetName(planned.subject);
+    const bool lasts = planned.fault == Fault::CutStoreLink || planned.fault == Fault::CutTargetLink || planned.fault == Fault::DelayTargetLink;
+    if (store) {
+        disturb(daemonName(planned.subject), lasts ? Duration(planned.duration) : Duration::zero());
+    }
+    if (planned.fault == Fault::DelayTargetLink) {
+        m_fleet.linkFault(link, R"({"delay_ms":150})");
+    } else if (lasts) {
+        m_fleet.linkFault(link, planned.subject % 2 == 0 ? R"({"cut_to":true})" : R"({"cut_from":true})");
+    } else if (planned.fault == Fault::ResetTargetLink || planned.fault == Fault::ResetStoreLink) {
+        m_fleet.linkFault(link, R"({"reset":true})");
+    } else {
+        m_fleet.linkFault(link, R"({"silence":true})");
+    }
+    if (lasts) {
+        co_await sleepFor(planned.duration);
+        m_fleet.linkFault(link, "{}");
+    }
+}
+
+asio::awaitable<void> Soak::applyToStore(PlannedFault planned)
+{
+    static const std::map<Fault, std::pair<const char *, const char *>> faults {
+        {Fault::StoreRefuses, {R"({"refuse_share":0.7})", R"({"refuse_share":0})"}},
+        {Fault::StoreThrottles, {R"({"throttle_share":0.5})", R"({"throttle_share":0})"}},
+        {Fault::StoreLosesAnswers, {R"({"lose_share":0.4,"late_share":0.5})", R"({"lose_share":0})"}},
+        {Fault::StoreSlow, {R"({"slow_ms":300})", R"({"slow_ms":0})"}},
+        {Fault::StoreSilent, {R"({"silent":true})", R"({"silent":false})"}}};
+    if (planned.fault == Fault::StoreForgets) {
+        test::httpCall(m_fleet.storeControl, "POST", "/control/compact");
+        co_return;
+    }
+    const auto &[begin, end] = faults.at(planned.fault);
+    disturbAll(planned.duration);
+    m_fleet.storeFault(begin);
+    co_await sleepFor(planned.duration);
+    m_fleet.storeFault(end);
+}
+
+asio::awaitable<void> Soak::applyToDocument(PlannedFault planned)
+{
+    if (planned.fault == Fault::WithdrawKey) {
+        const std::string key = "green-key-" + std::to_string(m_keyNumber++);
+        m_oldKeys.push_back(key);
+        publish();
+        m_oracle.keyWithdrawn(key, unixMilliseconds());
+        m_oracle.keyGiven("green-key-" + std::to_string(m_keyNumber), unixMilliseconds());
+        co_return;
+    }
+    const unsigned count = planned.fault == Fault::DocumentStorm ? 5 : 1;
+    for (unsigned number = 0; number < count; ++number) {
+        publish();
+        co_await sleepFor(std::chrono::milliseconds(330));
+    }
+}
+
+asio::awaitable<void> Soak::apply(PlannedFault planned)
+{
+    std::cout << unixMilliseconds() << " fault " << toString(planned.fault) << " " << planned.duration.count() << " ms, subject "
+              << planned.subject % static_cast<unsigned>(m_options.daemons) << "/" << planned.subject % static_cast<unsigned>(m_options.targets) << std::endl;
+    if (planned.fault <= Fault::ReloadDaemon) {
+        co_await applyToDaemon(planned);
+    } else if (planned.fault <= Fault::SlowTarget) {
+        co_await applyToTarget(planned);
+    } else if (planned.fault <= Fault::SilenceStoreLink) {
+        co_await applyToLink(planned);
+    } else if (planned.fault <= Fault::StoreForgets) {
+        co_await applyToStore(planned);
+    } else {
+        co_await applyToDocument(planned);
     }
-    return sum;
 }
 
-void Soak::judgeRuns()
-{
-    const auto runs = readRuns();
-    std::int64_t twice = 0;
-    std::int64_t falseNotRun = 0;
-    std::int64_t unknown = 0;
-    std::int64_t answeredNotRun = 0;
-    for (const auto &[id, told] : m_told) {
-        const auto found = runs.find(id);
-        const std::int64_t count = found == runs.end() ? 0 : found->second;
-        twice += id.starts_with("order") && count > 1 ? 1 : 0;
-        falseNotRun += told.outcome == "not-run" && count > 0 ? 1 : 0;
-        unknown += told.outcome == "unknown" ? 1 : 0;
-        answeredNotRun += told.status == 200 && count == 0 ? 1 : 0;
-    }
-    print("requests", static_cast<std::int64_t>(m_told.size()));
-    print("told_unknown", unknown);
-    mustBeNone("orders_run_twice", twice);
-    mustBeNone("told_not_run_but_ran", falseNotRun);
-    mustBeNone("answered_200_but_never_ran", answeredNotRun);
+asio::awaitable<void> Soak::drive()
+{
+    co_await sleepFor(std::chrono::seconds(1));
+    const TimePoint begin = RuntimeClock::now();
+    for (const auto &planned : planFaults(static_cast<std::uint64_t>(m_options.seed), std::chrono::seconds(m_options.seconds))) {
+        co_await sleepFor(std::max<Duration>(begin + planned.at - RuntimeClock::now(), Duration::zero()));
+        asio::co_spawn(m_loop, apply(planned), asio::detached);
+    }
+    // The longest fault, and a stop that was begun last.
+    co_await sleepFor(std::chrono::seconds(8));
+    co_await recover();
+    m_ended = true;
+    co_await sleepFor(std::chrono::milliseconds(CallerPatience));
+    m_loop.stop();
+}
+
+asio::awaitable<void> Soak::recover()
+{
+    const TimePoint begin = RuntimeClock::now();
+    double share = 0;
+    while (share < RecoveredShare && RuntimeClock::now() - begin < RecoveryTime) {
+        const Time from = unixMilliseconds();
+        co_await sleepFor(RecoveryWindow);
+        share = m_oracle.servedSince(from);
+    }
+    std::cout << "served " << share << " of the last requests, " << wholeMilliseconds(RuntimeClock::now() - begin) << " ms after the faults" << std::endl;
+    if (share < RecoveredShare) {
+        std::cout << "RECOVER less than " << RecoveredShare << " is served after the faults" << std::endl;
+        ++m_violations;
+    }
 }
 
 bool Soak::run()
 {
     if (!start()) {
-        std::cerr << "soak: the fleet doesn't serve\n";
+        std::cout << "START not all daemons are ready" << std::endl;
+        m_fleet.keepsLogs = true;
         return false;
     }
-    setFaults();
-    const auto paused = phase("target_paused", [this] { pauseTarget(); });
-    const auto killed = phase("daemon_killed", [this] { killDaemon(); });
-    const auto stopped = phase("planned_stop", [this] { stopDaemon(); });
-    const auto sum = [&](const char *name) { return paused.sums.at(name) + killed.sums.at(name) + stopped.sums.at(name); };
-    mustBeNone("mismatched", sum("mismatched"));
-    mustBeNone("malformed", sum("malformed"));
-    // A killed daemon cuts what it was answering; else no connection may break.
-    for (const char *name : {"cut", "truncated", "refused", "timed_out"}) {
-        mustBeNone(std::string("target_paused_") + name, paused.sums.at(name));
-        mustBeNone(std::string("planned_stop_") + name, stopped.sums.at(name));
-    }
-    judgeRuns();
-    return m_good;
+    for (const auto &[name, daemon] : m_fleet.daemons) {
+        for (unsigned number = 0; number < static_cast<unsigned>(m_options.callers); ++number) {
+            asio::co_spawn(m_loop, call(name, number), asio::detached);
+        }
+    }
+    asio::co_spawn(m_loop, followService(), asio::detached);
+    asio::co_spawn(m_loop, drive(), [](const std::exception_ptr &failure) {
+        if (failure) {
+            std::rethrow_exception(failure);
+        }
+    });
+    m_loop.run();
+    m_oracle.finish();
+    report();
+    for (const auto &[outcome, count] : m_outcomes) {
+        std::cout << "outcome " << outcome << ": " << count << " requests" << std::endl;
+    }
+    m_fleet.keepsLogs = m_violations > 0 || m_options.keepLogs != 0;
+    if (m_fleet.keepsLogs) {
+        std::cout << "logs " << m_fleet.folder() << std::endl;
+    }
+    return m_violations == 0;
 }
 }
 
-int main(int argc, char **argv)
+int main(int argc, const char **argv)
 {
-    const int seed = argc > 1 ? std::stoi(argv[1]) : 1;
+    Options options;
+    constexpr unsigned Shown = POPT_ARGFLAG_SHOW_DEFAULT;
+    const poptOption table[] = {{"seed", 's', POPT_ARG_LONG | Shown, &options.seed, 0, "seed of the faults and of the load", "N"},
+                                {"seconds", 't', POPT_ARG_INT | Shown, &options.seconds, 0, "time in which faults begin", "N"},
+                                {"daemons", 'd', POPT_ARG_INT | Shown, &options.daemons, 0, "daemons, in three zones", "N"},
+                                {"targets", 0, POPT_ARG_INT | Shown, &options.targets, 0, "targets, of three services", "N"},
+                                {"callers", 'c', POPT_ARG_INT | Shown, &options.callers, 0, "callers of each daemon", "N"},
+                                {"keep-logs", 0, POPT_ARG_NONE, &options.keepLogs, 0, "keep the daemons' logs also of a good run", nullptr},
+                                POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context = poptGetContext("soak", argc, argv, table, 0);
+    const int bad = poptGetNextOpt(context);
+    if (bad < -1 || options.seconds < 1 || options.daemons < 3 || options.daemons > 200 || options.targets < 3 || options.callers < 1) {
+        std::cerr << "soak: bad option " << (bad < -1 ? poptBadOption(context, 0) : "value") << "\n";
+        return 2;
+    }
+    poptFreeContext(context);
     const std::string path = argv[0];
     ::setenv("PLUMSILL_BIN", path.substr(0, path.rfind('/')).c_str(), 0);
-    std::cout << "seed " << seed << std::endl;
-    Soak soak(seed);
-    const bool good = soak.run();
-    std::cout << "soak: " << (good ? "ok" : "FAILED") << std::endl;
-    return good ? 0 : 1;
+    try {
+        Soak soak(options);
+        const bool good = soak.run();
+        std::cout << "soak: seed " << options.seed << ": " << (good ? "ok" : "FAILED") << std::endl;
+        return good ? 0 : 1;
+    } catch (const std::exception &error) {
+        std::cout << "soak: seed " << options.seed << ": " << error.what() << std::endl;
+        return 1;
+    }
 }
