Accept and send no peer message without a secret

Cause: a daemon in zone form opens its peer port with an empty secret and keeps it until it has fetched the fleet's secret. HMAC accepts an empty key, so any sender could sign messages for the daemon during that time. Change: decode() reports NoSecret for an empty secret; the peer port neither accepts nor sends anything meanwhile; an empty secret in the directory leaves the daemon unenrolled, with the reason in its log. Enrolment itself uses the directory, not the peer port.

--- a/include/plumsill/codec.h
+++ b/include/plumsill/codec.h
@@ -17,6 +17,7 @@
     BadSignature,
     Malformed,
     TrailingBytes,
+    NoSecret, ///< the receiver has no secret yet, so it can verify nothing
 };
 
 const char *toString(CodecError error);
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -229,6 +229,8 @@
         return "malformed";
     case CodecError::TrailingBytes:
         return "trailing bytes";
+    case CodecError::NoSecret:
+        return "no secret";
     }
     return "unknown";
 }
@@ -244,6 +246,10 @@
 
 Outcome<Envelope, CodecError> decode(std::string_view bytes, const std::string &secret)
 {
+    // Anyone can compute a signature under an empty key.
+    if (secret.empty()) {
+        return CodecError::NoSecret;
+    }
     if (bytes.size() <= config::SignatureBytes) {
         return CodecError::TooShort;
     }
--- a/src/net_peer.cpp
+++ b/src/net_peer.cpp
@@ -124,6 +124,8 @@
         return "closed without a reply";
     case PeerError::Undecodable:
         return "undecodable reply";
+    case PeerError::NoSecret:
+        return "no secret yet";
     }
     return "unknown";
 }
@@ -259,6 +261,9 @@
 asio::awaitable<Outcome<Envelope, PeerError>> PeerPort::State::request(Endpoint to, Envelope envelope)
 {
     const auto self = shared_from_this();
+    if (secret.empty()) {
+        co_return PeerError::NoSecret;
+    }
     const std::string message = encode(envelope, secret);
     const auto target = toAsioEndpoint<tcp>(to);
     if (message.size() > config::MaxStreamMessageBytes) {
@@ -332,6 +337,9 @@
 // any case, since the network may drop them too.
 Outcome<void, PeerError> PeerPort::sendDatagram(const Endpoint &to, const Envelope &envelope)
 {
+    if (m_state->secret.empty()) {
+        return PeerError::NoSecret;
+    }
     const std::string message = encode(envelope, m_state->secret);
     if (message.size() > config::MaxDatagramBytes) {
         return PeerError::TooLarge;
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -72,13 +72,14 @@
     std::uniform_int_distribution<int> jitter(0, 200);
     while (!m_enrolled && !m_leaving) {
         const auto secret = co_await m_directory.getOrCreatePeerSecret(randomSecret(m_random));
+        const bool usable = secret && !secret.assume_value().empty();
         bool done = false;
-        if (secret) {
+        if (usable) {
             m_peers.setSecret(secret.assume_value());
             const auto enrolled = co_await m_directory.enroll(m_self, m_settings.firstStart);
             done = enrolled.has_value();
         }
-        recordStoreResult(done, "enroll", done ? "" : secret ? "not enrolled" : toString(secret.error()));
+        recordStoreResult(done, "enroll", done ? "" : usable ? "not enrolled" : secret ? "the stored peer secret is empty" : toString(secret.error()));
         if (done) {
             m_enrolled = true;
             Event("registry", "enrolled").add("zone", m_settings.zone.value);
--- a/src/peer_p.h
+++ b/src/peer_p.h
@@ -22,6 +22,7 @@
     Timeout,
     Closed, ///< the peer closed the connection without a complete reply
     Undecodable,
+    NoSecret, ///< no secret is set, so nothing can be signed
 };
 
 const char *toString(PeerError error);
@@ -51,7 +52,7 @@
     PeerPort &operator=(const PeerPort &) = delete;
 
     /// Sets the secret for signing and verifying messages from now on. Received messages that were signed with another
-    /// secret are dropped.
+    /// secret are dropped. While the secret is empty, all received messages are dropped and nothing is sent.
     void setSecret(std::string secret);
     /// Binds both sockets and returns the endpoint with its actual port.
     Outcome<Endpoint, PeerError> open(const Endpoint &listen);
--- a/tests/test_codec.cpp
+++ b/tests/test_codec.cpp
@@ -200,6 +200,12 @@
     CHECK(decode(std::string(config::SignatureBytes, 'x'), secret).assume_error() == CodecError::TooShort);
 }
 
+TEST(Codec, EmptySecretVerifiesNothing)
+{
+    const auto back = decode(encode({{InstanceName {"a"}, 1}, {}, 1, Heartbeat {}}, {}), {});
+    CHECK(back.has_error() && back.assume_error() == CodecError::NoSecret);
+}
+
 TEST(Codec, UnknownStateIsMalformed)
 {
     const Envelope envelope {{InstanceName {"a"}, 1}, {}, 1, HeartbeatAck {1, static_cast<MemberState>(7), {}, false, 0}};
--- a/tests/test_peer.cpp
+++ b/tests/test_peer.cpp
@@ -85,6 +85,34 @@
     LONGS_EQUAL(1, received.size());
 }
 
+// A daemon opens its port before it has fetched the fleet's secret.
+TEST(PeerPort, WithoutASecretNothingIsAccepted)
+{
+    receiver.setSecret({});
+    sendRaw(encode(envelopeOf(Heartbeat {}), {}));
+    runUntil([this] { return receiver.counters().datagramsReceived == 1; });
+    sender.setSecret(std::string(1, '\0')); // HMAC pads keys with zeros, so this one signs like an empty secret
+    request(to, envelopeOf(DocumentRequest {}));
+    CHECK(reply->has_error() && reply->assume_error() == PeerError::Closed);
+    LONGS_EQUAL(2, receiver.counters().dropped);
+    CHECK(received.empty());
+
+    receiver.setSecret("secret");
+    sender.setSecret("secret");
+    CHECK_TRUE(sender.sendDatagram(to, envelopeOf(Heartbeat {})).has_value());
+    runUntil([this] { return !received.empty(); });
+}
+
+TEST(PeerPort, WithoutASecretNothingIsSent)
+{
+    sender.setSecret({});
+    const auto sent = sender.sendDatagram(to, envelopeOf(Heartbeat {}));
+    CHECK(sent.has_error() && sent.assume_error() == PeerError::NoSecret);
+    request(to, envelopeOf(DocumentRequest {}));
+    CHECK(reply->has_error() && reply->assume_error() == PeerError::NoSecret);
+    LONGS_EQUAL(0, sender.counters().datagramsSent + sender.counters().requestsSent);
+}
+
 TEST(PeerPort, TooLargeDatagramIsRejected)
 {
     const auto result = sender.sendDatagram(to, envelopeOf(DocumentReply {{}, std::string(config::MaxDatagramBytes, 'x')}));
