--- a/include/plumsill/hubs.h
+++ b/include/plumsill/hubs.h
@@ -23,8 +23,8 @@
     auto operator<=>(const RegisteredDaemon &) const = default;
 };
 
-/// Rank of a daemon in the hub election of a zone; the highest rank wins. A weighted rendezvous hash: larger instances
-/// win more often. A restart of the hub moves the role at most twice: to another daemon and back.
+/// Rank of a daemon in the hub election of a zone; the highest rank wins. A weighted rendezvous hash: a much
+/// larger instance wins nearly always. A restart of the hub moves the role at most twice: to another daemon and back.
 double hubRank(const ZoneName &zone, const RegisteredDaemon &daemon);
 
 /// The registered daemons, and which of them are unresponsive or leaving.
--- a/src/hubs.cpp
+++ b/src/hubs.cpp
@@ -16,13 +16,16 @@
 // A daemon that announced its shutdown is not chosen as a hub for this time. It has ended by then, and can only return as
 // a newer incarnation.
 constexpr auto LeavingTime = 20s;
+// Exponent of the capacity in a daemon's weight. A hub's work grows with its zone, so a small instance becomes the hub only
+// where no larger one answers, however many small ones there are: one of five times the size outweighs 15,000 of them.
+constexpr double HubWeightExponent = 6;
 }
 
 double hubRank(const ZoneName &zone, const RegisteredDaemon &daemon)
 {
     const std::string text = zone.value + '/' + daemon.id.name.value;
     const double unit = (static_cast<double>(XXH3_64bits(text.data(), text.size()) >> 11) + 0.5) / 9007199254740992.0;
-    return -daemon.capacity * daemon.capacity / std::log(unit);
+    return -std::pow(daemon.capacity, HubWeightExponent) / std::log(unit);
 }
 
 HubDirectory::HubDirectory(RegisteredDaemon self)
