Keep hubs, quotas and trust through a change of the document

Daemons with a tenth of a core parse the new document for about 100 ms, their placement timers (40 ms, twice) fire before they read the replies that wait in their sockets, and they leave a hub that has answered. Change: - ReplyWait: a timer that fires late shows nothing about the peer; three tries with doubled timeouts (280 ms) before a hub counts as unresponsive. Late heartbeats likewise. - TeamBucket: a scheduler that takes over adopts the lowest level that the others report. - DocumentFreshness: a newer version keeps the proof of the held document from advancing instead of ending it.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -187,8 +187,8 @@
 inline constexpr std::size_t MaxPipelined = 16; ///< maximum number of requests that run in parallel for one caller's connection
 inline constexpr unsigned MaxNotRunAttempts
     = 3; ///< attempts that do not count towards the limit of a request, because the target refused it or could not be reached
-inline constexpr auto PlacementReplyTimeout = 40ms; ///< a hundred times the round trip within a zone
-inline constexpr unsigned MaxUnansweredPlacementRequests = 2;
+inline constexpr auto PlacementReplyTimeout = 40ms; ///< a hundred times the round trip within a zone; doubled with each repetition
+inline constexpr unsigned MaxUnansweredPlacementRequests = 3; ///< with their timeouts, 280 ms: a third of a usual latency objective
 inline constexpr auto MemberHeartbeatInterval = 250ms; ///< a quarter of the 1 s after which an unresponsive scheduler is to be replaced
 inline constexpr unsigned MaxUnansweredHeartbeats = 3;
 inline constexpr unsigned MaxUnresponsiveHubs = 2; ///< unresponsive schedulers after which a daemon places a request by itself
@@ -208,6 +208,8 @@
 inline constexpr auto HubActiveTime
     = 2000ms; ///< a daemon that is not the elected hub still acts as scheduler for this time after the last message from a member
 inline constexpr auto DocumentReadInterval = 500ms; ///< a quarter of the time within which a change must be in force
+inline constexpr auto DocumentFetchSpread
+    = 300ms; ///< members fetch a new document from their hub at random times within this period, so that the hub can place requests meanwhile
 inline constexpr std::uint32_t RelayedDocumentBytes
     = 100'000; ///< members read a larger document from the store; of one of this size, 30 copies are sent over a link of 50 Mbit/s within half a second
 inline constexpr auto TargetsReadInterval = 500ms; ///< a quarter of the time within which a leaving target must stop getting requests
--- a/include/plumsill/document_freshness.h
+++ b/include/plumsill/document_freshness.h
@@ -23,13 +23,14 @@
     std::uint64_t newest() const { return m_newest; }
     /// Whether a version above the held one is known.
     bool fetchDue() const { return m_newest > m_held; }
-    /// Latest time at which the held version was known to be the newest; none while a later version is known or no read has
-    /// confirmed the held one.
-    std::optional<TimePoint> currentAt() const;
+    /// Latest time at which no version above the held one existed; none before a read has confirmed that. A version above the
+    /// held one keeps this time from advancing until it is adopted.
+    std::optional<TimePoint> currentAt() const { return m_heldProvedAt; }
 
 private:
     std::uint64_t m_held = 0;
     std::uint64_t m_newest = 0;
-    std::optional<TimePoint> m_provedAt; ///< latest time at which m_newest was known to be the newest version
+    std::optional<TimePoint> m_newestProvedAt; ///< latest time at which m_newest was known to be the newest version
+    std::optional<TimePoint> m_heldProvedAt;
 };
 }
--- a/include/plumsill/quota.h
+++ b/include/plumsill/quota.h
@@ -43,8 +43,14 @@
     void setPart(const QuotaPart &part, TimePoint now);
     /// Records tokens that another scheduler of the pool took.
     void addRemoteTaken(std::int32_t tokens, TimePoint now);
-    /// Lowers the level to the one that another scheduler reports in its first digest. The other scheduler may know of
-    /// tokens that this one does not, such as those granted by the previous scheduler of this zone.
+    /// Begins the time in which this scheduler takes over from another one: its own level means nothing until another
+    /// scheduler of the pool has reported one.
+    void beginTakeOver();
+    /// Ends that time.
+    void endTakeOver() { m_reportedLevel.reset(); m_takesOver = false; }
+    /// Sets the level to the lowest one that the other schedulers report in their first digests. They know of tokens that this
+    /// scheduler does not, such as those granted by the previous scheduler of this zone. After the take-over a report can
+    /// only lower the level.
     void mergeRemoteLevel(std::uint32_t level, TimePoint now);
     /// Remaining whole tokens of the pool.
     std::uint32_t level(TimePoint now) const;
@@ -58,6 +64,7 @@
 
 private:
     void refill(TimePoint now);
+    void spend(double tokens);
     double poolRate() const { return m_rate.rate * m_part.pool; }
     double burst() const;
 
@@ -67,6 +74,8 @@
     double m_allowance = 0; // tokens of m_level that this scheduler may take before the next digests of the others
     double m_announcedTokens = 0; // tokens that refused requests were told to wait for
     std::uint32_t m_taken = 0;
+    bool m_takesOver = false;
+    std::optional<double> m_reportedLevel; // tokens of the complete pool by the reports of the others, during the take-over
     TimePoint m_at;
     std::optional<TimePoint> m_startedAt;
 };
--- /dev/null
+++ b/include/plumsill/read_plan.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <plumsill/clock.h>
+
+#include <compare>
+#include <optional>
+
+/// Reads of the directory, so that their number does not grow with the fleet: one hub reads for all daemons, and each other
+/// daemon gets the data from its hub.
+namespace plumsill
+{
+/// What a daemon knows when it decides on its reads.
+struct ReadState {
+    bool readsForFleet = false; ///< this daemon is the hub that reads for the fleet
+    std::optional<TimePoint> documentProvedAt; ///< time for which the document is proved to be the newest; none before the first document
+    std::optional<TimePoint> listReadAt; ///< time of the read that the list of targets came from; none before the first list
+    std::optional<TimePoint> hubChosenAt; ///< when another daemon was chosen as hub; none while no hub is known or it is this daemon
+    bool isHub = false; ///< this daemon is the hub of its zone
+
+    auto operator<=>(const ReadState &) const = default;
+};
+
+/// Reads that are due.
+struct DueReads {
+    bool document = false;
+    bool targets = false;
+
+    auto operator<=>(const DueReads &) const = default;
+};
+
+/// Decides which reads are due. @p startedAt: start of the daemon.
+DueReads dueReads(const ReadState &state, TimePoint startedAt, TimePoint now);
+}
--- a/src/document_freshness.cpp
+++ b/src/document_freshness.cpp
@@ -10,14 +10,14 @@
     if (version < m_newest) {
         return;
     }
-    if (version > m_newest) {
-        m_newest = version;
-        m_provedAt = sentAt;
-        return;
+    m_newestProvedAt = version > m_newest || !m_newestProvedAt ? sentAt : std::max(*m_newestProvedAt, sentAt);
+    m_newest = version;
+    if (m_held == m_newest) {
+        m_heldProvedAt = m_newestProvedAt;
     }
-    m_provedAt = m_provedAt ? std::max(*m_provedAt, sentAt) : sentAt;
 }
 
+// If no version above the previous one existed at some time, then none above the adopted version did, so the proof is kept.
 bool DocumentFreshness::adopt(std::uint64_t version)
 {
     if (version <= m_held) {
@@ -26,13 +26,11 @@
     m_held = version;
     if (version > m_newest) {
         m_newest = version;
-        m_provedAt.reset();
+        m_newestProvedAt.reset();
+    }
+    if (version == m_newest && m_newestProvedAt) {
+        m_heldProvedAt = m_newestProvedAt;
     }
     return true;
 }
-
-std::optional<TimePoint> DocumentFreshness::currentAt() const
-{
-    return m_held > 0 && m_held == m_newest ? m_provedAt : std::nullopt;
-}
 }
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -122,6 +122,7 @@
     m_registryReadAt = RuntimeClock::now();
     ++m_registryReads;
     m_nextRegistryReadAt = TimePoint::max();
+    recordHub(m_registryReadAt);
     if (m_hubs.registryHash() != before) {
         Event("registry", "registry-read").add("daemons", static_cast<std::int64_t>(m_hubs.registered().size()));
         updateShares(RuntimeClock::now());
@@ -132,7 +133,7 @@
 // the one with the lowest name.
 bool ZoneControl::readsForFleet(TimePoint now) const
 {
-    if (!actsAsHub(now)) {
+    if (!m_registryRead || !actsAsHub(now)) {
         return false;
     }
     for (const auto &[id, hub] : m_otherHubs) {
@@ -145,27 +146,14 @@
 
 boost::asio::awaitable<void> ZoneControl::runReader()
 {
-    // At the fleet's first start there are no callers yet, so most daemons wait and get the document and the targets from
-    // their hub. A daemon that restarts is needed at once, so it reads them itself.
     const TimePoint start = RuntimeClock::now();
-    while (m_settings.firstStart && !m_hub && !m_documentFreshness.currentAt()
-           && RuntimeClock::now() - start < config::FleetStartTime + 2 * config::MemberHeartbeatInterval) {
-        co_await sleepFor(config::ControlTick);
-    }
-    if (m_settings.firstStart && m_hub && m_hub->name != m_self.id.name) {
-        co_await sleepFor(config::MemberHeartbeatInterval);
-    }
     while (true) {
         const TimePoint now = RuntimeClock::now();
-        const auto provedAt = m_documentFreshness.currentAt();
-        const bool reads = readsForFleet(now);
-        const bool documentDue = reads || !provedAt || now - *provedAt > config::RelayedProofMaxAge;
-        const auto listedAt = m_list.readAt();
-        const bool listDue = reads || !listedAt || now - *listedAt > config::RelayedListMaxAge;
-        if (documentDue) {
+        const DueReads due = dueReads(readState(now), start, now);
+        if (due.document) {
             co_await readDocument();
         }
-        if (listDue && now >= m_nextListRead) {
+        if (due.targets && now >= m_nextListRead) {
             m_nextListRead = now + config::TargetsReadInterval;
             const bool read = co_await readTargets();
             if (!read && !m_otherHubs.empty() && !m_fetchingTargets) {
@@ -173,10 +161,23 @@
                 boost::asio::co_spawn(m_context, fetchTargets(hub.peer, id.name), boost::asio::detached);
             }
         }
-        co_await sleepFor(config::DocumentReadInterval);
+        const bool starting = !m_documentFreshness.currentAt() || !m_list.readAt();
+        co_await sleepFor(starting ? config::ControlTick : config::DocumentReadInterval);
     }
 }
 
+ReadState ZoneControl::readState(TimePoint now) const
+{
+    const bool followsHub = m_hub && m_hub->name != m_self.id.name;
+    ReadState state;
+    state.readsForFleet = readsForFleet(now);
+    state.documentProvedAt = m_documentFreshness.currentAt();
+    state.listReadAt = m_list.readAt();
+    state.hubChosenAt = followsHub ? std::optional(m_hubChosenAt) : std::nullopt;
+    state.isHub = m_registryRead && m_hubs.isHub(now); // without the registry each daemon knows only itself
+    return state;
+}
+
 boost::asio::awaitable<bool> ZoneControl::readDocument()
 {
     const auto read = co_await m_directory.document();
@@ -254,6 +255,10 @@
     }
     m_fetchingDocument = true;
     if (from) {
+        if (m_documentFreshness.held() > 0 && !actsAsHub(RuntimeClock::now())) {
+            std::uniform_real_distribution<double> spread(0, seconds(config::DocumentFetchSpread));
+            co_await sleepFor(fromSeconds(spread(m_random)));
+        }
         co_await fetchDocumentFrom(*from);
     }
     if (m_documentFreshness.fetchDue()) {
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -86,6 +86,7 @@
     if (id != m_hub) {
         Event("hub", "hub-chosen").add("hub", id ? id->name.value : std::string()).add("self", currentHub && isSelf(*currentHub));
         m_hub = id;
+        m_hubChosenAt = now;
         m_hubReceivedAt = now;
         m_hubListReadAt = TimePoint::max();
         if (currentHub && !isSelf(*currentHub)) {
@@ -97,6 +98,7 @@
 boost::asio::awaitable<void> ZoneControl::runHeartbeats()
 {
     while (true) {
+        const TimePoint due = RuntimeClock::now() + config::MemberHeartbeatInterval;
         co_await sleepFor(config::MemberHeartbeatInterval);
         const TimePoint now = RuntimeClock::now();
         if (!m_registryRead) {
@@ -104,7 +106,8 @@
         }
         recordHub(now);
         auto currentHub = hub(now);
-        if (currentHub && !isSelf(*currentHub) && now - m_hubReceivedAt > config::MemberHeartbeatInterval * config::MaxUnansweredHeartbeats) {
+        const bool wasBusy = now - due > config::ControlTick; // the hub's beacons may still wait in the socket
+        if (!wasBusy && currentHub && !isSelf(*currentHub) && now - m_hubReceivedAt > config::MemberHeartbeatInterval * config::MaxUnansweredHeartbeats) {
             hubUnresponsive(*currentHub, now);
             recordHub(now);
             currentHub = hub(now);
@@ -301,8 +304,14 @@
         forEachLiveHub(now, [&others](const MemberId & /*id*/, const HubRecord &hub) { others.push_back(&hub.demand); });
     }
     const auto registered = static_cast<unsigned>(m_hubs.registered().size());
+    const bool wasActive = m_hubActiveSince.has_value();
     const double largest = maxPoolShare(now);
     for (const auto &team : m_scheduler.teams()) {
+        if (!wasActive && m_hubActiveSince) {
+            m_scheduler.bucket(team)->beginTakeOver();
+        } else if (!warmingUp(now)) {
+            m_scheduler.bucket(team)->endTakeOver();
+        }
         m_scheduler.bucket(team)->setPart(m_enrolled ? quotaPart(team, own, others, registered, largest) : QuotaPart {config::UnenrolledShare, 1}, now);
     }
     m_scheduler.setFleetShare(m_enrolled ? static_cast<double>(own.members) / std::max(registered, own.members) : config::UnenrolledShare);
--- a/src/net_zone_placement.cpp
+++ b/src/net_zone_placement.cpp
@@ -70,7 +70,7 @@
     }
     if (pending.hub != currentHub->id) {
         pending.hub = currentHub->id;
-        pending.sentRequests = 0;
+        pending.wait = {};
     }
     const PlacementRequest &placementRequest = pending.threadRequest.request;
     PlaceRequest request;
@@ -84,12 +84,18 @@
     request.objectiveMilliseconds = wholeMilliseconds(placementRequest.objective - now);
     request.deadlineMilliseconds = wholeMilliseconds(placementRequest.deadline - now);
     request.tried = placementRequest.tried;
-    ++pending.sentRequests;
+    pending.wait.recordSent(now);
     send(currentHub->peer, std::move(request));
+    awaitPlacementReply(id);
+}
+
+void ZoneControl::awaitPlacementReply(std::uint64_t id)
+{
+    Pending &pending = m_pending.at(id);
     if (!pending.timer) {
         pending.timer = std::make_unique<RuntimeTimer>(m_context);
     }
-    pending.timer->expires_after(config::PlacementReplyTimeout);
+    pending.timer->expires_at(pending.wait.expiresAt());
     pending.timer->async_wait([this, id](const boost::system::error_code &error) {
         if (!error) {
             placementReplyTimedOut(id);
@@ -104,14 +110,22 @@
         return;
     }
     Pending &pending = found->second;
-    if (pending.sentRequests >= config::MaxUnansweredPlacementRequests) {
-        const TimePoint now = RuntimeClock::now();
+    const TimePoint now = RuntimeClock::now();
+    switch (pending.wait.timedOut(now)) {
+    case ReplyTimeout::WaitLonger:
+        awaitPlacementReply(id);
+        return;
+    case ReplyTimeout::SendAgain:
+        break;
+    case ReplyTimeout::Unresponsive: {
         const auto currentHub = hub(now);
         ++pending.unresponsiveHubs;
         if (currentHub && pending.hub == currentHub->id) {
             hubUnresponsive(*currentHub, now);
             return;
         }
+        break;
+    }
     }
     requestFromHub(id);
 }
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -57,15 +57,24 @@
     if (m_level < 1 || m_allowance < 1 - MaxAllowanceOverdraft) {
         return false;
     }
-    m_level -= 1;
+    spend(1);
     m_allowance -= 1;
     ++m_taken;
     return true;
 }
 
+void TeamBucket::spend(double tokens)
+{
+    m_level -= tokens;
+    if (m_reportedLevel) {
+        *m_reportedLevel -= tokens;
+    }
+}
+
 void TeamBucket::returnTokens()
 {
-    m_level = std::min(burst(), m_level + 1);
+    spend(-1);
+    m_level = std::min(burst(), m_level);
     m_allowance += 1;
     --m_taken;
 }
@@ -86,6 +95,9 @@
         m_level += (part.pool - m_part.pool) * std::min(StartUpTokens, m_rate.burst / 2);
     }
     m_part = part;
+    if (m_reportedLevel) {
+        m_level = std::max(m_level, *m_reportedLevel);
+    }
     m_level = std::min(m_level, burst());
     m_allowance = std::max(m_level, 0.0) * part.share;
 }
@@ -93,13 +105,13 @@
 void TeamBucket::addRemoteTaken(std::int32_t tokens, TimePoint now)
 {
     refill(now);
-    m_level -= tokens;
+    spend(tokens);
 }
 
 void TeamBucket::addMemberTaken(std::uint32_t tokens, TimePoint now)
 {
     refill(now);
-    m_level -= tokens;
+    spend(tokens);
     m_allowance -= tokens;
     m_taken += tokens;
 }
@@ -107,7 +119,19 @@
 void TeamBucket::mergeRemoteLevel(std::uint32_t level, TimePoint now)
 {
     refill(now);
-    m_level = std::min(m_level, static_cast<double>(level) + 1); // the reported level is rounded down to whole tokens
+    if (!m_takesOver) {
+        m_level = std::min(m_level, static_cast<double>(level) + 1); // the reported level is rounded down to whole tokens
+        return;
+    }
+    const double reported = level;
+    m_reportedLevel = std::min(m_reportedLevel.value_or(reported), reported);
+    m_level = std::min(*m_reportedLevel, burst());
+}
+
+void TeamBucket::beginTakeOver()
+{
+    m_takesOver = true;
+    m_reportedLevel.reset();
 }
 
 std::uint32_t TeamBucket::level(TimePoint now) const
--- /dev/null
+++ b/src/read_plan.cpp
@@ -0,0 +1,35 @@
+#include <plumsill/read_plan.h>
+
+#include <plumsill/config.h>
+
+namespace plumsill
+{
+namespace
+{
+// Time for which a daemon waits for the first data of its hub: the answer to one lost and one repeated heartbeat.
+constexpr Duration HubPatience = 2 * config::MemberHeartbeatInterval;
+
+bool waitsForHub(const ReadState &state, TimePoint startedAt, TimePoint now)
+{
+    if (state.isHub || state.readsForFleet) {
+        return false;
+    }
+    const TimePoint until = state.hubChosenAt ? *state.hubChosenAt + HubPatience : startedAt + config::FleetStartTime + HubPatience;
+    return now < until;
+}
+
+bool due(bool readsForFleet, bool waits, std::optional<TimePoint> knownAt, Duration maxAge, TimePoint now)
+{
+    return readsForFleet || (knownAt ? now - *knownAt > maxAge : !waits);
+}
+}
+
+// Without the wait, a restart of many daemons would make each of them read everything from the directory, although the
+// hubs can send it to them as soon as one daemon has read it.
+DueReads dueReads(const ReadState &state, TimePoint startedAt, TimePoint now)
+{
+    const bool waits = waitsForHub(state, startedAt, now);
+    return {due(state.readsForFleet, waits, state.documentProvedAt, config::RelayedProofMaxAge, now),
+            due(state.readsForFleet, waits, state.listReadAt, config::RelayedListMaxAge, now)};
+}
+}
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -12,6 +12,8 @@
 #include <plumsill/list_relay.h>
 #include <plumsill/metrics.h>
 #include <plumsill/quota.h>
+#include <plumsill/read_plan.h>
+#include <plumsill/reply_wait.h>
 #include <plumsill/scheduler.h>
 #include <plumsill/settings.h>
 #include <plumsill/target_list.h>
@@ -71,7 +73,7 @@
         ThreadPlacementRequest threadRequest;
         std::unique_ptr<RuntimeTimer> timer;
         std::optional<MemberId> hub; ///< hub that the request was sent to; none where this daemon places it
-        unsigned sentRequests = 0; ///< number of times the request was sent to that hub
+        ReplyWait wait; ///< wait for the reply of that hub
         unsigned unresponsiveHubs = 0; ///< hubs that did not answer this request
         bool queued = false; ///< the request waits in the scheduler's queue
     };
@@ -118,6 +120,7 @@
     boost::asio::awaitable<void> fetchDocumentFrom(Endpoint from);
     boost::asio::awaitable<void> fetchTargets(Endpoint from, InstanceName daemon);
     bool readsForFleet(TimePoint now) const;
+    ReadState readState(TimePoint now) const;
     void adopt(const DocumentRead &read, const std::string &from);
     void listChanged(const std::string &from);
     void recordProof(const DocumentProof &proof, TimePoint writtenAt, const Endpoint &from);
@@ -134,6 +137,7 @@
     // Placement.
     void requestFromHub(std::uint64_t id);
     void placeLocally(std::uint64_t id);
+    void awaitPlacementReply(std::uint64_t id);
     void placementReplyTimedOut(std::uint64_t id);
     void resendPendingRequests(const MemberId &hub);
     bool isKnownUnusable(const Placed &placed) const;
@@ -210,6 +214,7 @@
     std::map<TeamName, ReportedTokens> m_reportedTokens;
     std::optional<TimePoint> m_hubActiveSince; ///< when this daemon began to act as a hub; none while it isn't acting as one
     std::optional<MemberId> m_hub; ///< most recently chosen hub of the zone
+    TimePoint m_hubChosenAt; ///< when that hub was chosen
     TimePoint m_hubListReadAt; ///< when the read that gave that hub its list of targets was sent; max while unknown
     TimePoint m_hubReceivedAt; ///< when that hub was chosen or its last beacon was received
     TimePoint m_nextProbeAt;
--- a/tests/test_quota.cpp
+++ b/tests/test_quota.cpp
@@ -246,3 +246,71 @@
     DOUBLES_EQUAL(1.0 / 3, quotaPart(red, own, {}, 3, 1.0 / 3).pool, 1e-9);
     DOUBLES_EQUAL(3.0 / 48, quotaPart(red, own, {}, 48, 1.0 / 3).pool, 1e-9);
 }
+
+// Load: the scheduler of a zone fails while a team sends a burst that its quota allows. The daemon that takes over has placed
+// only its own requests so far, so its level is that of one daemon in four hundred.
+TEST(Quota, SchedulerThatTakesOverContinuesAtTheLevelOfThePool)
+{
+    TeamBucket steady;
+    steady.setRate(teamRate, t0);
+    steady.setPart({1, 0.5}, t0);
+    TeamBucket fresh;
+    fresh.setRate(teamRate, t0);
+    fresh.setPart({1.0 / 400, 1}, t0);
+    const TimePoint begin = t0 + 10s;
+    fresh.beginTakeOver();
+    fresh.mergeRemoteLevel(steady.level(begin), begin);
+    fresh.setPart({1, 0.5}, begin);
+    unsigned admitted = 0;
+    while (fresh.take(begin)) {
+        ++admitted;
+    }
+    CHECK(admitted >= teamRate.burst * 0.5);
+    CHECK(admitted <= teamRate.burst);
+}
+
+TEST(Quota, LowestReportCountsDuringATakeOver)
+{
+    TeamBucket fresh;
+    fresh.setRate(teamRate, t0);
+    fresh.setPart({1.0 / 400, 1}, t0);
+    fresh.beginTakeOver();
+    fresh.mergeRemoteLevel(25, t0 + 10s);
+    fresh.mergeRemoteLevel(4, t0 + 10s);
+    fresh.mergeRemoteLevel(25, t0 + 10s);
+    fresh.addRemoteTaken(2, t0 + 10s);
+    fresh.setPart({1, 1}, t0 + 10s);
+    LONGS_EQUAL(2, fresh.level(t0 + 10s));
+    fresh.endTakeOver();
+    fresh.mergeRemoteLevel(25, t0 + 10s);
+    LONGS_EQUAL(2, fresh.level(t0 + 10s));
+}
+
+// Daemons take over one after the other, each for half a second, as they do while the hubs of a zone are replaced.
+TEST(Quota, SuccessiveTakeOversStayWithinTheRate)
+{
+    unsigned admitted = 0;
+    TeamBucket steady;
+    steady.setRate(teamRate, t0);
+    steady.setPart({1, 0.5}, t0);
+    std::uint32_t reported = 0;
+    for (int successor = 0; successor < 10; ++successor) {
+        const TimePoint begin = t0 + 10s + successor * 500ms;
+        TeamBucket fresh;
+        fresh.setRate(teamRate, begin);
+        fresh.setPart({1.0 / 400, 1}, begin);
+        fresh.beginTakeOver();
+        fresh.mergeRemoteLevel(steady.level(begin), begin);
+        fresh.setPart({1, 0.5}, begin);
+        for (TimePoint now = begin; now < begin + 500ms; now += 5ms) {
+            admitted += steady.take(now) ? 1 : 0;
+            fresh.addRemoteTaken(static_cast<std::int32_t>(steady.taken() - std::exchange(reported, steady.taken())), now);
+            if (fresh.take(now)) {
+                ++admitted;
+                steady.addRemoteTaken(1, now);
+            }
+        }
+    }
+    CHECK(admitted <= (teamRate.rate * 5 + teamRate.burst) * 1.1 + 20); // the users' bound for a fleet in any five seconds
+    CHECK(admitted >= teamRate.rate * 5 * 0.9);
+}
