Compressed documents from hubs, fewer writes at restarts, paced reads in an outage

Change: hubs relay documents of up to 2 MB compressed (DEFLATE of Boost.Beast), in a new message, so that a daemon of another build falls back to the store; members try twice. A daemon whose entry is in the registry as it is doesn't write it; setRegistered keeps an incarnation that messages showed to be newer. At the first start the secret is created by a few daemons. Reads of daemons that don't read for the fleet pause 1 to 4 s after a failure. The messages between hubs and members have their own header.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -211,7 +211,8 @@
 inline constexpr auto DocumentFetchSpread
     = 300ms; ///< members fetch a new document from their hub at random times within this period, so that the hub can place requests meanwhile
 inline constexpr std::uint32_t RelayedDocumentBytes
-    = 100'000; ///< members read a larger document from the store; of one of this size, 30 copies are sent over a link of 50 Mbit/s within half a second
+    = 2'000'000; ///< members read a larger document from the store; of one of this size, 90 copies, compressed, take about two seconds of a link of 100 Mbit/s
+inline constexpr unsigned DocumentFetchTries = 2; ///< attempts to fetch a document from a hub before it is read from the store
 inline constexpr auto TargetsReadInterval = 500ms; ///< a quarter of the time within which a leaving target must stop getting requests
 inline constexpr auto RegistryFollowInterval
     = 10'000ms; ///< minimum time between registry reads after a change; long, since a new daemon serves callers before the others know it
@@ -227,6 +228,7 @@
     = 1200ms; ///< covers the intervals of a read, a digest and a heartbeat; a daemon without a newer list reads from the store itself
 inline constexpr auto QueueServeInterval = 20ms;
 inline constexpr auto FleetStartTime = 400ms; ///< time in which all daemons of a starting fleet enroll
+inline constexpr auto SecretCreationSpread = 300ms; ///< time over which the daemons of a starting fleet spread their attempts to create its secret
 inline constexpr auto RegistrationRetry = 500ms;
 inline constexpr auto DirectoryCallTimeout = 1200ms; ///< three times the answer time of a service that is slowed down a hundredfold
 
--- a/include/plumsill/quota.h
+++ b/include/plumsill/quota.h
@@ -47,7 +47,11 @@
     /// scheduler of the pool has reported one.
     void beginTakeOver();
     /// Ends that time.
-    void endTakeOver() { m_reportedLevel.reset(); m_takesOver = false; }
+    void endTakeOver()
+    {
+        m_reportedLevel.reset();
+        m_takesOver = false;
+    }
     /// Sets the level to the lowest one that the other schedulers report in their first digests. They know of tokens that this
     /// scheduler does not, such as those granted by the previous scheduler of this zone. After the take-over a report can
     /// only lower the level.
--- a/include/plumsill/read_plan.h
+++ b/include/plumsill/read_plan.h
@@ -30,4 +30,18 @@
 
 /// Decides which reads are due. @p startedAt: start of the daemon.
 DueReads dueReads(const ReadState &state, TimePoint startedAt, TimePoint now);
+
+/// Paces the reads of a daemon that does not read for the fleet. While the directory is down, the data of all hubs grows old,
+/// and all daemons would read it at once and again and again.
+class ReadBackoff
+{
+public:
+    bool allowed(TimePoint now) const { return now >= m_next; }
+    /// Records the result of a read. @p random: random number from 0 to 1, which spreads the next reads of many daemons.
+    void record(bool succeeded, double random, TimePoint now);
+
+private:
+    Duration m_pause {};
+    TimePoint m_next;
+};
 }
--- /dev/null
+++ b/include/plumsill/zone_messages.h
@@ -0,0 +1,285 @@
+#pragma once
+
+#include <plumsill/types.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// Messages between the hub of a zone and its members, and among hubs.
+namespace plumsill
+{
+/// An attempt that is running at a daemon. Members report their attempts to a new hub, which thus knows the targets in use.
+struct RunningAttempt {
+    std::uint64_t id = 0;
+    ServiceName service;
+    TargetName target;
+    std::uint32_t route = 0; ///< shortHash() of the route name
+    std::uint32_t ageMilliseconds = 0;
+
+    auto operator<=>(const RunningAttempt &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, service, target, route, ageMilliseconds);
+    }
+};
+
+/// Load and state of one target as one hub reports it to the others.
+struct TargetLoad {
+    std::uint32_t target = 0; ///< shortHash() of the target name
+    std::uint8_t running = 0; ///< running attempts
+    std::uint8_t failingPercent = 0; ///< failure probability in percent
+
+    auto operator<=>(const TargetLoad &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(target, running, failingPercent);
+    }
+};
+
+/// Requests a target from the zone's hub. The objective and the deadline are given as the time that remains when the message
+/// is sent.
+struct PlaceRequest {
+    std::uint64_t id = 0; ///< unique within one incarnation of the sender
+    ServiceName service;
+    TeamName team;
+    std::uint32_t route = 0; ///< shortHash() of the route name
+    std::uint32_t priority = 0;
+    bool idempotent = false;
+    bool repeat = false; ///< an earlier attempt of the request has been sent
+    std::uint32_t objectiveMilliseconds = 0;
+    std::uint32_t deadlineMilliseconds = 0;
+    std::vector<TargetName> tried;
+
+    auto operator<=>(const PlaceRequest &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, service, team, route, priority, idempotent, repeat, objectiveMilliseconds, deadlineMilliseconds, tried);
+    }
+};
+
+/// Result of a PlaceRequest.
+enum class PlaceStatus : std::uint8_t
+{
+    Placed,
+    OverQuota,
+    NoCapacity,
+    Queued, ///< the request waits at the hub; another reply follows
+};
+
+/// A hub's decision on one request.
+struct PlaceReply {
+    std::uint64_t id = 0; ///< id of the request
+    PlaceStatus status = PlaceStatus::NoCapacity;
+    TargetName target;
+    Endpoint endpoint;
+    std::uint32_t hedgeAfterMilliseconds = 0;
+    std::uint32_t retryAfterMilliseconds = 0;
+
+    auto operator<=>(const PlaceReply &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, status, target, endpoint, hedgeAfterMilliseconds, retryAfterMilliseconds);
+    }
+};
+
+/// Result of an attempt, as reported to the hub.
+enum class AttemptEnd : std::uint8_t
+{
+    Good,
+    Failed, ///< server error, truncated or malformed answer
+    TimedOut,
+    NotExecuted, ///< the target refused the request because of load
+    WrongTarget, ///< another target uses the address
+    Unreachable, ///< no connection could be opened, so nothing was sent
+    Abandoned, ///< the caller left, or another attempt was faster
+};
+
+/// Reports to the hub that an attempt has ended.
+struct AttemptReport {
+    std::uint64_t id = 0;
+    AttemptEnd end = AttemptEnd::Abandoned;
+    std::uint32_t durationMilliseconds = 0;
+
+    auto operator<=>(const AttemptReport &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, end, durationMilliseconds);
+    }
+};
+
+/// Cancels a waiting request whose caller has left.
+struct PlacementCancellation {
+    std::uint64_t id = 0;
+
+    auto operator<=>(const PlacementCancellation &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id);
+    }
+};
+
+/// Number of tokens of one team that a daemon has granted by itself, without its hub, since its start.
+struct TokensTaken {
+    std::uint32_t team = 0; ///< shortHash() of the team name
+    std::uint32_t taken = 0;
+
+    auto operator<=>(const TokensTaken &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(team, taken);
+    }
+};
+
+/// Heartbeat of a daemon to the hub that it uses.
+struct MemberHeartbeat {
+    static constexpr std::size_t MaxTokenCounts = 30; ///< number of entries that fit into a datagram beside the attempts
+
+    std::uint64_t sentAt = 0; ///< by the sender's clock, in nanoseconds; the beacon returns it
+    bool complete = true; ///< true: `running` contains all attempts that run at the sender
+    std::vector<RunningAttempt> running;
+    std::vector<TokensTaken> taken; ///< tokens of teams whose requests the sender recently placed by itself, without its hub
+
+    auto operator<=>(const MemberHeartbeat &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(sentAt, complete, running, taken);
+    }
+};
+
+/// Proof that no document newer than `version` existed `ageMilliseconds` before the message was written.
+struct DocumentProof {
+    bool known = false;
+    std::uint64_t version = 0;
+    std::uint32_t ageMilliseconds = 0;
+    std::uint32_t bytes = 0; ///< size of the document's text
+
+    auto operator<=>(const DocumentProof &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(known, version, ageMilliseconds, bytes);
+    }
+};
+
+/// State of the sender's list of targets. `revision` counts its changes within the sender's incarnation.
+struct ListProof {
+    bool known = false;
+    std::uint64_t revision = 0;
+    std::uint32_t ageMilliseconds = 0; ///< time since the start of the read that confirmed the list
+
+    auto operator<=>(const ListProof &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(known, revision, ageMilliseconds);
+    }
+};
+
+/// A hub's answer to a heartbeat. The hub sends it again immediately when something has changed.
+struct HubBeacon {
+    std::uint64_t heartbeatSentAt = 0; ///< `sentAt` of the member's last heartbeat
+    std::uint32_t heldMilliseconds = 0; ///< time since that heartbeat was received
+    DocumentProof document;
+    ListProof list;
+    std::uint32_t registry = 0; ///< hash of the registered daemons
+    bool leaving = false; ///< the hub is draining; the member must choose another one
+
+    auto operator<=>(const HubBeacon &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(heartbeatSentAt, heldMilliseconds, document, list, registry, leaving);
+    }
+};
+
+/// Demand of one team, as one hub observes it.
+struct TeamDemand {
+    static constexpr std::uint32_t UnknownTokens = 0xffff; ///< the sender has just started and has no estimate yet
+
+    std::uint32_t team = 0; ///< shortHash() of the team name
+    std::uint32_t perMinute = 0; ///< requests per minute
+    std::uint32_t taken = 0; ///< tokens taken since the sender's start
+    std::uint32_t remainingTokens = UnknownTokens; ///< tokens in the team's complete pool, as the sender estimates it
+
+    auto operator<=>(const TeamDemand &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(team, perMinute, taken, remainingTokens);
+    }
+};
+
+/// Digest that hubs send each other periodically.
+struct HubDigest {
+    static constexpr std::size_t MaxTeams = 75; ///< number of entries that fit into a datagram beside the other fields
+
+    std::uint64_t sentAt = 0; ///< by the sender's clock, in nanoseconds
+    std::uint64_t echo = 0; ///< `sentAt` of the receiver's last digest
+    std::uint32_t echoHeldMilliseconds = 0; ///< time since that digest was received
+    DocumentProof document;
+    ListProof list;
+    std::uint32_t registry = 0; ///< hash of the registered daemons
+    bool readsStore = false; ///< the sender has recently read the platform's service itself
+    std::uint32_t members = 0; ///< number of daemons that use the sender as hub, including itself
+    ZoneName zone;
+    std::vector<TeamDemand> teams;
+
+    auto operator<=>(const HubDigest &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(sentAt, echo, echoHeldMilliseconds, document, list, registry, readsStore, members, zone, teams);
+    }
+};
+
+/// Running attempts and failure estimates of a hub for each target. Sent with the digest, in several messages if necessary.
+struct HubLoads {
+    static constexpr std::size_t MaxLoads = 150; ///< number of entries that fit into a datagram
+
+    ZoneName zone;
+    std::vector<TargetLoad> loads;
+
+    auto operator<=>(const HubLoads &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(zone, loads);
+    }
+};
+
+/// Requests the document of a hub in compressed form. Sent over TCP.
+struct PackedDocumentRequest {
+    std::uint64_t heldVersion = 0;
+
+    auto operator<=>(const PackedDocumentRequest &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(heldVersion);
+    }
+};
+
+/// The complete text of a document, compressed. Sent over TCP.
+struct PackedDocument {
+    std::uint64_t version = 0;
+    std::uint64_t textBytes = 0; ///< size of the text
+    std::string packed; ///< result of compress()
+
+    auto operator<=>(const PackedDocument &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(version, textBytes, packed);
+    }
+};
+}
--- a/src/directory_port_p.h
+++ b/src/directory_port_p.h
@@ -36,6 +36,7 @@
     {
         return visit([](auto &directory) { return directory.targets(); });
     }
+    /// The registered daemons. The answer may be seconds old.
     boost::asio::awaitable<DirectoryResult<std::vector<RegisteredDaemon>>> daemons()
     {
         return visit([](auto &directory) { return directory.daemons(); });
@@ -51,7 +52,13 @@
     {
         return visit([&](auto &directory) { return directory.withdraw(name); });
     }
-    /// Returns the secret that signs messages between daemons. If no secret exists yet, @p proposal is stored and
+    /// Returns the secret that signs messages between daemons, by a cheap read that may be seconds old; DirectoryError::Missing
+    /// if there was none yet.
+    boost::asio::awaitable<DirectoryResult<std::string>> peerSecret()
+    {
+        return visit([](auto &directory) { return directory.peerSecret(); });
+    }
+    /// Returns that secret by a read of the newest state. If no secret exists yet, @p proposal is stored and
     /// becomes the secret.
     boost::asio::awaitable<DirectoryResult<std::string>> getOrCreatePeerSecret(const std::string &proposal)
     {
--- a/src/hubs.cpp
+++ b/src/hubs.cpp
@@ -38,6 +38,17 @@
     const auto isSelf = [this](const RegisteredDaemon &daemon) { return daemon.id.name == m_self.id.name; };
     std::erase_if(daemons, isSelf);
     daemons.push_back(m_self);
+    // A daemon that restarts keeps its entry, so the entry may show an earlier incarnation than its messages.
+    std::map<InstanceName, const RegisteredDaemon *> known;
+    for (const auto &daemon : m_daemons) {
+        known.emplace(daemon.id.name, &daemon);
+    }
+    for (auto &daemon : daemons) {
+        const auto found = known.find(daemon.id.name);
+        if (found != known.end() && found->second->id.incarnation > daemon.id.incarnation) {
+            daemon = *found->second;
+        }
+    }
     std::sort(daemons.begin(), daemons.end(), [](const RegisteredDaemon &a, const RegisteredDaemon &b) {
         return std::pair(-hubRank(a.zone, a), a.id.name) < std::pair(-hubRank(b.zone, b), b.id.name);
     });
--- a/src/net_store_directory.cpp
+++ b/src/net_store_directory.cpp
@@ -175,6 +175,17 @@
     co_return true;
 }
 
+boost::asio::awaitable<DirectoryResult<std::string>> StoreDirectory::peerSecret()
+{
+    const auto store = m_store;
+    ++m_calls;
+    auto existing = co_await store->read(storekeys::PeerSecret);
+    if (existing.has_error()) {
+        co_return errorOf(existing.error());
+    }
+    co_return std::move(existing.value().value);
+}
+
 boost::asio::awaitable<DirectoryResult<std::string>> StoreDirectory::getOrCreatePeerSecret(std::string proposal)
 {
     const auto store = m_store;
@@ -186,11 +197,7 @@
     if (created.error().fault != StoreFault::Conflict) {
         co_return errorOf(created.error());
     }
-    ++m_calls;
-    auto existing = co_await store->read(storekeys::PeerSecret);
-    if (existing.has_error()) {
-        co_return errorOf(existing.error());
-    }
-    co_return std::move(existing.value().value);
+    auto existing = co_await peerSecret();
+    co_return existing;
 }
 }
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -1,5 +1,6 @@
 #include "zone_p.h"
 
+#include <plumsill/compression.h>
 #include <plumsill/config.h>
 #include <plumsill/event.h>
 
@@ -57,6 +58,11 @@
     }
 }
 
+Duration ZoneControl::randomDuration(Duration max)
+{
+    return fromSeconds(std::uniform_real_distribution<double>(0, seconds(max))(m_random));
+}
+
 void ZoneControl::recordStoreResult(bool reached, const char *call, const std::string &reason)
 {
     if (reached != m_storeReached) {
@@ -65,33 +71,62 @@
     }
 }
 
+// At the fleet's first start no daemon finds a secret. Each waits for a random time before it tries to create one, so that
+// only a few try.
+boost::asio::awaitable<DirectoryResult<std::string>> ZoneControl::peerSecret()
+{
+    auto secret = co_await m_directory.peerSecret();
+    if (!secret && secret.error() == DirectoryError::Missing) {
+        co_await sleepFor(randomDuration(config::SecretCreationSpread));
+        secret = co_await m_directory.peerSecret();
+    }
+    if (!secret && secret.error() == DirectoryError::Missing) {
+        secret = co_await m_directory.getOrCreatePeerSecret(randomSecret(m_random));
+    }
+    co_return secret;
+}
+
+// A daemon that restarts mostly finds its entry in the registry as it was. Writing it again would cost a write for each
+// daemon when all of them restart; the others learn the new incarnation from its messages.
+boost::asio::awaitable<bool> ZoneControl::enroll()
+{
+    if (!m_settings.firstStart) {
+        co_await readRegistry();
+    }
+    if (m_entryListed) {
+        co_return true;
+    }
+    const auto enrolled = co_await m_directory.enroll(m_self, m_settings.firstStart);
+    co_return enrolled.has_value();
+}
+
 // The peer secret is fetched first, because messages of other daemons can't be verified without it. Until the daemon is
 // enrolled, it places its requests itself instead of sending them to a hub.
 boost::asio::awaitable<void> ZoneControl::runRegistry()
 {
-    std::uniform_int_distribution<int> jitter(0, 200);
     while (!m_enrolled && !m_leaving) {
-        const auto secret = co_await m_directory.getOrCreatePeerSecret(randomSecret(m_random));
+        const auto secret = co_await peerSecret();
         const bool usable = secret && !secret.assume_value().empty();
         bool done = false;
         if (usable) {
             m_peers.setSecret(secret.assume_value());
-            const auto enrolled = co_await m_directory.enroll(m_self, m_settings.firstStart);
-            done = enrolled.has_value();
+            done = co_await enroll();
         }
         recordStoreResult(done, "enroll", done ? "" : usable ? "not enrolled" : secret ? "the stored peer secret is empty" : toString(secret.error()));
         if (done) {
             m_enrolled = true;
-            Event("registry", "enrolled").add("zone", m_settings.zone.value);
+            Event("registry", "enrolled").add("zone", m_settings.zone.value).add("entry_written", !m_entryListed);
             break;
         }
-        co_await sleepFor(config::RegistrationRetry + std::chrono::milliseconds(jitter(m_random)));
+        co_await sleepFor(config::RegistrationRetry + randomDuration(config::RegistrationRetry / 2));
     }
     if (m_settings.firstStart) {
         // At the fleet's first start all daemons enroll at the same time, so an immediate read would list only some of them.
         co_await sleepFor(config::FleetStartTime);
     }
-    co_await readRegistry();
+    if (!m_registryRead) {
+        co_await readRegistry();
+    }
     while (true) {
         co_await sleepFor(config::RegistryReadInterval);
         if (m_entryOutdated && !m_leaving) {
@@ -116,8 +151,14 @@
         recordStoreResult(false, "daemons", toString(daemons.error()));
         co_return;
     }
+    const auto &listed = daemons.assume_value();
+    const auto sameEntry = [this](const RegisteredDaemon &daemon) {
+        return daemon.id.name == m_self.id.name && daemon.zone == m_self.zone && daemon.peer == m_self.peer && daemon.capacity == m_self.capacity;
+    };
+    m_entryListed = std::any_of(listed.begin(), listed.end(), sameEntry);
+    m_entryOutdated = m_entryOutdated || (m_enrolled && !m_entryListed);
     const std::uint32_t before = m_hubs.registryHash();
-    m_hubs.setRegistered(daemons.assume_value());
+    m_hubs.setRegistered(listed);
     m_registryRead = true;
     m_registryReadAt = RuntimeClock::now();
     ++m_registryReads;
@@ -150,16 +191,21 @@
     while (true) {
         const TimePoint now = RuntimeClock::now();
         const DueReads due = dueReads(readState(now), start, now);
-        if (due.document) {
-            co_await readDocument();
+        const bool mayRead = readsForFleet(now) || m_readBackoff.allowed(now);
+        bool succeeded = true;
+        if (due.document && mayRead) {
+            succeeded = co_await readDocument();
         }
-        if (due.targets && now >= m_nextListRead) {
+        if (due.targets && mayRead && succeeded && now >= m_nextListRead) {
             m_nextListRead = now + config::TargetsReadInterval;
-            const bool read = co_await readTargets();
-            if (!read && !m_otherHubs.empty() && !m_fetchingTargets) {
-                const auto &[id, hub] = *std::next(m_otherHubs.begin(), static_cast<std::ptrdiff_t>(m_random() % m_otherHubs.size()));
-                boost::asio::co_spawn(m_context, fetchTargets(hub.peer, id.name), boost::asio::detached);
-            }
+            succeeded = co_await readTargets();
+        }
+        if (due.targets && !succeeded && !m_otherHubs.empty() && !m_fetchingTargets) {
+            const auto &[id, hub] = *std::next(m_otherHubs.begin(), static_cast<std::ptrdiff_t>(m_random() % m_otherHubs.size()));
+            boost::asio::co_spawn(m_context, fetchTargets(hub.peer, id.name), boost::asio::detached);
+        }
+        if (mayRead && (due.document || due.targets)) {
+            m_readBackoff.record(succeeded, std::uniform_real_distribution<double>(0, 1)(m_random), RuntimeClock::now());
         }
         const bool starting = !m_documentFreshness.currentAt() || !m_list.readAt();
         co_await sleepFor(starting ? config::ControlTick : config::DocumentReadInterval);
@@ -254,10 +300,10 @@
         co_return;
     }
     m_fetchingDocument = true;
-    if (from) {
-        if (m_documentFreshness.held() > 0 && !actsAsHub(RuntimeClock::now())) {
-            std::uniform_real_distribution<double> spread(0, seconds(config::DocumentFetchSpread));
-            co_await sleepFor(fromSeconds(spread(m_random)));
+    for (unsigned attempt = 0; from && attempt < config::DocumentFetchTries && m_documentFreshness.fetchDue(); ++attempt) {
+        const bool starting = m_documentFreshness.held() == 0 && attempt == 0;
+        if (!starting && !actsAsHub(RuntimeClock::now())) {
+            co_await sleepFor(randomDuration(config::DocumentFetchSpread));
         }
         co_await fetchDocumentFrom(*from);
     }
@@ -269,18 +315,32 @@
 
 boost::asio::awaitable<void> ZoneControl::fetchDocumentFrom(Endpoint from)
 {
-    const Envelope request = envelope(DocumentRequest {{m_documentFreshness.held(), {}}});
-    auto reply = co_await m_peers.request(from, request);
-    auto *answer = reply ? std::get_if<DocumentReply>(&reply.assume_value().message) : nullptr;
-    if (answer == nullptr || answer->stamp.version <= m_documentFreshness.held()) {
+    const Envelope request = envelope(PackedDocumentRequest {m_documentFreshness.held()});
+    const auto reply = co_await m_peers.request(from, request);
+    const auto *answer = reply ? std::get_if<PackedDocument>(&reply.assume_value().message) : nullptr;
+    if (answer == nullptr || answer->version <= m_documentFreshness.held()) {
         co_return;
     }
-    const auto parsed = m_directory.parse(std::move(answer->text));
+    auto text = decompress(answer->packed, answer->textBytes);
+    if (!text) {
+        Event("document", "relayed-document-damaged").add("from", toString(from)).add("version", static_cast<std::int64_t>(answer->version));
+        co_return;
+    }
+    const auto parsed = m_directory.parse(std::move(*text));
     if (parsed) {
         adopt(parsed.assume_value(), toString(from));
     }
 }
 
+// All members of a hub fetch a new document at about the same time, so it is compressed only once.
+const PackedDocument &ZoneControl::packedDocument()
+{
+    if (m_packedDocument.version != m_document.version) {
+        m_packedDocument = {m_document.version, m_document.text->size(), compress(*m_document.text)};
+    }
+    return m_packedDocument;
+}
+
 boost::asio::awaitable<void> ZoneControl::fetchTargets(Endpoint from, InstanceName daemon)
 {
     if (m_fetchingTargets) {
@@ -310,7 +370,7 @@
     }
     m_documentFreshness.recordVersion(proof.version, writtenAt - std::chrono::milliseconds(proof.ageMilliseconds));
     if (m_documentFreshness.fetchDue() && !m_fetchingDocument) {
-        // A hub's link is too slow to send a large document to all its members, so each member reads a document of more
+        // A hub's link is too slow to send a very large document to all its members, so each member reads a document of more
         // than RelayedDocumentBytes from the directory.
         const bool relayed = proof.bytes <= config::RelayedDocumentBytes;
         boost::asio::co_spawn(m_context, fetchDocument(relayed ? std::optional(from) : std::nullopt), boost::asio::detached);
@@ -355,8 +415,8 @@
 std::optional<Envelope> ZoneControl::respond(const Envelope &request)
 {
     const TimePoint now = RuntimeClock::now();
-    if (std::holds_alternative<DocumentRequest>(request.message) && m_document.text) {
-        return envelope(DocumentReply {{m_document.version, {}}, *m_document.text});
+    if (std::holds_alternative<PackedDocumentRequest>(request.message) && m_document.text) {
+        return envelope(packedDocument());
     }
     const auto *listRequest = std::get_if<ListRequest>(&request.message);
     if (listRequest != nullptr && m_list.readAt()) {
--- a/src/read_plan.cpp
+++ b/src/read_plan.cpp
@@ -2,6 +2,8 @@
 
 #include <plumsill/config.h>
 
+#include <algorithm>
+
 namespace plumsill
 {
 namespace
@@ -9,6 +11,11 @@
 // Time for which a daemon waits for the first data of its hub: the answer to one lost and one repeated heartbeat.
 constexpr Duration HubPatience = 2 * config::MemberHeartbeatInterval;
 
+// Pause after the first failed read, doubled after each further one. The hubs, which read on without a pause, relay the
+// data as soon as the directory answers again.
+constexpr Duration MinReadPause = std::chrono::milliseconds(1000);
+constexpr Duration MaxReadPause = std::chrono::milliseconds(4000);
+
 bool waitsForHub(const ReadState &state, TimePoint startedAt, TimePoint now)
 {
     if (state.isHub || state.readsForFleet) {
@@ -32,4 +39,14 @@
     return {due(state.readsForFleet, waits, state.documentProvedAt, config::RelayedProofMaxAge, now),
             due(state.readsForFleet, waits, state.listReadAt, config::RelayedListMaxAge, now)};
 }
+
+void ReadBackoff::record(bool succeeded, double random, TimePoint now)
+{
+    if (succeeded) {
+        *this = {};
+        return;
+    }
+    m_pause = std::clamp(2 * m_pause, MinReadPause, MaxReadPause);
+    m_next = now + fromSeconds(seconds(m_pause) * (0.75 + random / 2));
+}
 }
--- a/src/store_directory_p.h
+++ b/src/store_directory_p.h
@@ -31,6 +31,7 @@
     boost::asio::awaitable<DirectoryResult<std::vector<RegisteredDaemon>>> daemons();
     boost::asio::awaitable<DirectoryResult<bool>> enroll(RegisteredDaemon daemon, bool firstStart);
     boost::asio::awaitable<DirectoryResult<bool>> withdraw(InstanceName name);
+    boost::asio::awaitable<DirectoryResult<std::string>> peerSecret();
     boost::asio::awaitable<DirectoryResult<std::string>> getOrCreatePeerSecret(std::string proposal);
     /// Parses a stored document: its version, a line feed and the INI text.
     DirectoryResult<DocumentRead> parse(std::string text) const;
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -113,11 +113,15 @@
     };
 
     // Registry, and reads of the document and of the listing of targets.
+    boost::asio::awaitable<DirectoryResult<std::string>> peerSecret();
+    /// Registers this daemon unless its entry exists already. Returns false if the directory can't be reached.
+    boost::asio::awaitable<bool> enroll();
     boost::asio::awaitable<void> readRegistry();
     boost::asio::awaitable<bool> readDocument();
     boost::asio::awaitable<bool> readTargets();
     boost::asio::awaitable<void> fetchDocument(std::optional<Endpoint> from);
     boost::asio::awaitable<void> fetchDocumentFrom(Endpoint from);
+    const PackedDocument &packedDocument();
     boost::asio::awaitable<void> fetchTargets(Endpoint from, InstanceName daemon);
     bool readsForFleet(TimePoint now) const;
     ReadState readState(TimePoint now) const;
@@ -186,6 +190,8 @@
     Envelope envelope(Message message) const;
     void publish(TimePoint now);
     TimePoint trustedUntil() const;
+    /// Random duration up to @p max.
+    Duration randomDuration(Duration max);
 
     boost::asio::io_context &m_context;
     Settings m_settings;
@@ -199,6 +205,7 @@
     Scheduler m_scheduler;
     Metrics m_metrics;
     DocumentRead m_document;
+    PackedDocument m_packedDocument; ///< compressed form of a document that was requested; not necessarily of m_document
     boost::intrusive_ptr<const CompiledDocument> m_compiled;
     RelayedList m_relayed;
     std::optional<ListSource> m_listSource; ///< daemon that m_list came from; none where this daemon read it
@@ -222,6 +229,7 @@
     TimePoint m_registryReadAt;
     unsigned m_registryReads = 0;
     TimePoint m_nextListRead;
+    ReadBackoff m_readBackoff;
     std::optional<TimePoint> m_storeReadAt; ///< when this daemon sent its last successful read of the list of targets
     std::optional<TimePoint> m_publishedAt; ///< none before the first snapshot
     std::mt19937_64 m_random {std::random_device()()};
@@ -233,6 +241,7 @@
     bool m_withdrawing = false;
     bool m_withdrawn = false;
     bool m_enrolled = false;
+    bool m_entryListed = false; ///< the last read of the registry showed this daemon's entry as it is now
     bool m_entryOutdated = false; ///< this daemon's entry in the registry must be written again
     bool m_registryRead = false; ///< the registry has been read at least once
 };
--- a/tests/process_directory.cpp
+++ b/tests/process_directory.cpp
@@ -135,10 +135,12 @@
     }
     void checkSecret(DirectoryPort & directory, DirectoryBackend & backend)
     {
+        CHECK(await(context, directory.peerSecret()).error() == DirectoryError::Missing);
         const std::string secret = await(context, directory.getOrCreatePeerSecret("the first one's")).value();
         STRCMP_EQUAL("the first one's", secret.c_str());
         DirectoryPort other = backend.open(context);
         STRCMP_EQUAL(secret.c_str(), await(context, other.getOrCreatePeerSecret("another")).value().c_str());
+        STRCMP_EQUAL(secret.c_str(), await(context, other.peerSecret()).value().c_str());
     }
     void checkDaemons(DirectoryBackend & backend, DirectoryPort & directory)
     {
--- a/tests/test_codec.cpp
+++ b/tests/test_codec.cpp
@@ -55,7 +55,7 @@
 {
     const TeamName team {anyText()};
     const ServiceName service {anyText()};
-    switch (*rc::gen::inRange(0, 21)) {
+    switch (*rc::gen::inRange(0, 23)) {
     case 0:
         return Heartbeat {anyNumber(),    anyNumber(), true, anyState(),  ZoneName {anyText()},
                           {anyText(), 1}, anyStamp(),  true, anyNumber(), {{TargetName {anyText()}, {anyText(), 8}}}};
@@ -114,6 +114,10 @@
     }
     case 19:
         return HubLoads {ZoneName {anyText()}, {{1, 2, 3}, {4, 5, 6}}};
+    case 20:
+        return PackedDocumentRequest {anyNumber()};
+    case 21:
+        return PackedDocument {anyNumber(), 7, anyText()};
     default:
         return RosterReply {anyRoster()};
     }
--- a/tests/test_zone_modules.cpp
+++ b/tests/test_zone_modules.cpp
@@ -206,6 +206,16 @@
     CHECK(hubs.hub({"y"}, t0 + 3s)->id == next);
 }
 
+TEST(Hubs, ReadOfTheRegistryKeepsTheIncarnationKnownFromMessages)
+{
+    const std::vector<RegisteredDaemon> all = hubs.registered();
+    const auto first = *hubs.hub({"y"}, t0);
+    const MemberId restarted {first.id.name, first.id.incarnation + 1};
+    hubs.recordMessage(restarted, first.peer, t0);
+    hubs.setRegistered(all);
+    CHECK(hubs.hub({"y"}, t0)->id == restarted);
+}
+
 TEST(Hubs, UnresponsiveHubsAreProbed)
 {
     std::optional<RegisteredDaemon> hub = hubs.hub({"x"}, t0);
@@ -338,6 +348,33 @@
     CHECK(dueReads(state, startedAt, t0 + config::RelayedProofMaxAge + 1ms) == (DueReads {true, true}));
 }
 
+// Load: the directory refuses all calls for five seconds. Four hundred daemons must not ask it twice a second each.
+TEST(ReadPlan, FailedReadsAreRepeatedLessAndLessOften)
+{
+    ReadBackoff backoff;
+    CHECK(backoff.allowed(t0));
+    unsigned reads = 0;
+    for (TimePoint now = t0; now < t0 + 5s; now += 500ms) {
+        if (backoff.allowed(now)) {
+            ++reads;
+            backoff.record(false, 0.5, now);
+        }
+    }
+    CHECK(reads >= 2 && reads <= 4);
+    backoff.record(true, 0.5, t0 + 5s);
+    CHECK(backoff.allowed(t0 + 5s));
+}
+
+TEST(ReadPlan, BackoffSpreadsTheNextReads)
+{
+    ReadBackoff early;
+    ReadBackoff late;
+    early.record(false, 0, t0);
+    late.record(false, 1, t0);
+    CHECK(early.allowed(t0 + 800ms));
+    CHECK(!late.allowed(t0 + 1200ms));
+}
+
 TEST_GROUP(Repeats)
 {
     RepeatCounter counter {{0.2, 5, 10s}};
