Correct the figure in the comment of RelayedDocumentBytes

Cause: the comment said two seconds; 90 copies of 2 MB, packed to a fifth, are 36 MB, which take three seconds of 100 Mbit/s.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -211,7 +211,7 @@
 inline constexpr auto DocumentFetchSpread
     = 300ms; ///< members fetch a new document from their hub at random times within this period, so that the hub can place requests meanwhile
 inline constexpr std::uint32_t RelayedDocumentBytes
-    = 2'000'000; ///< members read a larger document from the store; of one of this size, 90 copies, compressed, take about two seconds of a link of 100 Mbit/s
+    = 2'000'000; ///< members read a larger one from the store; 90 copies of this size, packed to a fifth, take 3 s of 100 Mbit/s
 inline constexpr unsigned DocumentFetchTries = 2; ///< attempts to fetch a document from a hub before it is read from the store
 inline constexpr auto TargetsReadInterval = 500ms; ///< a quarter of the time within which a leaving target must stop getting requests
 inline constexpr auto RegistryFollowInterval
