--- a/makefile
+++ b/makefile
@@ -48,7 +48,7 @@
 
 platform-day: ## runs a day of the users' bench, which must lie beside the project; SITE=path DAY=name
 	@test -n "$(SITE)" -a -n "$(DAY)" || { echo "usage: make platform-day SITE=path DAY=name"; exit 2; }
-	@../given/kit/more/system/bin/fleetbench run $(SITE) $(DAY)
+	@../given/kit/more/system/more/bench-d17393/bin/fleetbench run $(SITE) $(DAY)
 
 clean: ## removes the build folder
 	@rm -rf $(BUILD)
