--- a/include/plumsill/document_freshness.h
+++ b/include/plumsill/document_freshness.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plumsill/clock.h>
+#include <plumsill/types.h>
 
 #include <cstdint>
 #include <optional>
@@ -11,8 +12,8 @@
 class DocumentFreshness
 {
 public:
-    /// Records that a read sent at @p sentAt found @p version. A version above the held one makes a fetch due.
-    void recordVersion(std::uint64_t version, TimePoint sentAt);
+    /// Records that a read sent at @p sentAt found @p version in a store of @p era. A version above the held one makes a fetch due.
+    void recordVersion(std::uint64_t version, TimePoint sentAt, StoreEra era = 0);
     /// Records that the document of @p version is now in force. Returns false, without a change, unless @p version is above
     /// the held one.
     bool adopt(std::uint64_t version);
@@ -23,6 +24,8 @@
     std::uint64_t newest() const { return m_newest; }
     /// Whether a version above the held one is known.
     bool fetchDue() const { return m_newest > m_held; }
+    /// Time of the first read that found a version above the held one; none while no such version is known.
+    std::optional<TimePoint> newerKnownSince() const { return fetchDue() ? m_newerKnownSince : std::nullopt; }
     /// Latest time at which no version above the held one existed; none before a read has confirmed that. A version above the
     /// held one keeps this time from advancing until it is adopted.
     std::optional<TimePoint> currentAt() const { return m_heldProvedAt; }
@@ -30,6 +33,7 @@
 private:
     std::uint64_t m_held = 0;
     std::uint64_t m_newest = 0;
+    std::optional<TimePoint> m_newerKnownSince;
     std::optional<TimePoint> m_newestProvedAt; ///< latest time at which m_newest was known to be the newest version
     std::optional<TimePoint> m_heldProvedAt;
 };
--- a/include/plumsill/read_plan.h
+++ b/include/plumsill/read_plan.h
@@ -16,6 +16,7 @@
     std::optional<TimePoint> listReadAt; ///< time of the read that the list of targets came from; none before the first list
     std::optional<TimePoint> hubChosenAt; ///< when another daemon was chosen as hub; none while no hub is known or it is this daemon
     bool isHub = false; ///< this daemon is the hub of its zone
+    std::optional<TimePoint> newerKnownSince; ///< when a document newer than the held one was known to exist; none while there is none
 
     auto operator<=>(const ReadState &) const = default;
 };
@@ -31,6 +32,9 @@
 /// Decides which reads are due. @p startedAt: start of the daemon.
 DueReads dueReads(const ReadState &state, TimePoint startedAt, TimePoint now);
 
+/// Time of the next decision on reads after one at @p now.
+TimePoint nextReadCheck(const ReadState &state, TimePoint now);
+
 /// Paces the reads of a daemon that does not read for the fleet. While the directory is down, the data of all hubs grows old,
 /// and all daemons would read it at once and again and again.
 class ReadBackoff
--- a/include/plumsill/types.h
+++ b/include/plumsill/types.h
@@ -7,6 +7,10 @@
 
 namespace plumsill
 {
+/// Era of the platform's store. It rises each time the store has come back from an older copy and has lost what was written since; 0 where
+/// the store names none.
+using StoreEra = std::uint64_t;
+
 /// A name with a type of its own, so that names of different kinds cannot be confused.
 template<class Tag>
 struct Name {
--- a/src/directory_p.h
+++ b/src/directory_p.h
@@ -37,6 +37,7 @@
     std::shared_ptr<const Document> document;
     std::shared_ptr<const std::string> text; ///< the document as stored; sent to other daemons in this form
     TimePoint sentAt; ///< when the read was sent; no later document existed at that time
+    StoreEra era = 0; ///< era of the store that answered
 };
 
 /// The platform's listing of targets.
@@ -44,5 +45,6 @@
     std::vector<Target> targets;
     unsigned rejected = 0; ///< number of invalid entries
     TimePoint sentAt;
+    StoreEra era = 0; ///< era of the store that answered
 };
 }
--- a/src/directory_port_p.h
+++ b/src/directory_port_p.h
@@ -79,6 +79,11 @@
     {
         return std::visit([](const auto &directory) { return directory->calls(); }, m_directory);
     }
+    /// Highest era of the store in any of its answers.
+    StoreEra era() const
+    {
+        return std::visit([](const auto &directory) { return directory->era(); }, m_directory);
+    }
 
 private:
     Any m_directory;
--- a/src/document_freshness.cpp
+++ b/src/document_freshness.cpp
@@ -5,11 +5,14 @@
 namespace plumsill
 {
 // A read that found a version below the newest known one does not prove freshness, so it is ignored.
-void DocumentFreshness::recordVersion(std::uint64_t version, TimePoint sentAt)
+void DocumentFreshness::recordVersion(std::uint64_t version, TimePoint sentAt, StoreEra /*era*/)
 {
     if (version < m_newest) {
         return;
     }
+    if (version > m_held && m_newest <= m_held) {
+        m_newerKnownSince = sentAt;
+    }
     m_newestProvedAt = version > m_newest || !m_newestProvedAt ? sentAt : std::max(*m_newestProvedAt, sentAt);
     m_newest = version;
     if (m_held == m_newest) {
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -207,8 +207,8 @@
         if (mayRead && (due.document || due.targets)) {
             m_readBackoff.record(succeeded, std::uniform_real_distribution<double>(0, 1)(m_random), RuntimeClock::now());
         }
-        const bool starting = !m_documentFreshness.currentAt() || !m_list.readAt();
-        co_await sleepFor(starting ? config::ControlTick : config::DocumentReadInterval);
+        const TimePoint checked = RuntimeClock::now();
+        co_await sleepFor(nextReadCheck(readState(checked), checked) - checked);
     }
 }
 
@@ -220,6 +220,7 @@
     state.documentProvedAt = m_documentFreshness.currentAt();
     state.listReadAt = m_list.readAt();
     state.hubChosenAt = followsHub ? std::optional(m_hubChosenAt) : std::nullopt;
+    state.newerKnownSince = m_documentFreshness.newerKnownSince();
     state.isHub = m_registryRead && m_hubs.isHub(now); // without the registry each daemon knows only itself
     return state;
 }
@@ -231,13 +232,22 @@
     if (!read) {
         co_return false;
     }
-    m_documentFreshness.recordVersion(read.assume_value().version, read.assume_value().sentAt);
+    const DocumentRead &found = read.assume_value();
+    if (found.version < m_documentFreshness.newest()) {
+        Event("document", "older-document-read")
+            .add("version", static_cast<std::int64_t>(found.version))
+            .add("known", static_cast<std::int64_t>(m_documentFreshness.newest()))
+            .add("held", static_cast<std::int64_t>(m_documentFreshness.held()))
+            .add("era", static_cast<std::int64_t>(found.era));
+    }
+    m_documentFreshness.recordVersion(found.version, found.sentAt, found.era);
     adopt(read.assume_value(), "store");
     co_return true;
 }
 
 void ZoneControl::adopt(const DocumentRead &read, const std::string &from)
 {
+    const auto newerKnownSince = m_documentFreshness.newerKnownSince();
     if (!m_documentFreshness.adopt(read.version)) {
         return;
     }
@@ -249,6 +259,7 @@
     Event("document", "document-in-force")
         .add("version", static_cast<std::int64_t>(read.version))
         .add("from", from)
+        .add("known_for_ms", newerKnownSince ? now - *newerKnownSince : Duration::zero())
         .add("routes", static_cast<std::int64_t>(read.document->routes.size()))
         .add("teams", static_cast<std::int64_t>(read.document->teams.size()));
     publish(now);
@@ -316,7 +327,15 @@
 boost::asio::awaitable<void> ZoneControl::fetchDocumentFrom(Endpoint from)
 {
     const Envelope request = envelope(PackedDocumentRequest {m_documentFreshness.held()});
+    const TimePoint requestedAt = RuntimeClock::now();
     const auto reply = co_await m_peers.request(from, request);
+    if (!reply) {
+        Event("document", "document-not-relayed")
+            .add("from", toString(from))
+            .add("reason", toString(reply.error()))
+            .add("took_ms", RuntimeClock::now() - requestedAt)
+            .add("newest", static_cast<std::int64_t>(m_documentFreshness.newest()));
+    }
     const auto *answer = reply ? std::get_if<PackedDocument>(&reply.assume_value().message) : nullptr;
     if (answer == nullptr || answer->version <= m_documentFreshness.held()) {
         co_return;
@@ -368,7 +387,15 @@
     if (!proof.known) {
         return;
     }
+    const std::uint64_t newest = m_documentFreshness.newest();
     m_documentFreshness.recordVersion(proof.version, writtenAt - std::chrono::milliseconds(proof.ageMilliseconds));
+    if (m_documentFreshness.newest() > newest) {
+        Event("document", "newer-document-known")
+            .add("version", static_cast<std::int64_t>(proof.version))
+            .add("held", static_cast<std::int64_t>(m_documentFreshness.held()))
+            .add("from", toString(from))
+            .add("proved_ms_ago", RuntimeClock::now() - writtenAt + std::chrono::milliseconds(proof.ageMilliseconds));
+    }
     if (m_documentFreshness.fetchDue() && !m_fetchingDocument) {
         // A hub's link is too slow to send a very large document to all its members, so each member reads a document of more
         // than RelayedDocumentBytes from the directory.
@@ -532,6 +559,9 @@
     const auto provedAt = m_documentFreshness.currentAt();
     gauges.push_back({"plumsill_document_version", static_cast<double>(m_documentFreshness.held())});
     gauges.push_back({"plumsill_document_age_seconds", provedAt ? seconds(now - *provedAt) : -1});
+    gauges.push_back({"plumsill_document_newest_known", static_cast<double>(m_documentFreshness.newest())});
+    gauges.push_back({"plumsill_digests_without_echo", static_cast<double>(m_digestsWithoutEcho)});
+    gauges.push_back({"plumsill_store_era", static_cast<double>(m_directory.era())});
     gauges.push_back({"plumsill_targets_age_seconds", m_list.readAt() ? seconds(now - *m_list.readAt()) : -1});
     gauges.push_back({"plumsill_targets_rejected", static_cast<double>(m_rejectedTargets)});
     gauges.push_back({"plumsill_registered_daemons", static_cast<double>(m_hubs.registered().size())});
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -442,6 +442,7 @@
     updateShares(now);
     const TimePoint writtenAt = fromTimestamp(digest.echo) + std::chrono::milliseconds(digest.echoHeldMilliseconds);
     if (digest.echo == 0 || writtenAt > now) {
+        ++m_digestsWithoutEcho;
         return;
     }
     recordRegistry(digest.registry, now);
--- a/src/read_plan.cpp
+++ b/src/read_plan.cpp
@@ -40,6 +40,12 @@
             due(state.readsForFleet, waits, state.listReadAt, config::RelayedListMaxAge, now)};
 }
 
+TimePoint nextReadCheck(const ReadState &state, TimePoint now)
+{
+    const bool starting = !state.documentProvedAt || !state.listReadAt;
+    return now + (starting ? Duration(config::ControlTick) : Duration(config::DocumentReadInterval));
+}
+
 void ReadBackoff::record(bool succeeded, double random, TimePoint now)
 {
     if (succeeded) {
--- a/src/store_directory_p.h
+++ b/src/store_directory_p.h
@@ -38,6 +38,8 @@
     void setStoreAddress(const Endpoint &store);
     /// Number of calls sent to the store.
     std::uint64_t calls() const { return m_calls; }
+    /// This store never loses an acknowledged write.
+    StoreEra era() const { return 0; }
 
 private:
     std::shared_ptr<StoreConnection> m_store; ///< shared with running calls, which may end after m_store was replaced at a change of address
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -235,6 +235,7 @@
     std::mt19937_64 m_random {std::random_device()()};
     std::uint64_t m_localPlacements = 0;
     std::uint64_t m_hubPlacements = 0;
+    std::uint64_t m_digestsWithoutEcho = 0; ///< digests of other hubs whose proofs were ignored, as their age is unknown
     bool m_leaving = false;
     TimePoint m_closeAt = TimePoint::max(); ///< time from which connections take no further request; set at a planned stop
     TimePoint m_answerBy = TimePoint::max(); ///< time from which requests that still run are ended; set at a planned stop
