Failing tests for daemons that act on an older document

The stand-in of the object service learns to keep a copy and to come back from it, and names its era in all answers.

--- a/tests/process_zone.cpp
+++ b/tests/process_zone.cpp
@@ -126,6 +126,60 @@
     }
 }
 
+// Guards against an older document in force because the hub stops right after the change, while the kept connections to the
+// object service are silent.
+TEST(ZoneProcess, DocumentIsInForceInTimeAlthoughHubsStopAndStoreConnectionsAreSilent)
+{
+    start(true);
+    for (const auto &[name, daemon] : fleet->daemons) {
+        fleet->linkFault("store-" + name, R"({"silence":true})");
+    }
+    sleepFor(3s);
+    std::vector<std::string> stopped;
+    for (const std::string zone : {"z0", "z1"}) {
+        stopped.push_back(hubOf(zone));
+        fleet->daemons.at(stopped.back()).process->signal(SIGSTOP);
+    }
+    CHECK(fleet->publish(document(2)));
+    CHECK(eventually(2s, [&] {
+        return std::all_of(fleet->daemons.begin(), fleet->daemons.end(), [&](const auto &entry) {
+            const bool runs = std::find(stopped.begin(), stopped.end(), entry.first) == stopped.end();
+            return !runs || status(entry.first, "GET", "/v2/x") == 200;
+        });
+    }));
+    for (const auto &name : stopped) {
+        fleet->daemons.at(name).process->signal(SIGCONT);
+    }
+}
+
+// Guards against an older document taken from a store that has come back from a copy, by running daemons and by one that
+// starts meanwhile.
+TEST(ZoneProcess, StoreThatComesBackFromACopyBringsNoOlderDocumentIntoForce)
+{
+    start(false);
+    fleet->copyStore();
+    auto next = document(2);
+    next.teams[1].keys = {"another-blue-key"};
+    CHECK(fleet->publish(next));
+    CHECK(eventually(2s, [this] { return allAnswer("GET", "/v2/x", {}, 200); }));
+    const auto restarted = hubOf("z1");
+    fleet->daemons.at(restarted).process->signal(SIGKILL);
+    fleet->daemons.at(restarted).process->wait();
+    fleet->restoreStore();
+    fleet->startDaemon(restarted, "z1");
+    const auto until = std::chrono::steady_clock::now() + 3s;
+    while (std::chrono::steady_clock::now() < until) {
+        for (const auto &[name, daemon] : fleet->daemons) {
+            const auto older = status(name, "GET", "/v1/x");
+            const auto withdrawn = status(name, "GET", "/read/1", BlueKey);
+            CHECK(older != 200 && withdrawn != 200);
+            CHECK(name == restarted || status(name, "GET", "/v2/x") == 200);
+        }
+    }
+    CHECK(fleet->publish(next));
+    CHECK(eventually(3s, [this] { return allAnswer("GET", "/read/1", RedKey, 200); }));
+}
+
 TEST(ZoneProcess, WithdrawnKeyIsRefusedWithinFiveSecondsAlsoByDaemonsCutOffFromTheService)
 {
     start(true);
--- a/tests/test_zone_modules.cpp
+++ b/tests/test_zone_modules.cpp
@@ -80,6 +80,32 @@
     CHECK(freshness.currentAt() == t0);
 }
 
+// Guards against keys that work again after their withdrawal: a store that has come back from a copy shows an older document.
+TEST(DocumentFreshness, ReadOfAStoreThatHasComeBackFromACopyProvesNothingAtFirst)
+{
+    freshness.recordVersion(7, t0, 1);
+    CHECK(freshness.adopt(7));
+    freshness.recordVersion(7, t0 + 1s, 2);
+    freshness.recordVersion(7, t0 + 2s, 2);
+    CHECK(freshness.currentAt() == t0);
+    freshness.recordVersion(7, t0 + 5s, 2);
+    CHECK(freshness.currentAt() == t0 + 5s);
+}
+
+// Guards against an endless distrust: a second copy shortly after the first one, and a proof from before both.
+TEST(DocumentFreshness, EachEraBeginsWithATimeWithoutProofs)
+{
+    freshness.recordVersion(7, t0, 1);
+    CHECK(freshness.adopt(7));
+    freshness.recordVersion(7, t0 + 1s, 2);
+    freshness.recordVersion(7, t0 + 2500ms, 3);
+    freshness.recordVersion(7, t0 + 4s, 3);
+    freshness.recordVersion(7, t0 + 900ms, 1);
+    CHECK(freshness.currentAt() == t0 + 900ms);
+    freshness.recordVersion(7, t0 + 6s, 3);
+    CHECK(freshness.currentAt() == t0 + 6s);
+}
+
 TEST(DocumentFreshness, LowerVersionIsRefused)
 {
     freshness.adopt(9);
@@ -216,6 +242,21 @@
     CHECK(hubs.hub({"y"}, t0)->id == restarted);
 }
 
+// Guards against a hub whose proofs nobody accepts: it started again after its time of day had stepped back, so that its
+// incarnation is lower than that of its previous run.
+TEST(Hubs, RestartedDaemonWithALowerIncarnationIsRecognised)
+{
+    HubDirectory directory(daemon("d1", "z0"));
+    directory.setRegistered({daemon("d2", "z0", 900)});
+    directory.recordMessage({{"d2"}, 900}, {"10.0.0.2", 7000}, t0);
+    directory.recordMessage({{"d2"}, 400}, {"10.0.0.2", 7000}, t0 + 3s);
+    directory.setRegistered({daemon("d2", "z0", 900)});
+    const auto found
+        = std::find_if(directory.registered().begin(), directory.registered().end(), [](const auto &entry) { return entry.id.name.value == "d2"; });
+    CHECK(found != directory.registered().end());
+    LONGS_EQUAL(400, found->id.incarnation);
+}
+
 TEST(Hubs, UnresponsiveHubsAreProbed)
 {
     std::optional<RegisteredDaemon> hub = hubs.hub({"x"}, t0);
@@ -348,6 +389,27 @@
     CHECK(dueReads(state, startedAt, t0 + config::RelayedProofMaxAge + 1ms) == (DueReads {true, true}));
 }
 
+// Guards against an older document that stays in force because the hub that told of the newer one no longer answers.
+TEST(ReadPlan, DaemonReadsItselfSoonAfterANewerDocumentIsKnown)
+{
+    state.hubChosenAt = t0 - 10s;
+    state.documentProvedAt = state.listReadAt = t0;
+    state.newerKnownSince = t0 + 100ms;
+    CHECK(dueReads(state, startedAt, t0 + 400ms) == DueReads {});
+    CHECK(dueReads(state, startedAt, t0 + 1s) == (DueReads {true, false}));
+}
+
+// Guards against a fallback that comes half a second late, at the next tick.
+TEST(ReadPlan, NextCheckComesWhenAReadBecomesDue)
+{
+    state.hubChosenAt = t0 - 10s;
+    state.documentProvedAt = state.listReadAt = t0;
+    const TimePoint now = t0 + config::RelayedListMaxAge - 50ms;
+    const TimePoint next = nextReadCheck(state, now);
+    CHECK(next > now && next <= now + 60ms);
+    CHECK(dueReads(state, startedAt, next).targets);
+}
+
 // Load: the directory refuses all calls for five seconds. Four hundred daemons must not ask it twice a second each.
 TEST(ReadPlan, FailedReadsAreRepeatedLessAndLessOften)
 {
--- a/tests/zone_fleet.h
+++ b/tests/zone_fleet.h
@@ -150,6 +150,9 @@
         return place == std::string::npos ? -1 : std::strtod(answer.body.c_str() + place + name.size() + 2, nullptr);
     }
     void storeFault(const std::string &json) { httpCall(storeControl, "POST", "/control/faults", {}, json); }
+    /// Keeps a copy of the object service's state, or makes the service come back from it.
+    void copyStore() { httpCall(storeControl, "POST", "/control/copy"); }
+    void restoreStore() { httpCall(storeControl, "POST", "/control/restore"); }
     void targetFault(const std::string &target, const std::string &json) { httpCall(targets.at(target).control, "POST", "/control/faults", {}, json); }
     void linkFault(const std::string &name, const std::string &json) { httpCall(proxy, "PUT", "/control/links/" + name, {}, json); }
     std::string log(const std::string &daemon) const
--- a/tools/object_store.h
+++ b/tools/object_store.h
@@ -77,7 +77,7 @@
     /// Changes of the objects of a kind after the revision @p from; nothing if the history no longer holds all of them.
     std::optional<std::vector<ObjectEvent>> events(const std::string &kind, std::uint64_t from) const
     {
-        if (from < m_expiredRevision) {
+        if (from < m_expiredRevision || from > m_revision) {
             return std::nullopt;
         }
         std::vector<ObjectEvent> events;
@@ -161,6 +161,22 @@
         m_expiredRevision = m_revision;
     }
 
+    /// Keeps a copy of all objects and of the revision.
+    void copy() { m_copy = {m_objects, m_revision}; }
+
+    /// Comes back from the last copy: what was written since is gone, and its revisions are given out again. Watches have to list again.
+    void restore()
+    {
+        m_objects = m_copy.objects;
+        m_revision = m_copy.revision;
+        m_history.clear();
+        m_expiredRevision = m_revision;
+        ++m_era;
+    }
+
+    /// Number of restores, plus one.
+    std::uint64_t era() const { return m_era; }
+
     static std::uint64_t revisionOf(const json::object &object) { return object.at("metadata").at("revision").to_number<std::uint64_t>(); }
 
 private:
@@ -173,6 +189,11 @@
         bool deleted = false;
     };
 
+    struct Copy {
+        std::map<Key, json::object> objects;
+        std::uint64_t revision = 1;
+    };
+
     static constexpr std::size_t MaxHistoryChanges = 5000; // far more changes than the tests make between two reads
 
     static const json::object *metadataIn(const json::object &body)
@@ -230,6 +251,8 @@
     std::map<Key, json::object> m_objects;
     std::deque<Change> m_history;
     std::uint64_t m_revision = 1;
+    Copy m_copy;
+    std::uint64_t m_era = 1;
     std::uint64_t m_expiredRevision = 0; ///< newest revision that the history no longer holds
 };
 }
--- a/tools/standin_objects.cpp
+++ b/tools/standin_objects.cpp
@@ -116,11 +116,13 @@
         , m_random(seed)
     { }
 
+    /// Answers a call of a daemon or a target. Every answer names the era of the store.
     asio::awaitable<Answer> answer(Request request);
     asio::awaitable<Answer> control(Request request);
     asio::awaitable<void> runExpiry();
 
 private:
+    asio::awaitable<Answer> answerCall(Request request);
     asio::awaitable<Answer> watch(const Request &request, const ObjectPath &objectPath, std::uint64_t from);
     asio::awaitable<void> performLater(Request request, ObjectPath objectPath);
     Answer perform(const Request &request, const ObjectPath &objectPath);
@@ -141,6 +143,13 @@
 };
 
 asio::awaitable<Answer> ObjectService::answer(Request request)
+{
+    Answer result = co_await answerCall(std::move(request));
+    result.fields.push_back({platform::EraField, std::to_string(m_store.era())});
+    co_return result;
+}
+
+asio::awaitable<Answer> ObjectService::answerCall(Request request)
 {
     const auto objectPath = parseObjectPath(request.path);
     if (!objectPath) {
@@ -315,6 +324,15 @@
         wakeWatches();
         co_return Answer {204};
     }
+    if (request.path == "/control/copy") {
+        m_store.copy();
+        co_return Answer {204};
+    }
+    if (request.path == "/control/restore") {
+        m_store.restore();
+        wakeWatches();
+        co_return Answer {204};
+    }
     if (request.path == "/control/leaving") {
         json::object leaving;
         for (const auto &[name, time] : m_leaving) {
