Read the document from the store soon after its relay has failed

Callers got answers of an older document for up to 2 s after the newer one was known: the daemon waited for the hub that had told of it, and read the store itself only once its proof was 1.3 s old, at the next tick of half a second, and after an outage not before the end of a pause of up to 5 s. A read of the targets without an answer held up the read of the document for 1.2 s more.

--- a/include/plumsill/read_plan.h
+++ b/include/plumsill/read_plan.h
@@ -29,10 +29,13 @@
     auto operator<=>(const DueReads &) const = default;
 };
 
+/// Whether a newer document has been known for so long that its relay by a hub must have failed.
+bool relayOverdue(const ReadState &state, TimePoint now);
+
 /// Decides which reads are due. @p startedAt: start of the daemon.
 DueReads dueReads(const ReadState &state, TimePoint startedAt, TimePoint now);
 
-/// Time of the next decision on reads after one at @p now.
+/// Time of the next decision on reads after one at @p now: when the next read becomes due, or earlier.
 TimePoint nextReadCheck(const ReadState &state, TimePoint now);
 
 /// Paces the reads of a daemon that does not read for the fleet. While the directory is down, the data of all hubs grows old,
@@ -43,9 +46,12 @@
     bool allowed(TimePoint now) const { return now >= m_next; }
     /// Records the result of a read. @p random: random number from 0 to 1, which spreads the next reads of many daemons.
     void record(bool succeeded, double random, TimePoint now);
+    /// Records that a hub relayed data that the directory returned at @p readAt, after which a pause has no reason.
+    void recordRelayed(TimePoint readAt);
 
 private:
     Duration m_pause {};
+    TimePoint m_failedAt;
     TimePoint m_next;
 };
 }
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -190,28 +190,35 @@
     const TimePoint start = RuntimeClock::now();
     while (true) {
         const TimePoint now = RuntimeClock::now();
-        const DueReads due = dueReads(readState(now), start, now);
-        const bool mayRead = readsForFleet(now) || m_readBackoff.allowed(now);
-        bool succeeded = true;
-        if (due.document && mayRead) {
-            succeeded = co_await readDocument();
+        const ReadState state = readState(now);
+        const DueReads due = dueReads(state, start, now);
+        const bool documentFails = due.document && m_documentRead.failed;
+        if (due.document && !m_documentRead.running && (state.readsForFleet || relayOverdue(state, now) || m_documentRead.backoff.allowed(now))) {
+            boost::asio::co_spawn(m_context, runRead(m_documentRead, &ZoneControl::readDocument), boost::asio::detached);
         }
-        if (due.targets && mayRead && succeeded && now >= m_nextListRead) {
+        if (due.targets && !documentFails && !m_targetsRead.running && (state.readsForFleet || m_targetsRead.backoff.allowed(now)) && now >= m_nextListRead) {
             m_nextListRead = now + config::TargetsReadInterval;
-            succeeded = co_await readTargets();
+            boost::asio::co_spawn(m_context, runRead(m_targetsRead, &ZoneControl::readTargets), boost::asio::detached);
         }
-        if (due.targets && !succeeded && !m_otherHubs.empty() && !m_fetchingTargets) {
+        if (due.targets && (documentFails || m_targetsRead.failed) && !m_otherHubs.empty() && !m_fetchingTargets) {
             const auto &[id, hub] = *std::next(m_otherHubs.begin(), static_cast<std::ptrdiff_t>(m_random() % m_otherHubs.size()));
             boost::asio::co_spawn(m_context, fetchTargets(hub.peer, id.name), boost::asio::detached);
         }
-        if (mayRead && (due.document || due.targets)) {
-            m_readBackoff.record(succeeded, std::uniform_real_distribution<double>(0, 1)(m_random), RuntimeClock::now());
-        }
         const TimePoint checked = RuntimeClock::now();
         co_await sleepFor(nextReadCheck(readState(checked), checked) - checked);
     }
 }
 
+// Reads run beside each other, so that one without an answer delays no other.
+boost::asio::awaitable<void> ZoneControl::runRead(DirectoryRead &state, boost::asio::awaitable<bool> (ZoneControl::*read)())
+{
+    state.running = true;
+    const bool succeeded = co_await (this->*read)();
+    state.running = false;
+    state.failed = !succeeded;
+    state.backoff.record(succeeded, std::uniform_real_distribution<double>(0, 1)(m_random), RuntimeClock::now());
+}
+
 ReadState ZoneControl::readState(TimePoint now) const
 {
     const bool followsHub = m_hub && m_hub->name != m_self.id.name;
@@ -387,6 +394,7 @@
     if (!proof.known) {
         return;
     }
+    m_documentRead.backoff.recordRelayed(writtenAt - std::chrono::milliseconds(proof.ageMilliseconds));
     const std::uint64_t newest = m_documentFreshness.newest();
     m_documentFreshness.recordVersion(proof.version, writtenAt - std::chrono::milliseconds(proof.ageMilliseconds));
     if (m_documentFreshness.newest() > newest) {
@@ -411,6 +419,7 @@
     }
     const ListSource source {daemon, proof.revision};
     const TimePoint readAt = writtenAt - std::chrono::milliseconds(proof.ageMilliseconds);
+    m_targetsRead.backoff.recordRelayed(readAt);
     if (m_listSource == source) {
         m_list.confirm(readAt);
         return;
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -112,6 +112,13 @@
         bool readsStore = false; ///< the hub reads the directory itself rather than through other hubs
     };
 
+    /// Repeated read of the directory.
+    struct DirectoryRead {
+        bool running = false;
+        bool failed = false; ///< the last read that ended has failed
+        ReadBackoff backoff;
+    };
+
     // Registry, and reads of the document and of the listing of targets.
     boost::asio::awaitable<DirectoryResult<std::string>> peerSecret();
     /// Registers this daemon unless its entry exists already. Returns false if the directory can't be reached.
@@ -119,6 +126,7 @@
     boost::asio::awaitable<void> readRegistry();
     boost::asio::awaitable<bool> readDocument();
     boost::asio::awaitable<bool> readTargets();
+    boost::asio::awaitable<void> runRead(DirectoryRead &state, boost::asio::awaitable<bool> (ZoneControl::*read)());
     boost::asio::awaitable<void> fetchDocument(std::optional<Endpoint> from);
     boost::asio::awaitable<void> fetchDocumentFrom(Endpoint from);
     const PackedDocument &packedDocument();
@@ -229,7 +237,8 @@
     TimePoint m_registryReadAt;
     unsigned m_registryReads = 0;
     TimePoint m_nextListRead;
-    ReadBackoff m_readBackoff;
+    DirectoryRead m_documentRead;
+    DirectoryRead m_targetsRead;
     std::optional<TimePoint> m_storeReadAt; ///< when this daemon sent its last successful read of the list of targets
     std::optional<TimePoint> m_publishedAt; ///< none before the first snapshot
     std::mt19937_64 m_random {std::random_device()()};
--- a/tests/test_zone_modules.cpp
+++ b/tests/test_zone_modules.cpp
@@ -427,6 +427,22 @@
     CHECK(backoff.allowed(t0 + 5s));
 }
 
+// Guards against a pause that outlasts the outage: a hub relays again, and then stops.
+TEST(ReadPlan, PauseEndsOnceAHubRelaysALaterRead)
+{
+    ReadBackoff backoff;
+    for (TimePoint now = t0; now < t0 + 8s; now += 500ms) {
+        if (backoff.allowed(now)) {
+            backoff.record(false, 1, now);
+        }
+    }
+    CHECK(!backoff.allowed(t0 + 8s));
+    backoff.recordRelayed(t0);
+    CHECK(!backoff.allowed(t0 + 8s));
+    backoff.recordRelayed(t0 + 8s);
+    CHECK(backoff.allowed(t0 + 8s));
+}
+
 TEST(ReadPlan, BackoffSpreadsTheNextReads)
 {
     ReadBackoff early;
