Fetch a newer document from the daemon that told of it last

A fetch holds on to the daemon that told of the document first, for two tries of up to 3 s. If that daemon stops, what other hubs say meanwhile is ignored, and a daemon that is cut off from the store keeps the older document for 6 s. The second try now asks the daemon that told of the newest version last.

--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -312,18 +312,19 @@
     deliverQueuedPlacements();
 }
 
-boost::asio::awaitable<void> ZoneControl::fetchDocument(std::optional<Endpoint> from)
+// Each try asks the daemon that told of the newest document last, since the one before may have stopped.
+boost::asio::awaitable<void> ZoneControl::fetchDocument()
 {
     if (m_fetchingDocument) {
         co_return;
     }
     m_fetchingDocument = true;
-    for (unsigned attempt = 0; from && attempt < config::DocumentFetchTries && m_documentFreshness.fetchDue(); ++attempt) {
+    for (unsigned attempt = 0; m_documentSource && attempt < config::DocumentFetchTries && m_documentFreshness.fetchDue(); ++attempt) {
         const bool starting = m_documentFreshness.held() == 0 && attempt == 0;
         if (!starting && !actsAsHub(RuntimeClock::now())) {
             co_await sleepFor(randomDuration(config::DocumentFetchSpread));
         }
-        co_await fetchDocumentFrom(*from);
+        co_await fetchDocumentFrom(Endpoint(*m_documentSource));
     }
     if (m_documentFreshness.fetchDue()) {
         co_await readDocument();
@@ -404,11 +405,16 @@
             .add("from", toString(from))
             .add("proved_ms_ago", RuntimeClock::now() - writtenAt + std::chrono::milliseconds(proof.ageMilliseconds));
     }
-    if (m_documentFreshness.fetchDue() && !m_fetchingDocument) {
+    if (!m_documentFreshness.fetchDue()) {
+        return;
+    }
+    if (proof.version >= m_documentFreshness.newest()) {
         // A hub's link is too slow to send a very large document to all its members, so each member reads a document of more
         // than RelayedDocumentBytes from the directory.
-        const bool relayed = proof.bytes <= config::RelayedDocumentBytes;
-        boost::asio::co_spawn(m_context, fetchDocument(relayed ? std::optional(from) : std::nullopt), boost::asio::detached);
+        m_documentSource = proof.bytes <= config::RelayedDocumentBytes ? std::optional(from) : std::nullopt;
+    }
+    if (!m_fetchingDocument) {
+        boost::asio::co_spawn(m_context, fetchDocument(), boost::asio::detached);
     }
 }
 
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -127,7 +127,7 @@
     boost::asio::awaitable<bool> readDocument();
     boost::asio::awaitable<bool> readTargets();
     boost::asio::awaitable<void> runRead(DirectoryRead &state, boost::asio::awaitable<bool> (ZoneControl::*read)());
-    boost::asio::awaitable<void> fetchDocument(std::optional<Endpoint> from);
+    boost::asio::awaitable<void> fetchDocument();
     boost::asio::awaitable<void> fetchDocumentFrom(Endpoint from);
     const PackedDocument &packedDocument();
     boost::asio::awaitable<void> fetchTargets(Endpoint from, InstanceName daemon);
@@ -217,6 +217,7 @@
     boost::intrusive_ptr<const CompiledDocument> m_compiled;
     RelayedList m_relayed;
     std::optional<ListSource> m_listSource; ///< daemon that m_list came from; none where this daemon read it
+    std::optional<Endpoint> m_documentSource; ///< daemon that told of the newest document last; none where the document is too large to be relayed
     bool m_fetchingDocument = false;
     bool m_fetchingTargets = false;
     bool m_storeReached = true;
