--- a/src/http_client_p.h
+++ b/src/http_client_p.h
@@ -73,11 +73,14 @@
     /// Sends the request and reads the answer; closes the connection on failure or when the server does not keep it alive.
     boost::asio::awaitable<HttpResult> exchange(HttpRequest request, Duration timeout);
     void close();
+    /// When the connection was opened or carried its last answer.
+    TimePoint lastAnswerAt() const { return m_lastAnswerAt; }
 
 private:
     struct Connection;
 
     std::unique_ptr<Connection> m_connection;
+    TimePoint m_lastAnswerAt;
 };
 
 /// Sends one request on a new connection; blocks the calling thread until the result is known.
--- a/src/net_http_client.cpp
+++ b/src/net_http_client.cpp
@@ -103,6 +103,7 @@
         co_return false;
     }
     m_connection->socket.set_option(tcp::no_delay(true));
+    m_lastAnswerAt = RuntimeClock::now();
     co_return true;
 }
 
@@ -148,6 +149,7 @@
         co_return HttpError::TimedOut;
     }
     auto result = std::get<0>(std::move(first));
+    m_lastAnswerAt = result ? RuntimeClock::now() : m_lastAnswerAt;
     if (!result || !result.assume_value().keepAlive) {
         close();
     }
