Recognise a restarted daemon whose incarnation is lower

An incarnation is the time of day at the start. After a step back of the clock a restarted daemon has a lower one than before, and the others went on with the old one: digests to that daemon carried no echo once the old record had lapsed (10 s), so a hub that restarted this way ignored all proofs of the other hubs and heard of a new document by its own polls only, each 1.3 to 1.8 s; with the relay to its members that exceeds the 2 s of the small sites. A lower incarnation now replaces one that has been silent for a second.

--- a/include/plumsill/hubs.h
+++ b/include/plumsill/hubs.h
@@ -35,7 +35,8 @@
 
     /// Replaces the registered daemons. This daemon is always included.
     void setRegistered(std::vector<RegisteredDaemon> daemons);
-    /// Records a message from the daemon, which ends any suspicion. A newer incarnation replaces the registered one.
+    /// Records a message from the daemon, which ends any suspicion. A newer incarnation replaces the registered one. So does a lower one
+    /// if the registered one has been silent, since the daemon's time of day may have stepped back before its restart.
     void recordMessage(const MemberId &id, const Endpoint &peer, TimePoint now);
     /// Records that the daemon did not answer a request. It is suspected until a message from it arrives or 15 s have passed.
     void recordNoAnswer(const InstanceName &name, TimePoint now);
@@ -69,5 +70,7 @@
     RegisteredDaemon m_self;
     std::vector<RegisteredDaemon> m_daemons; ///< in descending order of rank
     std::map<InstanceName, Suspicion> m_suspected;
+    std::map<InstanceName, TimePoint> m_lastMessageAt; ///< last message of the registered incarnation
+    std::map<InstanceName, std::uint64_t> m_replaced; ///< incarnations that a lower one has replaced
 };
 }
--- a/src/hubs.cpp
+++ b/src/hubs.cpp
@@ -16,6 +16,9 @@
 // A daemon that announced its shutdown is not chosen as a hub for this time. It has ended by then, and can only return as
 // a newer incarnation.
 constexpr auto LeavingTime = 20s;
+// An incarnation that has sent nothing for this time may have been replaced by a lower one: longer than datagrams are delayed, and
+// shorter than a restart takes.
+constexpr auto IncarnationSilence = 1s;
 // Exponent of the capacity in a daemon's weight. A hub's work grows with its zone, so a small instance becomes the hub only
 // where no larger one answers, however many small ones there are: one of five times the size outweighs 15,000 of them.
 constexpr double HubWeightExponent = 6;
@@ -45,7 +48,9 @@
     }
     for (auto &daemon : daemons) {
         const auto found = known.find(daemon.id.name);
-        if (found != known.end() && found->second->id.incarnation > daemon.id.incarnation) {
+        const auto replaced = m_replaced.find(daemon.id.name);
+        const bool outdated = replaced != m_replaced.end() && replaced->second == daemon.id.incarnation;
+        if (found != known.end() && (outdated || found->second->id.incarnation > daemon.id.incarnation)) {
             daemon = *found->second;
         }
     }
@@ -58,9 +63,20 @@
 void HubDirectory::recordMessage(const MemberId &id, const Endpoint &peer, TimePoint now)
 {
     const auto known = std::find_if(m_daemons.begin(), m_daemons.end(), [&id](const RegisteredDaemon &daemon) { return daemon.id.name == id.name; });
-    if (known != m_daemons.end() && known->id.incarnation < id.incarnation) {
-        known->id = id;
-        known->peer = peer;
+    if (known != m_daemons.end() && known->id != id) {
+        const auto lastMessage = m_lastMessageAt.find(id.name);
+        const bool silent = lastMessage == m_lastMessageAt.end() || now - lastMessage->second >= IncarnationSilence;
+        if (known->id.incarnation < id.incarnation || silent) {
+            if (known->id.incarnation > id.incarnation) {
+                m_replaced[id.name] = known->id.incarnation;
+                m_suspected.erase(id.name);
+            }
+            known->id = id;
+            known->peer = peer;
+        }
+    }
+    if (known != m_daemons.end() && known->id == id) {
+        m_lastMessageAt[id.name] = now;
     }
     const auto found = m_suspected.find(id.name);
     const bool stillLeaving = found != m_suspected.end() && found->second.incarnation >= id.incarnation && found->second.until > now;
