Prove nothing by reads of a store that has just come back from a copy

A store that comes back from a copy shows an older document until its writers have written again what it lost. A daemon that held that older document took such a read as a proof that nothing newer exists, trusted keys that the lost version had withdrawn, and relayed the proof. In each era the reads of the first 2 s now prove nothing; a newer version found by them is still adopted, an older one never. Hubs tell with their proofs when the era began as they saw it, so that a daemon that started in the new era takes its own proofs back. Messages of the two builds differ (DocumentProof), so that during a rolling update daemons of the other build are left to their own reads, as with every change of a message. A site whose store names no era is not affected.

--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -283,6 +283,7 @@
     }
     const TargetsRead &read = result.assume_value();
     m_storeReadAt = read.sentAt;
+    m_documentFreshness.recordEra(read.era, read.sentAt);
     if (read.rejected != m_rejectedTargets) {
         m_rejectedTargets = read.rejected;
         Event("targets", "entries-rejected").add("count", static_cast<std::int64_t>(read.rejected));
@@ -392,6 +393,9 @@
 
 void ZoneControl::recordProof(const DocumentProof &proof, TimePoint writtenAt, const Endpoint &from)
 {
+    if (proof.eraAgeMilliseconds != DocumentProof::UnknownEraAge) {
+        m_documentFreshness.recordEraStart(proof.era, writtenAt - std::chrono::milliseconds(proof.eraAgeMilliseconds));
+    }
     if (!proof.known) {
         return;
     }
@@ -441,11 +445,18 @@
 
 DocumentProof ZoneControl::documentProof(TimePoint now) const
 {
-    const auto provedAt = m_documentFreshness.currentAt();
-    if (!provedAt) {
-        return {};
+    DocumentProof proof;
+    proof.era = m_documentFreshness.era();
+    if (const auto eraStart = m_documentFreshness.eraStart()) {
+        proof.eraAgeMilliseconds = millisecondsRoundedUp(now - *eraStart);
+    }
+    if (const auto provedAt = m_documentFreshness.currentAt()) {
+        proof.known = true;
+        proof.version = m_documentFreshness.held();
+        proof.ageMilliseconds = millisecondsRoundedUp(now - *provedAt);
+        proof.bytes = static_cast<std::uint32_t>(m_document.text->size());
     }
-    return {true, m_documentFreshness.held(), millisecondsRoundedUp(now - *provedAt), static_cast<std::uint32_t>(m_document.text->size())};
+    return proof;
 }
 
 ListProof ZoneControl::listProof(TimePoint now) const
