Let another hub place requests while the zone's hub is not ready

The restarted hub is chosen again by its first message, before it has a document or a list of targets, and its empty scheduler answers that nothing can run the request.

--- a/include/plumsill/zone_messages.h
+++ b/include/plumsill/zone_messages.h
@@ -69,6 +69,7 @@
     OverQuota,
     NoCapacity,
     Queued, ///< the request waits at the hub; another reply follows
+    NotReady, ///< the hub has no document or no list of targets yet; another daemon must place the request
 };
 
 /// A hub's decision on one request.
--- a/src/net_zone_placement.cpp
+++ b/src/net_zone_placement.cpp
@@ -39,6 +39,7 @@
     case PlaceStatus::Queued:
         return Queued {};
     case PlaceStatus::NoCapacity:
+    case PlaceStatus::NotReady:
         break;
     }
     return NoCapacity {retryAfter};
@@ -241,6 +242,10 @@
     MemberRecord &member = m_members[envelope.sender];
     member.peer = envelope.replyTo;
     member.lastReceivedAt = now;
+    if (!m_compiled || !m_list.readAt()) {
+        send(envelope.replyTo, PlaceReply {request.id, PlaceStatus::NotReady, {}, {}, 0, 0});
+        return;
+    }
     PlacementRequest placementRequest;
     placementRequest.key = {envelope.sender, request.id};
     placementRequest.service = request.service;
@@ -286,6 +291,13 @@
         found->second.queued = found->second.hub == envelope.sender;
         return;
     }
+    if (reply.status == PlaceStatus::NotReady) {
+        if (found->second.hub == envelope.sender) {
+            ++found->second.unresponsiveHubs;
+            hubUnresponsive({envelope.sender, m_settings.zone, envelope.replyTo, 0}, RuntimeClock::now());
+        }
+        return;
+    }
     m_scheduler.cancelPlacement({m_self.id, reply.id});
     const auto *placed = std::get_if<Placed>(&placement);
     if (placed != nullptr && isKnownUnusable(*placed)) {
--- a/tests/process_zone.cpp
+++ b/tests/process_zone.cpp
@@ -173,7 +173,9 @@
             const auto older = status(name, "GET", "/v1/x");
             const auto withdrawn = status(name, "GET", "/read/1", BlueKey);
             CHECK(older != 200 && withdrawn != 200);
-            CHECK(name == restarted || status(name, "GET", "/v2/x") == 200);
+            if (name != restarted) {
+                LONGS_EQUAL(200, status(name, "GET", "/v2/x"));
+            }
         }
     }
     CHECK(fleet->publish(next));
