Confirm the first document of a starting hub with the other zones

Where the store names an era, a daemon without a document now puts its own read into force only once another daemon has told of a document, once the hubs of all other zones have answered, or 0.9 s after its start. A version below the one that others know of is not taken at all. To make that cheap, a hub sends digests right after its first read of the registry, and a hub that receives a digest without an echo answers at once: one round trip. Left: if all daemons start again while the store is older, nobody knows the lost version until its operator has written it again.

--- a/include/plumsill/read_plan.h
+++ b/include/plumsill/read_plan.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <plumsill/clock.h>
+#include <plumsill/types.h>
 
 #include <compare>
+#include <cstddef>
 #include <optional>
 
 /// Reads of the directory, so that their number does not grow with the fleet: one hub reads for all daemons, and each other
@@ -38,6 +40,18 @@
 /// Time of the next decision on reads after one at @p now: when the next read becomes due, or earlier.
 TimePoint nextReadCheck(const ReadState &state, TimePoint now);
 
+/// What a starting daemon has learnt from others about the document.
+struct StartState {
+    StoreEra era = 0; ///< era of the store; 0: the store never comes back from a copy
+    bool peerKnowsDocument = false; ///< another daemon has told which document is the newest
+    std::size_t otherZones = 0; ///< zones with registered daemons, without the own one
+    std::size_t answeredZones = 0; ///< of these, zones whose hub has answered
+};
+
+/// Whether a daemon without a document may put the one that it has read into force. The store may have come back from a copy, which only
+/// daemons that were there before can tell.
+bool mayAdoptFirstRead(const StartState &state, TimePoint startedAt, TimePoint now);
+
 /// Paces the reads of a daemon that does not read for the fleet. While the directory is down, the data of all hubs grows old,
 /// and all daemons would read it at once and again and again.
 class ReadBackoff
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -164,6 +164,9 @@
     ++m_registryReads;
     m_nextRegistryReadAt = TimePoint::max();
     recordHub(m_registryReadAt);
+    if (m_registryReads == 1) {
+        sendDigests(m_registryReadAt); // a hub learns from the answers what it has missed
+    }
     if (m_hubs.registryHash() != before) {
         Event("registry", "registry-read").add("daemons", static_cast<std::int64_t>(m_hubs.registered().size()));
         updateShares(RuntimeClock::now());
@@ -209,6 +212,23 @@
     }
 }
 
+StartState ZoneControl::startState() const
+{
+    StartState state;
+    state.era = m_directory.era();
+    state.peerKnowsDocument = m_peerKnowsDocument;
+    std::set<ZoneName> answered;
+    for (const auto &[id, hub] : m_otherHubs) {
+        answered.insert(hub.zone);
+    }
+    auto others = m_hubs.zones();
+    others.erase(m_settings.zone);
+    state.otherZones = m_registryRead ? others.size() : 1;
+    answered.erase(m_settings.zone);
+    state.answeredZones = answered.size();
+    return state;
+}
+
 // Reads run beside each other, so that one without an answer delays no other.
 boost::asio::awaitable<void> ZoneControl::runRead(DirectoryRead &state, boost::asio::awaitable<bool> (ZoneControl::*read)())
 {
@@ -247,6 +267,12 @@
             .add("held", static_cast<std::int64_t>(m_documentFreshness.held()))
             .add("era", static_cast<std::int64_t>(found.era));
     }
+    const TimePoint now = RuntimeClock::now();
+    if (m_documentFreshness.held() == 0 && (found.version < m_documentFreshness.newest() || !mayAdoptFirstRead(startState(), m_startedAt, now))) {
+        m_documentFreshness.recordEra(found.era, found.sentAt);
+        Event("document", "first-read-unconfirmed").add("version", static_cast<std::int64_t>(found.version)).add("age_ms", now - m_startedAt);
+        co_return true;
+    }
     m_documentFreshness.recordVersion(found.version, found.sentAt, found.era);
     adopt(read.assume_value(), "store");
     co_return true;
@@ -399,6 +425,7 @@
     if (!proof.known) {
         return;
     }
+    m_peerKnowsDocument = true;
     m_documentRead.backoff.recordRelayed(writtenAt - std::chrono::milliseconds(proof.ageMilliseconds));
     const std::uint64_t newest = m_documentFreshness.newest();
     m_documentFreshness.recordVersion(proof.version, writtenAt - std::chrono::milliseconds(proof.ageMilliseconds));
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -441,6 +441,10 @@
     m_unansweredDigests[envelope.sender.name] = 0;
     updateShares(now);
     const TimePoint writtenAt = fromTimestamp(digest.echo) + std::chrono::milliseconds(digest.echoHeldMilliseconds);
+    if (digest.echo == 0 && actsAsHub(now)) {
+        // The sender has no digest of this daemon, perhaps because it has just started.
+        sendDigest({envelope.sender, digest.zone, envelope.replyTo, 1}, ownDigest(now), now);
+    }
     if (digest.echo == 0 || writtenAt > now) {
         ++m_digestsWithoutEcho;
         return;
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -133,6 +133,7 @@
     boost::asio::awaitable<void> fetchTargets(Endpoint from, InstanceName daemon);
     bool readsForFleet(TimePoint now) const;
     ReadState readState(TimePoint now) const;
+    StartState startState() const;
     void adopt(const DocumentRead &read, const std::string &from);
     void listChanged(const std::string &from);
     void recordProof(const DocumentProof &proof, TimePoint writtenAt, const Endpoint &from);
@@ -219,6 +220,8 @@
     std::optional<ListSource> m_listSource; ///< daemon that m_list came from; none where this daemon read it
     std::optional<Endpoint> m_documentSource; ///< daemon that told of the newest document last; none where the document is too large to be relayed
     bool m_fetchingDocument = false;
+    bool m_peerKnowsDocument = false; ///< another daemon has told of a document
+    const TimePoint m_startedAt = RuntimeClock::now();
     bool m_fetchingTargets = false;
     bool m_storeReached = true;
     unsigned m_rejectedTargets = 0;
--- a/tests/test_zone_modules.cpp
+++ b/tests/test_zone_modules.cpp
@@ -372,6 +372,24 @@
     CHECK(dueReads(state, startedAt, t0 + 1s) == (DueReads {false, true}));
 }
 
+// Guards against a hub that starts on an older document, because the store has come back from a copy.
+TEST(ReadPlan, FirstReadCountsOnceTheOtherZonesHaveAnswered)
+{
+    StartState start {2, false, 2, 0};
+    CHECK(!mayAdoptFirstRead(start, t0, t0 + 100ms));
+    start.answeredZones = 1;
+    CHECK(!mayAdoptFirstRead(start, t0, t0 + 100ms));
+    start.answeredZones = 2;
+    CHECK(mayAdoptFirstRead(start, t0, t0 + 100ms));
+    CHECK(mayAdoptFirstRead({2, true, 2, 0}, t0, t0 + 100ms));
+}
+
+TEST(ReadPlan, FirstReadCountsWithoutAnswersOnceThePatienceHasPassed)
+{
+    CHECK(mayAdoptFirstRead({2, false, 2, 1}, t0, t0 + 1s));
+    CHECK(mayAdoptFirstRead({0, false, 2, 0}, t0, t0));
+}
+
 TEST(ReadPlan, HubReadsAtItsStart)
 {
     state.isHub = true;
