--- a/include/plumsill/dialect.h
+++ b/include/plumsill/dialect.h
@@ -13,6 +13,7 @@
     std::string outcome = "Plumsill-Outcome"; ///< on refusals made by this daemon: whether the request may have run
     std::string callerAddress = "X-Forwarded-For"; ///< IP address of the caller
     std::string drain = "Plumsill-Drain"; ///< on a target's answer: the target is draining
+    std::string rateLimit; ///< on a target's answer: requests per second that the target accepts from the complete fleet
     std::string team; ///< on requests to targets: the team that sent the request
     std::string targetName; ///< on requests to targets: only the target of this name accepts the request
     std::string signature; ///< on a target's answer: a 2xx answer without this field is rejected, as it was not sent by the target
--- a/tests/process_zone.cpp
+++ b/tests/process_zone.cpp
@@ -289,6 +289,40 @@
     LONGS_EQUAL(before, runsAt("t1"));
 }
 
+// Guards against a target in need that gets the load of a healthy one although it names a limit; also while schedulers are lost.
+TEST(ZoneProcess, TargetGetsNoMoreRequestsThanTheLimitThatItNames)
+{
+    start(false);
+    fleet->targetFault("t0", R"({"rate_limit":"1"})");
+    const auto first = runsAt("t0");
+    const auto begin = std::chrono::steady_clock::now();
+    bool killed = false;
+    while (std::chrono::steady_clock::now() < begin + 12s) {
+        CHECK(allAnswer("GET", "/read/1", RedKey, 200));
+        if (!killed && std::chrono::steady_clock::now() > begin + 6s) {
+            killed = true;
+            const auto hub = hubOf("z0");
+            fleet->daemons.at(hub).process->signal(SIGKILL);
+            fleet->daemons.at(hub).process->wait();
+            fleet->daemons.erase(hub);
+        }
+    }
+    std::vector<std::int64_t> times;
+    const auto log = boost::json::parse(httpCall(fleet->targets.at("t0").control, "GET", "/control/log?from=" + std::to_string(first)).body);
+    for (const auto &run : log.as_array()) {
+        times.push_back(run.at("started_at").to_number<std::int64_t>());
+    }
+    // The platform allows one and a half times the limit and five requests more, from 3 s after it was named.
+    constexpr std::int64_t WindowMilliseconds = 4000;
+    std::size_t most = 0;
+    for (auto start = times.begin(); start != times.end(); ++start) {
+        const auto end = std::find_if(start, times.end(), [&](auto time) { return time > *start + WindowMilliseconds; });
+        most = *start > times.front() + 3000 ? std::max(most, static_cast<std::size_t>(end - start)) : most;
+    }
+    CHECK(most <= 11);
+    CHECK(times.size() > 1);
+}
+
 TEST(ZoneProcess, PlannedStopAnswersReceivedRequestsAndEndsInTime)
 {
     start(false);
--- a/tools/standin_target.cpp
+++ b/tools/standin_target.cpp
@@ -65,6 +65,7 @@
     bool unresponsive = false;
     bool swapsAnswers = false;
     bool drain = false;
+    std::string rateLimit; ///< text of the field by which the target limits its rate; empty: the answers have no such field
     Duration warmUpTime {};
     TimePoint warmUpSince;
 };
@@ -194,6 +195,9 @@
     } else {
         answer = co_await run(request);
     }
+    if (!m_faults.rateLimit.empty() && !m_settings.dialect.rateLimit.empty()) {
+        answer.fields.push_back({m_settings.dialect.rateLimit, m_faults.rateLimit});
+    }
     if (m_faults.drain) {
         answer.close = true;
         if (!m_settings.dialect.drain.empty()) {
@@ -388,6 +392,8 @@
         m_faults.swapsAnswers = value.as_bool();
     } else if (name == "drain") {
         m_faults.drain = value.as_bool();
+    } else if (name == "rate_limit") {
+        m_faults.rateLimit = std::string(value.as_string());
     } else if (name == "cold_ms") {
         m_faults.warmUpTime = std::chrono::milliseconds(value.to_number<std::int64_t>());
         m_faults.warmUpSince = RuntimeClock::now();
