Keep the limits that targets name, as a limit of the whole fleet

A target in need that named 1 request a second got the share of a healthy one, 13 to 18 in 4 s: nothing read the field. The adapter now names it, the reader of answers takes it from every answer but one of a wrong target (an unreadable one changes nothing, and only a signed answer without the field ends a limit), and each attempt's report carries it to the scheduler. A limited target has a token bucket of the same kind as a team's quota: one level that the schedulers share by the number of their members, taken tokens told with the digests, a part of it for a daemon that places by itself. Repeats, hedges and trials are placements and count. Members tell a newly chosen hub the limits that they know.

--- a/include/plumsill/quota.h
+++ b/include/plumsill/quota.h
@@ -33,6 +33,10 @@
 class TeamBucket
 {
 public:
+    /// @p taken: value from which the number of taken tokens counts on.
+    explicit TeamBucket(std::uint32_t taken = 0)
+        : m_taken(taken)
+    { }
     /// Takes a token; returns false if none is available.
     bool take(TimePoint now);
     /// Returns one token that was taken and not used.
@@ -77,7 +81,7 @@
     double m_level = 0; // tokens of the pool
     double m_allowance = 0; // tokens of m_level that this scheduler may take before the next digests of the others
     double m_announcedTokens = 0; // tokens that refused requests were told to wait for
-    std::uint32_t m_taken = 0;
+    std::uint32_t m_taken;
     bool m_takesOver = false;
     std::optional<double> m_reportedLevel; // tokens of the complete pool by the reports of the others, during the take-over
     TimePoint m_at;
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -8,6 +8,7 @@
 #include <plumsill/quota.h>
 #include <plumsill/repeats.h>
 #include <plumsill/roster.h>
+#include <plumsill/target_limit.h>
 #include <plumsill/types.h>
 
 #include <cstdint>
@@ -105,6 +106,16 @@
     Placement submit(const PlacementRequest &request, TimePoint now);
     /// Records the end of an attempt, which frees its slot. @p latency: time from placement to the end.
     void finishAttempt(const PlacementKey &key, AttemptEnd end, Duration latency, TimePoint now);
+    /// Records what an answer of the target says of its rate limit. Returns true if that changes the limit.
+    bool recordLimit(const TargetName &target, const LimitStatement &limit, TimePoint now);
+    /// Target of a running attempt; null if the attempt is not known.
+    const Target *targetOf(const PlacementKey &key) const;
+    /// Limit of the target with that hash of its name; null if there is no such target.
+    TargetLimit *limit(std::uint32_t target);
+    /// Sets the part of each target's limit that this scheduler may use.
+    void setLimitPart(const QuotaPart &part, TimePoint now);
+    /// Limits of targets to report to other daemons.
+    std::vector<NamedLimit> limits(TimePoint now) const;
     /// Removes a queued request whose caller cancelled it.
     void cancelPlacement(const PlacementKey &key);
     /// Compares the attempts counted here with those that the member reports as running. Attempts that are only in the report
@@ -138,6 +149,7 @@
         TimePoint coldUntil; ///< end of its cold start
         TimePoint refusedUntil; ///< end of the backoff after it refused a request because of load
         TimePoint lastPlaced;
+        TargetLimit limit;
         std::map<ZoneName, RemoteLoad> remote; ///< reports of the schedulers, by their zone
         std::map<InstanceName, TimePoint> lastAnswerAt; ///< time of the last good answer to each daemon, which may still have the connection open
         std::map<InstanceName, TimePoint> unreachableFrom; ///< time until which a daemon is given other targets, because it could not connect to this one
@@ -198,6 +210,7 @@
     ZoneName m_zone;
     RepeatBound m_repeats;
     double m_fleetShare = 0;
+    QuotaPart m_limitPart;
     std::map<ServiceName, ServiceState> m_services;
     std::map<TargetName, TargetStatePtr> m_targets;
     std::map<std::uint32_t, TargetStatePtr> m_byHash;
--- a/include/plumsill/zone_messages.h
+++ b/include/plumsill/zone_messages.h
@@ -101,17 +101,32 @@
     Abandoned, ///< the caller left, or another attempt was faster
 };
 
+/// What a target's answer says of its rate limit.
+struct LimitStatement {
+    bool stated = false; ///< the attempt got an answer that shows whether the target has a limit
+    bool limited = false;
+    double perSecond = 0; ///< requests that the target accepts from the complete fleet
+
+    auto operator<=>(const LimitStatement &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(stated, limited, perSecond);
+    }
+};
+
 /// Reports to the hub that an attempt has ended.
 struct AttemptReport {
     std::uint64_t id = 0;
     AttemptEnd end = AttemptEnd::Abandoned;
     std::uint32_t durationMilliseconds = 0;
+    LimitStatement limit;
 
     auto operator<=>(const AttemptReport &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, end, durationMilliseconds);
+        archive(id, end, durationMilliseconds, limit);
     }
 };
 
@@ -262,6 +277,37 @@
     }
 };
 
+/// Limit that a target has named, or ended, as the sender knows it.
+struct NamedLimit {
+    std::uint32_t target = 0; ///< shortHash() of the target name
+    bool limited = false;
+    double perSecond = 0; ///< requests that the target accepts from the complete fleet
+    std::uint32_t ageMilliseconds = 0; ///< time since the answer that said so, rounded up
+    std::uint32_t taken = 0; ///< requests to the target that the sender placed under a limit; wraps around
+
+    auto operator<=>(const NamedLimit &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(target, limited, perSecond, ageMilliseconds, taken);
+    }
+};
+
+/// Limits of targets, sent with a heartbeat to the hub and with a digest to the other hubs.
+struct TargetLimits {
+    static constexpr std::size_t MaxLimits = 50; ///< number of entries that fit into a datagram
+
+    bool fromHub = false; ///< sent with a digest
+    std::vector<NamedLimit> limits;
+
+    auto operator<=>(const TargetLimits &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(fromHub, limits);
+    }
+};
+
 /// Requests the document of a hub in compressed form. Sent over TCP.
 struct PackedDocumentRequest {
     std::uint64_t heldVersion = 0;
--- a/src/net_dispatch.cpp
+++ b/src/net_dispatch.cpp
@@ -28,10 +28,10 @@
     reportEnd(AttemptEnd::Abandoned, Duration::zero());
 }
 
-void TargetLease::reportEnd(AttemptEnd end, Duration elapsed)
+void TargetLease::reportEnd(AttemptEnd end, Duration elapsed, const TargetNotice &notice)
 {
     if (const EndCallback callback = std::exchange(m_onEnded, nullptr)) {
-        callback(end, elapsed);
+        callback(end, elapsed, notice);
     }
 }
 
@@ -93,7 +93,7 @@
     }
     ++m_inFlight;
     const TargetName &name = m_view.targets[*index].target.name;
-    return std::make_unique<TargetLease>(name, m_targets.at(name), [this](AttemptEnd /*end*/, Duration /*taken*/) {
+    return std::make_unique<TargetLease>(name, m_targets.at(name), [this](AttemptEnd /*end*/, Duration /*taken*/, const TargetNotice & /*notice*/) {
         --m_inFlight;
         serveQueue();
     });
--- a/src/net_parallel_attempts.cpp
+++ b/src/net_parallel_attempts.cpp
@@ -57,16 +57,9 @@
     return AttemptEnd::Failed;
 }
 
-bool targetLeaving(const AttemptResult &result)
+const TargetNotice &noticeOf(const AttemptResult &result)
 {
-    if (const auto *buffered = std::get_if<BufferedAnswer>(&result)) {
-        return buffered->targetLeaving;
-    }
-    if (const auto *streamed = std::get_if<StreamedAnswer>(&result)) {
-        return streamed->targetLeaving;
-    }
-    const auto &answer = std::get<FailedAttempt>(result).answer;
-    return answer && answer->targetLeaving;
+    return std::visit([](const auto &end) -> const TargetNotice & { return end.notice; }, result);
 }
 }
 
@@ -197,7 +190,7 @@
     const auto *failed = std::get_if<FailedAttempt>(&result);
     const bool cancelled = entry->handle.abandoned() && failed != nullptr;
     const AttemptEnd end = cancelled ? AttemptEnd::Abandoned : failed == nullptr ? AttemptEnd::Good : attemptEnd(failed->failed);
-    entry->lease->reportEnd(end, RuntimeClock::now() - entry->startedAt);
+    entry->lease->reportEnd(end, RuntimeClock::now() - entry->startedAt, noticeOf(result));
     std::erase(m_running, entry);
     m_ended.push_back(entry);
     if (m_wakeTimer != nullptr) {
@@ -225,7 +218,7 @@
     } else if (kind != AnswerKind::Shed) {
         runtime.latency.addFailure(now);
     }
-    if (targetLeaving(result)) {
+    if (noticeOf(result).leaving) {
         m_thread.report().leavingTargets.push_back({entry.lease->name(), runtime.pool.endpoint()});
     }
 }
--- a/src/net_traffic.cpp
+++ b/src/net_traffic.cpp
@@ -225,9 +225,10 @@
         const auto *none = std::get_if<NoCapacity>(&*waiter.placement);
         co_return NoTarget {true, none == nullptr ? Duration(config::RetryAfterFailure) : none->retryAfter};
     }
-    auto lease = std::make_unique<TargetLease>(placed->target, runtimeOf(placed->target, placed->endpoint), [this, id](AttemptEnd end, Duration elapsed) {
-        m_control.attemptEnded({id, end, wholeMilliseconds(elapsed)});
-    });
+    const auto ended = [this, id](AttemptEnd end, Duration elapsed, const TargetNotice &notice) {
+        m_control.attemptEnded({id, end, wholeMilliseconds(elapsed), notice.limit});
+    };
+    auto lease = std::make_unique<TargetLease>(placed->target, runtimeOf(placed->target, placed->endpoint), ended);
     lease->setHedgeAfter(placed->hedgeAfter);
     co_return lease;
 }
@@ -241,7 +242,7 @@
             found->second->placement = std::move(placement);
             found->second->timer.cancel();
         } else if (found == m_placementWaiters.end() && std::holds_alternative<Placed>(placement)) {
-            m_control.attemptEnded({placementId, AttemptEnd::Abandoned, 0});
+            m_control.attemptEnded({placementId, AttemptEnd::Abandoned, 0, {}});
         }
     });
 }
--- a/src/net_upstream.cpp
+++ b/src/net_upstream.cpp
@@ -4,6 +4,8 @@
 
 #include "clock_p.h"
 
+#include <plumsill/target_limit.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
@@ -90,6 +92,26 @@
     return std::nullopt;
 }
 
+// A limit that can't be read changes nothing. Only an answer with the target's signature shows that there is no limit, since a refusal or
+// an error may be made before the target adds its fields.
+LimitStatement limitOf(const AnswerHeader &header, const Dialect &dialect)
+{
+    if (dialect.rateLimit.empty()) {
+        return {};
+    }
+    if (!hasField(header, dialect.rateLimit)) {
+        return {!dialect.signature.empty() && hasField(header, dialect.signature), false, 0};
+    }
+    const auto text = header[dialect.rateLimit];
+    const auto perSecond = header.count(dialect.rateLimit) == 1 ? parseRateLimit({text.data(), text.size()}) : std::nullopt;
+    return perSecond ? LimitStatement {true, true, *perSecond} : LimitStatement {};
+}
+
+TargetNotice noticeOf(const AnswerHeader &header, const Dialect &dialect)
+{
+    return {hasField(header, dialect.drain), limitOf(header, dialect)};
+}
+
 // False for a close-delimited answer (without a length or chunks): its end cannot be distinguished from a lost connection.
 bool isSelfDelimited(const AnswerHeader &header, bool chunked, bool hasLength, bool noBody)
 {
@@ -194,7 +216,7 @@
 AttemptResult AnswerReader::fail(AttemptFailure failure) const
 {
     const auto progress = m_streaming ? AttemptProgress::AnswerStarted : AttemptProgress::Sent;
-    return FailedAttempt {{failure, progress}, std::nullopt, {}};
+    return FailedAttempt {{failure, progress}, std::nullopt, {}, {}};
 }
 
 boost::asio::awaitable<bool> AnswerReader::deliver(std::string_view bytes)
@@ -243,19 +265,19 @@
 AttemptResult AnswerReader::finish()
 {
     const AnswerHeader &header = m_parser->get().base();
-    const bool leaving = hasField(header, m_dialect.drain);
+    const auto statusFailure = failureOfStatus(header, m_dialect);
+    const TargetNotice notice = statusFailure == AttemptFailure::WrongTarget ? TargetNotice {} : noticeOf(header, m_dialect);
     if (m_streaming) {
-        return StreamedAnswer {leaving};
+        return StreamedAnswer {notice};
     }
-    const auto statusFailure = failureOfStatus(header, m_dialect);
     const bool notRun = statusFailure == AttemptFailure::WrongTarget || (statusFailure == AttemptFailure::Shed && !m_dialect.notExecuted.empty());
     const Duration retryAfter = retryAfterOf(header);
-    BufferedAnswer buffered {TargetAnswer(header, std::move(m_buffered)), leaving};
+    BufferedAnswer buffered {TargetAnswer(header, std::move(m_buffered)), notice};
     if (notRun) {
-        return FailedAttempt {{*statusFailure, AttemptProgress::NotRun}, std::nullopt, retryAfter};
+        return FailedAttempt {{*statusFailure, AttemptProgress::NotRun}, std::nullopt, retryAfter, notice};
     }
     if (statusFailure) {
-        return FailedAttempt {{*statusFailure, AttemptProgress::Sent}, std::move(buffered), retryAfter};
+        return FailedAttempt {{*statusFailure, AttemptProgress::Sent}, std::move(buffered), retryAfter, notice};
     }
     return buffered;
 }
@@ -429,7 +451,7 @@
         connection = co_await open(options.timeout, options.handle, failure);
         if (!connection) {
             --m_active;
-            co_return FailedAttempt {{failure, AttemptProgress::NothingSent}, std::nullopt, {}};
+            co_return FailedAttempt {{failure, AttemptProgress::NothingSent}, std::nullopt, {}, {}};
         }
     }
     options.timeout = std::max<Duration>(options.timeout - (RuntimeClock::now() - start), std::chrono::milliseconds(1));
@@ -452,7 +474,7 @@
         sent = connection->stream.socket().write_some(boost::asio::buffer(*text), error);
     }
     if (error && error != boost::asio::error::would_block) {
-        co_return FailedAttempt {{AttemptFailure::ConnectionLost, AttemptProgress::Sent}, std::nullopt, {}};
+        co_return FailedAttempt {{AttemptFailure::ConnectionLost, AttemptProgress::Sent}, std::nullopt, {}, {}};
     }
     connection->writing = sent < text->size();
     if (connection->writing) {
@@ -476,7 +498,7 @@
     options.dialect = options.dialect == nullptr ? &defaultDialect : options.dialect;
     if (options.handle != nullptr) {
         if (options.handle->abandoned()) {
-            co_return FailedAttempt {{AttemptFailure::ConnectionLost, AttemptProgress::NothingSent}, std::nullopt, {}};
+            co_return FailedAttempt {{AttemptFailure::ConnectionLost, AttemptProgress::NothingSent}, std::nullopt, {}, {}};
         }
         options.handle->attach(connection, options.idempotent);
     }
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -55,7 +55,11 @@
     } else if (const auto *answer = std::get_if<PlaceReply>(&envelope.message)) {
         received(envelope, *answer);
     } else if (const auto *report = std::get_if<AttemptReport>(&envelope.message)) {
-        m_scheduler.finishAttempt({envelope.sender, report->id}, report->end, std::chrono::milliseconds(report->durationMilliseconds), RuntimeClock::now());
+        const PlacementKey key {envelope.sender, report->id};
+        if (const Target *target = m_scheduler.targetOf(key)) {
+            recordLimit(target->name, report->limit, RuntimeClock::now());
+        }
+        m_scheduler.finishAttempt(key, report->end, std::chrono::milliseconds(report->durationMilliseconds), RuntimeClock::now());
         deliverQueuedPlacements();
     } else if (const auto *cancellation = std::get_if<PlacementCancellation>(&envelope.message)) {
         m_scheduler.cancelPlacement({envelope.sender, cancellation->id});
@@ -67,6 +71,8 @@
         received(envelope, *digest);
     } else if (const auto *remote = std::get_if<HubLoads>(&envelope.message)) {
         m_scheduler.setRemoteLoads(remote->zone, remote->loads, RuntimeClock::now());
+    } else if (const auto *limits = std::get_if<TargetLimits>(&envelope.message)) {
+        received(envelope, *limits);
     }
 }
 
@@ -138,6 +144,53 @@
     }
     heartbeat.taken = nextTokenReports();
     send(to.peer, std::move(heartbeat));
+    // A hub knows the limits from the reports of its members; only one that was chosen a moment ago has to be told.
+    if (now - m_hubChosenAt < config::MemberHeartbeatInterval * config::TokenReportRepeats || now >= m_nextLimitReportAt) {
+        m_nextLimitReportAt = now + config::LimitReportInterval;
+        for (auto &limits : limitMessages(false, now)) {
+            send(to.peer, std::move(limits));
+        }
+    }
+}
+
+std::vector<TargetLimits> ZoneControl::limitMessages(bool fromHub, TimePoint now) const
+{
+    std::vector<TargetLimits> messages;
+    const auto limits = m_scheduler.limits(now);
+    for (std::size_t first = 0; first < limits.size(); first += TargetLimits::MaxLimits) {
+        const auto begin = limits.begin() + static_cast<std::ptrdiff_t>(first);
+        const auto count = static_cast<std::ptrdiff_t>(std::min(TargetLimits::MaxLimits, limits.size() - first));
+        messages.push_back({fromHub, {begin, begin + count}});
+    }
+    return messages;
+}
+
+// The counts of a sender are running ones; the first report only sets the starting count.
+void ZoneControl::received(const Envelope &envelope, const TargetLimits &limits)
+{
+    const TimePoint now = RuntimeClock::now();
+    const auto member = m_members.find(envelope.sender);
+    const auto hub = m_otherHubs.find(envelope.sender);
+    auto *counts = limits.fromHub && hub != m_otherHubs.end() ? &hub->second.limitTaken
+        : !limits.fromHub && member != m_members.end()        ? &member->second.limitTaken
+                                                              : nullptr;
+    for (const auto &named : limits.limits) {
+        TargetLimit *limit = m_scheduler.limit(named.target);
+        if (limit == nullptr) {
+            continue;
+        }
+        limit->record(named.limited ? std::optional(named.perSecond) : std::nullopt, now - std::chrono::milliseconds(named.ageMilliseconds), now);
+        if (counts == nullptr) {
+            continue;
+        }
+        const auto [known, first] = counts->emplace(named.target, named.taken);
+        const std::uint32_t taken = first ? 0 : named.taken - std::exchange(known->second, named.taken);
+        if (limits.fromHub) {
+            limit->addRemoteTaken(static_cast<std::int32_t>(taken), now);
+        } else if (taken <= config::MaxReportedTokens) {
+            limit->addMemberTaken(taken, now);
+        }
+    }
 }
 
 // A daemon places its requests itself when its hub doesn't answer, although the hub may still count it as a member. The
@@ -314,6 +367,8 @@
         }
         m_scheduler.bucket(team)->setPart(m_enrolled ? quotaPart(team, own, others, registered, largest) : QuotaPart {config::UnenrolledShare, 1}, now);
     }
+    // The schedulers share a target's limit by the number of their members.
+    m_scheduler.setLimitPart(m_enrolled ? quotaPart({}, own, others, registered, largest) : QuotaPart {config::UnenrolledShare, 1}, now);
     m_scheduler.setFleetShare(m_enrolled ? static_cast<double>(own.members) / std::max(registered, own.members) : config::UnenrolledShare);
 }
 
@@ -340,11 +395,15 @@
     }
     const HubDigest digest = ownDigest(now);
     const std::vector<HubLoads> loads = ownLoads(now);
+    const std::vector<TargetLimits> limits = limitMessages(true, now);
     for (const auto &[name, other] : receivers) {
         sendDigest(other, digest, now);
         for (const auto &piece : loads) {
             send(other.peer, piece);
         }
+        for (const auto &piece : limits) {
+            send(other.peer, piece);
+        }
     }
 }
 
--- a/src/net_zone_placement.cpp
+++ b/src/net_zone_placement.cpp
@@ -206,8 +206,10 @@
         return;
     }
     const bool placedLocally = found->second.placedLocally;
+    const TargetName target = found->second.attempt.target;
     m_running.erase(found);
     const TimePoint now = RuntimeClock::now();
+    recordLimit(target, report.limit, now);
     if (placedLocally) {
         m_scheduler.finishAttempt({m_self.id, report.id}, report.end, std::chrono::milliseconds(report.durationMilliseconds), now);
         deliverQueuedPlacements();
@@ -219,6 +221,15 @@
     }
 }
 
+void ZoneControl::recordLimit(const TargetName &target, const LimitStatement &limit, TimePoint now)
+{
+    if (m_scheduler.recordLimit(target, limit, now)) {
+        Event("limits", limit.limited ? "target-limited" : "target-limit-ended")
+            .add("target", target.value)
+            .add("per_minute", static_cast<std::int64_t>(limit.perSecond * 60));
+    }
+}
+
 void ZoneControl::reply(const Endpoint &to, std::uint64_t id, const Placement &placement)
 {
     send(to, toReply(id, placement));
@@ -283,7 +294,7 @@
     const bool known = found != m_pending.end();
     if (!known) {
         if (reply.status == PlaceStatus::Placed && !m_running.contains(reply.id)) {
-            send(envelope.replyTo, AttemptReport {reply.id, AttemptEnd::Abandoned, 0});
+            send(envelope.replyTo, AttemptReport {reply.id, AttemptEnd::Abandoned, 0, {}});
         }
         return;
     }
@@ -303,7 +314,7 @@
     if (placed != nullptr && isKnownUnusable(*placed)) {
         // This daemon knows that the target is unusable, so it rejects the hub's choice: it informs the hub and
         // requests a new placement that excludes the target.
-        send(envelope.replyTo, AttemptReport {reply.id, AttemptEnd::WrongTarget, 0});
+        send(envelope.replyTo, AttemptReport {reply.id, AttemptEnd::WrongTarget, 0, {}});
         ThreadPlacementRequest threadRequest = std::move(found->second.threadRequest);
         m_pending.erase(found);
         threadRequest.request.tried.push_back(placed->target);
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -59,6 +59,7 @@
         const bool continues = known != m_targets.end() && sameRun(known->second->target, target);
         state = continues ? known->second : std::make_shared<TargetState>();
         if (!continues) {
+            state->limit.setPart(m_limitPart, now);
             state->coldUntil = now + std::chrono::milliseconds(target.coldMilliseconds);
         }
         state->target = target;
@@ -135,7 +136,7 @@
             running += remote.load.running;
         }
     }
-    return running < slotsOf(service, state);
+    return running < slotsOf(service, state) && state.limit.available(now);
 }
 
 // Expected cost of sending a request to this target, in lost requests: the request may fail, transfer data between zones,
@@ -190,6 +191,7 @@
     ++best->running;
     ++service.running;
     best->lastPlaced = now;
+    best->limit.take(now);
     m_running[request.key] = {request.service, best, request.route, now, false};
     const LatencyModel &model = latency(service, request.route, (request.objective - now) / 3);
     const Duration cold = now < best->coldUntil ? Duration(config::ColdStartSlack) : Duration::zero();
@@ -507,6 +509,46 @@
     return found == m_teamStates.end() ? 0 : found->second.demand.value(now);
 }
 
+bool Scheduler::recordLimit(const TargetName &target, const LimitStatement &limit, TimePoint now)
+{
+    const auto found = m_targets.find(target);
+    if (found == m_targets.end() || !limit.stated) {
+        return false;
+    }
+    return found->second->limit.record(limit.limited ? std::optional(limit.perSecond) : std::nullopt, now, now);
+}
+
+const Target *Scheduler::targetOf(const PlacementKey &key) const
+{
+    const auto found = m_running.find(key);
+    return found == m_running.end() ? nullptr : &found->second.target->target;
+}
+
+TargetLimit *Scheduler::limit(std::uint32_t target)
+{
+    const auto found = m_byHash.find(target);
+    return found == m_byHash.end() ? nullptr : &found->second->limit;
+}
+
+void Scheduler::setLimitPart(const QuotaPart &part, TimePoint now)
+{
+    m_limitPart = part;
+    for (auto &[name, state] : m_targets) {
+        state->limit.setPart(part, now);
+    }
+}
+
+std::vector<NamedLimit> Scheduler::limits(TimePoint now) const
+{
+    std::vector<NamedLimit> limits;
+    for (const auto &[hash, state] : m_byHash) {
+        if (const auto report = state->limit.report(hash, now)) {
+            limits.push_back(*report);
+        }
+    }
+    return limits;
+}
+
 // Omits targets that have neither running requests nor a raised failure probability: most targets of a large zone.
 std::vector<TargetLoad> Scheduler::loads(TimePoint now) const
 {
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -71,7 +71,7 @@
 class TargetLease
 {
 public:
-    using EndCallback = std::function<void(AttemptEnd end, Duration elapsed)>;
+    using EndCallback = std::function<void(AttemptEnd end, Duration elapsed, const TargetNotice &notice)>;
 
     TargetLease(TargetName name, TargetRuntimePtr runtime, EndCallback onEnded);
     /// Reports the attempt as abandoned unless its end has been reported.
@@ -81,8 +81,8 @@
 
     const TargetName &name() const { return m_name; }
     TargetRuntime &runtime() { return *m_runtime; }
-    /// Reports the end of the attempt; only the first call has an effect.
-    void reportEnd(AttemptEnd end, Duration elapsed);
+    /// Reports the end of the attempt, and what the answer says of the target; only the first call has an effect.
+    void reportEnd(AttemptEnd end, Duration elapsed, const TargetNotice &notice = {});
     /// Age of the attempt at which a hedge is sent to a second target; empty when no hedge is to be sent.
     const std::optional<Duration> &hedgeAfter() const { return m_hedgeAfter; }
     void setHedgeAfter(Duration age) { m_hedgeAfter = age; }
--- a/src/upstream_p.h
+++ b/src/upstream_p.h
@@ -6,6 +6,7 @@
 #include <plumsill/config.h>
 #include <plumsill/dialect.h>
 #include <plumsill/types.h>
+#include <plumsill/zone_messages.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -32,15 +33,21 @@
     std::function<boost::asio::awaitable<bool>(std::string_view bytes)> write;
 };
 
+/// What an answer says of its target.
+struct TargetNotice {
+    bool leaving = false;
+    LimitStatement limit;
+};
+
 /// A complete answer in memory.
 struct BufferedAnswer {
     TargetAnswer answer;
-    bool targetLeaving = false;
+    TargetNotice notice;
 };
 
 /// A complete answer was streamed through the sink.
 struct StreamedAnswer {
-    bool targetLeaving = false;
+    TargetNotice notice;
 };
 
 /// The attempt failed. After a server error, @p answer is the target's own answer. The same holds when the target shed the request (refused it because of
@@ -49,6 +56,7 @@
     AttemptFailed failed;
     std::optional<BufferedAnswer> answer;
     Duration retryAfter {};
+    TargetNotice notice;
 };
 
 using AttemptResult = std::variant<BufferedAnswer, StreamedAnswer, FailedAttempt>;
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -99,6 +99,7 @@
         std::uint64_t heartbeatSentAt = 0; ///< timestamp in the member's last heartbeat, on the member's clock; 0 before the first
         TimePoint heartbeatAt; ///< when that heartbeat was received
         std::map<std::uint32_t, std::uint32_t> taken; ///< number of taken tokens in the last report, by hash of the team's name
+        std::map<std::uint32_t, std::uint32_t> limitTaken; ///< number of requests in the last report, by hash of the limited target's name
     };
 
     /// The last digest received from another hub.
@@ -107,6 +108,7 @@
         ZoneName zone;
         SchedulerDemand demand;
         std::map<std::uint32_t, std::uint32_t> taken; ///< number of taken tokens in the last report, by hash of the team's name
+        std::map<std::uint32_t, std::uint32_t> limitTaken; ///< number of requests in the last report, by hash of the limited target's name
         TimePoint lastReceivedAt;
         std::uint64_t sentAt = 0; ///< timestamp in the digest, on its sender's clock; echoed in digests to that hub
         bool readsStore = false; ///< the hub reads the directory itself rather than through other hubs
@@ -162,6 +164,9 @@
     void received(const Envelope &envelope, const MemberHeartbeat &heartbeat);
     void received(const Envelope &envelope, const HubBeacon &beacon);
     void received(const Envelope &envelope, const HubDigest &digest);
+    void received(const Envelope &envelope, const TargetLimits &limits);
+    void recordLimit(const TargetName &target, const LimitStatement &limit, TimePoint now);
+    std::vector<TargetLimits> limitMessages(bool fromHub, TimePoint now) const;
     std::optional<RegisteredDaemon> hub(TimePoint now) const { return m_hubs.hub(m_settings.zone, now); }
     bool isSelf(const RegisteredDaemon &daemon) const { return daemon.id.name == m_self.id.name; }
     bool actsAsHub(TimePoint now) const;
@@ -237,6 +242,7 @@
     TimePoint m_hubListReadAt; ///< when the read that gave that hub its list of targets was sent; max while unknown
     TimePoint m_hubReceivedAt; ///< when that hub was chosen or its last beacon was received
     TimePoint m_nextProbeAt;
+    TimePoint m_nextLimitReportAt;
     TimePoint m_nextRegistryReadAt;
     TimePoint m_registryReadAt;
     unsigned m_registryReads = 0;
--- a/tests/test_codec.cpp
+++ b/tests/test_codec.cpp
@@ -55,7 +55,7 @@
 {
     const TeamName team {anyText()};
     const ServiceName service {anyText()};
-    switch (*rc::gen::inRange(0, 23)) {
+    switch (*rc::gen::inRange(0, 24)) {
     case 0:
         return Heartbeat {anyNumber(),    anyNumber(), true, anyState(),  ZoneName {anyText()},
                           {anyText(), 1}, anyStamp(),  true, anyNumber(), {{TargetName {anyText()}, {anyText(), 8}}}};
@@ -118,6 +118,8 @@
         return PackedDocumentRequest {anyNumber()};
     case 21:
         return PackedDocument {anyNumber(), 7, anyText()};
+    case 22:
+        return TargetLimits {true, {{1, true, 1.5, 3, 4}, {5, false, 0, 6, 7}}};
     default:
         return RosterReply {anyRoster()};
     }
@@ -248,7 +250,7 @@
     const ZoneName zone {"an-availability-zone-of-a-region"};
     HubDigest digest;
     digest.sentAt = digest.echo = Large;
-    digest.document = {true, Large, 5000, 100'000'000};
+    digest.document = {true, Large, 5000, 100'000'000, Large, 0xffffffff};
     digest.list = {true, Large, 5000};
     digest.registry = 0xffffffff;
     digest.zone = zone;
@@ -256,7 +258,9 @@
     HubLoads loads;
     loads.zone = zone;
     loads.loads.assign(HubLoads::MaxLoads, {0xffffffff, 255, 100});
-    for (const Message &message : {Message(digest), Message(loads)}) {
+    TargetLimits limits;
+    limits.limits.assign(TargetLimits::MaxLimits, {0xffffffff, true, 123'456.789, 0xffffffff, 0xffffffff});
+    for (const Message &message : {Message(digest), Message(loads), Message(limits)}) {
         const Envelope envelope {{InstanceName {"a-daemon-with-a-long-name-of-its-own"}, Large}, {"100.200.100.200", 65535}, Large, message};
         CHECK(encode(envelope, secret).size() <= config::MaxDatagramBytes);
     }
