Failing test of a scheduler that was frozen

What tells the hypotheses apart is arithmetic of the module: while it stands still, its bucket gains at most its burst, and when it resumes it subtracts all that the others took meanwhile.

--- a/tests/test_quota.cpp
+++ b/tests/test_quota.cpp
@@ -314,3 +314,89 @@
     CHECK(admitted <= (teamRate.rate * 5 + teamRate.burst) * 1.1 + 20); // the users' bound for a fleet in any five seconds
     CHECK(admitted >= teamRate.rate * 5 * 0.9);
 }
+
+namespace
+{
+/// A pool whose first scheduler stands still for a while. Its process receives the reports of that time at once when it resumes.
+struct FrozenRun {
+    unsigned refusedAfterwards = 0; ///< requests of the first scheduler that were refused after it had resumed
+    unsigned maxInWindow = 0; ///< maximum number of admitted requests in any window of 5 s
+};
+
+FrozenRun runFrozen(const std::array<double, Hubs> &perSecond, Duration frozenFor, bool changesPart)
+{
+    FrozenRun result;
+    Pool pool(teamRate, t0);
+    std::vector<std::int32_t> waiting;
+    std::vector<TimePoint> times;
+    std::array<double, Hubs> due {};
+    const TimePoint freeze = t0 + 20s;
+    const TimePoint resume = freeze + frozenFor;
+    for (TimePoint now = t0 + 10s; now < resume + 10s; now += 10ms) {
+        const bool frozen = now >= freeze && now < resume;
+        if (now == resume) {
+            // The timers of the resumed process run before it reads its socket: the other schedulers seem to be lost.
+            if (changesPart) {
+                pool.buckets[0].setPart({1.0 / Hubs, 1}, now);
+            }
+            for (const auto tokens : waiting) {
+                pool.buckets[0].addRemoteTaken(tokens, now);
+            }
+            pool.buckets[0].setPart({1, 1.0 / Hubs}, now);
+        }
+        for (unsigned hub = frozen ? 1 : 0; hub < Hubs; ++hub) {
+            for (due[hub] += perSecond[hub] / 100; due[hub] >= 1; due[hub] -= 1) {
+                const bool admitted = pool.buckets[hub].take(now);
+                result.refusedAfterwards += hub == 0 && now >= resume && !admitted ? 1 : 0;
+                if (admitted) {
+                    times.push_back(now);
+                }
+            }
+        }
+        if ((now - t0) % 300ms != 0ms) {
+            continue;
+        }
+        if (!frozen) {
+            pool.exchange({1.0 / Hubs, 1.0 / Hubs, 1.0 / Hubs}, now);
+            continue;
+        }
+        for (unsigned from = 1; from < Hubs; ++from) {
+            const auto taken = static_cast<std::int32_t>(pool.buckets[from].taken() - std::exchange(pool.reported[from], pool.buckets[from].taken()));
+            pool.buckets[3 - from].addRemoteTaken(taken, now);
+            pool.buckets[from].setPart({1, 1.0 / Hubs}, now);
+            waiting.push_back(taken);
+        }
+    }
+    for (std::size_t first = 0, last = 0; last < times.size(); ++last) {
+        while (times[last] - times[first] > 5s) {
+            ++first;
+        }
+        result.maxInWindow = std::max(result.maxInWindow, static_cast<unsigned>(last - first + 1));
+    }
+    return result;
+}
+}
+
+// Guards against seconds of refusals within the rate after a scheduler was frozen: it receives at once what the others took meanwhile, but
+// its own bucket has gained no more than its burst.
+TEST(Quota, ResumedSchedulerRefusesNothingWithinTheRate)
+{
+    for (const Duration frozenFor : {Duration(1s), Duration(5s), Duration(9s)}) {
+        for (const bool changesPart : {false, true}) {
+            const FrozenRun run = runFrozen({5, 6, 6}, frozenFor, changesPart);
+            // Two requests: those of one digest interval.
+            CHECK(run.refusedAfterwards <= 2);
+        }
+    }
+}
+
+// The same freezes while the team sends 7.5 times its rate.
+TEST(Quota, ResumedSchedulerStaysWithinTheLimit)
+{
+    for (const Duration frozenFor : {Duration(1s), Duration(5s), Duration(9s)}) {
+        for (const bool changesPart : {false, true}) {
+            const FrozenRun run = runFrozen({50, 50, 50}, frozenFor, changesPart);
+            CHECK(run.maxInWindow <= (teamRate.rate * 5 + teamRate.burst) * 1.1 + 20);
+        }
+    }
+}
