Count late reports of taken tokens against what a paused scheduler has gained

Cause: on resuming, each team's bucket gains the pause's tokens but no more than its burst; then the digests that waited in the socket, and the next ones, subtract all that the other schedulers took in 5 s. Rate 20, burst 30: 30 - 100 = -70 tokens, 3.5 s without one. A scheduler that notices that it stood still for a second tells its buckets; the tokens beyond the burst then cover the reports that arrive within half a second, as if these had been subtracted when they were taken. Evidence: ResumedSchedulerRefusesNothingWithinTheRate failed before (its harness now tells the bucket of the pause; the bound is the same) and passes for freezes of 1, 5 and 9 s; ResumedSchedulerStaysWithinTheLimit passed before and after at 7.5 times the rate.

--- a/include/plumsill/quota.h
+++ b/include/plumsill/quota.h
@@ -45,6 +45,8 @@
     void setRate(const TeamRate &rate, TimePoint now);
     /// Changes the part of the rate that this scheduler may grant, and its share of the remaining tokens.
     void setPart(const QuotaPart &part, TimePoint now);
+    /// Records that this scheduler has stood still until now. The reports of that time are still to come.
+    void recordPause(TimePoint now);
     /// Records tokens that another scheduler of the pool took.
     void addRemoteTaken(std::int32_t tokens, TimePoint now);
     /// Begins the time in which this scheduler takes over from another one: its own level means nothing until another
@@ -72,6 +74,7 @@
 
 private:
     void refill(TimePoint now);
+    void capLevel(TimePoint now);
     void spend(double tokens);
     double poolRate() const { return m_rate.rate * m_part.pool; }
     double burst() const;
@@ -80,6 +83,8 @@
     QuotaPart m_part;
     double m_level = 0; // tokens of the pool
     double m_allowance = 0; // tokens of m_level that this scheduler may take before the next digests of the others
+    double m_cutOff = 0; // tokens that the level has lost since a pause because it was full
+    TimePoint m_lateReportsUntil; // time until which reports of a pause are expected
     double m_announcedTokens = 0; // tokens that refused requests were told to wait for
     std::uint32_t m_taken;
     bool m_takesOver = false;
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -13,6 +13,9 @@
 // Maximum number of running attempts in a heartbeat, so that the heartbeat fits into a datagram.
 constexpr std::size_t MaxReportedAttempts = 16;
 
+// Number of heartbeat intervals without a heartbeat of this daemon that show that its process stood still.
+constexpr unsigned PausedHeartbeats = 4;
+
 std::uint64_t toTimestamp(TimePoint time)
 {
     return static_cast<std::uint64_t>(time.time_since_epoch().count());
@@ -49,6 +52,7 @@
     if (envelope.sender == m_self.id) {
         return;
     }
+    noticePause(RuntimeClock::now());
     m_hubs.recordMessage(envelope.sender, envelope.replyTo, RuntimeClock::now());
     if (const auto *place = std::get_if<PlaceRequest>(&envelope.message)) {
         received(envelope, *place);
@@ -107,6 +111,8 @@
         const TimePoint due = RuntimeClock::now() + config::MemberHeartbeatInterval;
         co_await sleepFor(config::MemberHeartbeatInterval);
         const TimePoint now = RuntimeClock::now();
+        noticePause(now);
+        m_lastHeartbeatAt = now;
         if (!m_registryRead) {
             continue;
         }
@@ -130,6 +136,20 @@
     }
 }
 
+// Whichever comes first after a pause of the process, a message or the timer, must find the buckets told of it.
+void ZoneControl::noticePause(TimePoint now)
+{
+    const Duration pause = now - m_lastHeartbeatAt;
+    if (m_lastHeartbeatAt == TimePoint() || pause < config::MemberHeartbeatInterval * PausedHeartbeats) {
+        return;
+    }
+    m_lastHeartbeatAt = now;
+    Event("daemon", "resumed").add("paused_ms", pause);
+    for (const auto &team : m_scheduler.teams()) {
+        m_scheduler.bucket(team)->recordPause(now);
+    }
+}
+
 void ZoneControl::sendHeartbeat(const RegisteredDaemon &to, TimePoint now)
 {
     MemberHeartbeat heartbeat;
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -24,6 +24,8 @@
 // and burst.
 constexpr double StartUpTokens = 10;
 constexpr auto StartUpTime = 4s;
+// Time after a pause in which the reports that were sent during it are received.
+constexpr auto LateReportTime = 500ms;
 // Bounds of the retry delay. Delays above the maximum are replaced by delays spread between half of the maximum and the
 // maximum.
 constexpr auto MaxRetryDelay = 4s;
@@ -35,11 +37,25 @@
     const double elapsed = seconds(std::max(now - m_at, Duration::zero()));
     m_at = std::max(m_at, now);
     const double tokens = elapsed * poolRate() * RateMargin;
-    m_level = std::min(burst(), m_level + tokens);
+    m_level += tokens;
+    capLevel(now);
     m_allowance = std::min(std::max(m_level, 0.0), m_allowance + tokens * m_part.share);
     m_announcedTokens = std::max(0.0, m_announcedTokens - tokens * m_part.share);
 }
 
+void TeamBucket::capLevel(TimePoint now)
+{
+    m_cutOff = now < m_lateReportsUntil ? m_cutOff + std::max(0.0, m_level - burst()) : 0;
+    m_level = std::min(m_level, burst());
+}
+
+void TeamBucket::recordPause(TimePoint now)
+{
+    m_lateReportsUntil = now + LateReportTime;
+    m_cutOff = 0;
+    refill(now);
+}
+
 // At least one token: a part of a small burst may be less than one, and take() would then never find a token.
 double TeamBucket::burst() const
 {
@@ -98,14 +114,19 @@
     if (m_reportedLevel) {
         m_level = std::max(m_level, *m_reportedLevel);
     }
-    m_level = std::min(m_level, burst());
+    capLevel(now);
     m_allowance = std::max(m_level, 0.0) * part.share;
 }
 
+// After a pause, the reports of its whole time arrive at once. The bucket would not have been full, and would have lost no tokens, had the
+// reported ones been subtracted when they were taken.
 void TeamBucket::addRemoteTaken(std::int32_t tokens, TimePoint now)
 {
     refill(now);
+    const double covered = std::clamp(static_cast<double>(tokens), 0.0, m_cutOff);
+    m_cutOff -= covered;
     spend(tokens);
+    m_level += covered;
 }
 
 void TeamBucket::addMemberTaken(std::uint32_t tokens, TimePoint now)
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -173,6 +173,7 @@
     void hubUnresponsive(const RegisteredDaemon &unresponsive, TimePoint now);
 
     // Messages between hubs and members.
+    void noticePause(TimePoint now);
     void sendHeartbeat(const RegisteredDaemon &to, TimePoint now);
     std::vector<TokensTaken> nextTokenReports();
     void recordTaken(MemberRecord &record, const MemberHeartbeat &heartbeat, TimePoint now);
@@ -242,6 +243,7 @@
     TimePoint m_hubListReadAt; ///< when the read that gave that hub its list of targets was sent; max while unknown
     TimePoint m_hubReceivedAt; ///< when that hub was chosen or its last beacon was received
     TimePoint m_nextProbeAt;
+    TimePoint m_lastHeartbeatAt; ///< last run of the heartbeat timer
     TimePoint m_nextLimitReportAt;
     TimePoint m_nextRegistryReadAt;
     TimePoint m_registryReadAt;
--- a/tests/test_quota.cpp
+++ b/tests/test_quota.cpp
@@ -336,6 +336,7 @@
         const bool frozen = now >= freeze && now < resume;
         if (now == resume) {
             // The timers of the resumed process run before it reads its socket: the other schedulers seem to be lost.
+            pool.buckets[0].recordPause(now);
             if (changesPart) {
                 pool.buckets[0].setPart({1.0 / Hubs, 1}, now);
             }
