Start the counts of a scheduler anew when its reports return

The same cause as with a frozen scheduler, at a cut: while the reports of another scheduler don't arrive, this one spends only its own part of the rate, the other one its own. When the reports returned, all that the other had taken of its part was subtracted here at once, and teams within their rates were refused. After a silence as long as the lifetime of a digest, when the sender no longer counts as part of the pool, its counts now start anew. The rule moves into the module without a network (ReportedCounts), with its test, and serves teams and limited targets.

--- a/include/plumsill/quota.h
+++ b/include/plumsill/quota.h
@@ -93,6 +93,21 @@
     std::optional<TimePoint> m_startedAt;
 };
 
+/// Running counts in the reports of another scheduler, by team or target.
+class ReportedCounts
+{
+public:
+    /// Begins a report received at @p now. After a silence of @p lifetime the counts start anew: the sender has spent its own part meanwhile,
+    /// which was reserved for it.
+    void beginReport(Duration lifetime, TimePoint now);
+    /// Increase of a count since the last report; none where this is the first one that counts.
+    std::optional<std::uint32_t> increase(std::uint32_t key, std::uint32_t count);
+
+private:
+    std::unordered_map<std::uint32_t, std::uint32_t> m_counts;
+    TimePoint m_reportedAt;
+};
+
 /// Recent request rate of one team, averaged with exponential decay.
 class DemandRate
 {
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -194,6 +194,9 @@
     auto *counts = limits.fromHub && hub != m_otherHubs.end() ? &hub->second.limitTaken
         : !limits.fromHub && member != m_members.end()        ? &member->second.limitTaken
                                                               : nullptr;
+    if (counts != nullptr) {
+        counts->beginReport(config::HubDigestLifetime, now);
+    }
     for (const auto &named : limits.limits) {
         TargetLimit *limit = m_scheduler.limit(named.target);
         if (limit == nullptr) {
@@ -203,8 +206,7 @@
         if (counts == nullptr) {
             continue;
         }
-        const auto [known, first] = counts->emplace(named.target, named.taken);
-        const std::uint32_t taken = first ? 0 : named.taken - std::exchange(known->second, named.taken);
+        const std::uint32_t taken = counts->increase(named.target, named.taken).value_or(0);
         if (limits.fromHub) {
             limit->addRemoteTaken(static_cast<std::int32_t>(taken), now);
         } else if (taken <= config::MaxReportedTokens) {
@@ -491,13 +493,12 @@
 void ZoneControl::recordTaken(HubRecord &record, const HubDigest &digest, TimePoint now)
 {
     forEachReportedTeam(m_scheduler.teams(), digest.teams, [&](const TeamName &team, const TeamDemand &reported) {
-        const auto [known, first] = record.taken.emplace(reported.team, reported.taken);
-        if (first && warmingUp(now) && reported.remainingTokens != TeamDemand::UnknownTokens) {
+        const auto increase = record.taken.increase(reported.team, reported.taken);
+        if (!increase && warmingUp(now) && reported.remainingTokens != TeamDemand::UnknownTokens) {
             m_scheduler.bucket(team)->mergeRemoteLevel(reported.remainingTokens, now);
         }
-        if (!first) {
-            m_scheduler.bucket(team)->addRemoteTaken(static_cast<std::int32_t>(reported.taken - known->second), now);
-            known->second = reported.taken;
+        if (increase) {
+            m_scheduler.bucket(team)->addRemoteTaken(static_cast<std::int32_t>(*increase), now);
         }
     });
 }
@@ -511,6 +512,7 @@
     record.lastReceivedAt = now;
     record.sentAt = digest.sentAt;
     record.readsStore = digest.readsStore;
+    record.taken.beginReport(config::HubDigestLifetime, now);
     recordTaken(record, digest, now);
     record.demand.members = digest.members;
     record.demand.teams.clear();
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace plumsill
 {
@@ -171,6 +172,20 @@
     return std::clamp<Duration>(fromSeconds(wait), MinRetryDelay, MaxRetryDelay);
 }
 
+void ReportedCounts::beginReport(Duration lifetime, TimePoint now)
+{
+    if (now - m_reportedAt > lifetime) {
+        m_counts.clear();
+    }
+    m_reportedAt = now;
+}
+
+std::optional<std::uint32_t> ReportedCounts::increase(std::uint32_t key, std::uint32_t count)
+{
+    const auto [known, first] = m_counts.emplace(key, count);
+    return first ? std::nullopt : std::optional(count - std::exchange(known->second, count));
+}
+
 void DemandRate::add(TimePoint now)
 {
     m_rate = value(now) + 1 / seconds(DemandTime);
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -99,7 +99,7 @@
         std::uint64_t heartbeatSentAt = 0; ///< timestamp in the member's last heartbeat, on the member's clock; 0 before the first
         TimePoint heartbeatAt; ///< when that heartbeat was received
         std::map<std::uint32_t, std::uint32_t> taken; ///< number of taken tokens in the last report, by hash of the team's name
-        std::map<std::uint32_t, std::uint32_t> limitTaken; ///< number of requests in the last report, by hash of the limited target's name
+        ReportedCounts limitTaken; ///< requests to limited targets, by hash of the target's name
     };
 
     /// The last digest received from another hub.
@@ -107,8 +107,8 @@
         Endpoint peer;
         ZoneName zone;
         SchedulerDemand demand;
-        std::map<std::uint32_t, std::uint32_t> taken; ///< number of taken tokens in the last report, by hash of the team's name
-        std::map<std::uint32_t, std::uint32_t> limitTaken; ///< number of requests in the last report, by hash of the limited target's name
+        ReportedCounts taken; ///< taken tokens, by hash of the team's name
+        ReportedCounts limitTaken; ///< requests to limited targets, by hash of the target's name
         TimePoint lastReceivedAt;
         std::uint64_t sentAt = 0; ///< timestamp in the digest, on its sender's clock; echoed in digests to that hub
         bool readsStore = false; ///< the hub reads the directory itself rather than through other hubs
--- a/tests/test_quota.cpp
+++ b/tests/test_quota.cpp
@@ -378,6 +378,23 @@
 }
 }
 
+// Guards against refusals within the rate after a cut: a scheduler whose reports return tells at once what it took of its own part.
+TEST(Quota, CountsOfASchedulerThatWasCutOffStartAnew)
+{
+    ReportedCounts counts;
+    counts.beginReport(1500ms, t0);
+    CHECK(!counts.increase(7, 100));
+    counts.beginReport(1500ms, t0 + 300ms);
+    CHECK(counts.increase(7, 104) == 4U);
+    counts.beginReport(1500ms, t0 + 6s);
+    CHECK(!counts.increase(7, 180));
+    counts.beginReport(1500ms, t0 + 6300ms);
+    CHECK(counts.increase(7, 183) == 3U);
+    CHECK(!counts.increase(8, 0xfffffffe));
+    counts.beginReport(1500ms, t0 + 6600ms);
+    CHECK(counts.increase(8, 1) == 3U); // the counts wrap around
+}
+
 // Guards against seconds of refusals within the rate after a scheduler was frozen: it receives at once what the others took meanwhile, but
 // its own bucket has gained no more than its burst.
 TEST(Quota, ResumedSchedulerRefusesNothingWithinTheRate)
