Send nothing more to a target that says it is leaving

A target may say in its answers that it leaves (Server-Leaving) before the store does, or while a daemon can't reach the store. The answer's notice now goes with the report of the attempt: the daemon refuses any further placement there, also by a hub that doesn't know, and the scheduler places none. The mark holds for the run of the target, also if the store lists it again as ready, and ends with a new run under the same name. It is no evidence of failure; running requests end in peace. Left: schedulers of other zones learn it by their own answers or from the store.

--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -108,6 +108,10 @@
     void finishAttempt(const PlacementKey &key, AttemptEnd end, Duration latency, TimePoint now);
     /// Records what an answer of the target says of its rate limit. Returns true if that changes the limit.
     bool recordLimit(const TargetName &target, const LimitStatement &limit, TimePoint now);
+    /// Records that the target has said that it is leaving. It gets no further request in this run. Returns true if that is new.
+    bool recordLeaving(const TargetName &target);
+    /// Whether the target has said so.
+    bool saidLeaving(const TargetName &target) const;
     /// Target of a running attempt; null if the attempt is not known.
     const Target *targetOf(const PlacementKey &key) const;
     /// Limit of the target with that hash of its name; null if there is no such target.
@@ -153,6 +157,7 @@
         std::map<ZoneName, RemoteLoad> remote; ///< reports of the schedulers, by their zone
         std::map<InstanceName, TimePoint> lastAnswerAt; ///< time of the last good answer to each daemon, which may still have the connection open
         std::map<InstanceName, TimePoint> unreachableFrom; ///< time until which a daemon is given other targets, because it could not connect to this one
+        bool saidLeaving = false; ///< whether an answer of the target said that it is leaving
         bool wrongAddress = false; ///< whether a different target answered at its address
     };
     using TargetStatePtr = std::shared_ptr<TargetState>;
@@ -191,6 +196,8 @@
     LatencyModel &latency(ServiceState &service, std::uint32_t route, Duration expected);
     std::optional<Placed> place(ServiceState &service, const PlacementRequest &request, bool allowRisky, TimePoint now);
     double cost(ServiceState &service, const TargetState &state, const PlacementRequest &request, TimePoint now);
+    /// Whether the target may get requests in principle.
+    static bool inUse(const TargetState &state) { return !state.target.leaving && !state.saidLeaving && !state.wrongAddress; }
     static unsigned slotsOf(const ServiceState &service, const TargetState &state);
     bool hasCapacity(const ServiceState &service, const TargetState &state, TimePoint now) const;
     double failureProbability(const TargetState &state, TimePoint now) const;
@@ -213,6 +220,7 @@
     QuotaPart m_limitPart;
     std::map<ServiceName, ServiceState> m_services;
     std::map<TargetName, TargetStatePtr> m_targets;
+    std::map<TargetName, Target> m_saidLeaving; ///< runs of targets that said they are leaving, also after they are no longer listed
     std::map<std::uint32_t, TargetStatePtr> m_byHash;
     std::map<TeamName, TeamState> m_teamStates;
     std::vector<TeamName> m_teams;
--- a/include/plumsill/zone_messages.h
+++ b/include/plumsill/zone_messages.h
@@ -120,13 +120,14 @@
     std::uint64_t id = 0;
     AttemptEnd end = AttemptEnd::Abandoned;
     std::uint32_t durationMilliseconds = 0;
-    LimitStatement limit;
+    LimitStatement limit = {};
+    bool leaving = false; ///< the target said that it is leaving
 
     auto operator<=>(const AttemptReport &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, end, durationMilliseconds, limit);
+        archive(id, end, durationMilliseconds, limit, leaving);
     }
 };
 
--- a/src/net_traffic.cpp
+++ b/src/net_traffic.cpp
@@ -226,7 +226,7 @@
         co_return NoTarget {true, none == nullptr ? Duration(config::RetryAfterFailure) : none->retryAfter};
     }
     const auto ended = [this, id](AttemptEnd end, Duration elapsed, const TargetNotice &notice) {
-        m_control.attemptEnded({id, end, wholeMilliseconds(elapsed), notice.limit});
+        m_control.attemptEnded({id, end, wholeMilliseconds(elapsed), notice.limit, notice.leaving});
     };
     auto lease = std::make_unique<TargetLease>(placed->target, runtimeOf(placed->target, placed->endpoint), ended);
     lease->setHedgeAfter(placed->hedgeAfter);
@@ -242,7 +242,7 @@
             found->second->placement = std::move(placement);
             found->second->timer.cancel();
         } else if (found == m_placementWaiters.end() && std::holds_alternative<Placed>(placement)) {
-            m_control.attemptEnded({placementId, AttemptEnd::Abandoned, 0, {}});
+            m_control.attemptEnded({placementId, AttemptEnd::Abandoned, 0});
         }
     });
 }
--- a/src/net_zone_placement.cpp
+++ b/src/net_zone_placement.cpp
@@ -209,7 +209,7 @@
     const TargetName target = found->second.attempt.target;
     m_running.erase(found);
     const TimePoint now = RuntimeClock::now();
-    recordLimit(target, report.limit, now);
+    recordNotice(target, report, now);
     if (placedLocally) {
         m_scheduler.finishAttempt({m_self.id, report.id}, report.end, std::chrono::milliseconds(report.durationMilliseconds), now);
         deliverQueuedPlacements();
@@ -221,8 +221,12 @@
     }
 }
 
-void ZoneControl::recordLimit(const TargetName &target, const LimitStatement &limit, TimePoint now)
+void ZoneControl::recordNotice(const TargetName &target, const AttemptReport &report, TimePoint now)
 {
+    if (report.leaving && m_scheduler.recordLeaving(target)) {
+        Event("targets", "target-says-leaving").add("target", target.value);
+    }
+    const LimitStatement &limit = report.limit;
     if (m_scheduler.recordLimit(target, limit, now)) {
         Event("limits", limit.limited ? "target-limited" : "target-limit-ended")
             .add("target", target.value)
@@ -277,6 +281,9 @@
 // the platform itself, more than NewerListMargin after the read that gave the hub its list.
 bool ZoneControl::isKnownUnusable(const Placed &placed) const
 {
+    if (m_scheduler.saidLeaving(placed.target)) {
+        return true;
+    }
     const Target *target = m_list.find(placed.target);
     if (target != nullptr) {
         return target->leaving && target->endpoint == placed.endpoint;
@@ -294,7 +301,7 @@
     const bool known = found != m_pending.end();
     if (!known) {
         if (reply.status == PlaceStatus::Placed && !m_running.contains(reply.id)) {
-            send(envelope.replyTo, AttemptReport {reply.id, AttemptEnd::Abandoned, 0, {}});
+            send(envelope.replyTo, AttemptReport {reply.id, AttemptEnd::Abandoned, 0});
         }
         return;
     }
@@ -314,7 +321,7 @@
     if (placed != nullptr && isKnownUnusable(*placed)) {
         // This daemon knows that the target is unusable, so it rejects the hub's choice: it informs the hub and
         // requests a new placement that excludes the target.
-        send(envelope.replyTo, AttemptReport {reply.id, AttemptEnd::WrongTarget, 0, {}});
+        send(envelope.replyTo, AttemptReport {reply.id, AttemptEnd::WrongTarget, 0});
         ThreadPlacementRequest threadRequest = std::move(found->second.threadRequest);
         m_pending.erase(found);
         threadRequest.request.tried.push_back(placed->target);
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -63,6 +63,11 @@
             state->coldUntil = now + std::chrono::milliseconds(target.coldMilliseconds);
         }
         state->target = target;
+        const auto left = m_saidLeaving.find(target.name);
+        state->saidLeaving = left != m_saidLeaving.end() && sameRun(left->second, target);
+        if (left != m_saidLeaving.end() && !state->saidLeaving) {
+            m_saidLeaving.erase(left);
+        }
         kept.emplace(target.name, state);
         m_byHash.emplace(shortHash(target.name.value), state);
         service(target.service).targets.push_back(state);
@@ -164,7 +169,7 @@
     double lowestCost = std::numeric_limits<double>::infinity();
     bool anyHealthy = false; // whether a usable target is healthy, so that waiting for one makes sense
     for (const auto &state : service.targets) {
-        if (state->target.leaving || state->wrongAddress || std::find(request.tried.begin(), request.tried.end(), state->target.name) != request.tried.end()) {
+        if (!inUse(*state) || std::find(request.tried.begin(), request.tried.end(), state->target.name) != request.tried.end()) {
             continue;
         }
         const auto unreachable = state->unreachableFrom.find(request.key.member.name);
@@ -302,7 +307,7 @@
 
 Placement Scheduler::enqueue(ServiceState &service, const PlacementRequest &request, TimePoint now)
 {
-    const bool anyTarget = std::any_of(service.targets.begin(), service.targets.end(), [](const auto &state) { return !state->target.leaving; });
+    const bool anyTarget = std::any_of(service.targets.begin(), service.targets.end(), [](const auto &state) { return inUse(*state); });
     const Duration meanLatency = latency(service, request.route, (request.objective - now) / 3).mean();
     const TimePoint latest = (request.objective - meanLatency > now ? request.objective : request.deadline) - meanLatency;
     if (!anyTarget || latest <= now) {
@@ -473,8 +478,7 @@
         placeExpired(service, queue, decided, now);
         while (!queue.empty()) {
             const bool anyCapacity = std::any_of(service.targets.begin(), service.targets.end(), [&](const auto &state) {
-                return !state->target.leaving && !state->wrongAddress && hasCapacity(service, *state, now)
-                    && failureProbability(*state, now) <= config::RiskyShare;
+                return inUse(*state) && hasCapacity(service, *state, now) && failureProbability(*state, now) <= config::RiskyShare;
             });
             const auto next = anyCapacity ? queue.pop(now) : std::nullopt;
             if (!next) {
@@ -518,6 +522,23 @@
     return found->second->limit.record(limit.limited ? std::optional(limit.perSecond) : std::nullopt, now, now);
 }
 
+bool Scheduler::recordLeaving(const TargetName &target)
+{
+    const auto found = m_targets.find(target);
+    if (found == m_targets.end() || found->second->saidLeaving) {
+        return false;
+    }
+    found->second->saidLeaving = true;
+    m_saidLeaving[target] = found->second->target;
+    return true;
+}
+
+bool Scheduler::saidLeaving(const TargetName &target) const
+{
+    const auto found = m_targets.find(target);
+    return found != m_targets.end() && found->second->saidLeaving;
+}
+
 const Target *Scheduler::targetOf(const PlacementKey &key) const
 {
     const auto found = m_running.find(key);
--- a/tests/process_zone.cpp
+++ b/tests/process_zone.cpp
@@ -289,6 +289,23 @@
     LONGS_EQUAL(before, runsAt("t1"));
 }
 
+// Guards against requests to a target that says in its answers that it is leaving, while the store still lists it as ready.
+TEST(ZoneProcess, TargetThatSaysItIsLeavingGetsNoRequestFromDaemonsThatHeardIt)
+{
+    start(false);
+    fleet->targetFault("t0", R"({"drain":true})");
+    const auto until = std::chrono::steady_clock::now() + 1s;
+    while (std::chrono::steady_clock::now() < until) {
+        CHECK(allAnswer("GET", "/read/1", RedKey, 200));
+    }
+    sleepFor(1s);
+    const auto before = runsAt("t0");
+    for (int round = 0; round < 20; ++round) {
+        CHECK(allAnswer("GET", "/read/1", RedKey, 200));
+    }
+    LONGS_EQUAL(before, runsAt("t0"));
+}
+
 // Guards against a target in need that gets the load of a healthy one although it names a limit; also while schedulers are lost.
 TEST(ZoneProcess, TargetGetsNoMoreRequestsThanTheLimitThatItNames)
 {
--- a/tests/test_scheduler.cpp
+++ b/tests/test_scheduler.cpp
@@ -247,6 +247,27 @@
     CHECK(std::holds_alternative<NoCapacity>(zone.scheduler.submit(zone.request(t0), t0)) || !Zone::placed(zone.scheduler.submit(zone.request(t0), t0)));
 }
 
+// Guards against requests to a target that has said that it is leaving, also after the store lists it again as ready.
+TEST(Scheduler, TargetThatSaysItIsLeavingGetsNoRequestsInThatRun)
+{
+    Zone zone(targets(2));
+    CHECK(zone.scheduler.recordLeaving({"t1"}));
+    CHECK(!zone.scheduler.recordLeaving({"t1"}));
+    const auto placedAt = [&zone](const std::string &name) {
+        const auto placement = zone.scheduler.submit(zone.request(t0), t0);
+        return std::holds_alternative<Placed>(placement) && std::get<Placed>(placement).target.value == name;
+    };
+    CHECK(placedAt("t2"));
+    zone.scheduler.setTargets({target(2)}, t0);
+    zone.scheduler.setTargets(targets(2), t0);
+    CHECK(zone.scheduler.saidLeaving({"t1"}));
+    CHECK(placedAt("t2"));
+    Target restarted = target(1);
+    restarted.startedAt = 2;
+    zone.scheduler.setTargets({restarted, target(2)}, t0);
+    CHECK(placedAt("t1"));
+}
+
 TEST(Scheduler, TargetUnreachableFromOneDaemonStaysInUseForOthers)
 {
     Zone zone(targets(1));
