Leave a target alone for the time that its refusal names

A target that turns a request away with 503 and Retry-After wants nothing from that daemon for so long. The time was read and dropped. It now goes with the report of the attempt: the scheduler gives that daemon other targets until then and counts the refusal as load and not as evidence of failure; the daemon refuses a placement there by a hub that doesn't know. If all targets of a service rest for a daemon beyond what its callers can wait, these are told at once, with the earliest end as Retry-After. Fractions count, 0, dates, negative and unreadable values say nothing, more than an hour is taken for one. Evidence: TargetThatRestsGetsNoRequestsOfThatDaemon and RequestIsRefusedImmediatelyWhileAllTargetsRest belong to new functions.

--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -112,6 +112,10 @@
     bool recordLeaving(const TargetName &target);
     /// Whether the target has said so.
     bool saidLeaving(const TargetName &target) const;
+    /// Records that the target wants no request from the daemon until @p until.
+    void recordRest(const TargetName &target, const InstanceName &daemon, TimePoint until);
+    /// Time that is left of it; zero if the target takes requests of the daemon.
+    Duration restLeft(const TargetName &target, const InstanceName &daemon, TimePoint now) const;
     /// Target of a running attempt; null if the attempt is not known.
     const Target *targetOf(const PlacementKey &key) const;
     /// Limit of the target with that hash of its name; null if there is no such target.
@@ -157,6 +161,7 @@
         std::map<ZoneName, RemoteLoad> remote; ///< reports of the schedulers, by their zone
         std::map<InstanceName, TimePoint> lastAnswerAt; ///< time of the last good answer to each daemon, which may still have the connection open
         std::map<InstanceName, TimePoint> unreachableFrom; ///< time until which a daemon is given other targets, because it could not connect to this one
+        std::map<InstanceName, TimePoint> restsFrom; ///< time until which the target wants no request from a daemon
         bool saidLeaving = false; ///< whether an answer of the target said that it is leaving
         bool wrongAddress = false; ///< whether a different target answered at its address
     };
@@ -207,6 +212,8 @@
     void endAttempt(const Attempt &attempt);
     std::optional<Placement> admit(const PlacementRequest &request, TimePoint now);
     Placement enqueue(ServiceState &service, const PlacementRequest &request, TimePoint now);
+    /// Time until a target of the service takes a request of the daemon; zero where one takes it now, or where there is none.
+    static Duration restOfAll(const ServiceState &service, const InstanceName &daemon, TimePoint now);
     Duration expectedCapacityDelay(const ServiceState &service, Duration wait) const;
     void returnToken(const PlacementRequest &request);
     void serveService(ServiceState &service, std::vector<DelayedPlacement> &decided, TimePoint now);
--- a/include/plumsill/target_limit.h
+++ b/include/plumsill/target_limit.h
@@ -11,8 +11,8 @@
 /// Rates that targets in need name in their answers. Each limits the requests of the complete fleet to one target.
 namespace plumsill
 {
-/// Parses a limit in requests per second; none where @p text is not a decimal number of at least 0.
-std::optional<double> parseRateLimit(std::string_view text);
+/// Parses a number in an answer's field; none where @p text is not a decimal number of at least 0.
+std::optional<double> parseDecimal(std::string_view text);
 
 /// The limit of one target as one scheduler knows it, and the tokens of it that are left. The schedulers share one level, like that of a
 /// team's quota.
--- a/include/plumsill/zone_messages.h
+++ b/include/plumsill/zone_messages.h
@@ -122,12 +122,13 @@
     std::uint32_t durationMilliseconds = 0;
     LimitStatement limit = {};
     bool leaving = false; ///< the target said that it is leaving
+    std::uint32_t restMilliseconds = 0; ///< time for which the target wants no request from the sender
 
     auto operator<=>(const AttemptReport &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, end, durationMilliseconds, limit, leaving);
+        archive(id, end, durationMilliseconds, limit, leaving, restMilliseconds);
     }
 };
 
--- a/src/net_traffic.cpp
+++ b/src/net_traffic.cpp
@@ -226,7 +226,7 @@
         co_return NoTarget {true, none == nullptr ? Duration(config::RetryAfterFailure) : none->retryAfter};
     }
     const auto ended = [this, id](AttemptEnd end, Duration elapsed, const TargetNotice &notice) {
-        m_control.attemptEnded({id, end, wholeMilliseconds(elapsed), notice.limit, notice.leaving});
+        m_control.attemptEnded({id, end, wholeMilliseconds(elapsed), notice.limit, notice.leaving, millisecondsRoundedUp(notice.rest)});
     };
     auto lease = std::make_unique<TargetLease>(placed->target, runtimeOf(placed->target, placed->endpoint), ended);
     lease->setHedgeAfter(placed->hedgeAfter);
--- a/src/net_upstream.cpp
+++ b/src/net_upstream.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t ReadChunkBytes = 16 * 1024;
 constexpr unsigned MaxInterimAnswers = 8;
 constexpr unsigned MaxStrayAnswers = 4;
+constexpr Duration MaxTargetRest = std::chrono::hours(1); // a longer rest is taken for this one, so that an absurd value does not close a target for good
 
 // True when the connection is open and has no unread bytes. Bytes that arrive before the next request is sent belong to no request of this daemon, so a
 // connection with unread bytes must not be reused.
@@ -103,13 +104,24 @@
         return {!dialect.signature.empty() && hasField(header, dialect.signature), false, 0};
     }
     const auto text = header[dialect.rateLimit];
-    const auto perSecond = header.count(dialect.rateLimit) == 1 ? parseRateLimit({text.data(), text.size()}) : std::nullopt;
+    const auto perSecond = header.count(dialect.rateLimit) == 1 ? parseDecimal({text.data(), text.size()}) : std::nullopt;
     return perSecond ? LimitStatement {true, true, *perSecond} : LimitStatement {};
 }
 
+// A target that refuses with 503 may say for how long it wants no request from the daemon. A date or another unreadable value says nothing.
+Duration restOf(const AnswerHeader &header, const Dialect &dialect)
+{
+    if (dialect.notExecuted.empty() || header.result_int() != 503 || header.count(http::field::retry_after) != 1) {
+        return {};
+    }
+    const auto text = header[http::field::retry_after];
+    const auto count = parseDecimal({text.data(), text.size()});
+    return count ? fromSeconds(std::min(*count, seconds(MaxTargetRest))) : Duration::zero();
+}
+
 TargetNotice noticeOf(const AnswerHeader &header, const Dialect &dialect)
 {
-    return {hasField(header, dialect.drain), limitOf(header, dialect)};
+    return {hasField(header, dialect.drain), limitOf(header, dialect), restOf(header, dialect)};
 }
 
 // False for a close-delimited answer (without a length or chunks): its end cannot be distinguished from a lost connection.
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -61,7 +61,7 @@
     } else if (const auto *report = std::get_if<AttemptReport>(&envelope.message)) {
         const PlacementKey key {envelope.sender, report->id};
         if (const Target *target = m_scheduler.targetOf(key)) {
-            recordNotice(target->name, *report, RuntimeClock::now());
+            recordNotice(envelope.sender, target->name, *report, RuntimeClock::now());
         }
         m_scheduler.finishAttempt(key, report->end, std::chrono::milliseconds(report->durationMilliseconds), RuntimeClock::now());
         deliverQueuedPlacements();
--- a/src/net_zone_placement.cpp
+++ b/src/net_zone_placement.cpp
@@ -209,7 +209,7 @@
     const TargetName target = found->second.attempt.target;
     m_running.erase(found);
     const TimePoint now = RuntimeClock::now();
-    recordNotice(target, report, now);
+    recordNotice(m_self.id, target, report, now);
     if (placedLocally) {
         m_scheduler.finishAttempt({m_self.id, report.id}, report.end, std::chrono::milliseconds(report.durationMilliseconds), now);
         deliverQueuedPlacements();
@@ -221,8 +221,15 @@
     }
 }
 
-void ZoneControl::recordNotice(const TargetName &target, const AttemptReport &report, TimePoint now)
+void ZoneControl::recordNotice(const MemberId &member, const TargetName &target, const AttemptReport &report, TimePoint now)
 {
+    if (report.restMilliseconds > 0) {
+        m_scheduler.recordRest(target, member.name, now + std::chrono::milliseconds(report.restMilliseconds));
+        Event("targets", "target-rests")
+            .add("target", target.value)
+            .add("from", member.name.value)
+            .add("rest_ms", std::chrono::milliseconds(report.restMilliseconds));
+    }
     if (report.leaving && m_scheduler.recordLeaving(target)) {
         Event("targets", "target-says-leaving").add("target", target.value);
     }
@@ -318,10 +325,16 @@
     }
     m_scheduler.cancelPlacement({m_self.id, reply.id});
     const auto *placed = std::get_if<Placed>(&placement);
-    if (placed != nullptr && isKnownUnusable(*placed)) {
+    const TimePoint now = RuntimeClock::now();
+    if (placed != nullptr && (isKnownUnusable(*placed) || m_scheduler.restLeft(placed->target, m_self.id.name, now) > Duration::zero())) {
         // This daemon knows that the target is unusable, so it rejects the hub's choice: it informs the hub and
         // requests a new placement that excludes the target.
-        send(envelope.replyTo, AttemptReport {reply.id, AttemptEnd::WrongTarget, 0});
+        AttemptReport report {reply.id, AttemptEnd::WrongTarget, 0};
+        if (const Duration rest = m_scheduler.restLeft(placed->target, m_self.id.name, now); rest > Duration::zero()) {
+            report.end = AttemptEnd::Abandoned;
+            report.restMilliseconds = millisecondsRoundedUp(rest);
+        }
+        send(envelope.replyTo, report);
         ThreadPlacementRequest threadRequest = std::move(found->second.threadRequest);
         m_pending.erase(found);
         threadRequest.request.tried.push_back(placed->target);
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -20,6 +20,15 @@
     , m_repeats(repeats)
 { }
 
+namespace
+{
+bool pending(const std::map<InstanceName, TimePoint> &until, const InstanceName &daemon, TimePoint now)
+{
+    const auto found = until.find(daemon);
+    return found != until.end() && found->second > now;
+}
+}
+
 Scheduler::ServiceState &Scheduler::service(const ServiceName &name)
 {
     return m_services.try_emplace(name, repeatBound()).first->second;
@@ -172,8 +181,7 @@
         if (!inUse(*state) || std::find(request.tried.begin(), request.tried.end(), state->target.name) != request.tried.end()) {
             continue;
         }
-        const auto unreachable = state->unreachableFrom.find(request.key.member.name);
-        if (unreachable != state->unreachableFrom.end() && unreachable->second > now) {
+        if (pending(state->unreachableFrom, request.key.member.name, now) || pending(state->restsFrom, request.key.member.name, now)) {
             continue;
         }
         const bool risky = failureProbability(*state, now) > (request.idempotent ? config::RepeatableTrialShare : config::RiskyShare);
@@ -305,14 +313,27 @@
     return std::max<Duration>(wait, longest / 2);
 }
 
+Duration Scheduler::restOfAll(const ServiceState &service, const InstanceName &daemon, TimePoint now)
+{
+    TimePoint earliest = TimePoint::max();
+    for (const auto &state : service.targets) {
+        if (inUse(*state)) {
+            const auto found = state->restsFrom.find(daemon);
+            earliest = std::min(earliest, found == state->restsFrom.end() ? now : found->second);
+        }
+    }
+    return earliest == TimePoint::max() ? Duration::zero() : std::max<Duration>(earliest - now, Duration::zero());
+}
+
 Placement Scheduler::enqueue(ServiceState &service, const PlacementRequest &request, TimePoint now)
 {
     const bool anyTarget = std::any_of(service.targets.begin(), service.targets.end(), [](const auto &state) { return inUse(*state); });
     const Duration meanLatency = latency(service, request.route, (request.objective - now) / 3).mean();
     const TimePoint latest = (request.objective - meanLatency > now ? request.objective : request.deadline) - meanLatency;
-    if (!anyTarget || latest <= now) {
+    const Duration rest = restOfAll(service, request.key.member.name, now);
+    if (!anyTarget || latest <= now + rest) {
         returnToken(request);
-        return NoCapacity {expectedCapacityDelay(service, Duration::zero())};
+        return NoCapacity {expectedCapacityDelay(service, rest)};
     }
     auto &queue = service.queues.try_emplace(request.priority, config::MaxQueuedRequests).first->second;
     const std::uint64_t id = m_nextQueueId++;
@@ -398,7 +419,7 @@
         }
         break;
     case AttemptEnd::NotExecuted:
-        if (target.running + 1 < slots) {
+        if (target.running + 1 < slots && !pending(target.restsFrom, key.member.name, now)) {
             target.failureEstimate.recordRefusal(now);
         }
         target.refusedUntil = now + config::RefusalBackoff;
@@ -539,6 +560,22 @@
     return found != m_targets.end() && found->second->saidLeaving;
 }
 
+void Scheduler::recordRest(const TargetName &target, const InstanceName &daemon, TimePoint until)
+{
+    const auto found = m_targets.find(target);
+    if (found != m_targets.end()) {
+        TimePoint &known = found->second->restsFrom[daemon];
+        known = std::max(known, until);
+    }
+}
+
+Duration Scheduler::restLeft(const TargetName &target, const InstanceName &daemon, TimePoint now) const
+{
+    const auto found = m_targets.find(target);
+    const bool rests = found != m_targets.end() && pending(found->second->restsFrom, daemon, now);
+    return rests ? found->second->restsFrom.at(daemon) - now : Duration::zero();
+}
+
 const Target *Scheduler::targetOf(const PlacementKey &key) const
 {
     const auto found = m_running.find(key);
--- a/src/target_limit.cpp
+++ b/src/target_limit.cpp
@@ -24,7 +24,7 @@
 }
 }
 
-std::optional<double> parseRateLimit(std::string_view text)
+std::optional<double> parseDecimal(std::string_view text)
 {
     double perSecond = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), perSecond, std::chars_format::fixed);
--- a/src/upstream_p.h
+++ b/src/upstream_p.h
@@ -37,6 +37,7 @@
 struct TargetNotice {
     bool leaving = false;
     LimitStatement limit;
+    Duration rest {}; ///< time for which the target wants no request from this daemon
 };
 
 /// A complete answer in memory.
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -165,8 +165,8 @@
     void received(const Envelope &envelope, const HubBeacon &beacon);
     void received(const Envelope &envelope, const HubDigest &digest);
     void received(const Envelope &envelope, const TargetLimits &limits);
-    /// Records what the answer of an attempt said of its target.
-    void recordNotice(const TargetName &target, const AttemptReport &report, TimePoint now);
+    /// Records what the answer of the member's attempt said of its target.
+    void recordNotice(const MemberId &member, const TargetName &target, const AttemptReport &report, TimePoint now);
     std::vector<TargetLimits> limitMessages(bool fromHub, TimePoint now) const;
     std::optional<RegisteredDaemon> hub(TimePoint now) const { return m_hubs.hub(m_settings.zone, now); }
     bool isSelf(const RegisteredDaemon &daemon) const { return daemon.id.name == m_self.id.name; }
--- a/tests/process_zone.cpp
+++ b/tests/process_zone.cpp
@@ -306,6 +306,27 @@
     LONGS_EQUAL(before, runsAt("t0"));
 }
 
+// Guards against requests to a target that refuses with a time for which it wants none; each daemon may send it two more.
+TEST(ZoneProcess, TargetThatRefusesForAWhileIsLeftAlone)
+{
+    start(false);
+    fleet->targetFault("t0", R"({"rest":"6.5"})");
+    const auto until = std::chrono::steady_clock::now() + 1500ms;
+    while (std::chrono::steady_clock::now() < until) {
+        CHECK(allAnswer("GET", "/read/1", RedKey, 200));
+    }
+    const auto shed = [this] {
+        const auto stats = boost::json::parse(httpCall(fleet->targets.at("t0").control, "GET", "/control/stats").body);
+        return stats.at("shed").to_number<std::int64_t>();
+    };
+    const auto before = shed();
+    CHECK(before > 0);
+    for (int round = 0; round < 30; ++round) {
+        CHECK(allAnswer("GET", "/read/1", RedKey, 200));
+    }
+    CHECK(shed() - before <= static_cast<std::int64_t>(2 * fleet->daemons.size()));
+}
+
 // Guards against a target in need that gets the load of a healthy one although it names a limit; also while schedulers are lost.
 TEST(ZoneProcess, TargetGetsNoMoreRequestsThanTheLimitThatItNames)
 {
--- a/tests/test_scheduler.cpp
+++ b/tests/test_scheduler.cpp
@@ -268,6 +268,36 @@
     CHECK(placedAt("t1"));
 }
 
+// Guards against requests to a target that wants none from a daemon for a while; others may use it.
+TEST(Scheduler, TargetThatRestsGetsNoRequestsOfThatDaemon)
+{
+    Zone zone(targets(2));
+    zone.scheduler.recordRest({"t1"}, member.name, t0 + 2s);
+    const auto placedAt = [&zone](const MemberId &from, TimePoint now) {
+        PlacementRequest request = zone.request(now);
+        request.key.member = from;
+        const auto placement = zone.scheduler.submit(request, now);
+        return std::holds_alternative<Placed>(placement) ? std::get<Placed>(placement).target.value : std::string();
+    };
+    for (int request = 0; request < 3; ++request) {
+        CHECK(placedAt(member, t0 + 1s) == "t2");
+    }
+    CHECK(placedAt({{"d2"}, 1}, t0 + 1s) == "t1");
+    CHECK(zone.scheduler.restLeft({"t1"}, member.name, t0 + 1s) == 1s);
+    CHECK(placedAt(member, t0 + 2s) == "t1");
+}
+
+// Load: all targets want nothing from a daemon. Its callers are told at once when to return.
+TEST(Scheduler, RequestIsRefusedImmediatelyWhileAllTargetsRest)
+{
+    Zone zone(targets(2));
+    zone.scheduler.recordRest({"t1"}, member.name, t0 + 9s);
+    zone.scheduler.recordRest({"t2"}, member.name, t0 + 4s);
+    const auto placement = zone.scheduler.submit(zone.request(t0), t0);
+    CHECK(std::holds_alternative<NoCapacity>(placement));
+    CHECK(std::get<NoCapacity>(placement).retryAfter == 4s);
+}
+
 TEST(Scheduler, TargetUnreachableFromOneDaemonStaysInUseForOthers)
 {
     Zone zone(targets(1));
--- a/tests/test_target_limit.cpp
+++ b/tests/test_target_limit.cpp
@@ -140,11 +140,11 @@
 
 TEST(TargetLimit, OnlyDecimalNumbersAreLimits)
 {
-    CHECK(parseRateLimit("1.2") == 1.2);
-    CHECK(parseRateLimit("0") == 0.0);
-    CHECK(parseRateLimit("250") == 250.0);
+    CHECK(parseDecimal("1.2") == 1.2);
+    CHECK(parseDecimal("0") == 0.0);
+    CHECK(parseDecimal("250") == 250.0);
     for (const char *text : {"", "-1", "nan", "inf", "1e400", "1e3", "1,5", " 1", "1 ", "ten", "0x10"}) {
-        CHECK(!parseRateLimit(text));
+        CHECK(!parseDecimal(text));
     }
 }
 
--- a/tools/standin_target.cpp
+++ b/tools/standin_target.cpp
@@ -65,6 +65,7 @@
     bool unresponsive = false;
     bool swapsAnswers = false;
     bool drain = false;
+    std::string rest; ///< text of Retry-After in the 503 with which the target refuses every request; empty: it refuses none
     std::string rateLimit; ///< text of the field by which the target limits its rate; empty: the answers have no such field
     Duration warmUpTime {};
     TimePoint warmUpSince;
@@ -183,6 +184,13 @@
         cancellation.answered();
         co_return refusal(request, 421, "another target was meant\n");
     }
+    if (!m_faults.rest.empty()) {
+        ++m_stats.shed;
+        Answer refused = refusal(request, 503, "no request for a while\n");
+        refused.fields.push_back({"Retry-After", m_faults.rest});
+        cancellation.answered();
+        co_return refused;
+    }
     const auto admission = co_await m_slots.acquire(deadline(request));
     Answer answer;
     if (admission == Admission::Full) {
@@ -392,6 +400,8 @@
         m_faults.swapsAnswers = value.as_bool();
     } else if (name == "drain") {
         m_faults.drain = value.as_bool();
+    } else if (name == "rest") {
+        m_faults.rest = std::string(value.as_string());
     } else if (name == "rate_limit") {
         m_faults.rateLimit = std::string(value.as_string());
     } else if (name == "cold_ms") {
