Let requests at a resumed daemon wait for the proof that comes at once

A daemon that notices that it stood still now lets requests with keys wait up to 250 ms for the next proof, and publishes regained trust at once. In an outage of the store nothing waits: control publishes each second then. No request is sent without a proof.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -227,6 +227,7 @@
     = 900ms; ///< covers the intervals of a read and a lost digest; a daemon whose list is older also requests it from a daemon other than its last source
 inline constexpr auto RelayedListMaxAge
     = 1200ms; ///< covers the intervals of a read, a digest and a heartbeat; a daemon without a newer list reads from the store itself
+inline constexpr auto ProofAfterPause = 250ms; ///< time in which a daemon that has stood still gets a new proof: a heartbeat or a read, and its answer
 inline constexpr auto QueueServeInterval = 20ms;
 inline constexpr auto FleetStartTime = 400ms; ///< time in which all daemons of a starting fleet enroll
 inline constexpr auto SecretCreationSpread = 300ms; ///< time over which the daemons of a starting fleet spread their attempts to create its secret
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -106,6 +106,13 @@
     return checkKey(snapshot, *found->route, header, now);
 }
 
+// Where control has published nothing for several intervals, it has stood still too, and doesn't know yet.
+bool awaitsProof(const Snapshot &snapshot, TimePoint now)
+{
+    const bool paused = now < snapshot.proofExpectedUntil || now - snapshot.publishedAt > 3 * config::PublishInterval;
+    return snapshot.compiled && now >= snapshot.trustedUntil && paused;
+}
+
 std::optional<Refusal> recheckAccess(const Snapshot &snapshot, const Access &access, TimePoint now)
 {
     if (access.route.open) {
--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -22,6 +22,8 @@
 
 namespace
 {
+constexpr Duration ProofCheckInterval = std::chrono::milliseconds(10);
+
 const Refusal &requestTimedOut()
 {
     static const Refusal refusal {408, "timeout", "the request came too slowly", std::nullopt, {}};
@@ -293,7 +295,12 @@
     if (co_await readHeader() != ReadResult::Complete) {
         co_return false;
     }
-    const AccessResult access = checkAccess(*m_thread.snapshot(), m_parser->get().base(), RuntimeClock::now());
+    AccessResult access = checkAccess(*m_thread.snapshot(), m_parser->get().base(), RuntimeClock::now());
+    const TimePoint waitUntil = RuntimeClock::now() + config::ProofAfterPause;
+    while (std::holds_alternative<Refusal>(access) && awaitsProof(*m_thread.snapshot(), RuntimeClock::now()) && RuntimeClock::now() < waitUntil) {
+        co_await sleepFor(ProofCheckInterval);
+        access = checkAccess(*m_thread.snapshot(), m_parser->get().base(), RuntimeClock::now());
+    }
     if (const auto *refusal = std::get_if<Refusal>(&access)) {
         // The body has not been read, so it is unknown where the next request on the connection starts.
         co_await refuse(*refusal);
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -275,6 +275,7 @@
     }
     m_documentFreshness.recordVersion(found.version, found.sentAt, found.era);
     adopt(read.assume_value(), "store");
+    publishRegainedTrust(now);
     co_return true;
 }
 
@@ -436,6 +437,7 @@
             .add("from", toString(from))
             .add("proved_ms_ago", RuntimeClock::now() - writtenAt + std::chrono::milliseconds(proof.ageMilliseconds));
     }
+    publishRegainedTrust(RuntimeClock::now());
     if (!m_documentFreshness.fetchDue()) {
         return;
     }
@@ -519,17 +521,27 @@
 void ZoneControl::publish(TimePoint now)
 {
     m_publishedAt = now;
+    m_publishedTrust = trustedUntil();
     const boost::intrusive_ptr<Snapshot> snapshot(new Snapshot);
     snapshot->compiled = m_compiled;
     snapshot->leaving = m_leaving;
     snapshot->closeAt = m_closeAt;
     snapshot->answerBy = m_answerBy;
     snapshot->trustedUntil = trustedUntil();
+    snapshot->publishedAt = now;
+    snapshot->proofExpectedUntil = m_proofExpectedUntil;
     for (const auto &thread : m_threads) {
         thread->publish(snapshot);
     }
 }
 
+void ZoneControl::publishRegainedTrust(TimePoint now)
+{
+    if (m_publishedTrust <= now && trustedUntil() > now) {
+        publish(now);
+    }
+}
+
 boost::asio::awaitable<void> ZoneControl::runPublisher()
 {
     bool wasReady = false;
@@ -540,6 +552,7 @@
         if (!m_publishedAt || now - *m_publishedAt >= config::PublishInterval) {
             publish(now);
         }
+        publishRegainedTrust(now);
         if (ready(now) != wasReady) {
             wasReady = !wasReady;
             Event("daemon", wasReady ? "ready" : "not-ready")
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -144,6 +144,8 @@
         return;
     }
     m_lastHeartbeatAt = now;
+    m_proofExpectedUntil = now + config::ProofAfterPause;
+    publish(now);
     Event("daemon", "resumed").add("paused_ms", pause);
     for (const auto &team : m_scheduler.teams()) {
         m_scheduler.bucket(team)->recordPause(now);
--- a/src/snapshot_p.h
+++ b/src/snapshot_p.h
@@ -41,6 +41,8 @@
     boost::intrusive_ptr<const CompiledDocument> compiled; ///< null before the first document
     std::unordered_map<ServiceName, std::shared_ptr<const ServiceView>> services;
     TimePoint trustedUntil; ///< from this time on, requests with a key are refused because the document's keys are unconfirmed
+    TimePoint publishedAt = TimePoint::max();
+    TimePoint proofExpectedUntil; ///< after a pause of the process: time until which a new confirmation of the keys is expected
     bool leaving = false; ///< the daemon is draining
     TimePoint closeAt = TimePoint::max(); ///< from this time on, connections take no further request
     /// At this time, all running requests get a final answer. A connection's answers are sent in the order of its requests. An unanswered request would
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -205,6 +205,8 @@
     void send(const Endpoint &to, Message message);
     Envelope envelope(Message message) const;
     void publish(TimePoint now);
+    /// Publishes at once when keys are trusted again that the traffic threads hold for unconfirmed.
+    void publishRegainedTrust(TimePoint now);
     TimePoint trustedUntil() const;
     /// Random duration up to @p max.
     Duration randomDuration(Duration max);
@@ -253,6 +255,8 @@
     DirectoryRead m_documentRead;
     DirectoryRead m_targetsRead;
     std::optional<TimePoint> m_storeReadAt; ///< when this daemon sent its last successful read of the list of targets
+    TimePoint m_publishedTrust; ///< end of trust in the last snapshot
+    TimePoint m_proofExpectedUntil; ///< end of the time after a pause in which a new proof is expected
     std::optional<TimePoint> m_publishedAt; ///< none before the first snapshot
     std::mt19937_64 m_random {std::random_device()()};
     std::uint64_t m_localPlacements = 0;
--- a/tests/process_zone.cpp
+++ b/tests/process_zone.cpp
@@ -277,6 +277,23 @@
     CHECK(eventually(5s, [&] { return status(paused, "GET", "/read/1", RedKey) == 200; }));
 }
 
+// Guards against refusals of the requests that have waited at a daemon that stood still: its proof has lapsed, and a new one comes at once.
+TEST(ZoneProcess, ResumedDaemonServesTheRequestsThatHaveWaited)
+{
+    start(false);
+    for (const auto &paused : {hubOf("z1"), std::string("d5")}) {
+        auto &process = fleet->daemons.at(paused).process;
+        process->signal(SIGSTOP);
+        sleepFor(6s); // longer than the lifetime of any proof of freshness
+        unsigned answerStatus = 0;
+        std::thread caller([&] { answerStatus = status(paused, "GET", "/read/1", RedKey); });
+        sleepFor(300ms);
+        process->signal(SIGCONT);
+        caller.join();
+        LONGS_EQUAL(200, answerStatus);
+    }
+}
+
 TEST(ZoneProcess, ALeavingTargetGetsNoRequestTwoSecondsAfterItsNotice)
 {
     start(false, 6, 20'000); // the long drain time keeps the target running, so that it records requests that still arrive
