Keep targets through the store's return from a copy, and departed ones out

An entry that is no newer than the one with which the target left is now ignored, and a new era begins the same grace period for missing entries as an outage.

--- a/include/plumsill/target_list.h
+++ b/include/plumsill/target_list.h
@@ -29,9 +29,9 @@
 class TargetList
 {
 public:
-    /// Applies the result of a read that was sent at @p sentAt and answered at @p now. A read that is not newer than the last
-    /// one is ignored.
-    void read(const std::vector<Target> &targets, TimePoint sentAt, TimePoint now);
+    /// Applies the result of a read that was sent at @p sentAt and answered at @p now by a store of @p era (0: unknown). A read that is not
+    /// newer than the last one is ignored. The return of a store from a copy counts as an outage.
+    void read(const std::vector<Target> &targets, TimePoint sentAt, TimePoint now, StoreEra era = 0);
     /// Records that another daemon's read, sent at @p sentAt, showed the same list.
     void confirm(TimePoint sentAt);
     /// Targets in use or leaving. After an outage of the platform, targets missing from its listing are kept for a grace
@@ -54,7 +54,13 @@
 
     void recordChange(const TargetName &name);
 
+    bool isOutdated(const Target &target) const;
+    void recordRemoved(const Target &target);
+
     std::map<TargetName, Target> m_targets;
+    std::map<TargetName, Target> m_removed; ///< last entries of targets that are no longer listed
+    std::deque<TargetName> m_removedOrder; ///< their names, oldest first
+    StoreEra m_era = 0;
     std::deque<Change> m_changes; ///< oldest first
     std::uint64_t m_discardedRevision = 0; ///< revision up to which changes were discarded
     std::optional<TimePoint> m_readAt;
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -316,7 +316,7 @@
         Event("targets", "entries-rejected").add("count", static_cast<std::int64_t>(read.rejected));
     }
     const std::uint64_t before = m_list.revision();
-    m_list.read(read.targets, read.sentAt, RuntimeClock::now());
+    m_list.read(read.targets, read.sentAt, RuntimeClock::now(), read.era);
     m_listSource.reset();
     if (m_list.revision() != before) {
         listChanged("store");
--- a/src/target_list.cpp
+++ b/src/target_list.cpp
@@ -1,5 +1,6 @@
 #include <plumsill/target_list.h>
 
+#include <algorithm>
 #include <set>
 
 namespace plumsill
@@ -40,17 +41,41 @@
     return all;
 }
 
-void TargetList::read(const std::vector<Target> &targets, TimePoint sentAt, TimePoint now)
+// A copy from which the store has come back shows entries as they were, also those of targets that have left since.
+bool TargetList::isOutdated(const Target &target) const
+{
+    const auto removed = m_removed.find(target.name);
+    return removed != m_removed.end()
+        && (isOlder(target, removed->second) || (sameRun(target, removed->second) && target.sequence == removed->second.sequence));
+}
+
+void TargetList::recordRemoved(const Target &target)
+{
+    if (m_removed.insert_or_assign(target.name, target).second) {
+        m_removedOrder.push_back(target.name);
+    }
+    while (m_removedOrder.size() > MaxKeptChanges) {
+        m_removed.erase(m_removedOrder.front());
+        m_removedOrder.pop_front();
+    }
+}
+
+void TargetList::read(const std::vector<Target> &targets, TimePoint sentAt, TimePoint now, StoreEra era)
 {
     if (m_readAt && sentAt <= *m_readAt) {
         return;
     }
-    if (m_readAt && sentAt - *m_readAt > OutageGap && !m_targets.empty()) {
+    const bool newEra = m_era != 0 && era > m_era;
+    m_era = std::max(m_era, era);
+    if (m_readAt && (newEra || sentAt - *m_readAt > OutageGap) && !m_targets.empty()) {
         m_graceUntil = now + ReturnGracePeriod;
     }
     m_readAt = sentAt;
     std::map<TargetName, Target> listed;
     for (const auto &target : targets) {
+        if (isOutdated(target)) {
+            continue;
+        }
         const auto known = m_targets.find(target.name);
         const bool outdated = known != m_targets.end() && isOlder(target, known->second);
         listed.emplace(target.name, outdated ? known->second : target);
@@ -80,6 +105,7 @@
     for (const auto &[name, target] : m_targets) {
         if (!listed.contains(name)) {
             recordChange(name);
+            recordRemoved(target);
         }
     }
     m_targets = std::move(listed);
--- a/tests/test_zone_modules.cpp
+++ b/tests/test_zone_modules.cpp
@@ -165,6 +165,36 @@
     CHECK(!list.targets().front().leaving);
 }
 
+// Guards against requests to a target that has left: a store that has come back from a copy lists it again, as it was.
+TEST(TargetList, EntryThatReturnsAsItWasIsNotUsed)
+{
+    TargetList list;
+    Target leaving = target("a", 1, 100, 7);
+    list.read({leaving, target("b", 2)}, t0, t0);
+    leaving.leaving = true;
+    leaving.sequence = 8;
+    list.read({leaving, target("b", 2)}, t0 + 500ms, t0 + 500ms);
+    list.read({target("b", 2)}, t0 + 1s, t0 + 1s);
+    list.read({target("a", 1, 100, 7), target("b", 2)}, t0 + 1500ms, t0 + 1500ms);
+    CHECK(list.find({"a"}) == nullptr);
+    list.read({target("a", 1, 100, 9), target("b", 2)}, t0 + 2s, t0 + 2s);
+    CHECK(list.find({"a"}) != nullptr);
+    list.read({target("b", 2)}, t0 + 2500ms, t0 + 2500ms);
+    list.read({target("a", 1, 200, 1), target("b", 2)}, t0 + 3s, t0 + 3s);
+    CHECK(list.find({"a"}) != nullptr); // a new run
+}
+
+// Guards against the loss of targets that live: the copy is older than their entries, which they write again within two seconds.
+TEST(TargetList, EntriesMissingInANewEraAreKeptForAGracePeriod)
+{
+    TargetList list;
+    list.read({target("a", 1), target("b", 2)}, t0, t0, 1);
+    list.read({target("a", 1)}, t0 + 500ms, t0 + 500ms, 2);
+    CHECK(list.find({"b"}) != nullptr);
+    list.read({target("a", 1)}, t0 + 3s, t0 + 3s, 2);
+    CHECK(list.find({"b"}) == nullptr);
+}
+
 TEST(TargetList, RevisionRisesOnlyWithChanges)
 {
     list.read({target("a")}, t0, t0);
