--- /dev/null
+++ b/src/net_zone_document.cpp
@@ -0,0 +1,185 @@
+#include "zone_p.h"
+
+#include <plumsill/compression.h>
+#include <plumsill/config.h>
+#include <plumsill/event.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <set>
+
+// How a daemon of a zone fleet gets the newest document, from other daemons or from the directory, and proves that it is the newest.
+namespace plumsill
+{
+boost::asio::awaitable<bool> ZoneControl::readDocument()
+{
+    const auto read = co_await m_directory.document();
+    recordStoreResult("document", read);
+    if (!read) {
+        co_return false;
+    }
+    const DocumentRead &found = read.assume_value();
+    if (found.version < m_documentFreshness.newest()) {
+        Event("document", "older-document-read")
+            .add("version", static_cast<std::int64_t>(found.version))
+            .add("known", static_cast<std::int64_t>(m_documentFreshness.newest()))
+            .add("held", static_cast<std::int64_t>(m_documentFreshness.held()))
+            .add("era", static_cast<std::int64_t>(found.era));
+    }
+    const TimePoint now = RuntimeClock::now();
+    if (m_documentFreshness.held() == 0 && (found.version < m_documentFreshness.newest() || !mayAdoptFirstRead(startState(), m_startedAt, now))) {
+        m_documentFreshness.recordEra(found.era, found.sentAt);
+        Event("document", "first-read-unconfirmed").add("version", static_cast<std::int64_t>(found.version)).add("age_ms", now - m_startedAt);
+        co_return true;
+    }
+    m_documentFreshness.recordVersion(found.version, found.sentAt, found.era);
+    adopt(read.assume_value(), "store");
+    publishRegainedTrust(now);
+    co_return true;
+}
+
+void ZoneControl::adopt(const DocumentRead &read, const std::string &from)
+{
+    const auto newerKnownSince = m_documentFreshness.newerKnownSince();
+    if (!m_documentFreshness.adopt(read.version)) {
+        return;
+    }
+    m_document = read;
+    m_compiled = new CompiledDocument({read.version, {}}, read.document);
+    const TimePoint now = RuntimeClock::now();
+    m_scheduler.setDocument(*read.document, now);
+    updateShares(now);
+    Event("document", "document-in-force")
+        .add("version", static_cast<std::int64_t>(read.version))
+        .add("from", from)
+        .add("known_for_ms", newerKnownSince ? now - *newerKnownSince : Duration::zero())
+        .add("routes", static_cast<std::int64_t>(read.document->routes.size()))
+        .add("teams", static_cast<std::int64_t>(read.document->teams.size()));
+    publish(now);
+    sendBeacons(now);
+    sendDigests(now);
+}
+
+// Each try asks the daemon that told of the newest document last, since the one before may have stopped.
+boost::asio::awaitable<void> ZoneControl::fetchDocument()
+{
+    if (m_fetchingDocument) {
+        co_return;
+    }
+    m_fetchingDocument = true;
+    for (unsigned attempt = 0; m_documentSource && attempt < config::DocumentFetchTries && m_documentFreshness.fetchDue(); ++attempt) {
+        const bool starting = m_documentFreshness.held() == 0 && attempt == 0;
+        if (!starting && !actsAsHub(RuntimeClock::now())) {
+            co_await sleepFor(randomDuration(config::DocumentFetchSpread));
+        }
+        co_await fetchDocumentFrom(Endpoint(*m_documentSource));
+    }
+    if (m_documentFreshness.fetchDue()) {
+        co_await readDocument();
+    }
+    m_fetchingDocument = false;
+}
+
+boost::asio::awaitable<void> ZoneControl::fetchDocumentFrom(Endpoint from)
+{
+    const Envelope request = envelope(PackedDocumentRequest {m_documentFreshness.held()});
+    const TimePoint requestedAt = RuntimeClock::now();
+    const auto reply = co_await m_peers.request(from, request);
+    if (!reply) {
+        Event("document", "document-not-relayed")
+            .add("from", toString(from))
+            .add("reason", toString(reply.error()))
+            .add("took_ms", RuntimeClock::now() - requestedAt)
+            .add("newest", static_cast<std::int64_t>(m_documentFreshness.newest()));
+    }
+    const auto *answer = reply ? std::get_if<PackedDocument>(&reply.assume_value().message) : nullptr;
+    if (answer == nullptr || answer->version <= m_documentFreshness.held()) {
+        co_return;
+    }
+    auto text = decompress(answer->packed, answer->textBytes);
+    if (!text) {
+        Event("document", "relayed-document-damaged").add("from", toString(from)).add("version", static_cast<std::int64_t>(answer->version));
+        co_return;
+    }
+    const auto parsed = m_directory.parse(std::move(*text));
+    if (parsed) {
+        adopt(parsed.assume_value(), toString(from));
+    }
+}
+
+// All members of a hub fetch a new document at about the same time, so it is compressed only once.
+const PackedDocument &ZoneControl::packedDocument()
+{
+    if (m_packedDocument.version != m_document.version) {
+        m_packedDocument = {m_document.version, m_document.text->size(), compress(*m_document.text)};
+    }
+    return m_packedDocument;
+}
+
+void ZoneControl::recordProof(const DocumentProof &proof, TimePoint writtenAt, const Endpoint &from)
+{
+    if (proof.eraAgeMilliseconds != DocumentProof::UnknownEraAge) {
+        m_documentFreshness.recordEraStart(proof.era, writtenAt - std::chrono::milliseconds(proof.eraAgeMilliseconds));
+    }
+    if (!proof.known) {
+        return;
+    }
+    m_peerKnowsDocument = true;
+    m_documentRead.backoff.recordRelayed(writtenAt - std::chrono::milliseconds(proof.ageMilliseconds));
+    const std::uint64_t newest = m_documentFreshness.newest();
+    m_documentFreshness.recordVersion(proof.version, writtenAt - std::chrono::milliseconds(proof.ageMilliseconds));
+    if (m_documentFreshness.newest() > newest) {
+        Event("document", "newer-document-known")
+            .add("version", static_cast<std::int64_t>(proof.version))
+            .add("held", static_cast<std::int64_t>(m_documentFreshness.held()))
+            .add("from", toString(from))
+            .add("proved_ms_ago", RuntimeClock::now() - writtenAt + std::chrono::milliseconds(proof.ageMilliseconds));
+    }
+    publishRegainedTrust(RuntimeClock::now());
+    if (!m_documentFreshness.fetchDue()) {
+        return;
+    }
+    if (proof.version >= m_documentFreshness.newest()) {
+        // A hub's link is too slow to send a very large document to all its members, so each member reads a document of more
+        // than RelayedDocumentBytes from the directory.
+        m_documentSource = proof.bytes <= config::RelayedDocumentBytes ? std::optional(from) : std::nullopt;
+    }
+    if (!m_fetchingDocument) {
+        boost::asio::co_spawn(m_context, fetchDocument(), boost::asio::detached);
+    }
+}
+
+DocumentProof ZoneControl::documentProof(TimePoint now) const
+{
+    DocumentProof proof;
+    proof.era = m_documentFreshness.era();
+    if (const auto eraStart = m_documentFreshness.eraStart()) {
+        proof.eraAgeMilliseconds = millisecondsRoundedUp(now - *eraStart);
+    }
+    if (const auto provedAt = m_documentFreshness.currentAt()) {
+        proof.known = true;
+        proof.version = m_documentFreshness.held();
+        proof.ageMilliseconds = millisecondsRoundedUp(now - *provedAt);
+        proof.bytes = static_cast<std::uint32_t>(m_document.text->size());
+    }
+    return proof;
+}
+
+StartState ZoneControl::startState() const
+{
+    StartState state;
+    state.era = m_directory.era();
+    state.peerKnowsDocument = m_peerKnowsDocument;
+    std::set<ZoneName> answered;
+    for (const auto &[id, hub] : m_otherHubs) {
+        answered.insert(hub.zone);
+    }
+    auto others = m_hubs.zones();
+    others.erase(m_settings.zone);
+    state.otherZones = m_registryRead ? others.size() : 1;
+    answered.erase(m_settings.zone);
+    state.answeredZones = answered.size();
+    return state;
+}
+}
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -10,6 +10,16 @@
 
 namespace plumsill
 {
+namespace
+{
+// Whether the daemon is still to be given other targets.
+bool avoided(const std::map<InstanceName, TimePoint> &until, const InstanceName &daemon, TimePoint now)
+{
+    const auto found = until.find(daemon);
+    return found != until.end() && found->second > now;
+}
+}
+
 RepeatBound Scheduler::repeatBound() const
 {
     return {m_repeats.ratio * config::RepeatMargin, m_repeats.slack * config::RepeatMargin * m_fleetShare, m_repeats.window};
@@ -20,15 +30,6 @@
     , m_repeats(repeats)
 { }
 
-namespace
-{
-bool pending(const std::map<InstanceName, TimePoint> &until, const InstanceName &daemon, TimePoint now)
-{
-    const auto found = until.find(daemon);
-    return found != until.end() && found->second > now;
-}
-}
-
 Scheduler::ServiceState &Scheduler::service(const ServiceName &name)
 {
     return m_services.try_emplace(name, repeatBound()).first->second;
@@ -181,7 +182,7 @@
         if (!inUse(*state) || std::find(request.tried.begin(), request.tried.end(), state->target.name) != request.tried.end()) {
             continue;
         }
-        if (pending(state->unreachableFrom, request.key.member.name, now) || pending(state->restsFrom, request.key.member.name, now)) {
+        if (avoided(state->unreachableFrom, request.key.member.name, now) || avoided(state->restsFrom, request.key.member.name, now)) {
             continue;
         }
         const bool risky = failureProbability(*state, now) > (request.idempotent ? config::RepeatableTrialShare : config::RiskyShare);
@@ -419,7 +420,7 @@
         }
         break;
     case AttemptEnd::NotExecuted:
-        if (target.running + 1 < slots && !pending(target.restsFrom, key.member.name, now)) {
+        if (target.running + 1 < slots && !avoided(target.restsFrom, key.member.name, now)) {
             target.failureEstimate.recordRefusal(now);
         }
         target.refusedUntil = now + config::RefusalBackoff;
@@ -534,79 +535,12 @@
     return found == m_teamStates.end() ? 0 : found->second.demand.value(now);
 }
 
-bool Scheduler::recordLimit(const TargetName &target, const LimitStatement &limit, TimePoint now)
-{
-    const auto found = m_targets.find(target);
-    if (found == m_targets.end() || !limit.stated) {
-        return false;
-    }
-    return found->second->limit.record(limit.limited ? std::optional(limit.perSecond) : std::nullopt, now, now);
-}
-
-bool Scheduler::recordLeaving(const TargetName &target)
-{
-    const auto found = m_targets.find(target);
-    if (found == m_targets.end() || found->second->saidLeaving) {
-        return false;
-    }
-    found->second->saidLeaving = true;
-    m_saidLeaving[target] = found->second->target;
-    return true;
-}
-
-bool Scheduler::saidLeaving(const TargetName &target) const
-{
-    const auto found = m_targets.find(target);
-    return found != m_targets.end() && found->second->saidLeaving;
-}
-
-void Scheduler::recordRest(const TargetName &target, const InstanceName &daemon, TimePoint until)
-{
-    const auto found = m_targets.find(target);
-    if (found != m_targets.end()) {
-        TimePoint &known = found->second->restsFrom[daemon];
-        known = std::max(known, until);
-    }
-}
-
-Duration Scheduler::restLeft(const TargetName &target, const InstanceName &daemon, TimePoint now) const
-{
-    const auto found = m_targets.find(target);
-    const bool rests = found != m_targets.end() && pending(found->second->restsFrom, daemon, now);
-    return rests ? found->second->restsFrom.at(daemon) - now : Duration::zero();
-}
-
 const Target *Scheduler::targetOf(const PlacementKey &key) const
 {
     const auto found = m_running.find(key);
     return found == m_running.end() ? nullptr : &found->second.target->target;
 }
 
-TargetLimit *Scheduler::limit(std::uint32_t target)
-{
-    const auto found = m_byHash.find(target);
-    return found == m_byHash.end() ? nullptr : &found->second->limit;
-}
-
-void Scheduler::setLimitPart(const QuotaPart &part, TimePoint now)
-{
-    m_limitPart = part;
-    for (auto &[name, state] : m_targets) {
-        state->limit.setPart(part, now);
-    }
-}
-
-std::vector<NamedLimit> Scheduler::limits(TimePoint now) const
-{
-    std::vector<NamedLimit> limits;
-    for (const auto &[hash, state] : m_byHash) {
-        if (const auto report = state->limit.report(hash, now)) {
-            limits.push_back(*report);
-        }
-    }
-    return limits;
-}
-
 // Omits targets that have neither running requests nor a raised failure probability: most targets of a large zone.
 std::vector<TargetLoad> Scheduler::loads(TimePoint now) const
 {
