--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -166,7 +166,7 @@
     }
     heartbeat.taken = nextTokenReports();
     send(to.peer, std::move(heartbeat));
-    // A hub knows the limits from the reports of its members; only one that was chosen a moment ago has to be told.
+    // A hub knows the limits from the reports of its members; only one that has just taken over has to be told.
     if (now - m_hubChosenAt < config::MemberHeartbeatInterval * config::TokenReportRepeats || now >= m_nextLimitReportAt) {
         m_nextLimitReportAt = now + config::LimitReportInterval;
         for (auto &limits : limitMessages(false, now)) {
