--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -63,6 +63,7 @@
 /// No target can run the request in time.
 struct NoCapacity {
     Duration retryAfter {}; ///< time until a free slot is expected
+    CapacityReason reason = CapacityReason::NoFreeTarget;
 
     auto operator<=>(const NoCapacity &) const = default;
 };
--- a/include/plumsill/zone_messages.h
+++ b/include/plumsill/zone_messages.h
@@ -72,6 +72,18 @@
     NotReady, ///< the hub has no document or no list of targets yet; another daemon must place the request
 };
 
+/// Why a request gets no target.
+enum class CapacityReason : std::uint8_t
+{
+    NoFreeTarget, ///< each usable target is full, or was tried already
+    RepeatBound, ///< the service's bound on repeats is used up
+    Resting, ///< all targets want no request from the daemon at present
+    QueueFull, ///< too many requests wait
+    TooLate, ///< a target that is free in time is not expected, or the wait for one took too long
+};
+
+const char *toString(CapacityReason reason);
+
 /// A hub's decision on one request.
 struct PlaceReply {
     std::uint64_t id = 0; ///< id of the request
@@ -80,12 +92,13 @@
     Endpoint endpoint;
     std::uint32_t hedgeAfterMilliseconds = 0;
     std::uint32_t retryAfterMilliseconds = 0;
+    CapacityReason reason = CapacityReason::NoFreeTarget; ///< of status NoCapacity
 
     auto operator<=>(const PlaceReply &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, status, target, endpoint, hedgeAfterMilliseconds, retryAfterMilliseconds);
+        archive(id, status, target, endpoint, hedgeAfterMilliseconds, retryAfterMilliseconds, reason);
     }
 };
 
--- /dev/null
+++ b/src/capacity_reason.cpp
@@ -0,0 +1,21 @@
+#include <plumsill/zone_messages.h>
+
+namespace plumsill
+{
+const char *toString(CapacityReason reason)
+{
+    switch (reason) {
+    case CapacityReason::NoFreeTarget:
+        return "no-free-target";
+    case CapacityReason::RepeatBound:
+        return "repeat-bound";
+    case CapacityReason::Resting:
+        return "targets-rest";
+    case CapacityReason::QueueFull:
+        return "queue-full";
+    case CapacityReason::TooLate:
+        return "too-late";
+    }
+    return "";
+}
+}
--- a/src/forward_p.h
+++ b/src/forward_p.h
@@ -111,6 +111,7 @@
     std::vector<TargetName> m_tried; ///< targets of all attempts so far
     std::optional<BufferedAnswer> m_lastFailure; ///< newest answer by which a target reported a failure; sent to the caller when no further attempt can be made
     std::optional<TimePoint> m_hedgeAt; ///< time at which a hedge is due
+    std::optional<CapacityReason> m_refusedFor; ///< why the scheduler assigned no target
     std::string m_reason; ///< reason of the result, for the log
     std::string m_endpoint; ///< endpoint of the last target
     Duration m_placementTime {}; ///< time spent on waits for targets
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -370,6 +370,7 @@
 // no target has run gets 429 instead.
 ForwardResult Forwarder::answerWithoutTarget(const NoTarget &none)
 {
+    m_refusedFor = none.reason;
     if (none.overRate && m_attempts.outcome() == RunOutcome::NotRun) {
         ++counts().overRate;
         return refuse({429, "over-rate", "the team's rate is used up", RunOutcome::NotRun, none.retryAfter});
@@ -457,6 +458,9 @@
     event.add("reason", std::holds_alternative<AbortCaller>(result) ? std::string("caller-left-or-cut") : m_reason);
     event.add("attempts", static_cast<std::int64_t>(m_tried.size()));
     event.add("target", m_tried.empty() ? std::string() : m_tried.back().value);
+    if (m_refusedFor) {
+        event.add("refused_for", toString(*m_refusedFor));
+    }
     event.add("endpoint", m_endpoint).add("placing_ms", m_placementTime);
     event.add("took_ms", RuntimeClock::now() - m_start).add("deadline_ms", m_deadline - m_start);
     event.add("document", static_cast<std::int64_t>(snapshot.compiled ? snapshot.compiled->stamp.version : 0));
--- a/src/net_traffic.cpp
+++ b/src/net_traffic.cpp
@@ -218,12 +218,12 @@
         co_return NoTarget {true, config::RetryAfterFailure};
     }
     if (const auto *over = std::get_if<OverQuota>(&*waiter.placement)) {
-        co_return NoTarget {true, over->retryAfter, true};
+        co_return NoTarget {true, over->retryAfter, true, std::nullopt};
     }
     const auto *placed = std::get_if<Placed>(&*waiter.placement);
     if (placed == nullptr) {
         const auto *none = std::get_if<NoCapacity>(&*waiter.placement);
-        co_return NoTarget {true, none == nullptr ? Duration(config::RetryAfterFailure) : none->retryAfter};
+        co_return none == nullptr ? NoTarget {true, config::RetryAfterFailure} : NoTarget {true, none->retryAfter, false, none->reason};
     }
     const auto ended = [this, id](AttemptEnd end, Duration elapsed, const TargetNotice &notice) {
         m_control.attemptEnded({id, end, wholeMilliseconds(elapsed), notice.limit, notice.leaving, millisecondsRoundedUp(notice.rest)});
--- a/src/net_zone_placement.cpp
+++ b/src/net_zone_placement.cpp
@@ -22,6 +22,7 @@
     } else if (const auto *none = std::get_if<NoCapacity>(&placement)) {
         reply.status = PlaceStatus::NoCapacity;
         reply.retryAfterMilliseconds = wholeMilliseconds(none->retryAfter);
+        reply.reason = none->reason;
     } else {
         reply.status = PlaceStatus::Queued;
     }
@@ -42,7 +43,7 @@
     case PlaceStatus::NotReady:
         break;
     }
-    return NoCapacity {retryAfter};
+    return NoCapacity {retryAfter, reply.reason};
 }
 }
 
@@ -265,7 +266,7 @@
     member.peer = envelope.replyTo;
     member.lastReceivedAt = now;
     if (!m_compiled || !m_list.readAt()) {
-        send(envelope.replyTo, PlaceReply {request.id, PlaceStatus::NotReady, {}, {}, 0, 0});
+        send(envelope.replyTo, PlaceReply {request.id, PlaceStatus::NotReady, {}, {}, 0, 0, {}});
         return;
     }
     PlacementRequest placementRequest;
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -265,7 +265,8 @@
 std::optional<Placement> Scheduler::admit(const PlacementRequest &request, TimePoint now)
 {
     if (request.repeat) {
-        return service(request.service).repeats.tryRepeat(now) ? std::nullopt : std::optional<Placement>(NoCapacity {config::RetryAfterFailure});
+        return service(request.service).repeats.tryRepeat(now) ? std::nullopt
+                                                               : std::optional<Placement>(NoCapacity {config::RetryAfterFailure, CapacityReason::RepeatBound});
     }
     service(request.service).repeats.recordRequest(now);
     const auto team = m_teamStates.find(request.team);
@@ -334,7 +335,7 @@
     const Duration rest = restOfAll(service, request.key.member.name, now);
     if (!anyTarget || latest <= now + rest) {
         returnToken(request);
-        return NoCapacity {expectedCapacityDelay(service, rest)};
+        return NoCapacity {expectedCapacityDelay(service, rest), rest > Duration::zero() ? CapacityReason::Resting : CapacityReason::TooLate};
     }
     auto &queue = service.queues.try_emplace(request.priority, config::MaxQueuedRequests).first->second;
     const std::uint64_t id = m_nextQueueId++;
@@ -342,11 +343,11 @@
     if (queueResult.displaced) {
         const QueuedPlacement dropped = takeQueued(*queueResult.displaced);
         returnToken(dropped.request);
-        m_displaced.push_back({dropped.request.key, NoCapacity {expectedCapacityDelay(service, queueResult.retryAfter)}});
+        m_displaced.push_back({dropped.request.key, NoCapacity {expectedCapacityDelay(service, queueResult.retryAfter), CapacityReason::QueueFull}});
     }
     if (!queueResult.accepted) {
         returnToken(request);
-        return NoCapacity {expectedCapacityDelay(service, queueResult.retryAfter)};
+        return NoCapacity {expectedCapacityDelay(service, queueResult.retryAfter), CapacityReason::QueueFull};
     }
     m_waiting.emplace(request.key, QueuedPlacement {request, id});
     m_keyByQueueId.emplace(id, request.key);
@@ -490,7 +491,7 @@
             continue;
         }
         returnToken(queued.request);
-        decided.push_back({queued.request.key, NoCapacity {expectedCapacityDelay(service, Duration::zero())}});
+        decided.push_back({queued.request.key, NoCapacity {expectedCapacityDelay(service, Duration::zero()), CapacityReason::TooLate}});
     }
 }
 
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -113,6 +113,7 @@
     bool overloaded = false;
     Duration retryAfter {};
     bool overRate = false;
+    std::optional<CapacityReason> reason {}; ///< empty where the scheduler named none
 };
 
 using DispatchResult = std::variant<std::unique_ptr<TargetLease>, NoTarget>;
