--- /dev/null
+++ b/tests/process_reach.cpp
@@ -0,0 +1,133 @@
+#include "zone_fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plumsill;
+using namespace plumsill::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+PlatformDocument document()
+{
+    PlatformDocument document;
+    document.version = 1;
+    document.services = {"lookup"};
+    document.routes = {{"read", "/read/", "lookup", true, false, 2, 3000, 1000}, {"order", "/order/", "lookup", false, false, 1, 3000, 1000}};
+    document.teams = {{"red", {RedKey}, 0, 0}};
+    return document;
+}
+
+constexpr auto DetectionTime = 3s; // time after which a cut daemon must serve its callers again
+}
+
+/// Daemons that are partitioned from all targets, while callers, the object service and the other daemons reach them.
+TEST_GROUP(ReachProcess)
+{
+    std::unique_ptr<ZoneFleet> fleet;
+    unsigned nextId = 0; ///< even: a request that may run twice
+    bool onlyOrders = false;
+
+    void start(unsigned daemons = 6)
+    {
+        ZoneFleetOptions options;
+        options.partitionable = true;
+        fleet = std::make_unique<ZoneFleet>(options);
+        CHECK(fleet->publish(document()));
+        for (unsigned index = 0; index < 6; ++index) {
+            fleet->startTarget("t" + std::to_string(index), "lookup", "z" + std::to_string(index % 3));
+        }
+        for (unsigned index = 0; index < daemons; ++index) {
+            fleet->startDaemon("d" + std::to_string(index), "z" + std::to_string(index % 3), true);
+        }
+        CHECK(eventually(20s, [this] { return fleet->allReady(); }));
+        CHECK(eventually(10s, [this] { return served("d0") && served("d1") && served("d2"); }));
+    }
+    bool served(const std::string &daemon)
+    {
+        nextId += onlyOrders && nextId % 2 == 0 ? 1 : onlyOrders ? 2 : 1;
+        const std::string id = "id" + std::to_string(nextId);
+        return fleet->call(daemon, nextId % 2 == 0 ? "GET" : "POST", nextId % 2 == 0 ? "/read/1" : "/order/1", id, RedKey).status == 200;
+    }
+    /// Sends requests to the daemons by turns for @p time; returns the share that was served at the first attempt, by daemon.
+    std::map<std::string, double> firstAttemptsServed(std::chrono::milliseconds time)
+    {
+        std::map<std::string, double> share;
+        const auto until = std::chrono::steady_clock::now() + time;
+        double rounds = 0;
+        for (; std::chrono::steady_clock::now() < until; ++rounds) {
+            for (const auto &[name, daemon] : fleet->daemons) {
+                share[name] += served(name) ? 1 : 0;
+            }
+        }
+        for (auto &[name, value] : share) {
+            value /= rounds;
+        }
+        return share;
+    }
+    void checkServedWhile(const std::vector<std::string> &cut, const std::string &mode, bool idleFirst = false)
+    {
+        for (const auto &name : cut) {
+            fleet->partition(name, mode);
+        }
+        if (idleFirst) {
+            std::this_thread::sleep_for(DetectionTime);
+            onlyOrders = true;
+        } else {
+            firstAttemptsServed(DetectionTime);
+        }
+        for (const auto &[name, share] : firstAttemptsServed(3s)) {
+            CHECK_TEXT(share > 0.9, (name + " served " + std::to_string(share)).c_str());
+        }
+        for (const auto &name : cut) {
+            fleet->partition(name, "none");
+        }
+        for (const auto &[id, count] : runs()) {
+            LONGS_EQUAL_TEXT(1, count, id.c_str());
+        }
+    }
+    /// Runs of each request that isn't idempotent.
+    std::map<std::string, std::int64_t> runs()
+    {
+        std::map<std::string, std::int64_t> sum;
+        for (const auto &[name, target] : fleet->targets) {
+            const auto targetRuns = boost::json::parse(httpCall(target.control, "GET", "/control/runs").body);
+            for (const auto &entry : targetRuns.as_object()) {
+                const std::string id(entry.key());
+                if (std::stoul(id.substr(2)) % 2 == 1) {
+                    sum[id] += entry.value().to_number<std::int64_t>();
+                }
+            }
+        }
+        return sum;
+    }
+};
+
+// Guards against refusals at a daemon whose new connections to all targets are refused while the other daemons reach them; its
+// open connections are too old for requests that must not run twice.
+TEST(ReachProcess, CallersOfADaemonWithRefusedConnectionsAreServedAtTheFirstAttempt)
+{
+    start();
+    checkServedWhile({"d0"}, "refuse", true);
+}
+
+// Guards against requests that are lost on silent connections of a daemon that is partitioned from all targets.
+TEST(ReachProcess, CallersOfADaemonWithSilentConnectionsAreServedAtTheFirstAttempt)
+{
+    start();
+    checkServedWhile({"d0"}, "hang");
+}
+
+// Guards against a zone that has no daemon which reaches the targets, its scheduler among them.
+TEST(ReachProcess, CallersOfAZoneWithoutReachAreServedByOtherZones)
+{
+    start();
+    checkServedWhile({"d0", "d3"}, "refuse");
+}
+
+// Guards against targets that are taken for failing because most daemons can't reach them.
+TEST(ReachProcess, TheOnlyDaemonWithReachServesTheCallersOfAll)
+{
+    start();
+    checkServedWhile({"d0", "d1", "d2", "d3", "d4"}, "refuse");
+}
--- a/tests/test_scheduler.cpp
+++ b/tests/test_scheduler.cpp
@@ -312,6 +312,35 @@
     CHECK(Zone::placed(zone.scheduler.submit(other, t0 + 300ms)));
 }
 
+// Guards against refusals at daemons that reach all targets because several others are partitioned from them.
+TEST(Scheduler, ConnectFailuresOfDaemonsWithoutReachCloseNoTargetForOthers)
+{
+    std::vector<Target> targets;
+    for (unsigned number = 0; number < 6; ++number) {
+        targets.push_back(target(number));
+    }
+    Zone zone(targets);
+    TimePoint now = t0 + 1s;
+    for (unsigned round = 0; round < 12; ++round) {
+        for (const std::string name : {"cut1", "cut2", "cut3", "cut4"}) {
+            now += 10ms;
+            PlacementRequest request = zone.request(now);
+            request.key.member = {{name}, 1};
+            const auto placement = zone.scheduler.submit(request, now);
+            if (Zone::placed(placement)) {
+                zone.scheduler.finishAttempt(request.key, AttemptEnd::Unreachable, 1ms, now);
+            } else {
+                zone.scheduler.cancelPlacement(request.key);
+            }
+        }
+    }
+    unsigned raised = 0;
+    for (const auto &load : zone.scheduler.loads(now)) {
+        raised += load.failingPercent > 50 ? 1 : 0;
+    }
+    LONGS_EQUAL(0, raised);
+}
+
 TEST(Scheduler, NewSchedulerGetsRunningRequestsFromItsMembers)
 {
     Zone zone(targets(1));
--- a/tests/test_zone_traffic.cpp
+++ b/tests/test_zone_traffic.cpp
@@ -158,6 +158,16 @@
     CHECK(recordedEnds().front() == AttemptEnd::NotExecuted);
 }
 
+// Guards against a bound on repeats that is used up by attempts in which nothing was sent, since no connection could be opened.
+TEST(ZoneTraffic, AttemptAfterAFailedConnectIsNoRepeat)
+{
+    ScriptedTarget good({{answer("second")}});
+    placements = {Placed {{"gone"}, {"127.0.0.1", 1}, 10s}, placedAt(good)};
+    CHECK(contains(sendAndRead(order), "second"));
+    CHECK(recordedEnds().front() == AttemptEnd::Unreachable);
+    CHECK(!requested[1].repeat);
+}
+
 TEST(ZoneTraffic, RefusalsOfAllTargetsAreReportedNotRun)
 {
     ScriptedTarget full({{"HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"}});
--- a/tests/zone_fleet.h
+++ b/tests/zone_fleet.h
@@ -36,6 +36,57 @@
     unsigned seed = 1;
     unsigned heartbeatMilliseconds = 500; ///< interval between the heartbeats of a target
     unsigned drainMilliseconds = 2000; ///< time for which a stopping target drains
+    bool partitionable = false; ///< partition() works
+};
+
+/// Listening socket whose queue of connections is full, so that connections to it hang.
+class FullListener
+{
+public:
+    explicit FullListener(const std::string &host)
+        : address(host)
+        , m_acceptor(m_context, {boost::asio::ip::make_address(host), 0}, false)
+    {
+        m_acceptor.listen(0);
+        port = m_acceptor.local_endpoint().port();
+        for (auto &socket : m_queued) {
+            socket.open(boost::asio::ip::tcp::v4());
+            socket.non_blocking(true);
+            const auto endpoint = m_acceptor.local_endpoint();
+            // A blocking call, and Asio's, would wait for the listener.
+            std::ignore = ::connect(socket.native_handle(), endpoint.data(), static_cast<socklen_t>(endpoint.size()));
+        }
+    }
+
+    std::string address;
+    std::uint16_t port = 0;
+
+private:
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::array<boost::asio::ip::tcp::socket, 3> m_queued {boost::asio::ip::tcp::socket(m_context), boost::asio::ip::tcp::socket(m_context),
+                                                          boost::asio::ip::tcp::socket(m_context)};
+};
+
+/// Sets the environment of processes that are started during its lifetime, so that they can be partitioned.
+class ScopedEnvironment
+{
+public:
+    ScopedEnvironment(bool enabled, const std::string &partitionFile)
+    {
+        if (enabled) {
+            const char *folder = std::getenv("PLUMSILL_BIN");
+            ::setenv("LD_PRELOAD", (std::string(folder == nullptr ? "." : folder) + "/preload_partition.so").c_str(), 1);
+            ::setenv("PARTITION_FILE", partitionFile.c_str(), 1);
+        }
+    }
+    ~ScopedEnvironment()
+    {
+        ::unsetenv("LD_PRELOAD");
+        ::unsetenv("PARTITION_FILE");
+    }
+    ScopedEnvironment(const ScopedEnvironment &) = delete;
+    ScopedEnvironment &operator=(const ScopedEnvironment &) = delete;
 };
 
 class ZoneFleet
@@ -120,10 +171,19 @@
         daemon.address = known->second;
         const Endpoint service = m_options.proxied ? link("store-" + name, store) : store;
         writeSettings(name, daemon, service, firstStart, KeyLifetimeMilliseconds);
+        const ScopedEnvironment preload(m_options.partitionable, partitionFile(name));
         daemon.process = std::make_unique<ChildProcess>("plumsilld", std::vector<std::string> {"--platform", "--config", settingsFile(name)}, logFile(name));
         daemons[name] = std::move(daemon);
     }
 
+    /// Partitions the daemon from all targets. Mode refuse: new connections are refused; hang: all connections hang; none: ends it.
+    void partition(const std::string &daemon, const std::string &mode)
+    {
+        const std::string next = partitionFile(daemon) + ".next";
+        std::ofstream(next) << mode << " " << m_network << "3 " << m_sink.address << " " << m_sink.port << "\n";
+        std::filesystem::rename(next, partitionFile(daemon));
+    }
+
     /// Rewrites the daemon's settings file with another maximum time for which withdrawn keys are accepted.
     void changeSettings(const std::string &name, unsigned keyLifetimeMilliseconds)
     {
@@ -177,6 +237,7 @@
         return path;
     }
     std::string settingsFile(const std::string &name) const { return m_folder + "/" + name + ".json"; }
+    std::string partitionFile(const std::string &name) const { return m_folder + "/" + name + ".partition"; }
     std::string logFile(const std::string &name) const { return m_folder + "/" + name + ".log"; }
 
     // The ports lie below the kernel's ephemeral port range, so that the kernel assigns them to no other socket.
@@ -208,6 +269,7 @@
     const ZoneFleetOptions m_options;
     const std::string m_network;
     const std::string m_folder;
+    const FullListener m_sink {m_network + "4"};
     std::map<std::string, std::string> m_addresses;
     std::uint16_t m_nextPort = 9500;
 
