Charge no repeat for an attempt in which nothing was sent

Callers of healthy daemons got 503 after one attempt: the bound on repeats of a service was used up by daemons that are partitioned from all targets, each of whose requests took up to four repeats without a byte sent. An attempt after such a one now takes neither a repeat nor a second token of the team. AttemptAfterAFailedConnectIsNoRepeat failed before and passes now.

--- a/include/plumsill/attempt.h
+++ b/include/plumsill/attempt.h
@@ -117,6 +117,8 @@
     /// Outcome when @p running further attempts are still in flight: Unknown if that number is above 0, outcome() otherwise.
     RunOutcome outcomeWith(std::size_t running) const { return running > 0 ? RunOutcome::Unknown : outcome(); }
     unsigned attempts() const { return m_attempts; }
+    /// Whether a byte of an attempt that has ended may have been sent.
+    bool anySent() const { return m_anySent; }
     /// Whether a hedge may be sent in parallel with @p running attempts.
     bool mayHedge(unsigned running, TimePoint now) const;
 
@@ -126,7 +128,8 @@
 
     bool m_idempotent;
     TimePoint m_deadline;
-    bool m_sent = false;
+    bool m_sent = false; ///< a target may have run the request
+    bool m_anySent = false; ///< a byte of it may have left this daemon
     unsigned m_attempts = 0;
     unsigned m_notRun = 0; ///< attempts in which no target ran the request; included in m_attempts
     AttemptLimits m_limits;
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -39,6 +39,7 @@
     unsigned priority = 0; ///< 0 is the highest
     bool idempotent = false;
     bool repeat = false; ///< whether an earlier attempt of the same request was sent
+    bool admitted = false; ///< whether an earlier attempt was placed, which took the team's token
     TimePoint objective; ///< latest time at which an answer meets the latency objective
     TimePoint deadline;
     std::vector<TargetName> tried; ///< targets of earlier attempts
--- a/include/plumsill/zone_messages.h
+++ b/include/plumsill/zone_messages.h
@@ -50,6 +50,7 @@
     std::uint32_t priority = 0;
     bool idempotent = false;
     bool repeat = false; ///< an earlier attempt of the request has been sent
+    bool admitted = false; ///< an earlier attempt of the request was placed, which took the team's token
     std::uint32_t objectiveMilliseconds = 0;
     std::uint32_t deadlineMilliseconds = 0;
     std::vector<TargetName> tried;
@@ -58,7 +59,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, service, team, route, priority, idempotent, repeat, objectiveMilliseconds, deadlineMilliseconds, tried);
+        archive(id, service, team, route, priority, idempotent, repeat, admitted, objectiveMilliseconds, deadlineMilliseconds, tried);
     }
 };
 
--- a/src/attempt.cpp
+++ b/src/attempt.cpp
@@ -62,6 +62,7 @@
     ++m_attempts;
     m_notRun += failure.progress < AttemptProgress::Sent ? 1 : 0;
     m_sent = m_sent || failure.progress >= AttemptProgress::Sent;
+    m_anySent = m_anySent || failure.progress > AttemptProgress::NothingSent;
     if (failure.progress == AttemptProgress::AnswerStarted) {
         return AbortCaller {};
     }
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -267,7 +267,8 @@
     dispatchRequest.route = m_access.route.name;
     dispatchRequest.service = m_service;
     dispatchRequest.priority = m_access.priority;
-    dispatchRequest.repeat = !m_tried.empty();
+    dispatchRequest.repeat = m_attempts.anySent() || m_parallelAttempts->running() > 0;
+    dispatchRequest.admitted = !m_tried.empty();
     const Duration objective = m_access.route.objective > Duration::zero() ? m_access.route.objective : m_access.route.timeout;
     dispatchRequest.objective = std::min(m_deadline, m_start + objective);
     dispatchRequest.handle = &m_state.m_targetWait;
--- a/src/net_traffic.cpp
+++ b/src/net_traffic.cpp
@@ -197,6 +197,7 @@
     placementRequest.request.priority = request.priority;
     placementRequest.request.idempotent = request.idempotent;
     placementRequest.request.repeat = request.repeat;
+    placementRequest.request.admitted = request.admitted;
     placementRequest.request.objective = request.objective;
     placementRequest.request.deadline = request.deadline;
     placementRequest.request.tried = request.tried;
--- a/src/net_zone_placement.cpp
+++ b/src/net_zone_placement.cpp
@@ -83,6 +83,7 @@
     request.priority = placementRequest.priority;
     request.idempotent = placementRequest.idempotent;
     request.repeat = placementRequest.repeat;
+    request.admitted = placementRequest.admitted;
     request.objectiveMilliseconds = wholeMilliseconds(placementRequest.objective - now);
     request.deadlineMilliseconds = wholeMilliseconds(placementRequest.deadline - now);
     request.tried = placementRequest.tried;
@@ -277,6 +278,7 @@
     placementRequest.priority = request.priority;
     placementRequest.idempotent = request.idempotent;
     placementRequest.repeat = request.repeat;
+    placementRequest.admitted = request.admitted;
     placementRequest.objective = now + std::chrono::milliseconds(request.objectiveMilliseconds);
     placementRequest.deadline = now + std::chrono::milliseconds(request.deadlineMilliseconds);
     placementRequest.tried = request.tried;
@@ -339,6 +341,7 @@
         ThreadPlacementRequest threadRequest = std::move(found->second.threadRequest);
         m_pending.erase(found);
         threadRequest.request.tried.push_back(placed->target);
+        threadRequest.request.admitted = true;
         Event("hub", "placement-refused").add("hub", envelope.sender.name.value).add("target", placed->target.value);
         requestPlacement(std::move(threadRequest));
         return;
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -268,6 +268,9 @@
         return service(request.service).repeats.tryRepeat(now) ? std::nullopt
                                                                : std::optional<Placement>(NoCapacity {config::RetryAfterFailure, CapacityReason::RepeatBound});
     }
+    if (request.admitted) {
+        return std::nullopt;
+    }
     service(request.service).repeats.recordRequest(now);
     const auto team = m_teamStates.find(request.team);
     if (team == m_teamStates.end()) {
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -103,7 +103,8 @@
     RouteName route;
     ServiceName service;
     unsigned priority = 0;
-    bool repeat = false; ///< an attempt was made before
+    bool repeat = false; ///< an earlier attempt may have been sent
+    bool admitted = false; ///< an earlier attempt was placed
     TimePoint objective; ///< time by which the answer should arrive (latency objective)
     AttemptHandle *handle = nullptr; ///< cancels the wait when the caller disconnects; may be null
 };
