Take no daemon's lost links for evidence against targets

Healthy daemons refused their callers for want of a good target: two daemons that can't connect counted against the target, as did overdue and broken requests of daemons that reach nobody. The scheduler now keeps for each daemon what it has recently said against targets. Failures at three different targets without an answer between them, or the daemon's own word, put the fault on its paths: its evidence is taken back, and its later failures say nothing about targets.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -172,7 +172,12 @@
 inline constexpr auto OverdueInterval = 20ms;
 inline constexpr auto ColdStartSlack = 300ms; ///< additional time before a hedge, for answers of a target that has just started
 inline constexpr auto RefusalBackoff = 60ms; ///< about a quarter of the typical service time, after which a slot is likely free again
+inline constexpr unsigned MaxRelayedRequests = 32; ///< requests of other daemons that run through one helper; each takes two connections of it
 inline constexpr auto UnreachableAvoidance = 5000ms;
+inline constexpr std::size_t DoubtedConnects
+    = 3; ///< different targets that a daemon can't connect to, without an answer meanwhile, before its paths are doubted
+inline constexpr auto EvidenceDoubtTime
+    = 1500ms; ///< evidence of a daemon that is taken back once it is found to be cut off: an overdue request, and the probes that follow it
 inline constexpr auto RemoteLoadLifetime = 1000ms; ///< time for which the loads reported by another scheduler count: three digests
 inline constexpr std::uint8_t MinReportedFailingPercent = 12;
 inline constexpr auto ReconcileAfter = 500ms; ///< well above a round trip within a zone
--- a/include/plumsill/failure_estimate.h
+++ b/include/plumsill/failure_estimate.h
@@ -47,15 +47,18 @@
     double probability(TimePoint now, double baseline = BaselineFailureShare) const;
     /// Records a good answer.
     void recordGoodAnswer(TimePoint now);
-    /// Records a server error, a truncated answer or a timeout.
-    void recordFailure(TimePoint now);
+    /// Records a server error, a truncated answer or a timeout. Returns the odds ratio by which the estimate was changed; so do
+    /// the following functions.
+    double recordFailure(TimePoint now);
     /// Records a request that has waited longer than nearly all good answers take. @p survival: LatencyModel::survival() of
     /// its age.
-    void recordOverdue(double survival, TimePoint now);
+    double recordOverdue(double survival, TimePoint now);
     /// Records that the target refused a request although it has a free slot by the scheduler's count.
     void recordRefusal(TimePoint now);
     /// Records that a connection to the target could not be opened.
-    void recordUnreachable(TimePoint now);
+    double recordUnreachable(TimePoint now);
+    /// Takes back earlier evidence with that odds ratio, which has turned out to say nothing about the target.
+    void retract(double oddsRatio, TimePoint now);
 
 private:
     void update(double oddsRatio, TimePoint now);
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -126,6 +126,9 @@
     void setLimitPart(const QuotaPart &part, TimePoint now);
     /// Limits of targets to report to other daemons.
     std::vector<NamedLimit> limits(TimePoint now) const;
+    /// Records whether the daemon reaches the targets. While it doesn't, the ends of its attempts are no evidence about them; what
+    /// it gave shortly before is taken back.
+    void recordReach(const InstanceName &daemon, bool reaches, TimePoint now);
     /// Removes a queued request whose caller cancelled it.
     void cancelPlacement(const PlacementKey &key);
     /// Compares the attempts counted here with those that the member reports as running. Attempts that are only in the report
@@ -177,6 +180,20 @@
         bool overdue = false; ///< whether its age was already recorded as evidence against the target
     };
 
+    /// Evidence against a target, as one daemon gave it.
+    struct GivenEvidence {
+        TargetStatePtr target;
+        double oddsRatio = 1;
+        TimePoint at;
+    };
+
+    /// What is known of the paths of one daemon.
+    struct SenderState {
+        bool reaches = true; ///< false: the daemon itself says that it is cut off
+        std::vector<GivenEvidence> given;
+        std::map<TargetName, TimePoint> failedConnects; ///< by target, since the daemon's last good answer
+    };
+
     struct ServiceState {
         explicit ServiceState(const RepeatBound &bound)
             : repeats(bound)
@@ -212,6 +229,11 @@
     void updateOverdue(TimePoint now);
     void updateBaselineFailureShare(TimePoint now);
     void endAttempt(const Attempt &attempt);
+    /// Whether failures of the daemon's attempts say more about the daemon than about the targets.
+    bool doubted(const InstanceName &daemon) const;
+    void recordEvidence(const InstanceName &daemon, const TargetStatePtr &target, double oddsRatio, TimePoint now);
+    void retractEvidence(SenderState &sender, TimePoint now);
+    void recordUnreachable(const InstanceName &daemon, const TargetStatePtr &target, TimePoint now);
     std::optional<Placement> admit(const PlacementRequest &request, TimePoint now);
     Placement enqueue(ServiceState &service, const PlacementRequest &request, TimePoint now);
     /// Time until a target of the service takes a request of the daemon; zero where one takes it now, or where there is none.
@@ -231,6 +253,7 @@
     std::map<TargetName, TargetStatePtr> m_targets;
     std::map<TargetName, Target> m_saidLeaving; ///< runs of targets that said they are leaving, also after they are no longer listed
     std::map<std::uint32_t, TargetStatePtr> m_byHash;
+    std::map<InstanceName, SenderState> m_senders;
     std::map<TeamName, TeamState> m_teamStates;
     std::vector<TeamName> m_teams;
     std::map<PlacementKey, Attempt> m_running;
--- a/src/failure_estimate.cpp
+++ b/src/failure_estimate.cpp
@@ -124,14 +124,18 @@
     update((1 - UnhealthyFailureShare) / (1 - HealthyFailureShare), now);
 }
 
-void FailureEstimate::recordFailure(TimePoint now)
+double FailureEstimate::recordFailure(TimePoint now)
 {
-    update(UnhealthyFailureShare / (2 * HealthyFailureShare), now);
+    constexpr double odds = UnhealthyFailureShare / (2 * HealthyFailureShare);
+    update(odds, now);
+    return odds;
 }
 
-void FailureEstimate::recordOverdue(double survival, TimePoint now)
+double FailureEstimate::recordOverdue(double survival, TimePoint now)
 {
-    update(waitingOdds(survival), now);
+    const double odds = waitingOdds(survival);
+    update(odds, now);
+    return odds;
 }
 
 void FailureEstimate::recordRefusal(TimePoint now)
@@ -139,8 +143,16 @@
     update(RefusedOdds, now);
 }
 
-void FailureEstimate::recordUnreachable(TimePoint now)
+double FailureEstimate::recordUnreachable(TimePoint now)
 {
     update(UnreachableOdds, now);
+    return UnreachableOdds;
+}
+
+// The trials that the evidence may have caused to fail are taken back as well.
+void FailureEstimate::retract(double oddsRatio, TimePoint now)
+{
+    update(1 / oddsRatio, now);
+    m_decayTime = DecayTime;
 }
 }
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -224,7 +224,7 @@
         target->waitingOddsRatio = 1;
     }
     for (auto &[key, attempt] : m_running) {
-        if (attempt.overdue || now < attempt.target->coldUntil) {
+        if (attempt.overdue || now < attempt.target->coldUntil || doubted(key.member.name)) {
             continue;
         }
         auto &state = service(attempt.service);
@@ -232,7 +232,7 @@
         const double survival = model == state.latency.end() ? 1 : model->second.survival(now - attempt.startedAt);
         if (survival < config::OverdueShare) {
             attempt.overdue = true;
-            attempt.target->failureEstimate.recordOverdue(survival, now);
+            recordEvidence(key.member.name, attempt.target, attempt.target->failureEstimate.recordOverdue(survival, now), now);
         } else if (survival < config::WaitingShare) {
             attempt.target->waitingOddsRatio *= waitingOdds(survival);
         }
@@ -411,16 +411,19 @@
         target.failureEstimate.recordGoodAnswer(now);
         target.unreachableFrom.erase(key.member.name);
         target.lastAnswerAt[key.member.name] = now;
+        m_senders[key.member.name].failedConnects.clear();
         if (now >= target.coldUntil) {
             latency(state, attempt.route, taken).add(taken);
         }
         break;
     case AttemptEnd::Failed:
-        target.failureEstimate.recordFailure(now);
+        if (!doubted(key.member.name)) {
+            recordEvidence(key.member.name, attempt.target, target.failureEstimate.recordFailure(now), now);
+        }
         break;
     case AttemptEnd::TimedOut:
-        if (!attempt.overdue) {
-            target.failureEstimate.recordOverdue(config::OverdueShare, now);
+        if (!attempt.overdue && !doubted(key.member.name)) {
+            recordEvidence(key.member.name, attempt.target, target.failureEstimate.recordOverdue(config::OverdueShare, now), now);
         }
         break;
     case AttemptEnd::NotExecuted:
@@ -432,14 +435,9 @@
     case AttemptEnd::WrongTarget:
         target.wrongAddress = true;
         break;
-    case AttemptEnd::Unreachable: {
-        target.unreachableFrom[key.member.name] = now + config::UnreachableAvoidance;
-        const auto recent = [now](const auto &entry) { return entry.second > now; };
-        if (std::count_if(target.unreachableFrom.begin(), target.unreachableFrom.end(), recent) > 1) {
-            target.failureEstimate.recordUnreachable(now);
-        }
+    case AttemptEnd::Unreachable:
+        recordUnreachable(key.member.name, attempt.target, now);
         break;
-    }
     case AttemptEnd::Abandoned:
         break;
     }
