--- a/include/plumsill/attempt.h
+++ b/include/plumsill/attempt.h
@@ -38,6 +38,7 @@
     Shed, ///< the target refused the request because of load and sent a retry time
     ServerError, ///< a complete answer with status 500, 502, 503 or 504
     WrongTarget, ///< a different target answered at the address
+    HelperUnavailable, ///< the helper that was to open the connection refused or did not answer
 };
 
 struct AttemptFailed {
--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -288,5 +288,8 @@
 inline constexpr std::size_t MaxStreamMessageBytes = 64 * 1024 * 1024;
 inline constexpr std::size_t MaxPeerStreams = 64;
 inline constexpr auto PeerRequestTimeout = 3000ms;
+inline constexpr std::size_t MaxTunnels = 400; ///< tunnels of other daemons through this one, idle ones included; two descriptors each
+inline constexpr auto TunnelCheckInterval = 500ms;
+inline constexpr auto TunnelIdleTime = 45'000ms; ///< longer than an idle connection is kept by the daemon that uses the tunnel
 inline constexpr auto PeerAcceptBackoff = 100ms;
 }
--- a/include/plumsill/messages.h
+++ b/include/plumsill/messages.h
@@ -321,7 +321,8 @@
 
 using Message = std::variant<Heartbeat, HeartbeatAck, GrantRequest, Grant, TokenReturn, HandOver, HealthDigest, Verdict, DocumentRequest, DocumentReply,
                              RosterRequest, RosterReply, TargetsRequest, TargetsReply, PlaceRequest, PlaceReply, AttemptReport, PlacementCancellation,
-                             MemberHeartbeat, HubBeacon, HubDigest, HubLoads, ListRequest, ListReply, PackedDocumentRequest, PackedDocument, TargetLimits>;
+                             MemberHeartbeat, HubBeacon, HubDigest, HubLoads, ListRequest, ListReply, PackedDocumentRequest, PackedDocument, TargetLimits,
+                             DaemonsWithoutReach, TunnelRequest, TunnelReply, TunnelNotice>;
 
 /// A message with its sender, as it is signed and sent over the network.
 struct Envelope {
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -4,6 +4,7 @@
 #include <plumsill/document.h>
 #include <plumsill/failure_estimate.h>
 #include <plumsill/fairqueue.h>
+#include <plumsill/helpers.h>
 #include <plumsill/messages.h>
 #include <plumsill/quota.h>
 #include <plumsill/repeats.h>
@@ -40,6 +41,7 @@
     bool idempotent = false;
     bool repeat = false; ///< whether an earlier attempt of the same request was sent
     bool admitted = false; ///< whether an earlier attempt was placed, which took the team's token
+    bool relayed = false; ///< whether the daemon does not reach the service's targets itself
     TimePoint objective; ///< latest time at which an answer meets the latency objective
     TimePoint deadline;
     std::vector<TargetName> tried; ///< targets of earlier attempts
@@ -50,6 +52,7 @@
     TargetName target;
     Endpoint endpoint;
     Duration hedgeAfter {}; ///< age of the attempt after which a hedge may be sent, as most good answers have arrived by then
+    std::optional<Helper> helper {}; ///< daemon that opens the connection; none where the asking one does
 
     auto operator<=>(const Placed &) const = default;
 };
@@ -118,6 +121,10 @@
     void recordRest(const TargetName &target, const InstanceName &daemon, TimePoint until);
     /// Time that is left of it; zero if the target takes requests of the daemon.
     Duration restLeft(const TargetName &target, const InstanceName &daemon, TimePoint now) const;
+    /// Daemon from which the target gets a running attempt: the helper, or else the member that asked.
+    InstanceName senderOf(const PlacementKey &key) const;
+    /// Daemons that can open connections for those that don't reach the targets.
+    HelperPool &helpers() { return m_helpers; }
     /// Target of a running attempt; null if the attempt is not known.
     const Target *targetOf(const PlacementKey &key) const;
     /// Limit of the target with that hash of its name; null if there is no such target.
@@ -178,6 +185,7 @@
         std::uint32_t route = 0;
         TimePoint startedAt;
         bool overdue = false; ///< whether its age was already recorded as evidence against the target
+        std::optional<Helper> helper;
     };
 
     /// Evidence against a target, as one daemon gave it.
@@ -234,6 +242,7 @@
     void recordEvidence(const InstanceName &daemon, const TargetStatePtr &target, double oddsRatio, TimePoint now);
     void retractEvidence(SenderState &sender, TimePoint now);
     void recordUnreachable(const InstanceName &daemon, const TargetStatePtr &target, TimePoint now);
+    static InstanceName senderOf(const PlacementKey &key, const Attempt &attempt);
     std::optional<Placement> admit(const PlacementRequest &request, TimePoint now);
     Placement enqueue(ServiceState &service, const PlacementRequest &request, TimePoint now);
     /// Time until a target of the service takes a request of the daemon; zero where one takes it now, or where there is none.
@@ -254,6 +263,7 @@
     std::map<TargetName, Target> m_saidLeaving; ///< runs of targets that said they are leaving, also after they are no longer listed
     std::map<std::uint32_t, TargetStatePtr> m_byHash;
     std::map<InstanceName, SenderState> m_senders;
+    HelperPool m_helpers;
     std::map<TeamName, TeamState> m_teamStates;
     std::vector<TeamName> m_teams;
     std::map<PlacementKey, Attempt> m_running;
--- a/include/plumsill/zone_messages.h
+++ b/include/plumsill/zone_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <plumsill/helpers.h>
 #include <plumsill/types.h>
 
 #include <cstddef>
@@ -51,6 +52,7 @@
     bool idempotent = false;
     bool repeat = false; ///< an earlier attempt of the request has been sent
     bool admitted = false; ///< an earlier attempt of the request was placed, which took the team's token
+    bool relayed = false; ///< the sender does not reach the service's targets itself
     std::uint32_t objectiveMilliseconds = 0;
     std::uint32_t deadlineMilliseconds = 0;
     std::vector<TargetName> tried;
@@ -59,7 +61,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, service, team, route, priority, idempotent, repeat, admitted, objectiveMilliseconds, deadlineMilliseconds, tried);
+        archive(id, service, team, route, priority, idempotent, repeat, admitted, relayed, objectiveMilliseconds, deadlineMilliseconds, tried);
     }
 };
 
@@ -94,12 +96,14 @@
     std::uint32_t hedgeAfterMilliseconds = 0;
     std::uint32_t retryAfterMilliseconds = 0;
     CapacityReason reason = CapacityReason::NoFreeTarget; ///< of status NoCapacity
+    InstanceName helper {}; ///< daemon that opens the connection to the target; empty where the asking one does
+    Endpoint helperPeer {};
 
     auto operator<=>(const PlaceReply &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, status, target, endpoint, hedgeAfterMilliseconds, retryAfterMilliseconds, reason);
+        archive(id, status, target, endpoint, hedgeAfterMilliseconds, retryAfterMilliseconds, reason, helper, helperPeer);
     }
 };
 
@@ -112,6 +116,7 @@
     NotExecuted, ///< the target refused the request because of load
     WrongTarget, ///< another target uses the address
     Unreachable, ///< no connection could be opened, so nothing was sent
+    HelperUnavailable, ///< the helper refused the tunnel or did not answer, so nothing was sent
     Abandoned, ///< the caller left, or another attempt was faster
 };
 
@@ -179,12 +184,13 @@
     bool complete = true; ///< true: `running` contains all attempts that run at the sender
     std::vector<RunningAttempt> running;
     std::vector<TokensTaken> taken; ///< tokens of teams whose requests the sender recently placed by itself, without its hub
+    bool reaches = true; ///< false: the sender does not reach the targets of some service
 
     auto operator<=>(const MemberHeartbeat &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(sentAt, complete, running, taken);
+        archive(sentAt, complete, running, taken, reaches);
     }
 };
 
@@ -324,6 +330,67 @@
     }
 };
 
+/// Daemons of the sender's zone that do not reach the targets of some service. Sent with the digest while there are any, and once after.
+struct DaemonsWithoutReach {
+    static constexpr std::size_t MaxDaemons = 200; ///< number of entries that fit into a datagram
+
+    ZoneName zone;
+    std::vector<std::uint32_t> daemons; ///< shortHash() of their names
+
+    auto operator<=>(const DaemonsWithoutReach &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(zone, daemons);
+    }
+};
+
+/// Asks a daemon for a tunnel to a target. Sent over TCP; after the reply the connection carries the bytes of the target's.
+struct TunnelRequest {
+    TargetName target;
+    Endpoint endpoint;
+
+    auto operator<=>(const TunnelRequest &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(target, endpoint);
+    }
+};
+
+enum class TunnelStatus : std::uint8_t
+{
+    Open,
+    Unavailable, ///< the daemon does not reach targets, is stopping, or has too many tunnels
+    Unreachable, ///< the target can't be connected to, or wants no request from the daemon
+};
+
+struct TunnelReply {
+    TunnelStatus status = TunnelStatus::Unavailable;
+
+    auto operator<=>(const TunnelReply &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(status);
+    }
+};
+
+/// Tells the helper what a target said of itself through its tunnel.
+struct TunnelNotice {
+    TargetName target;
+    LimitStatement limit;
+    bool leaving = false;
+    std::uint32_t restMilliseconds = 0;
+
+    auto operator<=>(const TunnelNotice &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(target, limit, leaving, restMilliseconds);
+    }
+};
+
 /// Requests the document of a hub in compressed form. Sent over TCP.
 struct PackedDocumentRequest {
     std::uint64_t heldVersion = 0;
--- a/src/forward_p.h
+++ b/src/forward_p.h
@@ -108,6 +108,7 @@
     boost::intrusive_ptr<ParallelAttempts> m_parallelAttempts;
     RequestAttempts m_attempts;
     RetryBudget m_unlimitedBudget; ///< used instead of the service's retry budget where the scheduler limits repeats
+    bool m_placed = false; ///< an attempt was placed
     std::vector<TargetName> m_tried; ///< targets of all attempts so far
     std::optional<BufferedAnswer> m_lastFailure; ///< newest answer by which a target reported a failure; sent to the caller when no further attempt can be made
     std::optional<TimePoint> m_hedgeAt; ///< time at which a hedge is due
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -268,7 +268,7 @@
     dispatchRequest.service = m_service;
     dispatchRequest.priority = m_access.priority;
     dispatchRequest.repeat = m_attempts.anySent() || m_parallelAttempts->running() > 0;
-    dispatchRequest.admitted = !m_tried.empty();
+    dispatchRequest.admitted = m_placed;
     const Duration objective = m_access.route.objective > Duration::zero() ? m_access.route.objective : m_access.route.timeout;
     dispatchRequest.objective = std::min(m_deadline, m_start + objective);
     dispatchRequest.handle = &m_state.m_targetWait;
@@ -298,6 +298,7 @@
 
 void Forwarder::start(std::unique_ptr<TargetLease> lease)
 {
+    m_placed = true;
     m_tried.push_back(lease->name());
     m_endpoint = toString(lease->runtime().pool.endpoint());
     const bool hedge = lease->hedgeAfter() && m_attempts.mayHedge(static_cast<unsigned>(m_parallelAttempts->running()) + 1, RuntimeClock::now());
@@ -345,6 +346,10 @@
             co_return AbortCaller {};
         }
         if (const auto entry = m_parallelAttempts->takeEnded()) {
+            const auto *failed = std::get_if<FailedAttempt>(&*entry->result);
+            if (failed != nullptr && failed->failed.failure == AttemptFailure::HelperUnavailable) {
+                std::erase(m_tried, entry->lease->name()); // the target may be reached through another helper
+            }
             if (auto end = handleAttemptEnd(*entry->result)) {
                 co_return std::move(end);
             }
--- a/src/net_parallel_attempts.cpp
+++ b/src/net_parallel_attempts.cpp
@@ -21,6 +21,7 @@
 {
     switch (failure) {
     case AttemptFailure::ConnectFailed:
+    case AttemptFailure::HelperUnavailable:
     case AttemptFailure::WrongTarget:
         return AnswerKind::Unreachable;
     case AttemptFailure::TimedOut:
@@ -42,6 +43,8 @@
     switch (failed.failure) {
     case AttemptFailure::ConnectFailed:
         return AttemptEnd::Unreachable;
+    case AttemptFailure::HelperUnavailable:
+        return AttemptEnd::HelperUnavailable;
     case AttemptFailure::WrongTarget:
         return AttemptEnd::WrongTarget;
     case AttemptFailure::TimedOut:
@@ -85,6 +88,7 @@
     const Duration remaining = std::max<Duration>(deadline - entry->startedAt, std::chrono::milliseconds(1));
     options.timeout = hedged ? remaining : attempts.attemptTimeout(hasUntriedTarget, entry->startedAt);
     options.handle = &entry->handle;
+    options.tunnel = entry->lease->tunnel();
     options.dialect = &m_thread.dialect();
     TargetRequest request = m_request;
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(options.timeout).count();
--- a/src/net_peer.cpp
+++ b/src/net_peer.cpp
@@ -3,7 +3,9 @@
 #include <plumsill/config.h>
 
 #include "clock_p.h"
+#include "frames_p.h"
 #include "peer_p.h"
+#include "tunnel_p.h"
 
 #include <array>
 #include <set>
@@ -19,7 +21,6 @@
 using asio::ip::udp;
 using boost::system::error_code;
 
-constexpr std::size_t LengthPrefixBytes = 4;
 constexpr int BindAttempts = 20;
 
 template<class Protocol>
@@ -30,25 +31,6 @@
     return error ? std::nullopt : std::optional(typename Protocol::endpoint(address, endpoint.port));
 }
 
-std::string toFrame(const std::string &message)
-{
-    const auto size = static_cast<std::uint32_t>(message.size());
-    std::string frame;
-    for (unsigned byte = 0; byte < LengthPrefixBytes; ++byte) {
-        frame.push_back(static_cast<char>(size >> (8 * (LengthPrefixBytes - 1 - byte))));
-    }
-    return frame + message;
-}
-
-std::size_t decodeLength(const std::array<unsigned char, LengthPrefixBytes> &bytes)
-{
-    std::size_t length = 0;
-    for (const unsigned char byte : bytes) {
-        length = length << 8 | byte;
-    }
-    return length;
-}
-
 // Closes a stream that exceeds its time limit. The timer's handler may still be queued when the Deadline is destroyed,
 // so the handler shares ownership of the state.
 class Deadline
@@ -84,29 +66,6 @@
     std::shared_ptr<Progress> m_state;
 };
 
-asio::awaitable<error_code> writeFrame(tcp::socket &socket, const std::string &message)
-{
-    const std::string frame = toFrame(message);
-    error_code error;
-    co_await asio::async_write(socket, asio::buffer(frame), asio::redirect_error(asio::use_awaitable, error));
-    co_return error;
-}
-
-// Returns an empty string when the peer closes the connection or announces a length above the maximum. The buffer grows
-// with the bytes received, so a peer can't reserve memory by announcing a large message.
-asio::awaitable<std::string> readFrame(tcp::socket &socket)
-{
-    std::array<unsigned char, LengthPrefixBytes> lengthPrefix {};
-    error_code error;
-    co_await asio::async_read(socket, asio::buffer(lengthPrefix), asio::redirect_error(asio::use_awaitable, error));
-    const std::size_t length = decodeLength(lengthPrefix);
-    if (error || length > config::MaxStreamMessageBytes) {
-        co_return std::string();
-    }
-    std::string message;
-    co_await asio::async_read(socket, asio::dynamic_buffer(message, length), asio::transfer_exactly(length), asio::redirect_error(asio::use_awaitable, error));
-    co_return error ? std::string() : message;
-}
 }
 
 const char *toString(PeerError error)
@@ -143,6 +102,8 @@
     asio::awaitable<void> receiveDatagrams();
     asio::awaitable<void> acceptStreams();
     asio::awaitable<void> serve(tcp::socket socket);
+    asio::awaitable<void> serveTunnel(tcp::socket socket, TunnelRequest request);
+    asio::awaitable<std::optional<TunnelRequest>> serveRequest(tcp::socket &socket);
     asio::awaitable<Outcome<Envelope, PeerError>> request(Endpoint to, Envelope envelope);
 
     std::string secret;
@@ -150,6 +111,9 @@
     tcp::acceptor acceptor;
     Receiver receiver;
     Responder responder;
+    TunnelOpener tunnelOpener;
+    std::size_t tunnels = 0;
+    bool drainsTunnels = false;
     PeerCounters counters;
     std::size_t streams = 0;
     bool closed = false;
@@ -243,19 +207,48 @@
 {
     const auto self = shared_from_this();
     ++streams;
+    const std::optional<TunnelRequest> tunnelRequest = co_await serveRequest(socket);
+    --streams;
+    if (tunnelRequest) {
+        co_await serveTunnel(std::move(socket), *tunnelRequest);
+    }
+}
+
+// Returns the request for a tunnel, which takes over the connection.
+asio::awaitable<std::optional<TunnelRequest>> PeerPort::State::serveRequest(tcp::socket &socket)
+{
     const Deadline deadline(socket, config::PeerRequestTimeout);
     const std::string bytes = co_await readFrame(socket);
     const auto envelope = decoded(bytes);
-    if (envelope && !closed) {
-        ++counters.requestsServed;
-        receiver(envelope.assume_value());
-        if (const auto reply = responder(envelope.assume_value())) {
-            const std::string message = encode(*reply, secret);
-            counters.bytesSent += message.size();
-            co_await writeFrame(socket, message);
-        }
+    if (!envelope || closed) {
+        co_return std::nullopt;
     }
-    --streams;
+    ++counters.requestsServed;
+    receiver(envelope.assume_value());
+    if (const auto *tunnelRequest = std::get_if<TunnelRequest>(&envelope.assume_value().message)) {
+        co_return *tunnelRequest;
+    }
+    if (const auto reply = responder(envelope.assume_value())) {
+        const std::string message = encode(*reply, secret);
+        counters.bytesSent += message.size();
+        co_await writeFrame(socket, message);
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<void> PeerPort::State::serveTunnel(tcp::socket socket, TunnelRequest request)
+{
+    const auto self = shared_from_this();
+    if (!tunnelOpener) {
+        co_return;
+    }
+    ++tunnels;
+    OpenedTunnel opened = co_await tunnelOpener(request);
+    const error_code error = co_await writeFrame(socket, encode(opened.reply, secret));
+    if (opened.target && !error) {
+        co_await runTunnel(std::move(socket), std::move(*opened.target), [self] { return self->drainsTunnels; });
+    }
+    --tunnels;
 }
 
 asio::awaitable<Outcome<Envelope, PeerError>> PeerPort::State::request(Endpoint to, Envelope envelope)
@@ -328,6 +321,30 @@
     asio::co_spawn(executor, m_state->acceptStreams(), asio::detached);
 }
 
+void PeerPort::serveTunnels(TunnelOpener opener)
+{
+    m_state->tunnelOpener = std::move(opener);
+}
+
+void PeerPort::drainTunnels()
+{
+    m_state->drainsTunnels = true;
+}
+
+std::size_t PeerPort::tunnels() const
+{
+    return m_state->tunnels;
+}
+
+TunnelTicketPtr PeerPort::tunnelTicket(const Helper &helper, const Envelope &request) const
+{
+    const boost::intrusive_ptr<TunnelTicket> ticket(new TunnelTicket);
+    ticket->helper = helper;
+    ticket->request = encode(request, m_state->secret);
+    ticket->secret = m_state->secret;
+    return ticket;
+}
+
 void PeerPort::close()
 {
     m_state->close();
--- a/src/net_traffic.cpp
+++ b/src/net_traffic.cpp
@@ -175,11 +175,11 @@
     });
 }
 
-TargetRuntimePtr TrafficThread::runtimeOf(const TargetName &name, const Endpoint &endpoint)
+TargetRuntimePtr TrafficThread::runtimeOf(const Placed &placed)
 {
-    auto &runtime = m_runtimes[name];
-    if (!runtime || runtime->pool.endpoint() != endpoint) {
-        runtime = std::make_shared<TargetRuntime>(endpoint, config::ScheduledConnections, config::ScheduledConnectTimeout);
+    auto &runtime = m_runtimes[{placed.target, placed.helper ? placed.helper->name : InstanceName()}];
+    if (!runtime || runtime->pool.endpoint() != placed.endpoint) {
+        runtime = std::make_shared<TargetRuntime>(placed.endpoint, config::ScheduledConnections, config::ScheduledConnectTimeout);
     }
     return runtime;
 }
@@ -201,7 +201,7 @@
     placementRequest.request.objective = request.objective;
     placementRequest.request.deadline = request.deadline;
     placementRequest.request.tried = request.tried;
-    PlacementWaiter waiter {RuntimeTimer(m_context), std::nullopt};
+    PlacementWaiter waiter {RuntimeTimer(m_context), std::nullopt, {}};
     m_placementWaiters.emplace(id, &waiter);
     waiter.timer.expires_at(std::max(request.deadline, now));
     if (request.handle != nullptr) {
@@ -229,18 +229,20 @@
     const auto ended = [this, id](AttemptEnd end, Duration elapsed, const TargetNotice &notice) {
         m_control.attemptEnded({id, end, wholeMilliseconds(elapsed), notice.limit, notice.leaving, millisecondsRoundedUp(notice.rest)});
     };
-    auto lease = std::make_unique<TargetLease>(placed->target, runtimeOf(placed->target, placed->endpoint), ended);
+    auto lease = std::make_unique<TargetLease>(placed->target, runtimeOf(*placed), ended);
     lease->setHedgeAfter(placed->hedgeAfter);
+    lease->setTunnel(waiter.tunnel);
     co_return lease;
 }
 
 // If the request has ended before the scheduler placed it, its target is released at once.
-void TrafficThread::resolvePlacement(std::uint64_t placementId, Placement placement)
+void TrafficThread::resolvePlacement(std::uint64_t placementId, Placement placement, TunnelTicketPtr tunnel)
 {
-    boost::asio::post(m_context, [this, placementId, placement = std::move(placement)]() mutable {
+    boost::asio::post(m_context, [this, placementId, placement = std::move(placement), tunnel = std::move(tunnel)]() mutable {
         const auto found = m_placementWaiters.find(placementId);
         if (found != m_placementWaiters.end() && !found->second->placement) {
             found->second->placement = std::move(placement);
+            found->second->tunnel = std::move(tunnel);
             found->second->timer.cancel();
         } else if (found == m_placementWaiters.end() && std::holds_alternative<Placed>(placement)) {
             m_control.attemptEnded({placementId, AttemptEnd::Abandoned, 0});
--- a/src/net_upstream.cpp
+++ b/src/net_upstream.cpp
@@ -168,6 +168,7 @@
         , m_request(request)
         , m_sink(options.sink)
         , m_dialect(*options.dialect)
+        , m_acceptsCloseDelimited(options.dialect->acceptsCloseDelimitedAnswers && !options.tunnel)
     { }
 
     boost::asio::awaitable<AttemptResult> read();
@@ -188,6 +189,7 @@
     const TargetRequest &m_request;
     const AnswerSink *m_sink;
     const Dialect &m_dialect;
+    const bool m_acceptsCloseDelimited; ///< not through a tunnel: the end of its daemon looks like the end of the answer
     std::optional<Parser> m_parser;
     std::string m_buffered;
     bool m_streaming = false;
@@ -305,7 +307,7 @@
     const bool noBody = m_request.method() == http::verb::head;
     const bool selfDelimited = isSelfDelimited(header, m_parser->chunked(), m_parser->content_length().has_value(), noBody);
     const bool otherRequest = belongsToOtherRequest(m_request, header, m_dialect);
-    if ((!selfDelimited && !m_dialect.acceptsCloseDelimitedAnswers) || (otherRequest && !m_dialect.acceptsStrayAnswers) || isNotAuthentic(header, m_dialect)) {
+    if ((!selfDelimited && !m_acceptsCloseDelimited) || (otherRequest && !m_dialect.acceptsStrayAnswers) || isNotAuthentic(header, m_dialect)) {
         co_return fail(AttemptFailure::Malformed);
     }
     const AnswerSink *sink = otherRequest ? std::exchange(m_sink, nullptr) : nullptr;
@@ -424,18 +426,24 @@
     closeStale(now);
 }
 
-boost::asio::awaitable<TargetPool::Connection> TargetPool::open(Duration timeout, AttemptHandle *handle, AttemptFailure &failure)
+boost::asio::awaitable<TargetPool::Connection> TargetPool::open(const AttemptOptions &options, AttemptFailure &failure)
 {
     const Connection connection(new TargetConnection(co_await boost::asio::this_coro::executor));
-    if (handle != nullptr) {
-        handle->attach(connection, true);
+    if (options.handle != nullptr) {
+        options.handle->attach(connection, true);
     }
-    const boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address(m_endpoint.address), m_endpoint.port);
-    connection->stream.expiresAfter(std::min(timeout, m_connectTimeout));
+    const Endpoint &endpoint = options.tunnel ? options.tunnel->helper.peer : m_endpoint;
+    const boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address(endpoint.address), endpoint.port);
+    // The helper answers within the time that it has for its own connection.
+    connection->stream.expiresAfter(std::min<Duration>(options.timeout, options.tunnel ? 2 * m_connectTimeout : m_connectTimeout));
     error_code error;
     co_await connection->stream.socket().async_connect(address, errorInto(error));
     if (error) {
-        failure = AttemptFailure::ConnectFailed;
+        failure = options.tunnel ? AttemptFailure::HelperUnavailable : AttemptFailure::ConnectFailed;
+        co_return Connection();
+    }
+    const bool opened = !options.tunnel || co_await openTunnel(connection, options.tunnel, failure);
+    if (!opened) {
         co_return Connection();
     }
     connection->stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), error);
@@ -444,6 +452,16 @@
     co_return connection;
 }
 
+boost::asio::awaitable<bool> TargetPool::openTunnel(const Connection &connection, const TunnelTicketPtr &ticket, AttemptFailure &failure)
+{
+    const TunnelStatus status = co_await requestTunnel(connection->stream.socket(), *ticket);
+    if (status == TunnelStatus::Open) {
+        co_return true;
+    }
+    failure = status == TunnelStatus::Unreachable ? AttemptFailure::ConnectFailed : AttemptFailure::HelperUnavailable;
+    co_return false;
+}
+
 // Closes idle connections while the pool has more than m_connections connections, active and idle together. Begins with the one idle for longest.
 void TargetPool::closeExcessIdle()
 {
@@ -460,7 +478,7 @@
     closeExcessIdle();
     if (!connection) {
         AttemptFailure failure = AttemptFailure::ConnectFailed;
-        connection = co_await open(options.timeout, options.handle, failure);
+        connection = co_await open(options, failure);
         if (!connection) {
             --m_active;
             co_return FailedAttempt {{failure, AttemptProgress::NothingSent}, std::nullopt, {}, {}};
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -376,6 +376,7 @@
     while (true) {
         co_await sleepFor(m_scheduler.idle() ? Duration(config::ControlTick) : Duration(config::QueueServeInterval));
         const TimePoint now = RuntimeClock::now();
+        updateReach(now);
         deliverQueuedPlacements();
         if (!m_publishedAt || now - *m_publishedAt >= config::PublishInterval) {
             publish(now);
@@ -421,6 +422,7 @@
     const TimePoint now = RuntimeClock::now();
     m_closeAt = now + std::min<Duration>(config::LingerTime, stopGrace() * config::StopLingerPercent / 100);
     m_answerBy = now + stopGrace() * config::StopAnswerPercent / 100;
+    m_peers.drainTunnels();
     Event("daemon", "stopping").add("requests", static_cast<std::int64_t>(m_running.size()));
     publish(now);
     sendBeacons(now);
@@ -463,6 +465,8 @@
     gauges.push_back({"plumsill_placements_by_hub", static_cast<double>(m_hubPlacements)});
     gauges.push_back({"plumsill_placements_alone", static_cast<double>(m_localPlacements)});
     gauges.push_back({"plumsill_running_requests", static_cast<double>(m_running.size())});
+    gauges.push_back({"plumsill_services_out_of_reach", static_cast<double>(m_cutOff.size())});
+    gauges.push_back({"plumsill_tunnels_for_others", static_cast<double>(m_peers.tunnels())});
     gauges.push_back({"plumsill_platform_calls", static_cast<double>(m_directory.calls())});
     gauges.push_back({"plumsill_log_lines_left_out", static_cast<double>(droppedEvents())});
     gauges.push_back({"plumsill_ready", ready(now) ? 1.0 : 0.0});
--- a/src/net_zone_daemon.cpp
+++ b/src/net_zone_daemon.cpp
@@ -59,6 +59,7 @@
     Supervisor m_supervisor;
     TrafficThreads m_traffic;
     std::unique_ptr<ZoneControl> m_control;
+    TimePoint m_stopBy; ///< end of a planned stop
     int m_status = 0;
 };
 
@@ -123,6 +124,7 @@
     co_await m_signals.async_wait(boost::asio::use_awaitable);
     const Duration grace = m_control->stopGrace();
     const TimePoint deadline = RuntimeClock::now() + grace - StopMargin;
+    m_stopBy = deadline;
     boost::asio::co_spawn(m_context, m_control->leave(), boost::asio::detached);
     co_await sleepFor(config::LingerTime);
     m_traffic.drain();
@@ -135,6 +137,9 @@
 {
     if (m_status == 0) {
         co_await m_control->withdraw();
+        while (m_peers.tunnels() > 0 && RuntimeClock::now() < m_stopBy) {
+            co_await sleepFor(config::ControlTick);
+        }
     }
     m_context.stop();
 }
@@ -156,6 +161,7 @@
 {
     open();
     m_peers.start([this](const Envelope &envelope) { m_control->received(envelope); }, [this](const Envelope &request) { return m_control->respond(request); });
+    m_peers.serveTunnels([this](const TunnelRequest &request) { return m_control->openTunnel(request); });
     addChildren();
     m_supervisor.start();
     boost::asio::co_spawn(m_context, stopOnSignal(), boost::asio::detached);
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -61,7 +61,7 @@
     } else if (const auto *report = std::get_if<AttemptReport>(&envelope.message)) {
         const PlacementKey key {envelope.sender, report->id};
         if (const Target *target = m_scheduler.targetOf(key)) {
-            recordNotice(envelope.sender, target->name, *report, RuntimeClock::now());
+            recordNotice(m_scheduler.senderOf(key), target->name, *report, RuntimeClock::now());
         }
         m_scheduler.finishAttempt(key, report->end, std::chrono::milliseconds(report->durationMilliseconds), RuntimeClock::now());
         deliverQueuedPlacements();
@@ -77,6 +77,10 @@
         m_scheduler.setRemoteLoads(remote->zone, remote->loads, RuntimeClock::now());
     } else if (const auto *limits = std::get_if<TargetLimits>(&envelope.message)) {
         received(envelope, *limits);
+    } else if (const auto *daemons = std::get_if<DaemonsWithoutReach>(&envelope.message)) {
+        received(envelope, *daemons);
+    } else if (const auto *notice = std::get_if<TunnelNotice>(&envelope.message)) {
+        received(envelope, *notice);
     }
 }
 
@@ -165,6 +169,7 @@
         heartbeat.running.back().ageMilliseconds = wholeMilliseconds(now - running.startedAt);
     }
     heartbeat.taken = nextTokenReports();
+    heartbeat.reaches = reachesAll();
     send(to.peer, std::move(heartbeat));
     // A hub knows the limits from the reports of its members; only one that has just taken over has to be told.
     if (now - m_hubChosenAt < config::MemberHeartbeatInterval * config::TokenReportRepeats || now >= m_nextLimitReportAt) {
@@ -263,6 +268,8 @@
     member.lastReceivedAt = now;
     member.heartbeatSentAt = heartbeat.sentAt;
     member.heartbeatAt = now;
+    member.reaches = heartbeat.reaches;
+    m_scheduler.recordReach(envelope.sender.name, heartbeat.reaches, now);
     if (heartbeat.complete) {
         m_scheduler.reconcile(envelope.sender, heartbeat.running, now);
     }
@@ -417,6 +424,7 @@
     if (receivers.empty()) {
         return;
     }
+    sendDaemonsWithoutReach(now);
     const HubDigest digest = ownDigest(now);
     const std::vector<HubLoads> loads = ownLoads(now);
     const std::vector<TargetLimits> limits = limitMessages(true, now);
--- a/src/net_zone_placement.cpp
+++ b/src/net_zone_placement.cpp
@@ -16,6 +16,10 @@
         reply.target = placed->target;
         reply.endpoint = placed->endpoint;
         reply.hedgeAfterMilliseconds = wholeMilliseconds(placed->hedgeAfter);
+        if (placed->helper) {
+            reply.helper = placed->helper->name;
+            reply.helperPeer = placed->helper->peer;
+        }
     } else if (const auto *over = std::get_if<OverQuota>(&placement)) {
         reply.status = PlaceStatus::OverQuota;
         reply.retryAfterMilliseconds = wholeMilliseconds(over->retryAfter);
@@ -34,7 +38,8 @@
     const auto retryAfter = std::chrono::milliseconds(reply.retryAfterMilliseconds);
     switch (reply.status) {
     case PlaceStatus::Placed:
-        return Placed {reply.target, reply.endpoint, std::chrono::milliseconds(reply.hedgeAfterMilliseconds)};
+        return Placed {reply.target, reply.endpoint, std::chrono::milliseconds(reply.hedgeAfterMilliseconds),
+                       reply.helper.value.empty() ? std::nullopt : std::optional(Helper {reply.helper, reply.helperPeer})};
     case PlaceStatus::OverQuota:
         return OverQuota {retryAfter};
     case PlaceStatus::Queued:
@@ -51,6 +56,7 @@
 {
     const std::uint64_t id = threadRequest.request.key.id;
     threadRequest.request.key.member = m_self.id;
+    threadRequest.request.relayed = needsHelper(threadRequest.request.service);
     Pending pending;
     pending.threadRequest = std::move(threadRequest);
     m_pending.emplace(id, std::move(pending));
@@ -84,6 +90,7 @@
     request.idempotent = placementRequest.idempotent;
     request.repeat = placementRequest.repeat;
     request.admitted = placementRequest.admitted;
+    request.relayed = placementRequest.relayed;
     request.objectiveMilliseconds = wholeMilliseconds(placementRequest.objective - now);
     request.deadlineMilliseconds = wholeMilliseconds(placementRequest.deadline - now);
     request.tried = placementRequest.tried;
@@ -161,7 +168,7 @@
     const auto found = m_pending.find(id);
     found->second.hub.reset();
     const TimePoint now = RuntimeClock::now();
-    const Placement placement = m_scheduler.submit(found->second.threadRequest.request, now);
+    const Placement placement = submit(found->second.threadRequest.request, now);
     if (std::holds_alternative<Queued>(placement)) {
         found->second.queued = true;
         found->second.timer.reset();
@@ -181,7 +188,10 @@
     m_pending.erase(found);
     ++(placedLocally ? m_localPlacements : m_hubPlacements);
     if (const auto *placed = std::get_if<Placed>(&placement)) {
-        m_running[id] = {{id, threadRequest.request.service, placed->target, threadRequest.request.route, 0}, RuntimeClock::now(), placedLocally};
+        const RunningAttempt attempt {id, threadRequest.request.service, placed->target, threadRequest.request.route, 0};
+        m_running[id] = {attempt, RuntimeClock::now(), placedLocally, placed->hedgeAfter, placed->helper};
+        m_threads[threadRequest.thread]->resolvePlacement(id, placement, tunnelTicket(*placed));
+        return;
     }
     m_threads[threadRequest.thread]->resolvePlacement(id, placement);
 }
@@ -207,12 +217,16 @@
     if (found == m_running.end()) {
         return;
     }
-    const bool placedLocally = found->second.placedLocally;
-    const TargetName target = found->second.attempt.target;
+    const Running running = found->second;
+    const TargetName &target = running.attempt.target;
     m_running.erase(found);
     const TimePoint now = RuntimeClock::now();
-    recordNotice(m_self.id, target, report, now);
-    if (placedLocally) {
+    recordNotice(running.helper ? running.helper->name : m_self.id.name, target, report, now);
+    if (running.helper && (report.leaving || report.restMilliseconds > 0 || report.limit.stated)) {
+        send(running.helper->peer, TunnelNotice {target, report.limit, report.leaving, report.restMilliseconds});
+    }
+    recordPath(running, report.end, now);
+    if (running.placedLocally) {
         m_scheduler.finishAttempt({m_self.id, report.id}, report.end, std::chrono::milliseconds(report.durationMilliseconds), now);
         deliverQueuedPlacements();
         return;
@@ -223,13 +237,13 @@
     }
 }
 
-void ZoneControl::recordNotice(const MemberId &member, const TargetName &target, const AttemptReport &report, TimePoint now)
+void ZoneControl::recordNotice(const InstanceName &sender, const TargetName &target, const AttemptReport &report, TimePoint now)
 {
     if (report.restMilliseconds > 0) {
-        m_scheduler.recordRest(target, member.name, now + std::chrono::milliseconds(report.restMilliseconds));
+        m_scheduler.recordRest(target, sender, now + std::chrono::milliseconds(report.restMilliseconds));
         Event("targets", "target-rests")
             .add("target", target.value)
-            .add("from", member.name.value)
+            .add("from", sender.value)
             .add("rest_ms", std::chrono::milliseconds(report.restMilliseconds));
     }
     if (report.leaving && m_scheduler.recordLeaving(target)) {
@@ -279,10 +293,11 @@
     placementRequest.idempotent = request.idempotent;
     placementRequest.repeat = request.repeat;
     placementRequest.admitted = request.admitted;
+    placementRequest.relayed = request.relayed;
     placementRequest.objective = now + std::chrono::milliseconds(request.objectiveMilliseconds);
     placementRequest.deadline = now + std::chrono::milliseconds(request.deadlineMilliseconds);
     placementRequest.tried = request.tried;
-    reply(envelope.replyTo, request.id, m_scheduler.submit(placementRequest, now));
+    reply(envelope.replyTo, request.id, submit(placementRequest, now));
     deliverQueuedPlacements();
 }
 
@@ -329,11 +344,12 @@
     m_scheduler.cancelPlacement({m_self.id, reply.id});
     const auto *placed = std::get_if<Placed>(&placement);
     const TimePoint now = RuntimeClock::now();
-    if (placed != nullptr && (isKnownUnusable(*placed) || m_scheduler.restLeft(placed->target, m_self.id.name, now) > Duration::zero())) {
+    const InstanceName &sender = placed != nullptr && placed->helper ? placed->helper->name : m_self.id.name;
+    if (placed != nullptr && (isKnownUnusable(*placed) || m_scheduler.restLeft(placed->target, sender, now) > Duration::zero())) {
         // This daemon knows that the target is unusable, so it rejects the hub's choice: it informs the hub and
         // requests a new placement that excludes the target.
         AttemptReport report {reply.id, AttemptEnd::WrongTarget, 0};
-        if (const Duration rest = m_scheduler.restLeft(placed->target, m_self.id.name, now); rest > Duration::zero()) {
+        if (const Duration rest = m_scheduler.restLeft(placed->target, sender, now); rest > Duration::zero()) {
             report.end = AttemptEnd::Abandoned;
             report.restMilliseconds = millisecondsRoundedUp(rest);
         }
--- /dev/null
+++ b/src/net_zone_reach.cpp
@@ -0,0 +1,245 @@
+#include "zone_p.h"
+
+#include <plumsill/config.h>
+#include <plumsill/event.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+// Reach of this daemon towards the targets, and its help for daemons that have none.
+namespace plumsill
+{
+using boost::asio::ip::tcp;
+
+namespace
+{
+// Ranks of helpers. The hub places requests and has work enough; other zones cost bytes between zones.
+constexpr unsigned MemberRank = 0;
+constexpr unsigned HubRank = 1;
+constexpr unsigned OtherZoneRank = 2;
+}
+
+bool ZoneControl::reachesAll() const
+{
+    return std::none_of(m_reach.begin(), m_reach.end(), [](const auto &entry) { return entry.second.cutOff(); });
+}
+
+bool ZoneControl::needsHelper(const ServiceName &service) const
+{
+    const auto found = m_reach.find(service);
+    return found != m_reach.end() && found->second.cutOff();
+}
+
+void ZoneControl::recordPath(const Running &attempt, AttemptEnd end, TimePoint now)
+{
+    if (attempt.helper) {
+        return;
+    }
+    Reach &reach = m_reach[attempt.attempt.service];
+    if (end == AttemptEnd::Unreachable) {
+        reach.recordConnectFailure(attempt.attempt.target, now);
+        updateReach(now);
+    } else if (end == AttemptEnd::TimedOut) {
+        reach.recordOverdue(attempt.startedAt, now);
+    } else if (end == AttemptEnd::Good || end == AttemptEnd::NotExecuted || end == AttemptEnd::WrongTarget) {
+        reach.recordAnswer(now);
+    }
+}
+
+std::vector<Target> ZoneControl::probeTargets(const ServiceName &service, const Reach &reach, std::size_t count)
+{
+    std::vector<Target> chosen;
+    for (const auto &target : m_list.targets()) {
+        if (target.service == service && !target.leaving && !m_scheduler.saidLeaving(target.name) && !reach.tried().contains(target.name)) {
+            chosen.push_back(target);
+        }
+    }
+    std::shuffle(chosen.begin(), chosen.end(), m_random);
+    chosen.resize(std::min(chosen.size(), count));
+    return chosen;
+}
+
+void ZoneControl::updateReach(TimePoint now)
+{
+    for (const auto &[id, running] : m_running) {
+        if (!running.helper && now - running.startedAt > running.usualTime) {
+            m_reach[running.attempt.service].recordOverdue(running.startedAt, now);
+        }
+    }
+    std::set<ServiceName> cutOff;
+    for (auto &[service, reach] : m_reach) {
+        if (reach.undisturbed()) {
+            continue;
+        }
+        const auto targets = m_list.targets();
+        const auto ofService
+            = std::count_if(targets.begin(), targets.end(), [&name = service](const Target &target) { return target.service == name && !target.leaving; });
+        const std::size_t due = reach.takeDueProbes(static_cast<std::size_t>(ofService), now);
+        for (auto &target : probeTargets(service, reach, due)) {
+            boost::asio::co_spawn(m_context, probe(service, std::move(target)), boost::asio::detached);
+        }
+        if (reach.cutOff()) {
+            cutOff.insert(service);
+        }
+    }
+    if (cutOff == m_cutOff) {
+        return;
+    }
+    for (const auto &service : cutOff) {
+        if (!m_cutOff.contains(service)) {
+            Event("reach", "targets-out-of-reach").add("service", service.value);
+        }
+    }
+    for (const auto &service : m_cutOff) {
+        if (!cutOff.contains(service)) {
+            Event("reach", "targets-in-reach").add("service", service.value);
+        }
+    }
+    const bool grown = cutOff.size() > m_cutOff.size();
+    m_cutOff = cutOff;
+    m_scheduler.recordReach(m_self.id.name, cutOff.empty(), now);
+    if (const auto currentHub = hub(now); currentHub && !isSelf(*currentHub)) {
+        sendHeartbeat(*currentHub, now);
+    }
+    if (grown) {
+        // What cut this service off has likely cut off the others as well.
+        for (const auto &target : m_list.targets()) {
+            m_reach[target.service].suspect(now);
+        }
+        updateReach(now);
+    }
+}
+
+boost::asio::awaitable<std::optional<tcp::socket>> ZoneControl::connectTo(Endpoint endpoint)
+{
+    const auto socket = std::make_shared<tcp::socket>(m_context);
+    RuntimeTimer timer(m_context, RuntimeClock::now() + config::ScheduledConnectTimeout);
+    timer.async_wait([socket](const boost::system::error_code &cancelled) {
+        if (!cancelled) {
+            boost::system::error_code ignored;
+            socket->close(ignored);
+        }
+    });
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(endpoint.address, error);
+    if (!error) {
+        co_await socket->async_connect({address, endpoint.port}, errorInto(error));
+    }
+    timer.cancel();
+    if (error || !socket->is_open()) {
+        co_return std::nullopt;
+    }
+    co_return std::move(*socket);
+}
+
+boost::asio::awaitable<void> ZoneControl::probe(ServiceName service, Target target)
+{
+    const auto socket = co_await connectTo(target.endpoint);
+    const TimePoint now = RuntimeClock::now();
+    if (socket) {
+        m_reach[service].recordConnected(target.name, now);
+    } else {
+        m_reach[service].recordConnectFailure(target.name, now);
+    }
+    updateReach(now);
+}
+
+// Members of this zone report their own reach. Of other zones' daemons only those are known that their hubs name; one that
+// can't help refuses at once, and the next one is asked.
+std::vector<HelperCandidate> ZoneControl::helperCandidates(TimePoint now) const
+{
+    std::set<std::uint32_t> withoutReach;
+    forEachLiveHub(now,
+                   [&withoutReach](const MemberId & /*id*/, const HubRecord &hub) { withoutReach.insert(hub.withoutReach.begin(), hub.withoutReach.end()); });
+    std::vector<HelperCandidate> candidates;
+    for (const auto &daemon : m_hubs.registered()) {
+        const Helper helper {daemon.id.name, daemon.peer};
+        if (isSelf(daemon)) {
+            if (reachesAll() && !m_leaving) {
+                candidates.push_back({helper, HubRank});
+            }
+            continue;
+        }
+        const auto member = m_members.lower_bound({daemon.id.name, 0});
+        const bool known = member != m_members.end() && member->first.name == daemon.id.name;
+        const bool silent = known && now - member->second.lastReceivedAt >= config::MemberLifetime;
+        if ((known && (silent || !member->second.reaches)) || withoutReach.contains(shortHash(daemon.id.name.value))) {
+            continue;
+        }
+        candidates.push_back({helper, daemon.zone == m_settings.zone ? MemberRank : OtherZoneRank});
+    }
+    return candidates;
+}
+
+Placement ZoneControl::submit(const PlacementRequest &request, TimePoint now)
+{
+    if (request.relayed) {
+        m_scheduler.recordReach(request.key.member.name, false, now);
+        m_scheduler.helpers().setCandidates(helperCandidates(now));
+    }
+    return m_scheduler.submit(request, now);
+}
+
+TunnelTicketPtr ZoneControl::tunnelTicket(const Placed &placed) const
+{
+    return placed.helper ? m_peers.tunnelTicket(*placed.helper, envelope(TunnelRequest {placed.target, placed.endpoint})) : nullptr;
+}
+
+boost::asio::awaitable<OpenedTunnel> ZoneControl::openTunnel(TunnelRequest request)
+{
+    TunnelStatus status = TunnelStatus::Unavailable;
+    std::optional<tcp::socket> socket;
+    if (!m_leaving && reachesAll() && m_peers.tunnels() <= config::MaxTunnels) {
+        const bool rests = m_scheduler.restLeft(request.target, m_self.id.name, RuntimeClock::now()) > Duration::zero();
+        const bool usable = !rests && !isKnownUnusable({request.target, request.endpoint, {}, {}});
+        if (usable) {
+            socket = co_await connectTo(request.endpoint);
+        }
+        status = socket ? TunnelStatus::Open : TunnelStatus::Unreachable;
+        const Target *target = m_list.find(request.target);
+        if (usable && !socket && target != nullptr) {
+            const TimePoint now = RuntimeClock::now();
+            m_reach[target->service].recordConnectFailure(request.target, now);
+            updateReach(now);
+        }
+    }
+    co_return OpenedTunnel {envelope(TunnelReply {status}), std::move(socket)};
+}
+
+void ZoneControl::received(const Envelope & /*envelope*/, const TunnelNotice &notice)
+{
+    AttemptReport report;
+    report.limit = notice.limit;
+    report.leaving = notice.leaving;
+    report.restMilliseconds = notice.restMilliseconds;
+    recordNotice(m_self.id.name, notice.target, report, RuntimeClock::now());
+}
+
+void ZoneControl::received(const Envelope &envelope, const DaemonsWithoutReach &daemons)
+{
+    const auto hub = m_otherHubs.find(envelope.sender);
+    if (hub != m_otherHubs.end()) {
+        hub->second.withoutReach = daemons.daemons;
+    }
+}
+
+void ZoneControl::sendDaemonsWithoutReach(TimePoint now)
+{
+    DaemonsWithoutReach message {m_settings.zone, {}};
+    if (!reachesAll()) {
+        message.daemons.push_back(shortHash(m_self.id.name.value));
+    }
+    for (const auto &[id, member] : m_members) {
+        if (!member.reaches && message.daemons.size() < DaemonsWithoutReach::MaxDaemons) {
+            message.daemons.push_back(shortHash(id.name.value));
+        }
+    }
+    const bool any = !message.daemons.empty();
+    if (any || m_toldWithoutReach) {
+        forEachLiveHub(now, [this, &message](const MemberId & /*id*/, const HubRecord &hub) { send(hub.peer, message); });
+    }
+    m_toldWithoutReach = any;
+}
+}
--- a/src/peer_p.h
+++ b/src/peer_p.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "tunnel_p.h"
+
 #include <plumsill/codec.h>
 #include <plumsill/messages.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -38,6 +41,12 @@
     std::uint64_t requestsServed = 0;
 };
 
+/// Connection to a target that a daemon opened for another one.
+struct OpenedTunnel {
+    Envelope reply;
+    std::optional<boost::asio::ip::tcp::socket> target; ///< empty where the tunnel was refused
+};
+
 /// UDP and TCP port for messages between daemons, both with the same port number. Used by the control thread only.
 class PeerPort
 {
@@ -45,6 +54,8 @@
     using Receiver = std::function<void(const Envelope &)>;
     /// Returns the reply to a request over TCP; without a reply the connection is closed.
     using Responder = std::function<std::optional<Envelope>(const Envelope &)>;
+    /// Opens a connection for another daemon's tunnel.
+    using TunnelOpener = std::function<boost::asio::awaitable<OpenedTunnel>(const TunnelRequest &)>;
 
     PeerPort(boost::asio::io_context &context, std::string secret);
     ~PeerPort();
@@ -59,6 +70,14 @@
     /// Starts receiving. @p receiver is called for each datagram and request, @p responder for each request.
     void start(Receiver receiver, Responder responder);
     void close();
+    /// Opens tunnels that other daemons ask for with @p opener; without one they are refused by closing the connection.
+    void serveTunnels(TunnelOpener opener);
+    /// Ends tunnels as soon as no request runs through them.
+    void drainTunnels();
+    /// Number of tunnels of other daemons that lead through this one.
+    std::size_t tunnels() const;
+    /// Signs a request for a tunnel through @p helper.
+    TunnelTicketPtr tunnelTicket(const Helper &helper, const Envelope &request) const;
 
     /// Sends one datagram without waiting; a datagram that the system can't take is lost.
     Outcome<void, PeerError> sendDatagram(const Endpoint &to, const Envelope &envelope);
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -175,6 +175,9 @@
 std::optional<Placed> Scheduler::place(ServiceState &service, const PlacementRequest &request, bool allowRisky, TimePoint now)
 {
     updateOverdue(now);
+    // The path that counts is that of the daemon which opens the connection.
+    const auto helper = request.relayed ? m_helpers.choose(request.key.member.name, now) : std::nullopt;
+    const InstanceName &sender = helper ? helper->name : request.key.member.name;
     TargetStatePtr best;
     double lowestCost = std::numeric_limits<double>::infinity();
     bool anyHealthy = false; // whether a usable target is healthy, so that waiting for one makes sense
@@ -182,7 +185,7 @@
         if (!inUse(*state) || std::find(request.tried.begin(), request.tried.end(), state->target.name) != request.tried.end()) {
             continue;
         }
-        if (avoided(state->unreachableFrom, request.key.member.name, now) || avoided(state->restsFrom, request.key.member.name, now)) {
+        if (avoided(state->unreachableFrom, sender, now) || avoided(state->restsFrom, sender, now)) {
             continue;
         }
         const bool risky = failureProbability(*state, now) > (request.idempotent ? config::RepeatableTrialShare : config::RiskyShare);
@@ -206,10 +209,13 @@
     ++service.running;
     best->lastPlaced = now;
     best->limit.take(now);
-    m_running[request.key] = {request.service, best, request.route, now, false};
+    m_running[request.key] = {request.service, best, request.route, now, false, helper};
+    if (helper) {
+        m_helpers.recordStart(helper->name);
+    }
     const LatencyModel &model = latency(service, request.route, (request.objective - now) / 3);
     const Duration cold = now < best->coldUntil ? Duration(config::ColdStartSlack) : Duration::zero();
-    return Placed {best->target.name, best->target.endpoint, model.quantile(config::HedgeShare) + cold};
+    return Placed {best->target.name, best->target.endpoint, model.quantile(config::HedgeShare) + cold, helper};
 }
 
 // Records requests without an answer as evidence against their targets, depending on their ages. Called when a decision is
@@ -224,7 +230,7 @@
         target->waitingOddsRatio = 1;
     }
     for (auto &[key, attempt] : m_running) {
-        if (attempt.overdue || now < attempt.target->coldUntil || doubted(key.member.name)) {
+        if (attempt.overdue || now < attempt.target->coldUntil || doubted(senderOf(key, attempt))) {
             continue;
         }
         auto &state = service(attempt.service);
@@ -232,7 +238,7 @@
         const double survival = model == state.latency.end() ? 1 : model->second.survival(now - attempt.startedAt);
         if (survival < config::OverdueShare) {
             attempt.overdue = true;
-            recordEvidence(key.member.name, attempt.target, attempt.target->failureEstimate.recordOverdue(survival, now), now);
+            recordEvidence(senderOf(key, attempt), attempt.target, attempt.target->failureEstimate.recordOverdue(survival, now), now);
         } else if (survival < config::WaitingShare) {
             attempt.target->waitingOddsRatio *= waitingOdds(survival);
         }
@@ -290,7 +296,7 @@
     if (running != m_running.end()) {
         const Target &target = running->second.target->target;
         const auto &model = latency(service(request.service), request.route, (request.objective - now) / 3);
-        return Placed {target.name, target.endpoint, model.quantile(config::HedgeShare)};
+        return Placed {target.name, target.endpoint, model.quantile(config::HedgeShare), running->second.helper};
     }
     if (m_waiting.contains(request.key)) {
         return Queued {};
@@ -391,6 +397,9 @@
     attempt.target->running -= attempt.target->running > 0 ? 1 : 0;
     auto &state = service(attempt.service);
     state.running -= state.running > 0 ? 1 : 0;
+    if (attempt.helper) {
+        m_helpers.recordEnd(attempt.helper->name);
+    }
 }
 
 void Scheduler::finishAttempt(const PlacementKey &key, AttemptEnd end, Duration taken, TimePoint now)
@@ -406,28 +415,29 @@
     auto &state = service(attempt.service);
     auto &target = *attempt.target;
     const unsigned slots = slotsOf(state, target);
+    const InstanceName sender = senderOf(key, attempt);
     switch (end) {
     case AttemptEnd::Good:
         target.failureEstimate.recordGoodAnswer(now);
-        target.unreachableFrom.erase(key.member.name);
+        target.unreachableFrom.erase(sender);
         target.lastAnswerAt[key.member.name] = now;
-        m_senders[key.member.name].failedConnects.clear();
+        m_senders[sender].failedConnects.clear();
         if (now >= target.coldUntil) {
             latency(state, attempt.route, taken).add(taken);
         }
         break;
     case AttemptEnd::Failed:
-        if (!doubted(key.member.name)) {
-            recordEvidence(key.member.name, attempt.target, target.failureEstimate.recordFailure(now), now);
+        if (!doubted(sender)) {
+            recordEvidence(sender, attempt.target, target.failureEstimate.recordFailure(now), now);
         }
         break;
     case AttemptEnd::TimedOut:
-        if (!attempt.overdue && !doubted(key.member.name)) {
-            recordEvidence(key.member.name, attempt.target, target.failureEstimate.recordOverdue(config::OverdueShare, now), now);
+        if (!attempt.overdue && !doubted(sender)) {
+            recordEvidence(sender, attempt.target, target.failureEstimate.recordOverdue(config::OverdueShare, now), now);
         }
         break;
     case AttemptEnd::NotExecuted:
-        if (target.running + 1 < slots && !avoided(target.restsFrom, key.member.name, now)) {
+        if (target.running + 1 < slots && !avoided(target.restsFrom, sender, now)) {
             target.failureEstimate.recordRefusal(now);
         }
         target.refusedUntil = now + config::RefusalBackoff;
@@ -436,7 +446,10 @@
         target.wrongAddress = true;
         break;
     case AttemptEnd::Unreachable:
-        recordUnreachable(key.member.name, attempt.target, now);
+        recordUnreachable(sender, attempt.target, now);
+        break;
+    case AttemptEnd::HelperUnavailable:
+        m_helpers.recordUnavailable(sender, now);
         break;
     case AttemptEnd::Abandoned:
         break;
@@ -454,7 +467,7 @@
         if (m_running.contains(key) || target == m_targets.end()) {
             continue;
         }
-        m_running[key] = {attempt.service, target->second, attempt.route, now - std::chrono::milliseconds(attempt.ageMilliseconds), false};
+        m_running[key] = {attempt.service, target->second, attempt.route, now - std::chrono::milliseconds(attempt.ageMilliseconds), false, std::nullopt};
         ++target->second->running;
         ++service(attempt.service).running;
     }
--- a/src/scheduler_reach.cpp
+++ b/src/scheduler_reach.cpp
@@ -6,6 +6,17 @@
 // Whom a daemon reaches is its own state, and no evidence about targets that others reach.
 namespace plumsill
 {
+InstanceName Scheduler::senderOf(const PlacementKey &key, const Attempt &attempt)
+{
+    return attempt.helper ? attempt.helper->name : key.member.name;
+}
+
+InstanceName Scheduler::senderOf(const PlacementKey &key) const
+{
+    const auto found = m_running.find(key);
+    return found == m_running.end() ? key.member.name : senderOf(key, found->second);
+}
+
 bool Scheduler::doubted(const InstanceName &daemon) const
 {
     const auto found = m_senders.find(daemon);
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -86,12 +86,16 @@
     /// Age of the attempt at which a hedge is sent to a second target; empty when no hedge is to be sent.
     const std::optional<Duration> &hedgeAfter() const { return m_hedgeAfter; }
     void setHedgeAfter(Duration age) { m_hedgeAfter = age; }
+    /// How to open connections to the target through another daemon; null where this daemon opens them.
+    const TunnelTicketPtr &tunnel() const { return m_tunnel; }
+    void setTunnel(TunnelTicketPtr tunnel) { m_tunnel = std::move(tunnel); }
 
 private:
     TargetName m_name;
     TargetRuntimePtr m_runtime;
     EndCallback m_onEnded; ///< empty after the end has been reported
     std::optional<Duration> m_hedgeAfter;
+    TunnelTicketPtr m_tunnel;
 };
 
 /// Request for a target.
@@ -196,8 +200,8 @@
     void resolveToken(WaiterId waiter, TokenAnswer answer);
     /// Requests a target from control; waits at most until the request's deadline.
     boost::asio::awaitable<DispatchResult> place(const DispatchRequest &request);
-    /// Delivers control's answer to a ThreadPlacementRequest; may be called from any thread.
-    void resolvePlacement(std::uint64_t placementId, Placement placement);
+    /// Delivers control's answer to a ThreadPlacementRequest, with the ticket where it names a helper; may be called from any thread.
+    void resolvePlacement(std::uint64_t placementId, Placement placement, TunnelTicketPtr tunnel = {});
     /// Selects whether targets come from this thread's own balancers or from the scheduler.
     PlacementMode &placement() { return m_placement; }
     const Dialect &dialect() const { return m_dialect; }
@@ -209,7 +213,7 @@
     boost::asio::awaitable<void> acceptCallers();
     boost::asio::awaitable<void> reportPeriodically();
     void enforceSessionLimits(TimePoint now);
-    TargetRuntimePtr runtimeOf(const TargetName &name, const Endpoint &endpoint);
+    TargetRuntimePtr runtimeOf(const Placed &placed);
     void removeIdleTeams(TimePoint now);
     void applySnapshot(SnapshotPtr snapshot);
 
@@ -225,6 +229,7 @@
     struct PlacementWaiter {
         RuntimeTimer timer;
         std::optional<Placement> placement;
+        TunnelTicketPtr tunnel;
     };
 
     using Sessions = boost::intrusive::list<SessionBase, boost::intrusive::constant_time_size<false>>;
@@ -238,7 +243,8 @@
     SnapshotPtr m_snapshot;
     TrafficReport m_report;
     Sessions m_openSessions;
-    std::unordered_map<TargetName, TargetRuntimePtr> m_runtimes; ///< targets placed by the scheduler
+    std::map<std::pair<TargetName, InstanceName>, TargetRuntimePtr>
+        m_runtimes; ///< targets placed by the scheduler, and the helper; an empty name for direct connections
     std::map<std::uint64_t, PlacementWaiter *> m_placementWaiters;
     std::unordered_map<ServiceName, std::unique_ptr<ServiceDispatch>> m_services;
     std::unordered_map<TeamName, CachedAllowance> m_allowances;
--- a/src/upstream_p.h
+++ b/src/upstream_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "socket_p.h"
+#include "tunnel_p.h"
 
 #include <plumsill/attempt.h>
 #include <plumsill/config.h>
@@ -102,6 +103,7 @@
     const AnswerSink *sink = nullptr; ///< receives a large answer; null: all answers are buffered
     AttemptHandle *handle = nullptr; ///< cancels the attempt; may be null
     const Dialect *dialect = nullptr; ///< null: the default dialect
+    TunnelTicketPtr tunnel; ///< opens connections through another daemon; null: directly
 };
 
 /// Connections of one traffic thread to one target.
@@ -130,7 +132,9 @@
     void addIdle(const Connection &connection, TimePoint now);
     void removeIdle(TargetConnection &connection);
     void recordNoAnswer(TimePoint now);
-    boost::asio::awaitable<Connection> open(Duration timeout, AttemptHandle *handle, AttemptFailure &failure);
+    boost::asio::awaitable<Connection> open(const AttemptOptions &options, AttemptFailure &failure);
+    /// Asks the helper for a tunnel on a connection to it; returns false and sets @p failure where there is none.
+    static boost::asio::awaitable<bool> openTunnel(const Connection &connection, const TunnelTicketPtr &ticket, AttemptFailure &failure);
 
     static boost::asio::awaitable<AttemptResult> exchange(const Connection &connection, const TargetRequest &request, const AttemptOptions &options,
                                                           bool &reuse);
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -12,6 +12,7 @@
 #include <plumsill/list_relay.h>
 #include <plumsill/metrics.h>
 #include <plumsill/quota.h>
+#include <plumsill/reach.h>
 #include <plumsill/read_plan.h>
 #include <plumsill/reply_wait.h>
 #include <plumsill/scheduler.h>
@@ -24,6 +25,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,6 +50,8 @@
     // Called by the peer port.
     void received(const Envelope &envelope);
     std::optional<Envelope> respond(const Envelope &request);
+    /// Connects to a target for another daemon.
+    boost::asio::awaitable<OpenedTunnel> openTunnel(TunnelRequest request);
 
     // Called on the control thread for the traffic threads.
     void report(const TrafficReport &report) { m_metrics.add(report); }
@@ -90,6 +94,8 @@
         RunningAttempt attempt;
         TimePoint startedAt;
         bool placedLocally = false;
+        Duration usualTime {}; ///< age at which most good answers have arrived
+        std::optional<Helper> helper;
     };
 
     /// A daemon that uses this one as its hub.
@@ -100,6 +106,7 @@
         TimePoint heartbeatAt; ///< when that heartbeat was received
         std::map<std::uint32_t, std::uint32_t> taken; ///< number of taken tokens in the last report, by hash of the team's name
         ReportedCounts limitTaken; ///< requests to limited targets, by hash of the target's name
+        bool reaches = true; ///< false: the member does not reach the targets of some service
     };
 
     /// The last digest received from another hub.
@@ -112,6 +119,7 @@
         TimePoint lastReceivedAt;
         std::uint64_t sentAt = 0; ///< timestamp in the digest, on its sender's clock; echoed in digests to that hub
         bool readsStore = false; ///< the hub reads the directory itself rather than through other hubs
+        std::vector<std::uint32_t> withoutReach; ///< daemons of its zone that do not reach some targets, by hash of the name
     };
 
     /// Repeated read of the directory.
@@ -166,13 +174,30 @@
     void received(const Envelope &envelope, const HubDigest &digest);
     void received(const Envelope &envelope, const TargetLimits &limits);
     /// Records what the answer of the member's attempt said of its target.
-    void recordNotice(const MemberId &member, const TargetName &target, const AttemptReport &report, TimePoint now);
+    void recordNotice(const InstanceName &sender, const TargetName &target, const AttemptReport &report, TimePoint now);
     std::vector<TargetLimits> limitMessages(bool fromHub, TimePoint now) const;
     std::optional<RegisteredDaemon> hub(TimePoint now) const { return m_hubs.hub(m_settings.zone, now); }
     bool isSelf(const RegisteredDaemon &daemon) const { return daemon.id.name == m_self.id.name; }
     bool actsAsHub(TimePoint now) const;
     void hubUnresponsive(const RegisteredDaemon &unresponsive, TimePoint now);
 
+    // Reach of this daemon, and tunnels (net_zone_reach.cpp).
+    void recordPath(const Running &attempt, AttemptEnd end, TimePoint now);
+    /// Starts the probes that are due, and sends word of a change.
+    void updateReach(TimePoint now);
+    boost::asio::awaitable<void> probe(ServiceName service, Target target);
+    boost::asio::awaitable<std::optional<boost::asio::ip::tcp::socket>> connectTo(Endpoint endpoint);
+    std::vector<Target> probeTargets(const ServiceName &service, const Reach &reach, std::size_t count);
+    bool reachesAll() const;
+    bool needsHelper(const ServiceName &service) const;
+    std::vector<HelperCandidate> helperCandidates(TimePoint now) const;
+    TunnelTicketPtr tunnelTicket(const Placed &placed) const;
+    void received(const Envelope &envelope, const DaemonsWithoutReach &daemons);
+    void received(const Envelope &envelope, const TunnelNotice &notice);
+    void sendDaemonsWithoutReach(TimePoint now);
+    /// Decides on a request at this daemon's scheduler.
+    Placement submit(const PlacementRequest &request, TimePoint now);
+
     // Messages between hubs and members.
     void noticePause(TimePoint now);
     void sendHeartbeat(const RegisteredDaemon &to, TimePoint now);
@@ -237,6 +262,9 @@
     std::map<std::uint64_t, Pending> m_pending;
     std::map<std::uint64_t, Running> m_running;
     std::map<MemberId, MemberRecord> m_members;
+    std::map<ServiceName, Reach> m_reach;
+    std::set<ServiceName> m_cutOff; ///< services whose targets this daemon does not reach, as the others were told
+    bool m_toldWithoutReach = false; ///< the last digests named daemons without reach
     std::map<MemberId, HubRecord> m_otherHubs;
     std::map<InstanceName, unsigned> m_unansweredDigests;
     std::map<TeamName, ReportedTokens> m_reportedTokens;
