--- a/src/reach.cpp
+++ b/src/reach.cpp
@@ -85,7 +85,11 @@
     if (auto *suspected = std::get_if<Suspected>(&m_state)) {
         if (suspected->needed == 0) {
             suspected->needed = std::min(FailedTargets, std::max<std::size_t>(targets, 1));
-            return suspected->needed - std::min(suspected->needed, suspected->failed);
+            if (suspected->failed >= suspected->needed) {
+                beginCutOff(now);
+                return 0;
+            }
+            return suspected->needed - suspected->failed;
         }
         // A probe whose result was lost must not keep the suspicion for ever.
         if (now - suspected->since > SuspicionInterval) {
--- a/tests/test_scheduler.cpp
+++ b/tests/test_scheduler.cpp
@@ -341,6 +341,56 @@
     LONGS_EQUAL(0, raised);
 }
 
+// Guards against requests of a daemon without reach that are placed by the paths of that daemon and not by those of its helper.
+TEST(Scheduler, RequestOfADaemonWithoutReachIsPlacedByTheHelpersPath)
+{
+    Zone zone({target(1), target(2)});
+    const Helper first {{"d2"}, {"10.0.0.2", 7000}};
+    const Helper second {{"d3"}, {"10.0.0.3", 7000}};
+    zone.scheduler.helpers().setCandidates({{first, 0}, {second, 1}});
+    const auto submit = [&](TimePoint now) {
+        PlacementRequest request = zone.request(now);
+        request.relayed = true;
+        return std::pair {request.key, std::get<Placed>(zone.scheduler.submit(request, now))};
+    };
+    auto [key, placed] = submit(t0);
+    CHECK(placed.helper == first);
+    CHECK(zone.scheduler.senderOf(key) == first.name);
+    zone.scheduler.finishAttempt(key, AttemptEnd::Unreachable, 1ms, t0);
+    const TargetName unreachable = placed.target;
+    std::tie(key, placed) = submit(t0 + 10ms);
+    CHECK(placed.helper == first && placed.target != unreachable);
+    zone.scheduler.finishAttempt(key, AttemptEnd::HelperUnavailable, 1ms, t0 + 20ms);
+    std::tie(key, placed) = submit(t0 + 30ms);
+    CHECK(placed.helper == second);
+    for (const auto &load : zone.scheduler.loads(t0 + 30ms)) {
+        CHECK(load.failingPercent <= 12);
+    }
+}
+
+// Guards against requests that are refused where no other daemon can help, although open connections may still work.
+TEST(Scheduler, RequestIsPlacedDirectlyWhereNobodyCanHelp)
+{
+    Zone zone({target(1)});
+    PlacementRequest request = zone.request(t0);
+    request.relayed = true;
+    CHECK(!std::get<Placed>(zone.scheduler.submit(request, t0)).helper);
+}
+
+// Guards against targets that stay suspected because of requests that hung at a daemon whose links are lost.
+TEST(Scheduler, EvidenceOfADaemonIsTakenBackWhenItIsCutOff)
+{
+    Zone zone({target(1)});
+    for (unsigned count = 0; count < 2; ++count) {
+        const PlacementRequest request = zone.request(t0);
+        zone.scheduler.submit(request, t0);
+        zone.scheduler.finishAttempt(request.key, AttemptEnd::Failed, 1ms, t0 + 10ms);
+    }
+    CHECK(zone.scheduler.loads(t0 + 20ms).front().failingPercent > 50);
+    zone.scheduler.recordReach(member.name, false, t0 + 20ms);
+    CHECK(zone.scheduler.loads(t0 + 20ms).empty());
+}
+
 TEST(Scheduler, NewSchedulerGetsRunningRequestsFromItsMembers)
 {
     Zone zone(targets(1));
