--- /dev/null
+++ b/tests/process_drain.cpp
@@ -0,0 +1,149 @@
+#include "zone_fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <atomic>
+#include <csignal>
+
+using namespace plumsill;
+using namespace plumsill::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+constexpr auto DrainBound = 2s; // time from the store's word after which a leaving target must get no request
+constexpr unsigned Targets = 6;
+
+PlatformDocument document()
+{
+    PlatformDocument document;
+    document.version = 1;
+    document.services = {"lookup"};
+    document.routes = {{"read", "/read/", "lookup", true, false, 2, 3000, 1000}, {"order", "/order/", "lookup", false, false, 1, 3000, 1000}};
+    document.teams = {{"red", {RedKey}, 0, 0}};
+    return document;
+}
+}
+
+/// Targets that leave under load, one after the other, while the daemons that read the store's list are in trouble.
+TEST_GROUP(DrainProcess)
+{
+    std::unique_ptr<ZoneFleet> fleet;
+    std::atomic<bool> stop {false};
+    std::vector<std::thread> callers;
+
+    void start(unsigned drainMilliseconds = 60'000)
+    {
+        ZoneFleetOptions options;
+        options.proxied = true;
+        // The targets go on running, so that they record requests that still arrive.
+        options.drainMilliseconds = drainMilliseconds;
+        options.lingerMilliseconds = 60'000;
+        fleet = std::make_unique<ZoneFleet>(options);
+        CHECK(fleet->publish(document()));
+        for (unsigned index = 0; index < Targets; ++index) {
+            fleet->startTarget("t" + std::to_string(index), "lookup", "z" + std::to_string(index % 3));
+        }
+        for (unsigned index = 0; index < 6; ++index) {
+            fleet->startDaemon("d" + std::to_string(index), "z" + std::to_string(index % 3), true);
+        }
+        CHECK(eventually(20s, [this] { return fleet->allReady(); }));
+        unsigned first = 0;
+        for (const auto &[name, daemon] : fleet->daemons) {
+            callers.emplace_back([this, name = name, id = first] { callWhileRunning(name, id); });
+            first += 1'000'000;
+        }
+        ::poll(nullptr, 0, 2000);
+    }
+    void teardown() override
+    {
+        stop = true;
+        for (const auto &[name, daemon] : fleet->daemons) {
+            daemon.process->signal(SIGCONT);
+        }
+        for (auto &caller : callers) {
+            caller.join();
+        }
+    }
+    void callWhileRunning(const std::string &daemon, unsigned id)
+    {
+        while (!stop) {
+            ++id;
+            fleet->call(daemon, id % 2 == 0 ? "GET" : "POST", id % 2 == 0 ? "/read/1" : "/order/1", "id" + std::to_string(id), RedKey);
+        }
+    }
+    std::size_t arrivals(const std::string &target)
+    {
+        return boost::json::parse(httpCall(fleet->targets.at(target).control, "GET", "/control/log").body).as_array().size();
+    }
+    /// Has all targets but one leave at different moments, each after @p trouble, and checks that they get no request after the bound.
+    void checkLeaving(const std::function<void(unsigned round)> &trouble)
+    {
+        for (unsigned round = 0; round + 1 < Targets; ++round) {
+            const std::string name = "t" + std::to_string(round);
+            trouble(round);
+            ::poll(nullptr, 0, static_cast<int>(round) * 110);
+            fleet->targets.at(name).process->signal(SIGTERM);
+            std::this_thread::sleep_for(DrainBound + 100ms); // with the time of the target's own call
+            const auto before = arrivals(name);
+            std::this_thread::sleep_for(1s);
+            LONGS_EQUAL_TEXT(before, arrivals(name), (name + " got requests after the bound").c_str());
+        }
+    }
+};
+
+TEST(DrainProcess, LeavingTargetsGetNoRequestAfterTheBound)
+{
+    start();
+    checkLeaving([](unsigned /*round*/) {});
+}
+
+// Guards against a list of targets that stays old because the connections of its readers to the store have gone silent.
+TEST(DrainProcess, LeavingTargetsGetNoRequestAfterTheBoundAlthoughStoreConnectionsAreSilent)
+{
+    start();
+    checkLeaving([this](unsigned /*round*/) {
+        for (const auto &[name, daemon] : fleet->daemons) {
+            fleet->linkFault("store-" + name, R"({"silence":true})");
+        }
+    });
+}
+
+// Guards against a list of targets that stays old because the daemon that reads it for the fleet stands still.
+TEST(DrainProcess, LeavingTargetsGetNoRequestAfterTheBoundAlthoughADaemonStandsStill)
+{
+    start();
+    checkLeaving([this](unsigned round) {
+        for (const auto &[name, daemon] : fleet->daemons) {
+            daemon.process->signal(SIGCONT);
+        }
+        ::poll(nullptr, 0, 500);
+        fleet->daemons.at("d" + std::to_string(round % 3)).process->signal(SIGSTOP);
+    });
+}
+
+// Guards against a hub that keeps a target for its own outage of the store, although the target left while the hub stood still
+// and the other daemons have seen it go.
+TEST(DrainProcess, ResumedHubSendsNoRequestToATargetThatLeftMeanwhile)
+{
+    start(300);
+    for (unsigned round = 0; round < 3; ++round) {
+        const std::string target = "t" + std::to_string(round);
+        const std::string zone = "z" + std::to_string(round);
+        std::string hub;
+        for (const auto &[name, daemon] : fleet->daemons) {
+            if (daemon.zone == zone && fleet->metric(name, "plumsill_schedules_for") > 0) {
+                hub = name;
+            }
+        }
+        CHECK(!hub.empty());
+        fleet->daemons.at(hub).process->signal(SIGSTOP);
+        ::poll(nullptr, 0, 300);
+        fleet->targets.at(target).process->signal(SIGTERM);
+        std::this_thread::sleep_for(4s);
+        const auto before = arrivals(target);
+        fleet->daemons.at(hub).process->signal(SIGCONT);
+        std::this_thread::sleep_for(3s);
+        LONGS_EQUAL_TEXT(before, arrivals(target), (target + " got requests after the bound").c_str());
+    }
+}
--- a/tests/zone_fleet.h
+++ b/tests/zone_fleet.h
@@ -36,6 +36,7 @@
     unsigned seed = 1;
     unsigned heartbeatMilliseconds = 500; ///< interval between the heartbeats of a target
     unsigned drainMilliseconds = 2000; ///< time for which a stopping target drains
+    unsigned lingerMilliseconds = 0; ///< time for which it serves after its entry was removed
     bool partitionable = false; ///< partition() works
 };
 
@@ -146,6 +147,8 @@
                                             std::to_string(m_options.heartbeatMilliseconds) + "ms",
                                             "--drain",
                                             std::to_string(m_options.drainMilliseconds) + "ms",
+                                            "--linger",
+                                            std::to_string(m_options.lingerMilliseconds) + "ms",
                                             "--seed",
                                             std::to_string(m_options.seed)};
         const Endpoint listen {m_network + "3", freePort()};
--- a/tools/standin_target.cpp
+++ b/tools/standin_target.cpp
@@ -454,16 +454,17 @@
     const char *advertise = "";
     const char *heartbeat = "1500ms";
     const char *drain = "2s";
+    const char *linger = "0s";
     int slots = 3;
     int queue = 32;
     long seed = 1;
     int platform = 0;
 };
 
-asio::awaitable<void> leaveAndStop(TargetRegistration &registration, Duration drain, asio::io_context &loop)
+asio::awaitable<void> leaveAndStop(TargetRegistration &registration, Duration drain, Duration linger, asio::io_context &loop)
 {
     co_await registration.leave(drain);
-    co_await sleepFor(StopDelayAfterDrain);
+    co_await sleepFor(StopDelayAfterDrain + linger);
     loop.stop();
 }
 
@@ -473,8 +474,9 @@
     const auto serviceTime = parseDuration(commandLine.serviceTime);
     const auto heartbeat = parseDuration(commandLine.heartbeat);
     const auto drain = parseDuration(commandLine.drain);
+    const auto linger = parseDuration(commandLine.linger);
     const auto store = parseEndpoint(commandLine.store);
-    if (!endpoint || !serviceTime || !heartbeat || !drain || commandLine.slots < 1 || commandLine.queue < 0 || (!store && *commandLine.store != 0)) {
+    if (!endpoint || !serviceTime || !heartbeat || !drain || !linger || commandLine.slots < 1 || commandLine.queue < 0 || (!store && *commandLine.store != 0)) {
         std::cerr << "standin-target: bad option value\n";
         return 2;
     }
@@ -499,9 +501,9 @@
         registration.emplace(loop, *store, std::move(entry), *heartbeat);
         asio::co_spawn(loop, registration->run(), asio::detached);
     }
-    stopOnSignal(loop, [&loop, &registration, &drain] {
+    stopOnSignal(loop, [&loop, &registration, &drain, &linger] {
         if (registration) {
-            asio::co_spawn(loop, leaveAndStop(*registration, *drain, loop), asio::detached);
+            asio::co_spawn(loop, leaveAndStop(*registration, *drain, *linger, loop), asio::detached);
         } else {
             loop.stop();
         }
@@ -529,6 +531,7 @@
                                   {"advertise", 0, POPT_ARG_STRING, &commandLine.advertise, 0, "address to register instead of its own", "IP:PORT"},
                                   {"heartbeat", 0, POPT_ARG_STRING | Shown, &commandLine.heartbeat, 0, "time between two writes of its entry", "DURATION"},
                                   {"drain", 0, POPT_ARG_STRING | Shown, &commandLine.drain, 0, "time to serve after it announced that it leaves", "DURATION"},
+                                  {"linger", 0, POPT_ARG_STRING | Shown, &commandLine.linger, 0, "time to serve after its entry was removed", "DURATION"},
                                   POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext("standin-target", argc, argv, options, 0);
     const int bad = poptGetNextOpt(context);
