Send nothing to a target that has left while the zone's hub stood still

Requests reached a target that had said it was leaving: a hub that resumes after some seconds took its own pause for an outage of the store, kept the missing entry for 2.3 s and placed the requests of its zone's daemons there, though these had seen the entry go. A pause is now no outage, and a daemon refuses a placement at a run of a target that it has seen removed. The users' record doesn't show whether a hub stood still in their run, so this cause is likely and not proved.

--- a/include/plumsill/target_list.h
+++ b/include/plumsill/target_list.h
@@ -32,6 +32,8 @@
     /// Applies the result of a read that was sent at @p sentAt and answered at @p now by a store of @p era (0: unknown). A read that is not
     /// newer than the last one is ignored. The return of a store from a copy counts as an outage.
     void read(const std::vector<Target> &targets, TimePoint sentAt, TimePoint now, StoreEra era = 0);
+    /// Records that this process stood still for @p pause, which is no outage of the store.
+    void recordPause(Duration pause) { m_paused += pause; }
     /// Records that another daemon's read, sent at @p sentAt, showed the same list.
     void confirm(TimePoint sentAt);
     /// Targets in use or leaving. After an outage of the platform, targets missing from its listing are kept for a grace
@@ -39,6 +41,8 @@
     std::vector<Target> targets() const { return targetsOf(m_targets); }
     /// Target of that name; null if none is listed.
     const Target *find(const TargetName &name) const;
+    /// Whether the run of a target at that endpoint was listed earlier and no longer is.
+    bool wasRemoved(const TargetName &name, const Endpoint &endpoint) const;
     /// Changes after that revision; none if they are no longer kept.
     std::optional<ListChanges> changesSince(std::uint64_t revision) const;
     /// Revision of the list; incremented with each change.
@@ -65,6 +69,7 @@
     std::uint64_t m_discardedRevision = 0; ///< revision up to which changes were discarded
     std::optional<TimePoint> m_readAt;
     std::optional<TimePoint> m_graceUntil; ///< end of the grace period after an outage
+    Duration m_paused {}; ///< time since the last read in which this process stood still
     std::uint64_t m_revision = 0;
 };
 }
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -149,6 +149,7 @@
     }
     m_lastHeartbeatAt = now;
     m_proofExpectedUntil = now + config::ProofAfterPause;
+    m_list.recordPause(pause);
     publish(now);
     Event("daemon", "resumed").add("paused_ms", pause);
     for (const auto &team : m_scheduler.teams()) {
--- a/src/net_zone_placement.cpp
+++ b/src/net_zone_placement.cpp
@@ -301,8 +301,8 @@
     deliverQueuedPlacements();
 }
 
-// A hub without a connection to the platform may place requests at a target that is leaving or removed according to
-// this daemon's list. A target missing from this daemon's list counts as removed only if this daemon read the list from
+// A hub without a connection to the platform, or one that has stood still, may place requests at a target that is leaving or
+// removed according to this daemon's list. A target that this daemon has never listed counts as removed only if this daemon read the list from
 // the platform itself, more than NewerListMargin after the read that gave the hub its list.
 bool ZoneControl::isKnownUnusable(const Placed &placed) const
 {
@@ -313,6 +313,9 @@
     if (target != nullptr) {
         return target->leaving && target->endpoint == placed.endpoint;
     }
+    if (m_list.wasRemoved(placed.target, placed.endpoint)) {
+        return true;
+    }
     const bool newer = m_list.readAt() && !m_listSource && *m_list.readAt() - config::NewerListMargin > m_hubListReadAt;
     return newer;
 }
--- a/src/target_list.cpp
+++ b/src/target_list.cpp
@@ -67,10 +67,11 @@
     }
     const bool newEra = m_era != 0 && era > m_era;
     m_era = std::max(m_era, era);
-    if (m_readAt && (newEra || sentAt - *m_readAt > OutageGap) && !m_targets.empty()) {
+    if (m_readAt && (newEra || sentAt - *m_readAt - m_paused > OutageGap) && !m_targets.empty()) {
         m_graceUntil = now + ReturnGracePeriod;
     }
     m_readAt = sentAt;
+    m_paused = Duration::zero();
     std::map<TargetName, Target> listed;
     for (const auto &target : targets) {
         if (isOutdated(target)) {
@@ -149,6 +150,12 @@
     }
 }
 
+bool TargetList::wasRemoved(const TargetName &name, const Endpoint &endpoint) const
+{
+    const auto removed = m_removed.find(name);
+    return removed != m_removed.end() && removed->second.endpoint == endpoint && !m_targets.contains(name);
+}
+
 const Target *TargetList::find(const TargetName &name) const
 {
     const auto found = m_targets.find(name);
--- a/tests/test_zone_modules.cpp
+++ b/tests/test_zone_modules.cpp
@@ -110,6 +110,29 @@
     CHECK(list.find({"b"}) == nullptr);
 }
 
+// Guards against a target kept for an outage of the store that was a pause of the reading process.
+TEST(TargetList, EntriesMissingAfterAPauseOfTheProcessAreRemoved)
+{
+    list.read({target("a"), target("b", 2)}, t0, t0);
+    list.recordPause(4s);
+    list.read({target("a")}, t0 + 4500ms, t0 + 4500ms);
+    LONGS_EQUAL(1, list.targets().size());
+    list.read({}, t0 + 9s, t0 + 9s);
+    LONGS_EQUAL(1, list.targets().size());
+}
+
+// Guards against requests to a target that another daemon still lists, though this one has seen its entry go.
+TEST(TargetList, RemovedRunIsRememberedUntilItIsListedAgain)
+{
+    list.read({target("a"), target("b", 2)}, t0, t0);
+    list.read({target("b", 2)}, t0 + 1s, t0 + 1s);
+    CHECK(list.wasRemoved({"a"}, {"10.0.0.1", 1}));
+    CHECK(!list.wasRemoved({"a"}, {"10.0.0.1", 3}));
+    CHECK(!list.wasRemoved({"b"}, {"10.0.0.1", 2}));
+    list.read({target("a", 1, 100, 2), target("b", 2)}, t0 + 2s, t0 + 2s);
+    CHECK(!list.wasRemoved({"a"}, {"10.0.0.1", 1}));
+}
+
 TEST(TargetList, RevisionRisesOnlyWithChanges)
 {
     list.read({target("a")}, t0, t0);
