Close connections on which a target sends bytes without end

An attempt stayed with a target that sent chunk framing, a trailer or the body of a stray answer without end: all of it was kept in memory, a trailer held the traffic thread for 10.5 s by parsing it anew with each read, and the deadline passed unnoticed because no read was ever waiting when it was cancelled. Unparsed bytes are now bounded, a stray answer may be as large as one that is kept in memory, and the deadline is checked while a body arrives.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -129,6 +129,7 @@
 inline constexpr std::size_t MaxHeaderBytes = 16 * 1024;
 inline constexpr std::size_t DefaultBodyLimitBytes = 1024 * 1024;
 inline constexpr std::size_t MaxBodyBytes = 64 * 1024 * 1024;
+inline constexpr std::size_t MaxUnparsedAnswerBytes = 4 * MaxHeaderBytes; ///< bytes of a target that the parser waits to go on with
 inline constexpr std::size_t MaxBufferedAnswerBytes = 1024 * 1024;
 inline constexpr auto HeaderTimeout = 10'000ms;
 inline constexpr auto BodyTimeout = 30'000ms;
--- a/src/net_upstream.cpp
+++ b/src/net_upstream.cpp
@@ -192,6 +192,8 @@
     const bool m_acceptsCloseDelimited; ///< not through a tunnel: the end of its daemon looks like the end of the answer
     std::optional<Parser> m_parser;
     std::string m_buffered;
+    std::size_t m_bodyBytes = 0;
+    bool m_stray = false; ///< the answer that is read belongs to another request
     bool m_streaming = false;
     bool m_keepAlive = false;
 };
@@ -264,10 +266,17 @@
         if (error && error != http::error::need_buffer) {
             co_return fail(bodyFailureOf(m_connection.stream.cause(error)));
         }
+        if (m_connection.stream.expired()) {
+            co_return fail(AttemptFailure::TimedOut);
+        }
         const std::size_t count = chunk.size() - body.size;
         if (count == 0) {
             continue;
         }
+        m_bodyBytes += count;
+        if (m_stray && m_bodyBytes > config::MaxBufferedAnswerBytes) {
+            co_return fail(AttemptFailure::Malformed);
+        }
         const bool delivered = co_await deliver(std::string_view(chunk.data(), count));
         if (!delivered) {
             co_return fail(AttemptFailure::ConnectionLost);
@@ -311,6 +320,8 @@
         co_return fail(AttemptFailure::Malformed);
     }
     const AnswerSink *sink = otherRequest ? std::exchange(m_sink, nullptr) : nullptr;
+    m_stray = otherRequest;
+    m_bodyBytes = 0;
     if (!noBody) {
         std::optional<AttemptResult> failed = co_await readBody();
         if (failed) {
--- a/src/socket_p.h
+++ b/src/socket_p.h
@@ -34,6 +34,8 @@
     void expiresAfter(Duration duration);
     /// Removes the deadline.
     void expiresNever();
+    /// Whether the deadline has passed. Where data always arrives at once, no operation may be waiting when it is cancelled.
+    bool expired() const { return RuntimeClock::now() >= m_deadline; }
     /// Returns error::timeout when @p error was caused by the deadline, else @p error.
     boost::system::error_code cause(const boost::system::error_code &error) const;
     void close();
--- a/src/upstream_p.h
+++ b/src/upstream_p.h
@@ -69,7 +69,7 @@
         : stream(executor)
     { }
     TimedSocket stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer {config::MaxUnparsedAnswerBytes};
     ConnectionFacts facts;
     bool writing = false; ///< the request is still being sent
 };
