--- a/src/failure_estimate.cpp
+++ b/src/failure_estimate.cpp
@@ -126,9 +126,9 @@
 
 double FailureEstimate::recordFailure(TimePoint now)
 {
-    constexpr double odds = UnhealthyFailureShare / (2 * HealthyFailureShare);
-    update(odds, now);
-    return odds;
+    constexpr double Odds = UnhealthyFailureShare / (2 * HealthyFailureShare);
+    update(Odds, now);
+    return Odds;
 }
 
 double FailureEstimate::recordOverdue(double survival, TimePoint now)
