--- a/tests/process_reach.cpp
+++ b/tests/process_reach.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <csignal>
+
 using namespace plumsill;
 using namespace plumsill::test;
 using namespace std::chrono_literals;
@@ -131,3 +133,68 @@
     start();
     checkServedWhile({"d0", "d1", "d2", "d3", "d4"}, "refuse");
 }
+
+// Guards against a helper whose loss costs the callers of the daemon that it helps.
+TEST(ReachProcess, LossOfTheHelperIsMadeGoodByOthers)
+{
+    start();
+    fleet->partition("d0", "refuse");
+    firstAttemptsServed(DetectionTime);
+    // d3 is the only other daemon of the zone, and so the helper.
+    CHECK(fleet->metric("d3", "plumsill_tunnels_for_others") > 0);
+    fleet->daemons.at("d3").process->signal(SIGKILL);
+    fleet->daemons.at("d3").process->wait();
+    fleet->daemons.erase("d3");
+    firstAttemptsServed(DetectionTime);
+    for (const auto &[name, share] : firstAttemptsServed(3s)) {
+        CHECK_TEXT(share > 0.9, (name + " served " + std::to_string(share)).c_str());
+    }
+}
+
+// Guards against a helper that stands still and holds the requests of the daemon that it helps.
+TEST(ReachProcess, HelperThatStandsStillIsReplaced)
+{
+    start();
+    fleet->partition("d0", "refuse");
+    firstAttemptsServed(DetectionTime);
+    fleet->daemons.at("d3").process->signal(SIGSTOP);
+    const auto stopped = std::move(fleet->daemons.at("d3"));
+    fleet->daemons.erase("d3");
+    firstAttemptsServed(DetectionTime);
+    for (const auto &[name, share] : firstAttemptsServed(3s)) {
+        CHECK_TEXT(share > 0.9, (name + " served " + std::to_string(share)).c_str());
+    }
+}
+
+// Guards against a daemon that goes on to use other daemons' connections after its own work again, and against lost requests meanwhile.
+TEST(ReachProcess, DaemonServesDirectlyAgainAfterTheCut)
+{
+    start();
+    fleet->partition("d0", "hang");
+    firstAttemptsServed(DetectionTime);
+    CHECK(fleet->metric("d0", "plumsill_services_out_of_reach") == 1);
+    fleet->partition("d0", "none");
+    for (const auto &[name, share] : firstAttemptsServed(2s)) {
+        CHECK_TEXT(share > 0.9, (name + " served " + std::to_string(share)).c_str());
+    }
+    CHECK(fleet->metric("d0", "plumsill_services_out_of_reach") == 0);
+}
+
+// Guards against a cut daemon that misses a change of the document, or loses requests as its helper stops as planned.
+TEST(ReachProcess, DocumentChangesAndHelpersRestartDuringACut)
+{
+    start();
+    fleet->partition("d0", "refuse");
+    firstAttemptsServed(DetectionTime);
+    auto changed = document();
+    changed.version = 2;
+    changed.routes.push_back({"added", "/added/", "lookup", true, true, 2, 3000, 1000});
+    CHECK(fleet->publish(changed));
+    fleet->daemons.at("d3").process->signal(SIGTERM);
+    const auto stopping = std::move(fleet->daemons.at("d3"));
+    fleet->daemons.erase("d3");
+    for (const auto &[name, share] : firstAttemptsServed(3s)) {
+        CHECK_TEXT(share > 0.9, (name + " served " + std::to_string(share)).c_str());
+    }
+    LONGS_EQUAL(200, fleet->call("d0", "GET", "/added/1", "idx1").status);
+}
