--- a/src/net_peer.cpp
+++ b/src/net_peer.cpp
@@ -244,9 +244,11 @@
     }
     ++tunnels;
     OpenedTunnel opened = co_await tunnelOpener(request);
-    const error_code error = co_await writeFrame(socket, encode(opened.reply, secret));
+    const std::string reply = encode(opened.reply, secret);
+    const error_code error = co_await writeFrame(socket, reply);
     if (opened.target && !error) {
-        co_await runTunnel(std::move(socket), std::move(*opened.target), [self] { return self->drainsTunnels; });
+        const std::function<bool()> draining = [self] { return self->drainsTunnels; };
+        co_await runTunnel(std::move(socket), std::move(*opened.target), draining);
     }
     --tunnels;
 }
--- a/src/net_upstream.cpp
+++ b/src/net_upstream.cpp
@@ -453,9 +453,11 @@
         failure = options.tunnel ? AttemptFailure::HelperUnavailable : AttemptFailure::ConnectFailed;
         co_return Connection();
     }
-    const bool opened = !options.tunnel || co_await openTunnel(connection, options.tunnel, failure);
-    if (!opened) {
-        co_return Connection();
+    if (options.tunnel) {
+        const bool opened = co_await openTunnel(connection, options.tunnel, failure);
+        if (!opened) {
+            co_return Connection();
+        }
     }
     connection->stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), error);
     connection->facts.openedAt = RuntimeClock::now();
--- a/src/net_zone_reach.cpp
+++ b/src/net_zone_reach.cpp
@@ -125,7 +125,8 @@
     boost::system::error_code error;
     const auto address = boost::asio::ip::make_address(endpoint.address, error);
     if (!error) {
-        co_await socket->async_connect({address, endpoint.port}, errorInto(error));
+        const tcp::endpoint peer(address, endpoint.port);
+        co_await socket->async_connect(peer, errorInto(error));
     }
     timer.cancel();
     if (error || !socket->is_open()) {
@@ -205,7 +206,8 @@
             updateReach(now);
         }
     }
-    co_return OpenedTunnel {envelope(TunnelReply {status}), std::move(socket)};
+    OpenedTunnel opened {envelope(TunnelReply {status}), std::move(socket)};
+    co_return opened;
 }
 
 void ZoneControl::received(const Envelope & /*envelope*/, const TunnelNotice &notice)
