--- a/src/net_tunnel.cpp
+++ b/src/net_tunnel.cpp
@@ -34,6 +34,13 @@
     unsigned openDirections = 2;
     bool answered = true; ///< the last bytes came from the target
 
+    // Targets drop a request when its connection closes, so one whose asker has left must see that at once.
+    void close()
+    {
+        error_code ignored;
+        asker.close(ignored);
+        target.close(ignored);
+    }
     void breakOff()
     {
         reset(asker);
@@ -72,9 +79,11 @@
             }
         }
     }
-    if (error == asio::error::eof) {
+    if (error == asio::error::eof && &from == &ends->target) {
         error_code ignored;
         to.shutdown(tcp::socket::shutdown_send, ignored);
+    } else if (error == asio::error::eof) {
+        ends->close();
     } else {
         ends->breakOff();
     }
@@ -96,7 +105,6 @@
     co_return reply == nullptr ? TunnelStatus::Unavailable : reply->status;
 }
 
-// A half-closed asker is one that has left: targets drop a request when its connection closes, so the target must see it at once.
 asio::awaitable<void> runTunnel(tcp::socket asker, tcp::socket target, std::function<bool()> draining)
 {
     const auto executor = co_await asio::this_coro::executor;
--- a/src/net_zone_daemon.cpp
+++ b/src/net_zone_daemon.cpp
@@ -59,7 +59,7 @@
     Supervisor m_supervisor;
     TrafficThreads m_traffic;
     std::unique_ptr<ZoneControl> m_control;
-    TimePoint m_stopBy; ///< end of a planned stop
+    TimePoint m_stopBy; ///< time until which a planned stop waits for other daemons' tunnels
     int m_status = 0;
 };
 
@@ -124,7 +124,7 @@
     co_await m_signals.async_wait(boost::asio::use_awaitable);
     const Duration grace = m_control->stopGrace();
     const TimePoint deadline = RuntimeClock::now() + grace - StopMargin;
-    m_stopBy = deadline;
+    m_stopBy = RuntimeClock::now() + grace * config::StopAnswerPercent / 100;
     boost::asio::co_spawn(m_context, m_control->leave(), boost::asio::detached);
     co_await sleepFor(config::LingerTime);
     m_traffic.drain();
