Use a target again whose entry had expired and returns with a relayed list

Cause: while the store refused writes, entries expired. The zone's hub saw that with a read of its own; the daemon that it follows kept the targets. An entry that returns with the sequence number it had was taken for the copy of a store that has come back, and relayed lists keep the numbers of the last change, so the targets stayed out for good. Now an unchanged entry counts as copied only in a later era of the store than the one in which the target was removed, or if its last entry said that it was leaving. TargetThatThisDaemonSawExpireReturnsWithTheRelayedList failed before and passes now; all tests of the module pass.

--- a/include/plumsill/target_list.h
+++ b/include/plumsill/target_list.h
@@ -58,11 +58,16 @@
 
     void recordChange(const TargetName &name);
 
-    bool isOutdated(const Target &target) const;
+    struct Removed {
+        Target entry; ///< the last one
+        StoreEra era = 0; ///< highest era known when the target was removed
+    };
+
+    bool isOutdated(const Target &target, StoreEra era) const;
     void recordRemoved(const Target &target);
 
     std::map<TargetName, Target> m_targets;
-    std::map<TargetName, Target> m_removed; ///< last entries of targets that are no longer listed
+    std::map<TargetName, Removed> m_removed; ///< targets that are no longer listed
     std::deque<TargetName> m_removedOrder; ///< their names, oldest first
     StoreEra m_era = 0;
     std::deque<Change> m_changes; ///< oldest first
--- a/src/target_list.cpp
+++ b/src/target_list.cpp
@@ -41,17 +41,25 @@
     return all;
 }
 
-// A copy from which the store has come back shows entries as they were, also those of targets that have left since.
-bool TargetList::isOutdated(const Target &target) const
+// A copy from which the store has come back shows entries as they were, also those of targets that have left since. In the era in which a
+// target was removed, the same entry shows that it is alive: lists that daemons relay have sequence numbers of the last change.
+bool TargetList::isOutdated(const Target &target, StoreEra era) const
 {
-    const auto removed = m_removed.find(target.name);
-    return removed != m_removed.end()
-        && (isOlder(target, removed->second) || (sameRun(target, removed->second) && target.sequence == removed->second.sequence));
+    const auto found = m_removed.find(target.name);
+    if (found == m_removed.end()) {
+        return false;
+    }
+    const Target &removed = found->second.entry;
+    if (target.startedAt < removed.startedAt) {
+        return true;
+    }
+    const bool mayBeCopied = removed.leaving || era > found->second.era;
+    return mayBeCopied && (isOlder(target, removed) || (sameRun(target, removed) && target.sequence == removed.sequence));
 }
 
 void TargetList::recordRemoved(const Target &target)
 {
-    if (m_removed.insert_or_assign(target.name, target).second) {
+    if (m_removed.insert_or_assign(target.name, Removed {target, m_era}).second) {
         m_removedOrder.push_back(target.name);
     }
     while (m_removedOrder.size() > MaxKeptChanges) {
@@ -74,7 +82,7 @@
     m_paused = Duration::zero();
     std::map<TargetName, Target> listed;
     for (const auto &target : targets) {
-        if (isOutdated(target)) {
+        if (isOutdated(target, era)) {
             continue;
         }
         const auto known = m_targets.find(target.name);
@@ -153,7 +161,7 @@
 bool TargetList::wasRemoved(const TargetName &name, const Endpoint &endpoint) const
 {
     const auto removed = m_removed.find(name);
-    return removed != m_removed.end() && removed->second.endpoint == endpoint && !m_targets.contains(name);
+    return removed != m_removed.end() && removed->second.entry.endpoint == endpoint && !m_targets.contains(name);
 }
 
 const Target *TargetList::find(const TargetName &name) const
--- a/tests/test_zone_modules.cpp
+++ b/tests/test_zone_modules.cpp
@@ -427,3 +427,18 @@
     CHECK(follow().full);
     CHECK(relayed.targets() == list.targets());
 }
+
+// Guards against a target that is alive and used by no daemon of a zone: its entry expired while the store refused writes, the zone's
+// hub saw that, and the relayed list, in which it had never been missing, has an older sequence number for it.
+TEST(ListRelay, TargetThatThisDaemonSawExpireReturnsWithTheRelayedList)
+{
+    read({target("a", 1, 100, 5)});
+    follow();
+    TargetList own;
+    own.read({target("a", 1, 100, 9)}, now, now, 1);
+    own.read({}, now + 100ms, now + 100ms, 1);
+    read({target("a", 1, 100, 12)});
+    follow();
+    own.read(relayed.targets(), now, now);
+    CHECK(own.find({"a"}) != nullptr);
+}
