Remove targets kept for an outage also when the list is only confirmed afterwards

A daemon that had no list for 2.5 s keeps the targets that the next list lacks for a grace period. If that list is another daemon's and doesn't change afterwards, it is only confirmed, and nothing removed the kept targets: a hub went on placing requests on a target that was gone, for good. Possible, and not shown, for the users' DRAIN report as well, which has no times that would show it: requests at a target whose leaving had been accepted, from two zones. TargetKeptForAnOutageIsRemovedWhenALaterReadConfirmsTheList failed before and passes now.

--- a/include/plumsill/target_list.h
+++ b/include/plumsill/target_list.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace plumsill
@@ -34,7 +35,8 @@
     void read(const std::vector<Target> &targets, TimePoint sentAt, TimePoint now, StoreEra era = 0);
     /// Records that this process stood still for @p pause, which is no outage of the store.
     void recordPause(Duration pause) { m_paused += pause; }
-    /// Records that another daemon's read, sent at @p sentAt, showed the same list.
+    /// Records that another daemon's read, sent at @p sentAt, showed the same list. Targets kept for an outage are removed if the read was
+    /// sent after the grace period.
     void confirm(TimePoint sentAt);
     /// Targets in use or leaving. After an outage of the platform, targets missing from its listing are kept for a grace
     /// period, so that their entries, which may have expired in the outage, can be written again.
@@ -65,8 +67,10 @@
 
     bool isOutdated(const Target &target, StoreEra era) const;
     void recordRemoved(const Target &target);
+    void discardOldChanges();
 
     std::map<TargetName, Target> m_targets;
+    std::set<TargetName> m_kept; ///< targets that the last read didn't list and that are kept for an outage
     std::map<TargetName, Removed> m_removed; ///< targets that are no longer listed
     std::deque<TargetName> m_removedOrder; ///< their names, oldest first
     StoreEra m_era = 0;
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -304,7 +304,11 @@
     const TimePoint readAt = writtenAt - std::chrono::milliseconds(proof.ageMilliseconds);
     m_targetsRead.backoff.recordRelayed(readAt);
     if (m_listSource == source) {
+        const std::uint64_t before = m_list.revision();
         m_list.confirm(readAt);
+        if (m_list.revision() != before) {
+            listChanged(toString(from));
+        }
         return;
     }
     // Two daemons that relay the target list of a third daemon give the same content different revisions. Changing from
--- a/src/target_list.cpp
+++ b/src/target_list.cpp
@@ -80,6 +80,7 @@
     }
     m_readAt = sentAt;
     m_paused = Duration::zero();
+    m_kept.clear();
     std::map<TargetName, Target> listed;
     for (const auto &target : targets) {
         if (isOutdated(target, era)) {
@@ -98,6 +99,7 @@
         for (const auto &[name, target] : m_targets) {
             if (!listed.contains(name) && !taken.contains(target.endpoint)) {
                 listed.emplace(name, target);
+                m_kept.insert(name);
             }
         }
     } else {
@@ -119,6 +121,11 @@
     }
     m_targets = std::move(listed);
     m_revision += m_changes.size() > before ? 1 : 0;
+    discardOldChanges();
+}
+
+void TargetList::discardOldChanges()
+{
     while (m_changes.size() > MaxKeptChanges) {
         m_discardedRevision = m_changes.front().revision;
         m_changes.pop_front();
@@ -153,9 +160,23 @@
 
 void TargetList::confirm(TimePoint sentAt)
 {
-    if (m_readAt && sentAt > *m_readAt) {
-        m_readAt = sentAt;
+    if (!m_readAt || sentAt <= *m_readAt) {
+        return;
+    }
+    m_readAt = sentAt;
+    if (m_kept.empty() || (m_graceUntil && sentAt < *m_graceUntil)) {
+        return;
+    }
+    for (const auto &name : m_kept) {
+        const auto found = m_targets.find(name);
+        recordChange(name);
+        recordRemoved(found->second);
+        m_targets.erase(found);
     }
+    m_kept.clear();
+    m_graceUntil.reset();
+    ++m_revision;
+    discardOldChanges();
 }
 
 bool TargetList::wasRemoved(const TargetName &name, const Endpoint &endpoint) const
--- a/tests/test_zone_modules.cpp
+++ b/tests/test_zone_modules.cpp
@@ -110,6 +110,20 @@
     CHECK(list.find({"b"}) == nullptr);
 }
 
+// Guards against requests to a target that is gone: a list that is only confirmed after an outage kept the target for good.
+TEST(TargetList, TargetKeptForAnOutageIsRemovedWhenALaterReadConfirmsTheList)
+{
+    list.read({target("a"), target("b", 2)}, t0, t0);
+    list.read({target("a")}, t0 + 6s, t0 + 6s);
+    list.confirm(t0 + 8s);
+    LONGS_EQUAL(2, list.targets().size());
+    const auto before = list.revision();
+    list.confirm(t0 + 8500ms);
+    LONGS_EQUAL(1, list.targets().size());
+    LONGS_EQUAL(before + 1, list.revision());
+    CHECK(list.wasRemoved({"b"}, {"10.0.0.1", 2}));
+}
+
 // Guards against a target kept for an outage of the store that was a pause of the reading process.
 TEST(TargetList, EntriesMissingAfterAPauseOfTheProcessAreRemoved)
 {
