Pass the grace period after an outage of the store on with lists and their proofs

A proof of a list told its age only. Proofs and lists now carry the time for which their sender keeps missing targets, counted from when it wrote, so that daemons which tell each other don't prolong it. Lists carry the store's era, without which a copy that a restarted daemon relays could not be told from a target that is back. OwnReadInTheGracePeriodOfAnotherDaemonKeepsMissingTargets and RelayedListOfACopyDoesNotBringADepartedTargetBack need the new fields, so they were not run on the code before. Daemons of both builds reject each other's lists and beacons during a rolling update and fall back to their own reads.

--- a/include/plumsill/messages.h
+++ b/include/plumsill/messages.h
@@ -307,6 +307,8 @@
     std::uint64_t incarnation = 0; ///< incarnation of the sender
     std::uint64_t revision = 0;
     std::uint32_t ageMilliseconds = 0; ///< time since the start of the read that confirmed the list
+    std::uint32_t graceMilliseconds = 0; ///< for so long the sender still keeps targets that an outage of the store may have made expire
+    std::uint64_t era = 0; ///< highest era of the store of which the sender has a list; 0: unknown
     bool full = true; ///< false: `targets` and `removed` are changes
     std::vector<Target> targets; ///< all targets, or the added and changed ones
     std::vector<TargetName> removed; ///< removed targets; empty in a full list
@@ -315,7 +317,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(incarnation, revision, ageMilliseconds, full, targets, removed);
+        archive(incarnation, revision, ageMilliseconds, graceMilliseconds, era, full, targets, removed);
     }
 };
 
--- a/include/plumsill/target_list.h
+++ b/include/plumsill/target_list.h
@@ -35,6 +35,8 @@
     void read(const std::vector<Target> &targets, TimePoint sentAt, TimePoint now, StoreEra era = 0);
     /// Records that this process stood still for @p pause, which is no outage of the store.
     void recordPause(Duration pause) { m_paused += pause; }
+    /// Records that another daemon has noticed an outage and keeps missing targets until then; so does this list.
+    void recordGrace(TimePoint until);
     /// Records that another daemon's read, sent at @p sentAt, showed the same list. Targets kept for an outage are removed if the read was
     /// sent after the grace period.
     void confirm(TimePoint sentAt);
@@ -49,6 +51,10 @@
     std::optional<ListChanges> changesSince(std::uint64_t revision) const;
     /// Revision of the list; incremented with each change.
     std::uint64_t revision() const { return m_revision; }
+    /// Highest era of the store of which a list was applied; 0: unknown.
+    StoreEra era() const { return m_era; }
+    /// Time for which targets that an outage may have made expire are still kept; zero if there was none.
+    Duration graceLeft(TimePoint now) const;
     /// Time at which the newest read was sent; none before the first.
     std::optional<TimePoint> readAt() const { return m_readAt; }
 
--- a/include/plumsill/zone_messages.h
+++ b/include/plumsill/zone_messages.h
@@ -218,12 +218,13 @@
     bool known = false;
     std::uint64_t revision = 0;
     std::uint32_t ageMilliseconds = 0; ///< time since the start of the read that confirmed the list
+    std::uint32_t graceMilliseconds = 0; ///< for so long the sender still keeps targets that an outage of the store may have made expire
 
     auto operator<=>(const ListProof &) const = default;
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(known, revision, ageMilliseconds);
+        archive(known, revision, ageMilliseconds, graceMilliseconds);
     }
 };
 
--- a/src/list_relay.cpp
+++ b/src/list_relay.cpp
@@ -8,6 +8,8 @@
     reply.incarnation = self.incarnation;
     reply.revision = list.revision();
     reply.ageMilliseconds = list.readAt() ? millisecondsRoundedUp(now - *list.readAt()) : 0;
+    reply.graceMilliseconds = wholeMilliseconds(list.graceLeft(now));
+    reply.era = list.era();
     auto changes = request.incarnation == self.incarnation ? list.changesSince(request.revision) : std::nullopt;
     reply.full = !changes.has_value();
     if (changes) {
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -288,13 +288,21 @@
         co_return;
     }
     const std::uint64_t before = m_list.revision();
-    m_list.read(m_relayed.targets(), requestedAt - std::chrono::milliseconds(answer->ageMilliseconds), RuntimeClock::now());
+    recordListGrace(answer->graceMilliseconds, requestedAt);
+    m_list.read(m_relayed.targets(), requestedAt - std::chrono::milliseconds(answer->ageMilliseconds), RuntimeClock::now(), answer->era);
     m_listSource = m_relayed.source();
     if (m_list.revision() != before) {
         listChanged(toString(from));
     }
 }
 
+void ZoneControl::recordListGrace(std::uint32_t graceMilliseconds, TimePoint writtenAt)
+{
+    if (graceMilliseconds > 0) {
+        m_list.recordGrace(writtenAt + std::chrono::milliseconds(graceMilliseconds));
+    }
+}
+
 void ZoneControl::recordList(const ListProof &proof, TimePoint writtenAt, const MemberId &daemon, const Endpoint &from)
 {
     if (!proof.known) {
@@ -303,6 +311,7 @@
     const ListSource source {daemon, proof.revision};
     const TimePoint readAt = writtenAt - std::chrono::milliseconds(proof.ageMilliseconds);
     m_targetsRead.backoff.recordRelayed(readAt);
+    recordListGrace(proof.graceMilliseconds, writtenAt);
     if (m_listSource == source) {
         const std::uint64_t before = m_list.revision();
         m_list.confirm(readAt);
@@ -323,7 +332,7 @@
 ListProof ZoneControl::listProof(TimePoint now) const
 {
     const auto readAt = m_list.readAt();
-    return readAt ? ListProof {true, m_list.revision(), wholeMilliseconds(now - *readAt)} : ListProof {};
+    return readAt ? ListProof {true, m_list.revision(), wholeMilliseconds(now - *readAt), wholeMilliseconds(m_list.graceLeft(now))} : ListProof {};
 }
 
 std::optional<Envelope> ZoneControl::respond(const Envelope &request)
--- a/src/target_list.cpp
+++ b/src/target_list.cpp
@@ -158,6 +158,16 @@
     return changes;
 }
 
+void TargetList::recordGrace(TimePoint until)
+{
+    m_graceUntil = m_graceUntil ? std::max(*m_graceUntil, until) : until;
+}
+
+Duration TargetList::graceLeft(TimePoint now) const
+{
+    return m_graceUntil && now < *m_graceUntil ? *m_graceUntil - now : Duration::zero();
+}
+
 void TargetList::confirm(TimePoint sentAt)
 {
     if (!m_readAt || sentAt <= *m_readAt) {
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -147,6 +147,7 @@
     void adopt(const DocumentRead &read, const std::string &from);
     void listChanged(const std::string &from);
     void recordProof(const DocumentProof &proof, TimePoint writtenAt, const Endpoint &from);
+    void recordListGrace(std::uint32_t graceMilliseconds, TimePoint writtenAt);
     void recordList(const ListProof &proof, TimePoint writtenAt, const MemberId &daemon, const Endpoint &from);
     DocumentProof documentProof(TimePoint now) const;
     ListProof listProof(TimePoint now) const;
--- a/tests/test_codec.cpp
+++ b/tests/test_codec.cpp
@@ -86,9 +86,14 @@
     case 13:
         return ListRequest {anyNumber(), anyNumber()};
     case 14:
-        return ListReply {
-            anyNumber(),  anyNumber(), 17, false, {{TargetName {anyText()}, service, ZoneName {anyText()}, {anyText(), 9}, true, 3, 4, anyNumber(), 6}},
-            {{anyText()}}};
+        return ListReply {anyNumber(),
+                          anyNumber(),
+                          17,
+                          18,
+                          anyNumber(),
+                          false,
+                          {{TargetName {anyText()}, service, ZoneName {anyText()}, {anyText(), 9}, true, 3, 4, anyNumber(), 6}},
+                          {{anyText()}}};
     case 15:
         return PlacementCancellation {anyNumber()};
     case 16: {
@@ -101,7 +106,7 @@
     case 17: {
         HubBeacon beacon;
         beacon.heartbeatSentAt = anyNumber();
-        beacon.list = {true, anyNumber(), 12};
+        beacon.list = {true, anyNumber(), 12, 13};
         beacon.leaving = true;
         return beacon;
     }
--- a/tests/test_zone_modules.cpp
+++ b/tests/test_zone_modules.cpp
@@ -456,3 +456,33 @@
     own.read(relayed.targets(), now, now);
     CHECK(own.find({"a"}) != nullptr);
 }
+
+// Guards against the loss of a zone's targets: its hub read the list while their entries, expired in an outage that only the daemon it
+// follows had noticed, were still missing.
+TEST(ListRelay, OwnReadInTheGracePeriodOfAnotherDaemonKeepsMissingTargets)
+{
+    read({target("a")});
+    now += 4s;
+    read({});
+    const ListReply reply = follow();
+    TargetList own;
+    own.recordGrace(now + std::chrono::milliseconds(reply.graceMilliseconds));
+    own.read(relayed.targets(), now, now);
+    own.read({}, now + 400ms, now + 400ms);
+    LONGS_EQUAL(1, own.targets().size());
+    own.read({}, now + 2400ms, now + 2400ms);
+    LONGS_EQUAL(0, own.targets().size());
+}
+
+// Guards against requests to a target that has left: a daemon that started while the store was an older copy relays it as ready.
+TEST(ListRelay, RelayedListOfACopyDoesNotBringADepartedTargetBack)
+{
+    TargetList own;
+    own.read({target("a", 1, 100, 9)}, now, now, 1);
+    own.read({}, now + 100ms, now + 100ms, 1);
+    now += 500ms;
+    list.read({target("a", 1, 100, 5)}, now, now, 2);
+    const ListReply reply = follow();
+    own.read(relayed.targets(), now, now, reply.era);
+    CHECK(own.find({"a"}) == nullptr);
+}
