Name another daemon as the source of the list only if its list was applied

Cause: a fetched list that was older than the daemon's own read was ignored, and its sender was still noted as the source of the list held.

--- a/include/plumsill/target_list.h
+++ b/include/plumsill/target_list.h
@@ -31,8 +31,8 @@
 {
 public:
     /// Applies the result of a read that was sent at @p sentAt and answered at @p now by a store of @p era (0: unknown). A read that is not
-    /// newer than the last one is ignored. The return of a store from a copy counts as an outage.
-    void read(const std::vector<Target> &targets, TimePoint sentAt, TimePoint now, StoreEra era = 0);
+    /// newer than the last one is ignored; the result is then false. The return of a store from a copy counts as an outage.
+    bool read(const std::vector<Target> &targets, TimePoint sentAt, TimePoint now, StoreEra era = 0);
     /// Records that this process stood still for @p pause, which is no outage of the store.
     void recordPause(Duration pause) { m_paused += pause; }
     /// Records that another daemon has noticed an outage and keeps missing targets until then; so does this list.
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -249,8 +249,9 @@
         Event("targets", "entries-rejected").add("count", static_cast<std::int64_t>(read.rejected));
     }
     const std::uint64_t before = m_list.revision();
-    m_list.read(read.targets, read.sentAt, RuntimeClock::now(), read.era);
-    m_listSource.reset();
+    if (m_list.read(read.targets, read.sentAt, RuntimeClock::now(), read.era)) {
+        m_listSource.reset();
+    }
     if (m_list.revision() != before) {
         listChanged("store");
     }
@@ -289,7 +290,10 @@
     }
     const std::uint64_t before = m_list.revision();
     recordListGrace(answer->graceMilliseconds, requestedAt);
-    m_list.read(m_relayed.targets(), requestedAt - std::chrono::milliseconds(answer->ageMilliseconds), RuntimeClock::now(), answer->era);
+    const TimePoint readAt = requestedAt - std::chrono::milliseconds(answer->ageMilliseconds);
+    if (!m_list.read(m_relayed.targets(), readAt, RuntimeClock::now(), answer->era)) {
+        co_return; // this daemon has read the list itself meanwhile
+    }
     m_listSource = m_relayed.source();
     if (m_list.revision() != before) {
         listChanged(toString(from));
--- a/src/target_list.cpp
+++ b/src/target_list.cpp
@@ -68,10 +68,10 @@
     }
 }
 
-void TargetList::read(const std::vector<Target> &targets, TimePoint sentAt, TimePoint now, StoreEra era)
+bool TargetList::read(const std::vector<Target> &targets, TimePoint sentAt, TimePoint now, StoreEra era)
 {
     if (m_readAt && sentAt <= *m_readAt) {
-        return;
+        return false;
     }
     const bool newEra = m_era != 0 && era > m_era;
     m_era = std::max(m_era, era);
@@ -122,6 +122,7 @@
     m_targets = std::move(listed);
     m_revision += m_changes.size() > before ? 1 : 0;
     discardOldChanges();
+    return true;
 }
 
 void TargetList::discardOldChanges()
