Close a target that a member doesn't list for two seconds, not for good

Cause: a daemon that had just started read the store while the targets' entries were expired, so its list was empty and newer than its hub's, which kept them for an outage. It refused six placements, and its report was that of a wrong target at the address, which closes a target for the whole zone as long as it is listed. The report is now one of its own (Unlisted), which closes the target for two seconds: by then a live target is listed again and a departed one isn't by the hub. Requests wait for it meanwhile. During a grace period that the hub has told, a member concludes nothing from a target it has never listed. TargetThatAMemberDoesNotListIsUsedAgainAfterAWhile needs the new report, so it was not run on the code before.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -175,6 +175,8 @@
 inline constexpr auto RefusalBackoff = 60ms; ///< about a quarter of the typical service time, after which a slot is likely free again
 inline constexpr unsigned MaxRelayedRequests = 32; ///< requests of other daemons that run through one helper; each takes two connections of it
 inline constexpr auto UnreachableAvoidance = 5000ms;
+inline constexpr auto UnlistedAvoidance
+    = 2000ms; ///< by then a live target whose entry expired is listed again, and a departed one isn't listed by the hub either
 inline constexpr std::size_t DoubtedConnects
     = 3; ///< different targets that a daemon can't connect to, without an answer meanwhile, before its paths are doubted
 inline constexpr auto EvidenceDoubtTime
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -174,6 +174,7 @@
         std::map<InstanceName, TimePoint> lastAnswerAt; ///< time of the last good answer to each daemon, which may still have the connection open
         std::map<InstanceName, TimePoint> unreachableFrom; ///< time until which a daemon is given other targets, because it could not connect to this one
         std::map<InstanceName, TimePoint> restsFrom; ///< time until which the target wants no request from a daemon
+        TimePoint unlistedUntil; ///< avoided until then, because a daemon with a newer list doesn't list it
         bool saidLeaving = false; ///< whether an answer of the target said that it is leaving
         bool wrongAddress = false; ///< whether a different target answered at its address
     };
@@ -229,6 +230,8 @@
     std::optional<Placed> place(ServiceState &service, const PlacementRequest &request, bool allowRisky, TimePoint now);
     double cost(ServiceState &service, const TargetState &state, const PlacementRequest &request, TimePoint now);
     /// Whether the target may get requests in principle.
+    /// Time until which the target is to get no request from the daemon; in the past if it may get one.
+    static TimePoint restsUntil(const TargetState &state, const InstanceName &daemon);
     static bool inUse(const TargetState &state) { return !state.target.leaving && !state.saidLeaving && !state.wrongAddress; }
     static unsigned slotsOf(const ServiceState &service, const TargetState &state);
     bool hasCapacity(const ServiceState &service, const TargetState &state, TimePoint now) const;
--- a/include/plumsill/zone_messages.h
+++ b/include/plumsill/zone_messages.h
@@ -118,6 +118,7 @@
     Unreachable, ///< no connection could be opened, so nothing was sent
     HelperUnavailable, ///< the helper refused the tunnel or did not answer, so nothing was sent
     Abandoned, ///< the caller left, or another attempt was faster
+    Unlisted, ///< the sender's list of targets is newer and lacks the target, so nothing was sent
 };
 
 /// What a target's answer says of its rate limit.
--- a/src/net_zone_placement.cpp
+++ b/src/net_zone_placement.cpp
@@ -303,7 +303,8 @@
 
 // A hub without a connection to the platform, or one that has stood still, may place requests at a target that is leaving or
 // removed according to this daemon's list. A target that this daemon has never listed counts as removed only if this daemon read the list from
-// the platform itself, more than NewerListMargin after the read that gave the hub its list.
+// the platform itself, more than NewerListMargin after the read that gave the hub its list. In a grace period the platform may lack entries of
+// live targets.
 bool ZoneControl::isKnownUnusable(const Placed &placed) const
 {
     if (m_scheduler.saidLeaving(placed.target)) {
@@ -317,7 +318,7 @@
         return true;
     }
     const bool newer = m_list.readAt() && !m_listSource && *m_list.readAt() - config::NewerListMargin > m_hubListReadAt;
-    return newer;
+    return newer && m_list.graceLeft(RuntimeClock::now()) == Duration::zero();
 }
 
 // A placement by a hub that this daemon no longer uses is still valid, since that hub has counted the attempt. If the
@@ -351,7 +352,7 @@
     if (placed != nullptr && (isKnownUnusable(*placed) || m_scheduler.restLeft(placed->target, sender, now) > Duration::zero())) {
         // This daemon knows that the target is unusable, so it rejects the hub's choice: it informs the hub and
         // requests a new placement that excludes the target.
-        AttemptReport report {reply.id, AttemptEnd::WrongTarget, 0};
+        AttemptReport report {reply.id, AttemptEnd::Unlisted, 0};
         if (const Duration rest = m_scheduler.restLeft(placed->target, sender, now); rest > Duration::zero()) {
             report.end = AttemptEnd::Abandoned;
             report.restMilliseconds = millisecondsRoundedUp(rest);
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -185,7 +185,7 @@
         if (!inUse(*state) || std::find(request.tried.begin(), request.tried.end(), state->target.name) != request.tried.end()) {
             continue;
         }
-        if (avoided(state->unreachableFrom, sender, now) || avoided(state->restsFrom, sender, now)) {
+        if (avoided(state->unreachableFrom, sender, now) || restsUntil(*state, sender) > now) {
             continue;
         }
         const bool risky = failureProbability(*state, now) > (request.idempotent ? config::RepeatableTrialShare : config::RiskyShare);
@@ -329,8 +329,7 @@
     TimePoint earliest = TimePoint::max();
     for (const auto &state : service.targets) {
         if (inUse(*state)) {
-            const auto found = state->restsFrom.find(daemon);
-            earliest = std::min(earliest, found == state->restsFrom.end() ? now : found->second);
+            earliest = std::min(earliest, std::max(now, restsUntil(*state, daemon)));
         }
     }
     return earliest == TimePoint::max() ? Duration::zero() : std::max<Duration>(earliest - now, Duration::zero());
@@ -445,6 +444,9 @@
     case AttemptEnd::WrongTarget:
         target.wrongAddress = true;
         break;
+    case AttemptEnd::Unlisted:
+        target.unlistedUntil = now + config::UnlistedAvoidance;
+        break;
     case AttemptEnd::Unreachable:
         recordUnreachable(sender, attempt.target, now);
         break;
@@ -515,7 +517,8 @@
         placeExpired(service, queue, decided, now);
         while (!queue.empty()) {
             const bool anyCapacity = std::any_of(service.targets.begin(), service.targets.end(), [&](const auto &state) {
-                return inUse(*state) && hasCapacity(service, *state, now) && failureProbability(*state, now) <= config::RiskyShare;
+                return inUse(*state) && state->unlistedUntil <= now && hasCapacity(service, *state, now)
+                    && failureProbability(*state, now) <= config::RiskyShare;
             });
             const auto next = anyCapacity ? queue.pop(now) : std::nullopt;
             if (!next) {
--- a/src/scheduler_notices.cpp
+++ b/src/scheduler_notices.cpp
@@ -40,6 +40,12 @@
     }
 }
 
+TimePoint Scheduler::restsUntil(const TargetState &state, const InstanceName &daemon)
+{
+    const auto rest = state.restsFrom.find(daemon);
+    return rest == state.restsFrom.end() ? state.unlistedUntil : std::max(rest->second, state.unlistedUntil);
+}
+
 Duration Scheduler::restLeft(const TargetName &target, const InstanceName &daemon, TimePoint now) const
 {
     const auto found = m_targets.find(target);
--- a/tests/test_scheduler.cpp
+++ b/tests/test_scheduler.cpp
@@ -247,6 +247,21 @@
     CHECK(std::holds_alternative<NoCapacity>(zone.scheduler.submit(zone.request(t0), t0)) || !Zone::placed(zone.scheduler.submit(zone.request(t0), t0)));
 }
 
+// Guards against a zone without targets: a member whose list lacked live targets closed them for all daemons for good.
+TEST(Scheduler, TargetThatAMemberDoesNotListIsUsedAgainAfterAWhile)
+{
+    Zone zone(targets(1));
+    const PlacementRequest request = zone.request(t0);
+    CHECK(Zone::placed(zone.scheduler.submit(request, t0)));
+    zone.scheduler.finishAttempt(request.key, AttemptEnd::Unlisted, 0ms, t0);
+    PlacementRequest waiting = zone.request(t0 + 1s);
+    waiting.objective = t0 + 4s;
+    CHECK(std::holds_alternative<Queued>(zone.scheduler.submit(waiting, t0 + 1s)));
+    CHECK(zone.scheduler.serve(t0 + 1900ms).empty());
+    const auto decided = zone.scheduler.serve(t0 + 2100ms);
+    CHECK(decided.size() == 1 && Zone::placed(decided[0].placement));
+}
+
 // Guards against requests to a target that has said that it is leaving, also after the store lists it again as ready.
 TEST(Scheduler, TargetThatSaysItIsLeavingGetsNoRequestsInThatRun)
 {
