Split ZoneControl::updateReach into probes and the announcement of a change

No change of behaviour: a reader had to follow overdue attempts, probes, log lines and the word to the hub in one function.

--- a/src/net_zone_reach.cpp
+++ b/src/net_zone_reach.cpp
@@ -68,18 +68,11 @@
             m_reach[running.attempt.service].recordOverdue(running.startedAt, now);
         }
     }
-    std::set<ServiceName> cutOff;
     for (auto &[service, reach] : m_reach) {
-        if (reach.undisturbed()) {
-            continue;
-        }
-        const auto targets = m_list.targets();
-        const auto ofService
-            = std::count_if(targets.begin(), targets.end(), [&name = service](const Target &target) { return target.service == name && !target.leaving; });
-        const std::size_t due = reach.takeDueProbes(static_cast<std::size_t>(ofService), now);
-        for (auto &target : probeTargets(service, reach, due)) {
-            boost::asio::co_spawn(m_context, probe(service, std::move(target)), boost::asio::detached);
-        }
+        startDueProbes(service, reach, now);
+    }
+    std::set<ServiceName> cutOff;
+    for (const auto &[service, reach] : m_reach) {
         if (reach.cutOff()) {
             cutOff.insert(service);
         }
@@ -87,29 +80,48 @@
     if (cutOff == m_cutOff) {
         return;
     }
-    for (const auto &service : cutOff) {
+    const bool grown = cutOff.size() > m_cutOff.size();
+    setServicesOutOfReach(std::move(cutOff), now);
+    if (grown) {
+        // What cut this service off has likely cut off the others as well.
+        for (const auto &target : m_list.targets()) {
+            m_reach[target.service].suspect(now);
+        }
+        updateReach(now);
+    }
+}
+
+void ZoneControl::startDueProbes(const ServiceName &service, Reach &reach, TimePoint now)
+{
+    if (reach.undisturbed()) {
+        return;
+    }
+    const auto targets = m_list.targets();
+    const auto ofService
+        = std::count_if(targets.begin(), targets.end(), [&service](const Target &target) { return target.service == service && !target.leaving; });
+    const std::size_t due = reach.takeDueProbes(static_cast<std::size_t>(ofService), now);
+    for (auto &target : probeTargets(service, reach, due)) {
+        boost::asio::co_spawn(m_context, probe(service, std::move(target)), boost::asio::detached);
+    }
+}
+
+void ZoneControl::setServicesOutOfReach(std::set<ServiceName> services, TimePoint now)
+{
+    for (const auto &service : services) {
         if (!m_cutOff.contains(service)) {
             Event("reach", "targets-out-of-reach").add("service", service.value);
         }
     }
     for (const auto &service : m_cutOff) {
-        if (!cutOff.contains(service)) {
+        if (!services.contains(service)) {
             Event("reach", "targets-in-reach").add("service", service.value);
         }
     }
-    const bool grown = cutOff.size() > m_cutOff.size();
-    m_cutOff = cutOff;
-    m_scheduler.recordReach(m_self.id.name, cutOff.empty(), now);
+    m_cutOff = std::move(services);
+    m_scheduler.recordReach(m_self.id.name, m_cutOff.empty(), now);
     if (const auto currentHub = hub(now); currentHub && !isSelf(*currentHub)) {
         sendHeartbeat(*currentHub, now);
     }
-    if (grown) {
-        // What cut this service off has likely cut off the others as well.
-        for (const auto &target : m_list.targets()) {
-            m_reach[target.service].suspect(now);
-        }
-        updateReach(now);
-    }
 }
 
 boost::asio::awaitable<std::optional<tcp::socket>> ZoneControl::connectTo(Endpoint endpoint)
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -186,6 +186,9 @@
     void recordPath(const Running &attempt, AttemptEnd end, TimePoint now);
     /// Starts the probes that are due, and sends word of a change.
     void updateReach(TimePoint now);
+    void startDueProbes(const ServiceName &service, Reach &reach, TimePoint now);
+    /// Logs the change, and tells the scheduler and the hub.
+    void setServicesOutOfReach(std::set<ServiceName> services, TimePoint now);
     boost::asio::awaitable<void> probe(ServiceName service, Target target);
     boost::asio::awaitable<std::optional<boost::asio::ip::tcp::socket>> connectTo(Endpoint endpoint);
     std::vector<Target> probeTargets(const ServiceName &service, const Reach &reach, std::size_t count);
