--- a/tests/process_reach.cpp
+++ b/tests/process_reach.cpp
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <csignal>
+#include <set>
 
 using namespace plumsill;
 using namespace plumsill::test;
@@ -120,6 +121,13 @@
     checkServedWhile({"d0"}, "hang");
 }
 
+// Guards against requests that are lost as a cut begins with the reset of open connections.
+TEST(ReachProcess, CallersOfADaemonWithResetConnectionsAreServedAtTheFirstAttempt)
+{
+    start();
+    checkServedWhile({"d0"}, "reset");
+}
+
 // Guards against a zone that has no daemon which reaches the targets, its scheduler among them.
 TEST(ReachProcess, CallersOfAZoneWithoutReachAreServedByOtherZones)
 {
@@ -198,3 +206,81 @@
     }
     LONGS_EQUAL(200, fleet->call("d0", "GET", "/added/1", "idx1").status);
 }
+
+// Guards against a daemon that starts without any reach and doesn't find out, or finds no helper.
+TEST(ReachProcess, DaemonThatStartsDuringACutServesItsCallers)
+{
+    start();
+    fleet->partition("d0", "refuse");
+    for (unsigned restart = 0; restart < 2; ++restart) {
+        fleet->daemons.at("d0").process->signal(SIGKILL);
+        fleet->daemons.at("d0").process->wait();
+        fleet->startDaemon("d0", "z0");
+        CHECK(eventually(10s, [this] { return fleet->ready("d0"); }));
+        firstAttemptsServed(DetectionTime);
+        for (const auto &[name, share] : firstAttemptsServed(2s)) {
+            CHECK_TEXT(share > 0.9, (name + " served " + std::to_string(share)).c_str());
+        }
+    }
+}
+
+// Guards against requests that go on to a helper that has lost its own reach after it took a tunnel.
+TEST(ReachProcess, HelperThatLosesItsReachIsReplaced)
+{
+    start();
+    fleet->partition("d0", "refuse");
+    firstAttemptsServed(DetectionTime);
+    CHECK(fleet->metric("d3", "plumsill_tunnels_for_others") > 0);
+    fleet->partition("d3", "hang");
+    firstAttemptsServed(DetectionTime);
+    for (const auto &[name, share] : firstAttemptsServed(3s)) {
+        CHECK_TEXT(share > 0.9, (name + " served " + std::to_string(share)).c_str());
+    }
+    for (const auto &[id, count] : runs()) {
+        CHECK_TEXT(count <= 1, id.c_str());
+    }
+}
+
+// Guards against tunnels that go silent for good, as do all connections between daemons that are open at a fault, and are used on.
+TEST(ReachProcess, SilentTunnelsAreReplaced)
+{
+    start();
+    fleet->partition("d0", "refuse");
+    firstAttemptsServed(DetectionTime);
+    CHECK(fleet->metric("d3", "plumsill_tunnels_for_others") > 0);
+    fleet->silenceAccepted("d3");
+    firstAttemptsServed(DetectionTime);
+    for (const auto &[name, share] : firstAttemptsServed(3s)) {
+        CHECK_TEXT(share > 0.9, (name + " served " + std::to_string(share)).c_str());
+    }
+    for (const auto &[id, count] : runs()) {
+        CHECK_TEXT(count <= 1, id.c_str());
+    }
+}
+
+// Guards against an order that runs twice, or is called not run, since its answer was lost behind or before the helper.
+TEST(ReachProcess, OrdersWhoseAnswersAreLostOnEitherSideOfTheHelperRunAtMostOnce)
+{
+    start();
+    fleet->partition("d0", "refuse");
+    firstAttemptsServed(DetectionTime);
+    onlyOrders = true;
+    for (const auto &[name, target] : fleet->targets) {
+        fleet->targetFault(name, R"({"crash_before_first_byte_share":0.3})");
+    }
+    std::set<std::string> refused; // 503 says that the request has not run
+    std::thread caller([this, &refused] {
+        for (unsigned number = 1'000'001; number < 1'000'201; number += 2) {
+            const std::string id = "id" + std::to_string(number);
+            if (fleet->call("d0", "POST", "/order/1", id, RedKey).status == 503) {
+                refused.insert(id);
+            }
+        }
+    });
+    std::this_thread::sleep_for(700ms);
+    fleet->daemons.at("d3").process->signal(SIGKILL);
+    caller.join();
+    for (const auto &[id, count] : runs()) {
+        CHECK_TEXT(count <= (refused.contains(id) ? 0 : 1), id.c_str());
+    }
+}
--- a/tests/zone_fleet.h
+++ b/tests/zone_fleet.h
@@ -179,13 +179,12 @@
         daemons[name] = std::move(daemon);
     }
 
-    /// Partitions the daemon from all targets. Mode refuse: new connections are refused; hang: all connections hang; none: ends it.
-    void partition(const std::string &daemon, const std::string &mode)
-    {
-        const std::string next = partitionFile(daemon) + ".next";
-        std::ofstream(next) << mode << " " << m_network << "3 " << m_sink.address << " " << m_sink.port << "\n";
-        std::filesystem::rename(next, partitionFile(daemon));
-    }
+    /// Partitions the daemon from all targets. Mode refuse: new connections are refused; hang: all connections hang; reset: new connections
+    /// are refused and open ones reset; none: ends it.
+    void partition(const std::string &daemon, const std::string &mode) { writePartition(daemon, mode, m_network + "3"); }
+
+    /// Makes the connections silent that are open to the daemon from callers and from daemons that it helps: its answers on them are lost.
+    void silenceAccepted(const std::string &daemon) { writePartition(daemon, "silent", "127.0.0.1"); }
 
     /// Rewrites the daemon's settings file with another maximum time for which withdrawn keys are accepted.
     void changeSettings(const std::string &name, unsigned keyLifetimeMilliseconds)
@@ -246,6 +245,13 @@
     // The ports lie below the kernel's ephemeral port range, so that the kernel assigns them to no other socket.
     std::uint16_t freePort() { return m_nextPort++; }
 
+    void writePartition(const std::string &daemon, const std::string &mode, const std::string &prefix)
+    {
+        const std::string next = partitionFile(daemon) + ".next";
+        std::ofstream(next) << mode << " " << prefix << " " << m_sink.address << " " << m_sink.port << "\n";
+        std::filesystem::rename(next, partitionFile(daemon));
+    }
+
     Endpoint link(const std::string &name, const Endpoint &server)
     {
         const auto answer = httpCall(proxy, "PUT", "/control/links/" + name, {}, R"({"server":")" + toString(server) + "\"}");
