Test a zone's scheduler that is restarted or replaced twice, within and above the rate

Cause of refusals after a freeze was what is learnt late; whether a new process refuses as well was not tested. A clock that steps back doesn't reach this module, which knows the monotonic clock only; the lower incarnation has a test of its own in test_zone_modules.

--- a/tests/test_quota.cpp
+++ b/tests/test_quota.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -44,6 +45,19 @@
     }
 };
 
+/// Maximum number of the ascending times in any window of 5 s.
+unsigned maxInWindow(const std::vector<TimePoint> &times)
+{
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; last < times.size(); ++last) {
+        while (times[last] - times[first] > 5s) {
+            ++first;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    return static_cast<unsigned>(most);
+}
+
 /// Result of simulate().
 struct Outcome {
     unsigned admitted = 0;
@@ -75,12 +89,7 @@
             pool.exchange(shares, now);
         }
     }
-    for (std::size_t first = 0, last = 0; last < times.size(); ++last) {
-        while (times[last] - times[first] > 5s) {
-            ++first;
-        }
-        outcome.maxInWindow = std::max(outcome.maxInWindow, static_cast<unsigned>(last - first + 1));
-    }
+    outcome.maxInWindow = maxInWindow(times);
     return outcome;
 }
 }
@@ -368,12 +377,7 @@
             waiting.push_back(taken);
         }
     }
-    for (std::size_t first = 0, last = 0; last < times.size(); ++last) {
-        while (times[last] - times[first] > 5s) {
-            ++first;
-        }
-        result.maxInWindow = std::max(result.maxInWindow, static_cast<unsigned>(last - first + 1));
-    }
+    result.maxInWindow = maxInWindow(times);
     return result;
 }
 }
@@ -418,3 +422,83 @@
         }
     }
 }
+
+namespace
+{
+/// Moments at which another process begins to schedule for the first zone, and for how long before each there is none.
+struct Replacements {
+    std::vector<TimePoint> at;
+    Duration gap {};
+
+    bool begins(TimePoint now) const { return std::find(at.begin(), at.end(), now) != at.end(); }
+    bool none(TimePoint now) const
+    {
+        return std::any_of(at.begin(), at.end(), [this, now](TimePoint begin) { return now >= begin - gap && now < begin; });
+    }
+};
+
+const std::array<Replacements, 3> replacementForms {{
+    {{t0 + 20s}, 1s}, // the scheduler is restarted
+    {{t0 + 20s}, 0s}, // another daemon takes over at once
+    {{t0 + 20s, t0 + 20600ms}, 200ms}, // and is replaced within the second
+}};
+
+// A new scheduler knows the level of the pool from the first digests of the others; what it has taken by then, they don't learn.
+FrozenRun runReplaced(const std::array<double, Hubs> &perSecond, const Replacements &replacements)
+{
+    FrozenRun result;
+    Pool pool(teamRate, t0);
+    std::vector<TimePoint> times;
+    std::array<double, Hubs> due {};
+    bool isNew = false;
+    for (TimePoint now = t0 + 10s; now < replacements.at.back() + 10s; now += 10ms) {
+        TeamBucket &replaced = pool.buckets[0];
+        if (replacements.begins(now)) {
+            replaced = TeamBucket();
+            replaced.setRate(teamRate, now);
+            replaced.setPart({1.0 / 400, 1}, now);
+            replaced.beginTakeOver();
+            isNew = true;
+        }
+        const bool none = replacements.none(now);
+        for (unsigned hub = none ? 1 : 0; hub < Hubs; ++hub) {
+            for (due[hub] += perSecond[hub] / 100; due[hub] >= 1; due[hub] -= 1) {
+                const bool admitted = pool.buckets[hub].take(now);
+                result.refusedAfterwards += hub == 0 && now >= replacements.at.front() && !admitted ? 1 : 0;
+                if (admitted) {
+                    times.push_back(now);
+                }
+            }
+        }
+        if ((now - t0) % 300ms == 0ms && !none) {
+            if (std::exchange(isNew, false)) {
+                pool.reported[0] = replaced.taken();
+                replaced.mergeRemoteLevel(pool.buckets[1].level(now), now);
+                replaced.mergeRemoteLevel(pool.buckets[2].level(now), now);
+            }
+            pool.exchange({1.0 / Hubs, 1.0 / Hubs, 1.0 / Hubs}, now);
+        }
+    }
+    result.maxInWindow = maxInWindow(times);
+    return result;
+}
+}
+
+// Guards against refusals within the rate while a zone's scheduler is restarted, or replaced twice within a second.
+TEST(Quota, NewSchedulerRefusesNothingWithinTheRate)
+{
+    for (const auto &form : replacementForms) {
+        const FrozenRun run = runReplaced({5, 6, 6}, form);
+        // Two requests for each new scheduler: those of one digest interval.
+        CHECK(run.refusedAfterwards <= 2 * form.at.size());
+    }
+}
+
+// The same replacements while the team sends 7.5 times its rate.
+TEST(Quota, NewSchedulerStaysWithinTheLimit)
+{
+    for (const auto &form : replacementForms) {
+        const FrozenRun run = runReplaced({50, 50, 50}, form);
+        CHECK(run.maxInWindow <= (teamRate.rate * 5 + teamRate.burst) * 1.1 + 20);
+    }
+}
