Keep daemons known and the peer secret in place when the store comes back from an older copy

Cause: a registry or a secret that is missing was taken for a fleet without them, though the store had only lost it. The scheduler that reads for the fleet writes the secret again under the condition that it is missing; a daemon that starts later waits five seconds for that. Remains: entries of daemons that have left come back with the copy, as those of dead daemons stay.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -240,6 +240,11 @@
 inline constexpr auto FleetStartTime = 400ms; ///< time in which all daemons of a starting fleet enroll
 inline constexpr auto SecretCreationSpread = 300ms; ///< time over which the daemons of a starting fleet spread their attempts to create its secret
 inline constexpr auto RegistrationRetry = 500ms;
+inline constexpr auto MinRewriteSpread = 1000ms;
+inline constexpr double RewritesPerSecond = 50; ///< entries that a fleet writes again in a second after a new era of the store
+inline constexpr auto RewriteMargin
+    = 8000ms; ///< covers the time until all daemons know of an era, RegistryReadInterval, repeats of a refused write and stale reads
+inline constexpr auto SecretReturnTime = 5000ms; ///< time in which a fleet notices that the store has lost its secret and writes it again
 inline constexpr auto DirectoryCallTimeout = 1200ms; ///< three times the answer time of a service that is slowed down a hundredfold
 
 // Administration.
--- a/include/plumsill/hubs.h
+++ b/include/plumsill/hubs.h
@@ -33,8 +33,8 @@
 public:
     explicit HubDirectory(RegisteredDaemon self);
 
-    /// Replaces the registered daemons. This daemon is always included.
-    void setRegistered(std::vector<RegisteredDaemon> daemons);
+    /// Replaces the registered daemons; with @p keepsMissing known ones that are missing stay. This daemon is always included.
+    void setRegistered(std::vector<RegisteredDaemon> daemons, bool keepsMissing = false);
     /// Records a message from the daemon, which ends any suspicion. A newer incarnation replaces the registered one. So does a lower one
     /// if the registered one has been silent, since the daemon's time of day may have stepped back before its restart.
     void recordMessage(const MemberId &id, const Endpoint &peer, TimePoint now);
--- a/src/hubs.cpp
+++ b/src/hubs.cpp
@@ -36,7 +36,7 @@
     , m_daemons {m_self}
 { }
 
-void HubDirectory::setRegistered(std::vector<RegisteredDaemon> daemons)
+void HubDirectory::setRegistered(std::vector<RegisteredDaemon> daemons, bool keepsMissing)
 {
     const auto isSelf = [this](const RegisteredDaemon &daemon) { return daemon.id.name == m_self.id.name; };
     std::erase_if(daemons, isSelf);
@@ -53,6 +53,12 @@
         if (found != known.end() && (outdated || found->second->id.incarnation > daemon.id.incarnation)) {
             daemon = *found->second;
         }
+        known.erase(daemon.id.name);
+    }
+    for (const auto &[name, missing] : known) {
+        if (keepsMissing) {
+            daemons.push_back(*missing);
+        }
     }
     std::sort(daemons.begin(), daemons.end(), [](const RegisteredDaemon &a, const RegisteredDaemon &b) {
         return std::pair(-hubRank(a.zone, a), a.id.name) < std::pair(-hubRank(b.zone, b), b.id.name);
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -76,7 +76,9 @@
 {
     auto secret = co_await m_directory.peerSecret();
     if (!secret && secret.error() == DirectoryError::Missing) {
-        co_await sleepFor(randomDuration(config::SecretCreationSpread));
+        // A fleet that runs already writes its secret again, if the store has lost it.
+        const Duration others = m_settings.firstStart ? Duration::zero() : Duration(config::SecretReturnTime);
+        co_await sleepFor(others + randomDuration(config::SecretCreationSpread));
         secret = co_await m_directory.peerSecret();
     }
     if (!secret && secret.error() == DirectoryError::Missing) {
@@ -108,7 +110,9 @@
         const bool usable = secret && !secret.assume_value().empty();
         bool done = false;
         if (usable) {
-            m_peers.setSecret(secret.assume_value());
+            m_secret = secret.assume_value();
+            m_peers.setSecret(m_secret);
+            m_secretEra = m_directory.era();
             done = co_await enroll();
         }
         recordStoreResult(done, "enroll", done ? "" : usable ? "not enrolled" : secret ? "the stored peer secret is empty" : toString(secret.error()));
@@ -128,11 +132,9 @@
     }
     while (true) {
         co_await sleepFor(config::RegistryReadInterval);
-        if (m_entryOutdated && !m_leaving) {
-            const auto written = co_await m_directory.enroll(m_self, false);
-            m_entryOutdated = !written.has_value();
-            recordStoreResult("enroll", written);
-        }
+        recordRegistryEra(RuntimeClock::now());
+        co_await restoreSecret();
+        co_await rewriteEntry();
         const TimePoint now = RuntimeClock::now();
         // One hub reads the registry periodically for the entire fleet. Another daemon reads it only when the registry
         // hash that a hub reports differs from the hash of its own copy.
@@ -143,6 +145,41 @@
     }
 }
 
+void ZoneControl::recordRegistryEra(TimePoint now)
+{
+    const StoreEra era = std::max(m_directory.era(), m_documentFreshness.era());
+    m_rewrite.recordEra(era, m_hubs.registered().size(), std::uniform_real_distribution<double>()(m_random), now);
+}
+
+boost::asio::awaitable<void> ZoneControl::rewriteEntry()
+{
+    const bool due = m_entryOutdated || m_rewrite.due(RuntimeClock::now());
+    if (!due || m_leaving) {
+        co_return;
+    }
+    const auto written = co_await m_directory.enroll(m_self, false);
+    recordStoreResult("enroll", written);
+    if (written) {
+        m_entryOutdated = false;
+        m_rewrite.recordWritten();
+    }
+}
+
+// Daemons that start wait for the secret, so that they don't create another one.
+boost::asio::awaitable<void> ZoneControl::restoreSecret()
+{
+    const StoreEra era = std::max(m_directory.era(), m_documentFreshness.era());
+    if (era == m_secretEra || !readsForFleet(RuntimeClock::now())) {
+        co_return;
+    }
+    const auto stored = co_await m_directory.getOrCreatePeerSecret(m_secret);
+    recordStoreResult("secret", stored);
+    if (stored) {
+        m_secretEra = era;
+        Event("registry", "secret-checked").add("era", static_cast<std::int64_t>(era)).add("same", stored.assume_value() == m_secret);
+    }
+}
+
 boost::asio::awaitable<void> ZoneControl::readRegistry()
 {
     const auto daemons = co_await m_directory.daemons();
@@ -157,7 +194,9 @@
     m_entryListed = std::any_of(listed.begin(), listed.end(), sameEntry);
     m_entryOutdated = m_entryOutdated || (m_enrolled && !m_entryListed);
     const std::uint32_t before = m_hubs.registryHash();
-    m_hubs.setRegistered(listed);
+    const TimePoint now = RuntimeClock::now();
+    recordRegistryEra(now);
+    m_hubs.setRegistered(listed, m_rewrite.mayLackEntries(now));
     m_registryRead = true;
     m_registryReadAt = RuntimeClock::now();
     ++m_registryReads;
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -14,6 +14,7 @@
 #include <plumsill/quota.h>
 #include <plumsill/reach.h>
 #include <plumsill/read_plan.h>
+#include <plumsill/registry_rewrite.h>
 #include <plumsill/reply_wait.h>
 #include <plumsill/scheduler.h>
 #include <plumsill/settings.h>
@@ -134,6 +135,11 @@
     /// Registers this daemon unless its entry exists already. Returns false if the directory can't be reached.
     boost::asio::awaitable<bool> enroll();
     boost::asio::awaitable<void> readRegistry();
+    void recordRegistryEra(TimePoint now);
+    /// Writes this daemon's entry again where it is missing, or after a new era of the store.
+    boost::asio::awaitable<void> rewriteEntry();
+    /// Writes the peer secret again if the store has lost it.
+    boost::asio::awaitable<void> restoreSecret();
     boost::asio::awaitable<bool> readDocument();
     boost::asio::awaitable<bool> readTargets();
     boost::asio::awaitable<void> runRead(DirectoryRead &state, boost::asio::awaitable<bool> (ZoneControl::*read)());
@@ -283,6 +289,9 @@
     TimePoint m_nextRegistryReadAt;
     TimePoint m_registryReadAt;
     unsigned m_registryReads = 0;
+    RegistryRewrite m_rewrite;
+    std::string m_secret; ///< key of the messages between daemons
+    StoreEra m_secretEra = 0; ///< era of the store in which the secret is known to be stored
     TimePoint m_nextListRead;
     DirectoryRead m_documentRead;
     DirectoryRead m_targetsRead;
