Don't wait for a secret that a store without eras can't have lost

In the form with plumsill's own store each fleet's first start took five seconds longer, since its daemons waited for others to write the secret again. Cause: only the platform's settings say that a start is the fleet's first; without that word a missing secret was taken for a lost one. A store whose answers name no era never comes back from a copy, so nothing can be lost.

--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -76,8 +76,9 @@
 {
     auto secret = co_await m_directory.peerSecret();
     if (!secret && secret.error() == DirectoryError::Missing) {
-        // A fleet that runs already writes its secret again, if the store has lost it.
-        const Duration others = m_settings.firstStart ? Duration::zero() : Duration(config::SecretReturnTime);
+        // A fleet that runs already writes its secret again, if the store has lost it. A store without eras loses nothing.
+        const bool mayBeLost = !m_settings.firstStart && m_directory.era() > 0;
+        const Duration others = mayBeLost ? Duration(config::SecretReturnTime) : Duration::zero();
         co_await sleepFor(others + randomDuration(config::SecretCreationSpread));
         secret = co_await m_directory.peerSecret();
     }
