--- a/tools/bench_health.cpp
+++ b/tools/bench_health.cpp
@@ -33,7 +33,7 @@
     unsigned slots;
 };
 
-const Deployment deployments[] = {{"transcrita", {8, 15, 13}, 3}, {"trust", {6, 11, 9}, 6}};
+const Deployment deployments[] = {{"three_slots", {8, 15, 13}, 3}, {"six_slots", {6, 11, 9}, 6}};
 
 struct Profile {
     const char *name;
