Log lost attempts with the digest of their request

Cause: no line for a lost connection, and no identity of a request beyond its id, which each copy has anew. No change of logic.

--- a/src/forward_p.h
+++ b/src/forward_p.h
@@ -105,6 +105,7 @@
     const TimePoint m_start;
     const TimePoint m_deadline;
     const ServiceName m_service;
+    const RequestDigest m_digest;
     boost::intrusive_ptr<ParallelAttempts> m_parallelAttempts;
     RequestAttempts m_attempts;
     RetryBudget m_unlimitedBudget; ///< used instead of the service's retry budget where the scheduler limits repeats
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -74,6 +74,12 @@
     return Access {route, *team, presented->key, snapshot.compiled->priorityOf(*team).value_or(route.priority)};
 }
 
+RequestDigest requestDigest(const Access &access, const CallerRequest &request)
+{
+    const auto view = [](boost::beast::string_view text) { return std::string_view(text.data(), text.size()); };
+    return digestOf({access.team.value, view(request.method_string()), view(request[http::field::host]), view(request.target()), request.body()});
+}
+
 std::string joined(const std::vector<std::string> &values)
 {
     std::string text;
@@ -193,6 +199,7 @@
     , m_start(RuntimeClock::now())
     , m_deadline(requestDeadline(access.route, request, thread.dialect(), m_start))
     , m_service(chooseService(access.route, std::uniform_real_distribution<double>(0, 1)(thread.random())))
+    , m_digest(requestDigest(access, request))
     , m_attempts(access.route.idempotent, m_deadline,
                  {access.route.attempts, std::holds_alternative<ScheduledPlacement>(thread.placement()) ? config::MaxNotRunAttempts : 0})
     , m_unlimitedBudget(std::numeric_limits<double>::max())
@@ -271,6 +278,7 @@
     dispatchRequest.admitted = m_placed;
     const Duration objective = m_access.route.objective > Duration::zero() ? m_access.route.objective : m_access.route.timeout;
     dispatchRequest.objective = std::min(m_deadline, m_start + objective);
+    dispatchRequest.digest = m_digest;
     dispatchRequest.handle = &m_state.m_targetWait;
     if (std::holds_alternative<ScheduledPlacement>(m_thread.placement())) {
         DispatchResult placed = co_await m_thread.place(dispatchRequest);
@@ -459,7 +467,7 @@
     const auto &snapshot = *m_thread.snapshot();
     Event event("traffic", "request-ended");
     event.add("id", id == request.end() ? std::string_view() : std::string_view(id->value().data(), id->value().size()));
-    event.add("route", m_access.route.name.value).add("service", m_service.value).add("team", m_access.team.value);
+    event.add("digest", toString(m_digest)).add("route", m_access.route.name.value).add("service", m_service.value).add("team", m_access.team.value);
     event.add("status", static_cast<std::int64_t>(answer == nullptr ? 0 : answer->result_int()));
     event.add("reason", std::holds_alternative<AbortCaller>(result) ? std::string("caller-left-or-cut") : m_reason);
     event.add("attempts", static_cast<std::int64_t>(m_tried.size()));
--- a/src/net_parallel_attempts.cpp
+++ b/src/net_parallel_attempts.cpp
@@ -64,6 +64,17 @@
 {
     return std::visit([](const auto &end) -> const TargetNotice & { return end.notice; }, result);
 }
+
+RunEnd runEnd(const AttemptResult &result)
+{
+    const auto *failed = std::get_if<FailedAttempt>(&result);
+    if (failed == nullptr || (failed->answer && failed->failed.failure == AttemptFailure::ServerError)) {
+        return RunEnd::Answered;
+    }
+    const bool sent = failed->failed.progress >= AttemptProgress::Sent;
+    const bool lost = failed->failed.failure == AttemptFailure::ConnectionLost || failed->failed.failure == AttemptFailure::Truncated;
+    return sent && lost ? RunEnd::ConnectionLost : RunEnd::Unknown;
+}
 }
 
 ParallelAttempts::ParallelAttempts(TrafficThread &thread, const Access &access, ServiceName service, TargetRequest request, const AnswerSink *sink)
@@ -194,7 +205,9 @@
     const auto *failed = std::get_if<FailedAttempt>(&result);
     const bool cancelled = entry->handle.abandoned() && failed != nullptr;
     const AttemptEnd end = cancelled ? AttemptEnd::Abandoned : failed == nullptr ? AttemptEnd::Good : attemptEnd(failed->failed);
-    entry->lease->reportEnd(end, RuntimeClock::now() - entry->startedAt, noticeOf(result));
+    TargetNotice notice = noticeOf(result);
+    notice.run = cancelled ? RunEnd::Unknown : runEnd(result);
+    entry->lease->reportEnd(end, RuntimeClock::now() - entry->startedAt, notice);
     std::erase(m_running, entry);
     m_ended.push_back(entry);
     if (m_wakeTimer != nullptr) {
--- a/src/net_traffic.cpp
+++ b/src/net_traffic.cpp
@@ -201,6 +201,7 @@
     placementRequest.request.objective = request.objective;
     placementRequest.request.deadline = request.deadline;
     placementRequest.request.tried = request.tried;
+    placementRequest.digest = request.digest;
     PlacementWaiter waiter {RuntimeTimer(m_context), std::nullopt, {}};
     m_placementWaiters.emplace(id, &waiter);
     waiter.timer.expires_at(std::max(request.deadline, now));
@@ -227,7 +228,7 @@
         co_return none == nullptr ? NoTarget {true, config::RetryAfterFailure} : NoTarget {true, none->retryAfter, false, none->reason};
     }
     const auto ended = [this, id](AttemptEnd end, Duration elapsed, const TargetNotice &notice) {
-        m_control.attemptEnded({id, end, wholeMilliseconds(elapsed), notice.limit, notice.leaving, millisecondsRoundedUp(notice.rest)});
+        m_control.attemptEnded({{id, end, wholeMilliseconds(elapsed), notice.limit, notice.leaving, millisecondsRoundedUp(notice.rest)}, notice.run});
     };
     auto lease = std::make_unique<TargetLease>(placed->target, runtimeOf(*placed), ended);
     lease->setHedgeAfter(placed->hedgeAfter);
@@ -245,7 +246,7 @@
             found->second->tunnel = std::move(tunnel);
             found->second->timer.cancel();
         } else if (found == m_placementWaiters.end() && std::holds_alternative<Placed>(placement)) {
-            m_control.attemptEnded({placementId, AttemptEnd::Abandoned, 0});
+            m_control.attemptEnded({{placementId, AttemptEnd::Abandoned, 0}});
         }
     });
 }
--- a/src/net_zone_daemon.cpp
+++ b/src/net_zone_daemon.cpp
@@ -71,7 +71,7 @@
         boost::asio::post(m_context, [this, threadRequest = std::move(threadRequest)]() mutable { m_control->requestPlacement(std::move(threadRequest)); });
     };
     port.cancelRequest = [this](std::uint64_t id) { boost::asio::post(m_context, [this, id] { m_control->cancelRequest(id); }); };
-    port.attemptEnded = [this](const AttemptReport &report) { boost::asio::post(m_context, [this, report] { m_control->attemptEnded(report); }); };
+    port.attemptEnded = [this](const EndedAttempt &ended) { boost::asio::post(m_context, [this, ended] { m_control->attemptEnded(ended); }); };
     return port;
 }
 
--- a/src/net_zone_placement.cpp
+++ b/src/net_zone_placement.cpp
@@ -189,7 +189,7 @@
     ++(placedLocally ? m_localPlacements : m_hubPlacements);
     if (const auto *placed = std::get_if<Placed>(&placement)) {
         const RunningAttempt attempt {id, threadRequest.request.service, placed->target, threadRequest.request.route, 0};
-        m_running[id] = {attempt, RuntimeClock::now(), placedLocally, placed->hedgeAfter, placed->helper};
+        m_running[id] = {attempt, RuntimeClock::now(), placedLocally, placed->hedgeAfter, placed->helper, threadRequest.digest, placed->endpoint};
         m_threads[threadRequest.thread]->resolvePlacement(id, placement, tunnelTicket(*placed));
         return;
     }
@@ -211,8 +211,9 @@
     }
 }
 
-void ZoneControl::attemptEnded(const AttemptReport &report)
+void ZoneControl::attemptEnded(const EndedAttempt &ended)
 {
+    const AttemptReport &report = ended.report;
     const auto found = m_running.find(report.id);
     if (found == m_running.end()) {
         return;
@@ -221,6 +222,13 @@
     const TargetName &target = running.attempt.target;
     m_running.erase(found);
     const TimePoint now = RuntimeClock::now();
+    if (ended.run == RunEnd::ConnectionLost) {
+        Event("traffic", "attempt-lost")
+            .add("digest", toString(running.digest))
+            .add("target", target.value)
+            .add("helper", running.helper ? running.helper->name.value : std::string())
+            .add("ran_ms", now - running.startedAt);
+    }
     recordNotice(running.helper ? running.helper->name : m_self.id.name, target, report, now);
     if (running.helper && (report.leaving || report.restMilliseconds > 0 || report.limit.stated)) {
         send(running.helper->peer, TunnelNotice {target, report.limit, report.leaving, report.restMilliseconds});
--- a/src/placement_p.h
+++ b/src/placement_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plumsill/messages.h>
+#include <plumsill/request_digest.h>
 #include <plumsill/scheduler.h>
 #include <plumsill/types.h>
 
@@ -17,6 +18,7 @@
 struct ThreadPlacementRequest {
     unsigned thread = 0;
     PlacementRequest request; ///< the id of its key is unique for the run of the daemon
+    RequestDigest digest;
 };
 
 /// Tokens come from the owners of the parts of the team's token bucket, targets from the balancer of the traffic thread.
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -45,6 +45,14 @@
     TeamAllowancePtr allowance; ///< tokens for the team's next requests; may be null
 };
 
+/// The end of an attempt that control has placed.
+struct EndedAttempt {
+    AttemptReport report; ///< for the scheduler
+    RunEnd run = RunEnd::Unknown;
+
+    auto operator<=>(const EndedAttempt &) const = default;
+};
+
 /// Calls from a traffic thread to control. Each call posts to the control thread and returns at once.
 struct ControlPort {
     std::function<void(TrafficReport)> report;
@@ -52,7 +60,7 @@
     /// Requests a target from the scheduler; empty where this daemon chooses targets itself.
     std::function<void(ThreadPlacementRequest)> requestPlacement;
     std::function<void(std::uint64_t)> cancelRequest;
-    std::function<void(const AttemptReport &)> attemptEnded;
+    std::function<void(const EndedAttempt &)> attemptEnded;
 };
 
 /// State of one target in one traffic thread.
@@ -110,6 +118,7 @@
     bool repeat = false; ///< an earlier attempt may have been sent
     bool admitted = false; ///< an earlier attempt was placed
     TimePoint objective; ///< time by which the answer should arrive (latency objective)
+    RequestDigest digest;
     AttemptHandle *handle = nullptr; ///< cancels the wait when the caller disconnects; may be null
 };
 
--- a/src/upstream_p.h
+++ b/src/upstream_p.h
@@ -34,11 +34,20 @@
     std::function<boost::asio::awaitable<bool>(std::string_view bytes)> write;
 };
 
-/// What an answer says of its target.
+/// What became of a request at its target.
+enum class RunEnd : std::uint8_t
+{
+    Unknown,
+    Answered, ///< the target ran the request and answered it completely
+    ConnectionLost, ///< the connection ended before the complete answer
+};
+
+/// What the end of an attempt says of its target.
 struct TargetNotice {
     bool leaving = false;
     LimitStatement limit;
     Duration rest {}; ///< time for which the target wants no request from this daemon
+    RunEnd run = RunEnd::Unknown;
 };
 
 /// A complete answer in memory.
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -58,7 +58,7 @@
     void report(const TrafficReport &report) { m_metrics.add(report); }
     void requestPlacement(ThreadPlacementRequest threadRequest);
     void cancelRequest(std::uint64_t id);
-    void attemptEnded(const AttemptReport &report);
+    void attemptEnded(const EndedAttempt &ended);
 
     /// Applies changed settings; returns false where some of the changes need a restart.
     bool reload(const Settings &settings);
@@ -97,6 +97,8 @@
         bool placedLocally = false;
         Duration usualTime {}; ///< age at which most good answers have arrived
         std::optional<Helper> helper;
+        RequestDigest digest;
+        Endpoint endpoint; ///< of the target
     };
 
     /// A daemon that uses this one as its hub.
--- a/tests/test_zone_traffic.cpp
+++ b/tests/test_zone_traffic.cpp
@@ -56,9 +56,9 @@
         control.report = [](const TrafficReport & /*report*/) {};
         control.requestPlacement = [this](const ThreadPlacementRequest &placementRequest) { answerPlacement(placementRequest); };
         control.cancelRequest = [](std::uint64_t /*id*/) {};
-        control.attemptEnded = [this](const AttemptReport &report) {
+        control.attemptEnded = [this](const EndedAttempt &ended) {
             const std::lock_guard lock(mutex);
-            ends.push_back(report.end);
+            ends.push_back(ended.report.end);
         };
         thread = std::make_unique<TrafficThread>(0, 1, control, testDialect());
         endpoint = thread->open({"127.0.0.1", 0});
