--- a/tools/standin_target.cpp
+++ b/tools/standin_target.cpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cstdlib>
 #include <iostream>
 #include <map>
 #include <optional>
@@ -66,6 +67,7 @@
     bool swapsAnswers = false;
     bool drain = false;
     std::string rest; ///< text of Retry-After in the 503 with which the target refuses every request; empty: it refuses none
+    std::string crashPath; ///< a request with this path ends the process after its work time; empty: none does
     std::string rateLimit; ///< text of the field by which the target limits its rate; empty: the answers have no such field
     Duration warmUpTime {};
     TimePoint warmUpSince;
@@ -229,6 +231,9 @@
         const auto team = m_settings.dialect.team.empty() ? std::string() : fieldValue(request.fields, m_settings.dialect.team);
         m_log.push_back({requestId(request), request.method, request.path, team, unixMilliseconds()});
         co_await sleepUnlessCancelled(workTime());
+        if (!m_faults.crashPath.empty() && request.path == m_faults.crashPath) {
+            std::_Exit(EXIT_FAILURE);
+        }
         answer = runAnswer(request, number);
     }
     if (m_faults.answerDelay > Duration::zero()) {
@@ -402,6 +407,8 @@
         m_faults.drain = value.as_bool();
     } else if (name == "rest") {
         m_faults.rest = std::string(value.as_string());
+    } else if (name == "crash_path") {
+        m_faults.crashPath = std::string(value.as_string());
     } else if (name == "rate_limit") {
         m_faults.rateLimit = std::string(value.as_string());
     } else if (name == "cold_ms") {
