Quarantine requests that crash the targets that run them

Cause: nothing outlived one request's attempts; each copy was new to the fleet. Change: daemons share which targets ended under which request digest; after three, copies, second attempts and hedges are refused, but for three trials granted by one daemon; a complete answer ends it.

--- a/include/plumsill/zone_messages.h
+++ b/include/plumsill/zone_messages.h
@@ -83,6 +83,7 @@
     Resting, ///< all targets want no request from the daemon at present
     QueueFull, ///< too many requests wait
     TooLate, ///< a target that is free in time is not expected, or the wait for one took too long
+    Quarantined, ///< copies of the request crashed targets
 };
 
 const char *toString(CapacityReason reason);
--- a/src/capacity_reason.cpp
+++ b/src/capacity_reason.cpp
@@ -15,6 +15,8 @@
         return "queue-full";
     case CapacityReason::TooLate:
         return "too-late";
+    case CapacityReason::Quarantined:
+        return "quarantined";
     }
     return "";
 }
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -389,6 +389,11 @@
         ++counts().overRate;
         return refuse({429, "over-rate", "the team's rate is used up", RunOutcome::NotRun, none.retryAfter});
     }
+    if (none.reason == CapacityReason::Quarantined) {
+        ++counts().bad;
+        const unsigned status = m_attempts.outcome() == RunOutcome::NotRun ? 503 : 502;
+        return refuse({status, "quarantined", "copies of this request crashed several targets", m_attempts.outcome(), none.retryAfter});
+    }
     if (m_lastFailure) {
         return passOn(std::move(*m_lastFailure));
     }
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -434,6 +434,7 @@
         co_await sleepFor(m_scheduler.idle() ? Duration(config::ControlTick) : Duration(config::QueueServeInterval));
         const TimePoint now = RuntimeClock::now();
         updateReach(now);
+        reviewHeldBack(now);
         deliverQueuedPlacements();
         if (!m_publishedAt || now - *m_publishedAt >= config::PublishInterval) {
             publish(now);
@@ -523,6 +524,8 @@
     gauges.push_back({"plumsill_placements_alone", static_cast<double>(m_localPlacements)});
     gauges.push_back({"plumsill_running_requests", static_cast<double>(m_running.size())});
     gauges.push_back({"plumsill_services_out_of_reach", static_cast<double>(m_cutOff.size())});
+    gauges.push_back({"plumsill_suspect_requests", static_cast<double>(m_quarantine.suspects())});
+    gauges.push_back({"plumsill_quarantined_requests", static_cast<double>(m_quarantine.quarantined())});
     gauges.push_back({"plumsill_tunnels_for_others", static_cast<double>(m_peers.tunnels())});
     gauges.push_back({"plumsill_platform_calls", static_cast<double>(m_directory.calls())});
     gauges.push_back({"plumsill_log_lines_left_out", static_cast<double>(droppedEvents())});
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -81,6 +81,12 @@
         received(envelope, *daemons);
     } else if (const auto *notice = std::get_if<TunnelNotice>(&envelope.message)) {
         received(envelope, *notice);
+    } else if (const auto *suspects = std::get_if<SuspectRequests>(&envelope.message)) {
+        received(envelope, *suspects);
+    } else if (const auto *trial = std::get_if<TrialRequest>(&envelope.message)) {
+        received(envelope, *trial);
+    } else if (const auto *granted = std::get_if<TrialReply>(&envelope.message)) {
+        received(envelope, *granted);
     }
 }
 
@@ -137,6 +143,7 @@
             sendHeartbeat(*unresponsive, now);
         }
         updateShares(now);
+        repeatSuspects(now);
     }
 }
 
--- a/src/net_zone_placement.cpp
+++ b/src/net_zone_placement.cpp
@@ -54,6 +54,9 @@
 
 void ZoneControl::requestPlacement(ThreadPlacementRequest threadRequest)
 {
+    if (holdBack(threadRequest)) {
+        return;
+    }
     const std::uint64_t id = threadRequest.request.key.id;
     threadRequest.request.key.member = m_self.id;
     threadRequest.request.relayed = needsHelper(threadRequest.request.service);
@@ -184,8 +187,15 @@
     if (found == m_pending.end()) {
         return;
     }
-    const ThreadPlacementRequest threadRequest = std::move(found->second.threadRequest);
+    ThreadPlacementRequest threadRequest = std::move(found->second.threadRequest);
     m_pending.erase(found);
+    const bool mayRun = threadRequest.trial || std::holds_alternative<NotQuarantined>(m_quarantine.check(threadRequest.digest, RuntimeClock::now()));
+    if (std::holds_alternative<Placed>(placement) && !mayRun) {
+        releasePlacement(id, placedLocally);
+        threadRequest.request.admitted = true;
+        holdBack(threadRequest);
+        return;
+    }
     ++(placedLocally ? m_localPlacements : m_hubPlacements);
     if (const auto *placed = std::get_if<Placed>(&placement)) {
         const RunningAttempt attempt {id, threadRequest.request.service, placed->target, threadRequest.request.route, 0};
@@ -196,8 +206,21 @@
     m_threads[threadRequest.thread]->resolvePlacement(id, placement);
 }
 
+// Frees the slot of a placement that is not used.
+void ZoneControl::releasePlacement(std::uint64_t id, bool placedLocally)
+{
+    const TimePoint now = RuntimeClock::now();
+    const auto currentHub = hub(now);
+    if (placedLocally) {
+        m_scheduler.finishAttempt({m_self.id, id}, AttemptEnd::Abandoned, Duration::zero(), now);
+    } else if (currentHub && !isSelf(*currentHub)) {
+        send(currentHub->peer, AttemptReport {id, AttemptEnd::Abandoned, 0});
+    }
+}
+
 void ZoneControl::cancelRequest(std::uint64_t id)
 {
+    m_heldBack.erase(id);
     const auto found = m_pending.find(id);
     if (found == m_pending.end()) {
         return;
@@ -228,6 +251,9 @@
             .add("target", target.value)
             .add("helper", running.helper ? running.helper->name.value : std::string())
             .add("ran_ms", now - running.startedAt);
+        boost::asio::co_spawn(m_context, confirmCrash(running, now), boost::asio::detached);
+    } else if (ended.run == RunEnd::Answered) {
+        recordAnswered(running.digest, now);
     }
     recordNotice(running.helper ? running.helper->name : m_self.id.name, target, report, now);
     if (running.helper && (report.leaving || report.restMilliseconds > 0 || report.limit.stated)) {
--- a/src/net_zone_reach.cpp
+++ b/src/net_zone_reach.cpp
@@ -124,7 +124,7 @@
     }
 }
 
-boost::asio::awaitable<std::optional<tcp::socket>> ZoneControl::connectTo(Endpoint endpoint)
+boost::asio::awaitable<std::optional<tcp::socket>> ZoneControl::connectTo(Endpoint endpoint, boost::system::error_code &error)
 {
     const auto socket = std::make_shared<tcp::socket>(m_context);
     RuntimeTimer timer(m_context, RuntimeClock::now() + config::ScheduledConnectTimeout);
@@ -134,7 +134,6 @@
             socket->close(ignored);
         }
     });
-    boost::system::error_code error;
     const auto address = boost::asio::ip::make_address(endpoint.address, error);
     if (!error) {
         const tcp::endpoint peer(address, endpoint.port);
@@ -149,7 +148,8 @@
 
 boost::asio::awaitable<void> ZoneControl::probe(ServiceName service, Target target)
 {
-    const auto socket = co_await connectTo(target.endpoint);
+    boost::system::error_code error;
+    const auto socket = co_await connectTo(target.endpoint, error);
     const TimePoint now = RuntimeClock::now();
     if (socket) {
         m_reach[service].recordConnected(target.name, now);
@@ -208,7 +208,8 @@
         const bool rests = m_scheduler.restLeft(request.target, m_self.id.name, RuntimeClock::now()) > Duration::zero();
         const bool usable = !rests && !isKnownUnusable({request.target, request.endpoint, {}, {}});
         if (usable) {
-            socket = co_await connectTo(request.endpoint);
+            boost::system::error_code error;
+            socket = co_await connectTo(request.endpoint, error);
         }
         status = socket ? TunnelStatus::Open : TunnelStatus::Unreachable;
         const Target *target = m_list.find(request.target);
--- a/src/placement_p.h
+++ b/src/placement_p.h
@@ -19,6 +19,7 @@
     unsigned thread = 0;
     PlacementRequest request; ///< the id of its key is unique for the run of the daemon
     RequestDigest digest;
+    bool trial = false; ///< the copy of a quarantined request that may run
 };
 
 /// Tokens come from the owners of the parts of the team's token bucket, targets from the balancer of the traffic thread.
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -11,6 +11,7 @@
 #include <plumsill/hubs.h>
 #include <plumsill/list_relay.h>
 #include <plumsill/metrics.h>
+#include <plumsill/quarantine.h>
 #include <plumsill/quota.h>
 #include <plumsill/reach.h>
 #include <plumsill/read_plan.h>
@@ -112,6 +113,12 @@
         bool reaches = true; ///< false: the member does not reach the targets of some service
     };
 
+    /// A copy of a quarantined request that waits for the result of a trial.
+    struct HeldBack {
+        ThreadPlacementRequest request;
+        TimePoint since;
+    };
+
     /// The last digest received from another hub.
     struct HubRecord {
         Endpoint peer;
@@ -174,6 +181,7 @@
     void resendPendingRequests(const MemberId &hub);
     bool isKnownUnusable(const Placed &placed) const;
     void deliver(std::uint64_t id, const Placement &placement, bool placedLocally);
+    void releasePlacement(std::uint64_t id, bool placedLocally);
     void deliverQueuedPlacements();
     void reply(const Endpoint &to, std::uint64_t id, const Placement &placement);
     void received(const Envelope &envelope, const PlaceRequest &request);
@@ -198,7 +206,7 @@
     /// Logs the change, and tells the scheduler and the hub.
     void setServicesOutOfReach(std::set<ServiceName> services, TimePoint now);
     boost::asio::awaitable<void> probe(ServiceName service, Target target);
-    boost::asio::awaitable<std::optional<boost::asio::ip::tcp::socket>> connectTo(Endpoint endpoint);
+    boost::asio::awaitable<std::optional<boost::asio::ip::tcp::socket>> connectTo(Endpoint endpoint, boost::system::error_code &error);
     std::vector<Target> probeTargets(const ServiceName &service, const Reach &reach, std::size_t count);
     bool reachesAll() const;
     bool needsHelper(const ServiceName &service) const;
@@ -210,6 +218,29 @@
     /// Decides on a request at this daemon's scheduler.
     Placement submit(const PlacementRequest &request, TimePoint now);
 
+    // Quarantine of requests that crash targets (net_zone_quarantine.cpp).
+    /// Refuses a quarantined request, or keeps it until a trial has ended; false if the request may run.
+    bool holdBack(ThreadPlacementRequest &threadRequest);
+    void refuseQuarantined(const ThreadPlacementRequest &threadRequest, Duration retryAfter);
+    /// Daemon that grants trials.
+    std::optional<RegisteredDaemon> trialGranter(TimePoint now) const;
+    void askForTrial(std::uint64_t id, TimePoint now);
+    void runTrial(std::uint64_t id);
+    /// Releases or refuses the requests that are held back, as far as it is decided.
+    void reviewHeldBack(TimePoint now);
+    /// Finds out whether the target of a lost attempt has ended.
+    boost::asio::awaitable<void> confirmCrash(Running running, TimePoint lostAt);
+    boost::asio::awaitable<bool> takesConnections(const Running &running);
+    void recordAnswered(const RequestDigest &digest, TimePoint now);
+    /// Passes on what is new of a suspect request. @p from: the daemon that told of it; empty where this daemon saw it.
+    void suspectChanged(const RequestDigest &digest, std::size_t quarantinedBefore, const Endpoint &from, TimePoint now);
+    std::vector<Endpoint> suspectReceivers(TimePoint now) const;
+    void shareSuspect(const RequestDigest &digest, const Endpoint &from, TimePoint now);
+    void repeatSuspects(TimePoint now);
+    void received(const Envelope &envelope, const SuspectRequests &suspects);
+    void received(const Envelope &envelope, const TrialRequest &request);
+    void received(const Envelope &envelope, const TrialReply &reply);
+
     // Messages between hubs and members.
     void noticePause(TimePoint now);
     void sendHeartbeat(const RegisteredDaemon &to, TimePoint now);
@@ -273,6 +304,9 @@
     unsigned m_rejectedTargets = 0;
     std::map<std::uint64_t, Pending> m_pending;
     std::map<std::uint64_t, Running> m_running;
+    Quarantine m_quarantine;
+    std::map<std::uint64_t, HeldBack> m_heldBack; ///< by the id of the request
+    TimePoint m_nextSuspectReportAt;
     std::map<MemberId, MemberRecord> m_members;
     std::map<ServiceName, Reach> m_reach;
     std::set<ServiceName> m_cutOff; ///< services whose targets this daemon does not reach, as the others were told
