--- a/src/net_zone_placement.cpp
+++ b/src/net_zone_placement.cpp
@@ -274,10 +274,13 @@
 void ZoneControl::recordNotice(const InstanceName &sender, const TargetName &target, const AttemptReport &report, TimePoint now)
 {
     if (report.restMilliseconds > 0) {
+        const Duration known = m_scheduler.restLeft(target, sender, now);
         m_scheduler.recordRest(target, sender, now + std::chrono::milliseconds(report.restMilliseconds));
         Event("targets", "target-rests")
             .add("target", target.value)
             .add("from", sender.value)
+            .add("known_ms", known)
+            .add("listed", m_list.find(target) != nullptr)
             .add("rest_ms", std::chrono::milliseconds(report.restMilliseconds));
     }
     if (report.leaving && m_scheduler.recordLeaving(target)) {
