--- a/tests/test_zone_traffic.cpp
+++ b/tests/test_zone_traffic.cpp
@@ -49,6 +49,7 @@
     std::vector<Placement> placements;
     std::vector<PlacementRequest> requested;
     std::vector<AttemptEnd> ends;
+    std::vector<std::uint32_t> rests; ///< milliseconds, by attempt
 
     void setup() override
     {
@@ -59,6 +60,7 @@
         control.attemptEnded = [this](const EndedAttempt &ended) {
             const std::lock_guard lock(mutex);
             ends.push_back(ended.report.end);
+            rests.push_back(ended.report.restMilliseconds);
         };
         thread = std::make_unique<TrafficThread>(0, 1, control, testDialect());
         endpoint = thread->open({"127.0.0.1", 0});
@@ -177,6 +179,16 @@
     CHECK(contains(result, "Retry-After: 0.3"));
 }
 
+// Guards against requests to a target that asked for rest in an answer whose body doesn't arrive.
+TEST(ZoneTraffic, RestOfARefusalWithABrokenBodyIsReported)
+{
+    ScriptedTarget resting({{"HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nRetry-After: 3\r\nContent-Length: 9\r\n\r\npart", true}});
+    placements = {placedAt(resting), NoCapacity {300ms}};
+    sendAndRead(order);
+    const std::lock_guard lock(mutex);
+    LONGS_EQUAL(3000, rests.front());
+}
+
 TEST(ZoneTraffic, Status503WithoutTheNotExecutedFieldIsNotPassedOn)
 {
     ScriptedTarget failing({{"HTTP/1.1 503 Service Unavailable\r\nSig: s\r\nContent-Length: 0\r\n\r\n"}});
