Keep what targets say of themselves while their entries are missing from the list

Cause, one of two found: the rest, like the limit and the evidence, was kept with the listed entry; it was forgotten when the entry was missing from one read, and dropped when the target wasn't on the daemon's list yet. Change: the state of a run is kept for a minute after its entry has gone and goes on when the entry is back; rests of targets that were never listed wait for their entries.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -212,6 +212,7 @@
 inline constexpr std::uint32_t MaxReportedTokens
     = 50; ///< maximum plausible increase of a daemon's token count between two reports, above what it grants in one second. Larger ones are ignored
 inline constexpr auto LimitReportInterval = 1000ms; ///< a daemon places few requests by itself, and its part of a target's limit is small
+inline constexpr auto UnlistedStateLifetime = 60s;
 inline constexpr auto SuspectReportInterval = 1000ms;
 inline constexpr auto HubDigestLifetime = 1500ms;
 inline constexpr auto MemberLifetime = 1500ms; ///< six heartbeats
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -189,6 +189,12 @@
         std::optional<Helper> helper;
     };
 
+    /// State of a target whose entry is missing from the list. Entries may be missing for a moment while the target runs.
+    struct UnlistedTarget {
+        TargetStatePtr state;
+        TimePoint since;
+    };
+
     /// Evidence against a target, as one daemon gave it.
     struct GivenEvidence {
         TargetStatePtr target;
@@ -229,9 +235,15 @@
     LatencyModel &latency(ServiceState &service, std::uint32_t route, Duration expected);
     std::optional<Placed> place(ServiceState &service, const PlacementRequest &request, bool allowRisky, TimePoint now);
     double cost(ServiceState &service, const TargetState &state, const PlacementRequest &request, TimePoint now);
-    /// Whether the target may get requests in principle.
+    /// State of this run of the target, listed before or not; null if there is none.
+    TargetStatePtr knownState(const Target &target) const;
+    TargetStatePtr knownState(const TargetName &target) const;
+    std::map<InstanceName, TimePoint> takeEarlyRests(const TargetName &target);
+    /// Keeps the states of targets that are not among @p listed for UnlistedStateLifetime.
+    void keepUnlisted(const std::map<TargetName, TargetStatePtr> &listed, TimePoint now);
     /// Time until which the target is to get no request from the daemon; in the past if it may get one.
     static TimePoint restsUntil(const TargetState &state, const InstanceName &daemon);
+    /// Whether the target may get requests in principle.
     static bool inUse(const TargetState &state) { return !state.target.leaving && !state.saidLeaving && !state.wrongAddress; }
     static unsigned slotsOf(const ServiceState &service, const TargetState &state);
     bool hasCapacity(const ServiceState &service, const TargetState &state, TimePoint now) const;
@@ -263,6 +275,8 @@
     QuotaPart m_limitPart;
     std::map<ServiceName, ServiceState> m_services;
     std::map<TargetName, TargetStatePtr> m_targets;
+    std::map<TargetName, UnlistedTarget> m_unlisted;
+    std::map<TargetName, std::map<InstanceName, TimePoint>> m_earlyRests; ///< rests that targets asked for before they were listed here
     std::map<TargetName, Target> m_saidLeaving; ///< runs of targets that said they are leaving, also after they are no longer listed
     std::map<std::uint32_t, TargetStatePtr> m_byHash;
     std::map<InstanceName, SenderState> m_senders;
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -64,13 +64,16 @@
         state.targets.clear();
     }
     for (const auto &target : targets) {
-        TargetStatePtr state;
-        const auto known = m_targets.find(target.name);
-        const bool continues = known != m_targets.end() && sameRun(known->second->target, target);
-        state = continues ? known->second : std::make_shared<TargetState>();
-        if (!continues) {
-            state->limit.setPart(m_limitPart, now);
+        TargetStatePtr state = knownState(target);
+        if (!state) {
+            state = std::make_shared<TargetState>();
             state->coldUntil = now + std::chrono::milliseconds(target.coldMilliseconds);
+            state->restsFrom = takeEarlyRests(target.name);
+        }
+        if (!m_targets.contains(target.name)) {
+            state->limit.setPart(m_limitPart, now);
+            state->wrongAddress = false;
+            state->unlistedUntil = {};
         }
         state->target = target;
         const auto left = m_saidLeaving.find(target.name);
@@ -82,6 +85,7 @@
         m_byHash.emplace(shortHash(target.name.value), state);
         service(target.service).targets.push_back(state);
     }
+    keepUnlisted(kept, now);
     m_targets = std::move(kept);
 }
 
