Heed what a target says in an answer whose body doesn't arrive

Cause, the other one found: what the header of an answer says was dropped when its body broke off or came too late. Change: the reader keeps it from the header on, for failed attempts too.

--- a/src/net_upstream.cpp
+++ b/src/net_upstream.cpp
@@ -192,6 +192,7 @@
     const bool m_acceptsCloseDelimited; ///< not through a tunnel: the end of its daemon looks like the end of the answer
     std::optional<Parser> m_parser;
     std::string m_buffered;
+    TargetNotice m_notice; ///< from the header of the answer
     std::size_t m_bodyBytes = 0;
     bool m_stray = false; ///< the answer that is read belongs to another request
     bool m_streaming = false;
@@ -232,7 +233,7 @@
 AttemptResult AnswerReader::fail(AttemptFailure failure) const
 {
     const auto progress = m_streaming ? AttemptProgress::AnswerStarted : AttemptProgress::Sent;
-    return FailedAttempt {{failure, progress}, std::nullopt, {}, {}};
+    return FailedAttempt {{failure, progress}, std::nullopt, {}, m_notice};
 }
 
 boost::asio::awaitable<bool> AnswerReader::deliver(std::string_view bytes)
@@ -289,18 +290,17 @@
 {
     const AnswerHeader &header = m_parser->get().base();
     const auto statusFailure = failureOfStatus(header, m_dialect);
-    const TargetNotice notice = statusFailure == AttemptFailure::WrongTarget ? TargetNotice {} : noticeOf(header, m_dialect);
     if (m_streaming) {
-        return StreamedAnswer {notice};
+        return StreamedAnswer {m_notice};
     }
     const bool notRun = statusFailure == AttemptFailure::WrongTarget || (statusFailure == AttemptFailure::Shed && !m_dialect.notExecuted.empty());
     const Duration retryAfter = retryAfterOf(header);
-    BufferedAnswer buffered {TargetAnswer(header, std::move(m_buffered)), notice};
+    BufferedAnswer buffered {TargetAnswer(header, std::move(m_buffered)), m_notice};
     if (notRun) {
-        return FailedAttempt {{*statusFailure, AttemptProgress::NotRun}, std::nullopt, retryAfter, notice};
+        return FailedAttempt {{*statusFailure, AttemptProgress::NotRun}, std::nullopt, retryAfter, m_notice};
     }
     if (statusFailure) {
-        return FailedAttempt {{*statusFailure, AttemptProgress::Sent}, std::move(buffered), retryAfter, notice};
+        return FailedAttempt {{*statusFailure, AttemptProgress::Sent}, std::move(buffered), retryAfter, m_notice};
     }
     return buffered;
 }
@@ -319,6 +319,10 @@
     if ((!selfDelimited && !m_acceptsCloseDelimited) || (otherRequest && !m_dialect.acceptsStrayAnswers) || isNotAuthentic(header, m_dialect)) {
         co_return fail(AttemptFailure::Malformed);
     }
+    // The header counts even if the body doesn't arrive.
+    if (!otherRequest && failureOfStatus(header, m_dialect) != AttemptFailure::WrongTarget) {
+        m_notice = noticeOf(header, m_dialect);
+    }
     const AnswerSink *sink = otherRequest ? std::exchange(m_sink, nullptr) : nullptr;
     m_stray = otherRequest;
     m_bodyBytes = 0;
