--- a/tests/process_reach.cpp
+++ b/tests/process_reach.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <atomic>
 #include <csignal>
 #include <set>
 
@@ -284,3 +285,43 @@
         CHECK_TEXT(count <= (refused.contains(id) ? 0 : 1), id.c_str());
     }
 }
+
+// Guards against requests to a target that asked a helper for rest, from daemons that hold tunnels through this helper (BUDGET).
+TEST(ReachProcess, TargetThatAskedAHelperForRestGetsNoRequestsThroughItsOpenTunnels)
+{
+    start();
+    for (const char *name : {"d0", "d1", "d2", "d3", "d4"}) {
+        fleet->partition(name, "refuse");
+    }
+    const auto callAll = [this](std::chrono::milliseconds time) {
+        const auto until = std::chrono::steady_clock::now() + time;
+        std::atomic<unsigned> id {100000};
+        std::vector<std::thread> callers;
+        for (unsigned caller = 0; caller < 18; ++caller) {
+            callers.emplace_back([&, daemon = "d" + std::to_string(1 + caller % 4)] {
+                while (std::chrono::steady_clock::now() < until) {
+                    fleet->call(daemon, "GET", "/read/1", "id" + std::to_string(id += 2), RedKey);
+                }
+            });
+        }
+        for (auto &caller : callers) {
+            caller.join();
+        }
+    };
+    const auto refused = [this] {
+        const auto stats = boost::json::parse(httpCall(fleet->targets.at("t0").control, "GET", "/control/stats").body);
+        return stats.at("shed").to_number<std::int64_t>();
+    };
+    firstAttemptsServed(DetectionTime);
+    callAll(3s);
+    const auto shedBefore = refused();
+    fleet->targetFault("t0", R"({"rest":"3"})");
+    while (refused() == shedBefore) {
+        served("d0");
+    }
+    const auto asked = std::chrono::steady_clock::now();
+    std::this_thread::sleep_until(asked + 500ms);
+    const auto before = refused();
+    callAll(2400ms);
+    LONGS_EQUAL(0, refused() - before);
+}
