--- a/include/plumsill/zone_messages.h
+++ b/include/plumsill/zone_messages.h
@@ -394,6 +394,20 @@
     }
 };
 
+/// What a target said to the sender of itself, for the daemons that use the sender's tunnels.
+struct HelperNotice {
+    TargetName target;
+    bool leaving = false;
+    std::uint32_t restMilliseconds = 0; ///< time for which the target wants no request from the sender
+
+    auto operator<=>(const HelperNotice &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(target, leaving, restMilliseconds);
+    }
+};
+
 /// Requests the document of a hub in compressed form. Sent over TCP.
 struct PackedDocumentRequest {
     std::uint64_t heldVersion = 0;
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -81,6 +81,10 @@
         received(envelope, *daemons);
     } else if (const auto *notice = std::get_if<TunnelNotice>(&envelope.message)) {
         received(envelope, *notice);
+    } else if (const auto *helperNotice = std::get_if<HelperNotice>(&envelope.message)) {
+        received(envelope, *helperNotice);
+    } else if (std::holds_alternative<TunnelRequest>(envelope.message)) {
+        m_askers[envelope.sender.name] = {envelope.replyTo, RuntimeClock::now()};
     } else if (const auto *suspects = std::get_if<SuspectRequests>(&envelope.message)) {
         received(envelope, *suspects);
     } else if (const auto *trial = std::get_if<TrialRequest>(&envelope.message)) {
--- a/src/net_zone_placement.cpp
+++ b/src/net_zone_placement.cpp
@@ -283,9 +283,13 @@
             .add("listed", m_list.find(target) != nullptr)
             .add("rest_ms", std::chrono::milliseconds(report.restMilliseconds));
     }
-    if (report.leaving && m_scheduler.recordLeaving(target)) {
+    const bool leaving = report.leaving && m_scheduler.recordLeaving(target);
+    if (leaving) {
         Event("targets", "target-says-leaving").add("target", target.value);
     }
+    if (sender == m_self.id.name && (leaving || report.restMilliseconds > 0)) {
+        tellAskers({target, report.leaving, report.restMilliseconds}, now);
+    }
     const LimitStatement &limit = report.limit;
     if (m_scheduler.recordLimit(target, limit, now)) {
         Event("limits", limit.limited ? "target-limited" : "target-limit-ended")
--- a/src/net_zone_reach.cpp
+++ b/src/net_zone_reach.cpp
@@ -19,6 +19,8 @@
 constexpr unsigned MemberRank = 0;
 constexpr unsigned HubRank = 1;
 constexpr unsigned OtherZoneRank = 2;
+
+constexpr auto AskerLifetime = std::chrono::seconds(60);
 }
 
 bool ZoneControl::reachesAll() const
@@ -232,6 +234,25 @@
     recordNotice(m_self.id.name, notice.target, report, RuntimeClock::now());
 }
 
+// Their tunnels stay open, and a target sees this daemon as the sender of what comes through them.
+void ZoneControl::tellAskers(const HelperNotice &notice, TimePoint now)
+{
+    std::erase_if(m_askers, [now](const auto &entry) { return now - entry.second.lastAskedAt > AskerLifetime; });
+    for (const auto &[name, asker] : m_askers) {
+        send(asker.peer, notice);
+    }
+}
+
+void ZoneControl::received(const Envelope &envelope, const HelperNotice &notice)
+{
+    if (notice.restMilliseconds > 0) {
+        m_scheduler.recordRest(notice.target, envelope.sender.name, RuntimeClock::now() + std::chrono::milliseconds(notice.restMilliseconds));
+    }
+    if (notice.leaving) {
+        m_scheduler.recordLeaving(notice.target);
+    }
+}
+
 void ZoneControl::received(const Envelope &envelope, const DaemonsWithoutReach &daemons)
 {
     const auto hub = m_otherHubs.find(envelope.sender);
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -119,6 +119,12 @@
         TimePoint since;
     };
 
+    /// A daemon that has asked this one for tunnels.
+    struct Asker {
+        Endpoint peer;
+        TimePoint lastAskedAt;
+    };
+
     /// The last digest received from another hub.
     struct HubRecord {
         Endpoint peer;
@@ -214,6 +220,9 @@
     TunnelTicketPtr tunnelTicket(const Placed &placed) const;
     void received(const Envelope &envelope, const DaemonsWithoutReach &daemons);
     void received(const Envelope &envelope, const TunnelNotice &notice);
+    void received(const Envelope &envelope, const HelperNotice &notice);
+    /// Passes on what a target has said to this daemon.
+    void tellAskers(const HelperNotice &notice, TimePoint now);
     void sendDaemonsWithoutReach(TimePoint now);
     /// Decides on a request at this daemon's scheduler.
     Placement submit(const PlacementRequest &request, TimePoint now);
@@ -309,6 +318,7 @@
     TimePoint m_nextSuspectReportAt;
     std::map<MemberId, MemberRecord> m_members;
     std::map<ServiceName, Reach> m_reach;
+    std::map<InstanceName, Asker> m_askers;
     std::set<ServiceName> m_cutOff; ///< services whose targets this daemon does not reach, as the others were told
     bool m_toldWithoutReach = false; ///< the last digests named daemons without reach
     std::map<MemberId, HubRecord> m_otherHubs;
