Doubt a daemon's evidence by service, so that a dead service blinds nobody

Cause: each daemon that reaches no target of one service counted as cut off from all; the schedulers dropped what all daemons said of all services, and no daemon helped another. Change: reach, doubt and help are by service; only a daemon that reaches nothing is cut off. Services out of reach travel as a new message at the end. A request whose targets can't be connected to before its time ends is refused at once, with reason targets-unreachable.

--- a/include/plumsill/helpers.h
+++ b/include/plumsill/helpers.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 /// Choice of the daemon that passes requests on for a daemon that can't reach the targets itself.
@@ -21,6 +22,7 @@
 struct HelperCandidate {
     Helper helper;
     unsigned rank = 0; ///< candidates of a lower rank are chosen first
+    std::set<std::uint32_t> outOfReach {}; ///< services that it does not reach itself, by shortHash() of their names
 
     auto operator<=>(const HelperCandidate &) const = default;
 };
@@ -31,9 +33,9 @@
 {
 public:
     void setCandidates(std::vector<HelperCandidate> candidates);
-    /// Helper for the requests of @p asker; none where nobody can help. An asker gets the same one as long as it can help, so
+    /// Helper for the requests of @p asker to @p service; none where nobody can help. An asker gets the same one as long as it can help, so
     /// that its open connections are used again.
-    std::optional<Helper> choose(const InstanceName &asker, TimePoint now) const;
+    std::optional<Helper> choose(const InstanceName &asker, const ServiceName &service, TimePoint now) const;
     void recordStart(const InstanceName &helper) { ++m_running[helper]; }
     void recordEnd(const InstanceName &helper);
     /// Records that the daemon refused to help or could not be reached.
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -136,6 +137,8 @@
     /// Records whether the daemon reaches the targets. While it doesn't, the ends of its attempts are no evidence about them; what
     /// it gave shortly before is taken back.
     void recordReach(const InstanceName &daemon, bool reaches, TimePoint now);
+    /// Records the services whose targets the daemon does not reach, which may be down. What it says of other services counts.
+    void recordServicesOutOfReach(const InstanceName &daemon, std::set<ServiceName> services, TimePoint now);
     /// Removes a queued request whose caller cancelled it.
     void cancelPlacement(const PlacementKey &key);
     /// Compares the attempts counted here with those that the member reports as running. Attempts that are only in the report
@@ -205,8 +208,9 @@
     /// What is known of the paths of one daemon.
     struct SenderState {
         bool reaches = true; ///< false: the daemon itself says that it is cut off
+        std::set<ServiceName> outOfReach; ///< services that it says it does not reach
         std::vector<GivenEvidence> given;
-        std::map<TargetName, TimePoint> failedConnects; ///< by target, since the daemon's last good answer
+        std::map<ServiceName, std::map<TargetName, TimePoint>> failedConnects; ///< by target, since the daemon's last good answer of the service
     };
 
     struct ServiceState {
@@ -252,16 +256,22 @@
     void updateOverdue(TimePoint now);
     void updateBaselineFailureShare(TimePoint now);
     void endAttempt(const Attempt &attempt);
-    /// Whether failures of the daemon's attempts say more about the daemon than about the targets.
-    bool doubted(const InstanceName &daemon) const;
+    /// Whether failures of the daemon's attempts say more about the daemon than about the targets of the service.
+    bool doubted(const InstanceName &daemon, const ServiceName &service) const;
     void recordEvidence(const InstanceName &daemon, const TargetStatePtr &target, double oddsRatio, TimePoint now);
-    void retractEvidence(SenderState &sender, TimePoint now);
+    /// Takes back what the daemon gave shortly before about the targets of one service, or of all where @p service is null.
+    static void retractEvidence(SenderState &sender, const ServiceName *service, TimePoint now);
     void recordUnreachable(const InstanceName &daemon, const TargetStatePtr &target, TimePoint now);
     static InstanceName senderOf(const PlacementKey &key, const Attempt &attempt);
     std::optional<Placement> admit(const PlacementRequest &request, TimePoint now);
     Placement enqueue(ServiceState &service, const PlacementRequest &request, TimePoint now);
-    /// Time until a target of the service takes a request of the daemon; zero where one takes it now, or where there is none.
-    static Duration restOfAll(const ServiceState &service, const InstanceName &daemon, TimePoint now);
+    /// Time until a target of the service takes a request of the daemon, and what keeps all of them from it until then; zero
+    /// where one takes it now, or where there is none.
+    struct Closure {
+        Duration left {};
+        CapacityReason reason = CapacityReason::TooLate;
+    };
+    static Closure closureOfAll(const ServiceState &service, const InstanceName &daemon, TimePoint now);
     Duration expectedCapacityDelay(const ServiceState &service, Duration wait) const;
     void returnToken(const PlacementRequest &request);
     void serveService(ServiceState &service, std::vector<DelayedPlacement> &decided, TimePoint now);
--- a/include/plumsill/zone_messages.h
+++ b/include/plumsill/zone_messages.h
@@ -84,6 +84,7 @@
     QueueFull, ///< too many requests wait
     TooLate, ///< a target that is free in time is not expected, or the wait for one took too long
     Quarantined, ///< copies of the request crashed targets
+    Unreachable, ///< no connection can be opened to any target
 };
 
 const char *toString(CapacityReason reason);
@@ -348,6 +349,34 @@
     }
 };
 
+/// Daemons that do not reach the targets of one service, which may be down.
+struct ServiceOutOfReach {
+    std::uint32_t service = 0; ///< shortHash() of the service name
+    std::vector<std::uint32_t> daemons; ///< shortHash() of their names
+
+    auto operator<=>(const ServiceOutOfReach &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(service, daemons);
+    }
+};
+
+/// Services that the sender, or a member of the sending hub, does not reach. Sent with heartbeats and digests while there are any, and
+/// once after.
+struct ServicesOutOfReach {
+    static constexpr std::size_t MaxDaemons = 180; ///< number of entries of all services that fit into a datagram
+
+    std::vector<ServiceOutOfReach> services;
+
+    auto operator<=>(const ServicesOutOfReach &) const = default;
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(services);
+    }
+};
+
 /// Asks a daemon for a tunnel to a target. Sent over TCP; after the reply the connection carries the bytes of the target's.
 struct TunnelRequest {
     TargetName target;
--- a/src/capacity_reason.cpp
+++ b/src/capacity_reason.cpp
@@ -17,6 +17,8 @@
         return "too-late";
     case CapacityReason::Quarantined:
         return "quarantined";
+    case CapacityReason::Unreachable:
+        return "targets-unreachable";
     }
     return "";
 }
--- a/src/helpers.cpp
+++ b/src/helpers.cpp
@@ -17,7 +17,7 @@
     m_candidates = std::move(candidates);
 }
 
-std::optional<Helper> HelperPool::choose(const InstanceName &asker, TimePoint now) const
+std::optional<Helper> HelperPool::choose(const InstanceName &asker, const ServiceName &service, TimePoint now) const
 {
     const HelperCandidate *best = nullptr;
     std::tuple<unsigned, std::uint32_t> lowest;
@@ -25,7 +25,7 @@
         const auto &name = candidate.helper.name;
         const auto unavailable = m_unavailableUntil.find(name);
         const auto running = m_running.find(name);
-        if (name == asker || (unavailable != m_unavailableUntil.end() && unavailable->second > now)
+        if (name == asker || candidate.outOfReach.contains(shortHash(service.value)) || (unavailable != m_unavailableUntil.end() && unavailable->second > now)
             || (running != m_running.end() && running->second >= config::MaxRelayedRequests)) {
             continue;
         }
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -79,6 +79,8 @@
         received(envelope, *limits);
     } else if (const auto *daemons = std::get_if<DaemonsWithoutReach>(&envelope.message)) {
         received(envelope, *daemons);
+    } else if (const auto *services = std::get_if<ServicesOutOfReach>(&envelope.message)) {
+        received(envelope, *services);
     } else if (const auto *notice = std::get_if<TunnelNotice>(&envelope.message)) {
         received(envelope, *notice);
     } else if (const auto *helperNotice = std::get_if<HelperNotice>(&envelope.message)) {
@@ -181,8 +183,12 @@
         heartbeat.running.back().ageMilliseconds = wholeMilliseconds(now - running.startedAt);
     }
     heartbeat.taken = nextTokenReports();
-    heartbeat.reaches = reachesAll();
+    heartbeat.reaches = reachesAny();
     send(to.peer, std::move(heartbeat));
+    if (!m_cutOff.empty() || m_toldOutOfReach) {
+        m_toldOutOfReach = !m_cutOff.empty();
+        send(to.peer, servicesOutOfReach(false, now));
+    }
     // A hub knows the limits from the reports of its members; only one that has just taken over has to be told.
     if (now - m_hubChosenAt < config::MemberHeartbeatInterval * config::TokenReportRepeats || now >= m_nextLimitReportAt) {
         m_nextLimitReportAt = now + config::LimitReportInterval;
--- a/src/net_zone_reach.cpp
+++ b/src/net_zone_reach.cpp
@@ -23,9 +23,13 @@
 constexpr auto AskerLifetime = std::chrono::seconds(60);
 }
 
-bool ZoneControl::reachesAll() const
+bool ZoneControl::reachesAny() const
 {
-    return std::none_of(m_reach.begin(), m_reach.end(), [](const auto &entry) { return entry.second.cutOff(); });
+    if (m_cutOff.empty()) {
+        return true;
+    }
+    const auto targets = m_list.targets();
+    return std::any_of(targets.begin(), targets.end(), [this](const Target &target) { return !target.leaving && !m_cutOff.contains(target.service); });
 }
 
 bool ZoneControl::needsHelper(const ServiceName &service) const
@@ -120,7 +124,8 @@
         }
     }
     m_cutOff = std::move(services);
-    m_scheduler.recordReach(m_self.id.name, m_cutOff.empty(), now);
+    m_scheduler.recordReach(m_self.id.name, reachesAny(), now);
+    m_scheduler.recordServicesOutOfReach(m_self.id.name, m_cutOff, now);
     if (const auto currentHub = hub(now); currentHub && !isSelf(*currentHub)) {
         sendHeartbeat(*currentHub, now);
     }
@@ -168,12 +173,24 @@
     std::set<std::uint32_t> withoutReach;
     forEachLiveHub(now,
                    [&withoutReach](const MemberId & /*id*/, const HubRecord &hub) { withoutReach.insert(hub.withoutReach.begin(), hub.withoutReach.end()); });
+    std::map<std::uint32_t, std::set<std::uint32_t>> outOfReach; // by daemon
+    const auto addReport = [&outOfReach](const ServicesOutOfReach &reported) {
+        for (const auto &service : reported.services) {
+            for (const auto daemon : service.daemons) {
+                outOfReach[daemon].insert(service.service);
+            }
+        }
+    };
+    addReport(servicesOutOfReach(false, now));
+    for (const auto &[name, report] : m_reachReports) {
+        addReport(report.services);
+    }
     std::vector<HelperCandidate> candidates;
     for (const auto &daemon : m_hubs.registered()) {
         const Helper helper {daemon.id.name, daemon.peer};
         if (isSelf(daemon)) {
-            if (reachesAll() && !m_leaving) {
-                candidates.push_back({helper, HubRank});
+            if (reachesAny() && !m_leaving) {
+                candidates.push_back({helper, HubRank, outOfReach[shortHash(daemon.id.name.value)]});
             }
             continue;
         }
@@ -183,7 +200,7 @@
         if ((known && (silent || !member->second.reaches)) || withoutReach.contains(shortHash(daemon.id.name.value))) {
             continue;
         }
-        candidates.push_back({helper, daemon.zone == m_settings.zone ? MemberRank : OtherZoneRank});
+        candidates.push_back({helper, daemon.zone == m_settings.zone ? MemberRank : OtherZoneRank, outOfReach[shortHash(daemon.id.name.value)]});
     }
     return candidates;
 }
@@ -191,7 +208,6 @@
 Placement ZoneControl::submit(const PlacementRequest &request, TimePoint now)
 {
     if (request.relayed) {
-        m_scheduler.recordReach(request.key.member.name, false, now);
         m_scheduler.helpers().setCandidates(helperCandidates(now));
     }
     return m_scheduler.submit(request, now);
@@ -206,7 +222,9 @@
 {
     TunnelStatus status = TunnelStatus::Unavailable;
     std::optional<tcp::socket> socket;
-    if (!m_leaving && reachesAll() && m_peers.tunnels() <= config::MaxTunnels) {
+    const Target *listed = m_list.find(request.target);
+    const bool inReach = listed == nullptr ? reachesAny() : !needsHelper(listed->service);
+    if (!m_leaving && inReach && m_peers.tunnels() <= config::MaxTunnels) {
         const bool rests = m_scheduler.restLeft(request.target, m_self.id.name, RuntimeClock::now()) > Duration::zero();
         const bool usable = !rests && !isKnownUnusable({request.target, request.endpoint, {}, {}});
         if (usable) {
@@ -264,7 +282,7 @@
 void ZoneControl::sendDaemonsWithoutReach(TimePoint now)
 {
     DaemonsWithoutReach message {m_settings.zone, {}};
-    if (!reachesAll()) {
+    if (!reachesAny()) {
         message.daemons.push_back(shortHash(m_self.id.name.value));
     }
     for (const auto &[id, member] : m_members) {
@@ -272,10 +290,62 @@
             message.daemons.push_back(shortHash(id.name.value));
         }
     }
-    const bool any = !message.daemons.empty();
+    const ServicesOutOfReach services = servicesOutOfReach(true, now);
+    const bool any = !message.daemons.empty() || !services.services.empty();
     if (any || m_toldWithoutReach) {
-        forEachLiveHub(now, [this, &message](const MemberId & /*id*/, const HubRecord &hub) { send(hub.peer, message); });
+        forEachLiveHub(now, [this, &message, &services](const MemberId & /*id*/, const HubRecord &hub) {
+            send(hub.peer, message);
+            send(hub.peer, services);
+        });
     }
     m_toldWithoutReach = any;
 }
+
+ServicesOutOfReach ZoneControl::servicesOutOfReach(bool asHub, TimePoint now) const
+{
+    std::map<std::uint32_t, std::set<std::uint32_t>> daemons; // by service
+    for (const auto &service : m_cutOff) {
+        daemons[shortHash(service.value)].insert(shortHash(m_self.id.name.value));
+    }
+    for (const auto &[id, member] : m_members) {
+        const auto report = m_reachReports.find(id.name);
+        if (!asHub || report == m_reachReports.end() || now - member.lastReceivedAt >= config::MemberLifetime) {
+            continue;
+        }
+        for (const auto &service : report->second.services.services) {
+            daemons[service.service].insert(shortHash(id.name.value));
+        }
+    }
+    ServicesOutOfReach message;
+    std::size_t left = ServicesOutOfReach::MaxDaemons;
+    for (const auto &[service, names] : daemons) {
+        const std::size_t count = std::min(names.size(), left);
+        if (count > 0) {
+            message.services.push_back({service, {names.begin(), std::next(names.begin(), static_cast<std::ptrdiff_t>(count))}});
+        }
+        left -= count;
+    }
+    return message;
+}
+
+// A hub reports for its members, and a member for itself alone.
+void ZoneControl::received(const Envelope &envelope, const ServicesOutOfReach &services)
+{
+    const TimePoint now = RuntimeClock::now();
+    const std::uint32_t sender = shortHash(envelope.sender.name.value);
+    std::set<ServiceName> missed;
+    for (const auto &target : m_list.targets()) {
+        const auto hash = shortHash(target.service.value);
+        const bool reported = std::any_of(services.services.begin(), services.services.end(), [&](const ServiceOutOfReach &entry) {
+            return entry.service == hash && std::find(entry.daemons.begin(), entry.daemons.end(), sender) != entry.daemons.end();
+        });
+        if (reported) {
+            missed.insert(target.service);
+        }
+    }
+    m_scheduler.recordServicesOutOfReach(envelope.sender.name, std::move(missed), now);
+    m_reachReports[envelope.sender.name] = {services, now};
+    std::erase_if(m_reachReports,
+                  [now](const auto &entry) { return now - entry.second.at > config::HubDigestLifetime || entry.second.services.services.empty(); });
+}
 }
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -180,7 +180,7 @@
 {
     updateOverdue(now);
     // The path that counts is that of the daemon which opens the connection.
-    const auto helper = request.relayed ? m_helpers.choose(request.key.member.name, now) : std::nullopt;
+    const auto helper = request.relayed ? m_helpers.choose(request.key.member.name, request.service, now) : std::nullopt;
     const InstanceName &sender = helper ? helper->name : request.key.member.name;
     TargetStatePtr best;
     double lowestCost = std::numeric_limits<double>::infinity();
@@ -234,7 +234,7 @@
         target->waitingOddsRatio = 1;
     }
     for (auto &[key, attempt] : m_running) {
-        if (attempt.overdue || now < attempt.target->coldUntil || doubted(senderOf(key, attempt))) {
+        if (attempt.overdue || now < attempt.target->coldUntil || doubted(senderOf(key, attempt), attempt.service)) {
             continue;
         }
         auto &state = service(attempt.service);
@@ -328,15 +328,23 @@
     return std::max<Duration>(wait, longest / 2);
 }
 
-Duration Scheduler::restOfAll(const ServiceState &service, const InstanceName &daemon, TimePoint now)
+Scheduler::Closure Scheduler::closureOfAll(const ServiceState &service, const InstanceName &daemon, TimePoint now)
 {
     TimePoint earliest = TimePoint::max();
+    CapacityReason reason = CapacityReason::TooLate;
     for (const auto &state : service.targets) {
-        if (inUse(*state)) {
-            earliest = std::min(earliest, std::max(now, restsUntil(*state, daemon)));
+        if (!inUse(*state)) {
+            continue;
+        }
+        const TimePoint rest = std::max(now, restsUntil(*state, daemon));
+        const auto unreachable = state->unreachableFrom.find(daemon);
+        const TimePoint reached = unreachable == state->unreachableFrom.end() ? now : std::max(now, unreachable->second);
+        if (std::max(rest, reached) < earliest) {
+            earliest = std::max(rest, reached);
+            reason = earliest == now ? CapacityReason::TooLate : reached > rest ? CapacityReason::Unreachable : CapacityReason::Resting;
         }
     }
-    return earliest == TimePoint::max() ? Duration::zero() : std::max<Duration>(earliest - now, Duration::zero());
+    return earliest == TimePoint::max() ? Closure {} : Closure {std::max<Duration>(earliest - now, Duration::zero()), reason};
 }
 
 Placement Scheduler::enqueue(ServiceState &service, const PlacementRequest &request, TimePoint now)
@@ -344,10 +352,11 @@
     const bool anyTarget = std::any_of(service.targets.begin(), service.targets.end(), [](const auto &state) { return inUse(*state); });
     const Duration meanLatency = latency(service, request.route, (request.objective - now) / 3).mean();
     const TimePoint latest = (request.objective - meanLatency > now ? request.objective : request.deadline) - meanLatency;
-    const Duration rest = restOfAll(service, request.key.member.name, now);
-    if (!anyTarget || latest <= now + rest) {
+    const auto helper = request.relayed ? m_helpers.choose(request.key.member.name, request.service, now) : std::nullopt;
+    const Closure closure = closureOfAll(service, helper ? helper->name : request.key.member.name, now);
+    if (!anyTarget || latest <= now + closure.left) {
         returnToken(request);
-        return NoCapacity {expectedCapacityDelay(service, rest), rest > Duration::zero() ? CapacityReason::Resting : CapacityReason::TooLate};
+        return NoCapacity {expectedCapacityDelay(service, closure.left), closure.reason};
     }
     auto &queue = service.queues.try_emplace(request.priority, config::MaxQueuedRequests).first->second;
     const std::uint64_t id = m_nextQueueId++;
@@ -424,18 +433,18 @@
         target.failureEstimate.recordGoodAnswer(now);
         target.unreachableFrom.erase(sender);
         target.lastAnswerAt[key.member.name] = now;
-        m_senders[sender].failedConnects.clear();
+        m_senders[sender].failedConnects.erase(attempt.service);
         if (now >= target.coldUntil) {
             latency(state, attempt.route, taken).add(taken);
         }
         break;
     case AttemptEnd::Failed:
-        if (!doubted(sender)) {
+        if (!doubted(sender, attempt.service)) {
             recordEvidence(sender, attempt.target, target.failureEstimate.recordFailure(now), now);
         }
         break;
     case AttemptEnd::TimedOut:
-        if (!attempt.overdue && !doubted(sender)) {
+        if (!attempt.overdue && !doubted(sender, attempt.service)) {
             recordEvidence(sender, attempt.target, target.failureEstimate.recordOverdue(config::OverdueShare, now), now);
         }
         break;
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -119,6 +119,12 @@
         TimePoint since;
     };
 
+    /// What another daemon said last of services out of reach.
+    struct ReachReport {
+        ServicesOutOfReach services;
+        TimePoint at;
+    };
+
     /// A daemon that has asked this one for tunnels.
     struct Asker {
         Endpoint peer;
@@ -214,7 +220,8 @@
     boost::asio::awaitable<void> probe(ServiceName service, Target target);
     boost::asio::awaitable<std::optional<boost::asio::ip::tcp::socket>> connectTo(Endpoint endpoint, boost::system::error_code &error);
     std::vector<Target> probeTargets(const ServiceName &service, const Reach &reach, std::size_t count);
-    bool reachesAll() const;
+    /// Whether targets of some service are in reach. A daemon that misses single services may find them down.
+    bool reachesAny() const;
     bool needsHelper(const ServiceName &service) const;
     std::vector<HelperCandidate> helperCandidates(TimePoint now) const;
     TunnelTicketPtr tunnelTicket(const Placed &placed) const;
@@ -223,7 +230,10 @@
     void received(const Envelope &envelope, const HelperNotice &notice);
     /// Passes on what a target has said to this daemon.
     void tellAskers(const HelperNotice &notice, TimePoint now);
+    void received(const Envelope &envelope, const ServicesOutOfReach &services);
     void sendDaemonsWithoutReach(TimePoint now);
+    /// Services out of reach of this daemon, and of its members where @p asHub is set.
+    ServicesOutOfReach servicesOutOfReach(bool asHub, TimePoint now) const;
     /// Decides on a request at this daemon's scheduler.
     Placement submit(const PlacementRequest &request, TimePoint now);
 
@@ -320,6 +330,8 @@
     std::map<ServiceName, Reach> m_reach;
     std::map<InstanceName, Asker> m_askers;
     std::set<ServiceName> m_cutOff; ///< services whose targets this daemon does not reach, as the others were told
+    std::map<InstanceName, ReachReport> m_reachReports;
+    bool m_toldOutOfReach = false; ///< the last heartbeat named services out of reach
     bool m_toldWithoutReach = false; ///< the last digests named daemons without reach
     std::map<MemberId, HubRecord> m_otherHubs;
     std::map<InstanceName, unsigned> m_unansweredDigests;
--- a/tests/test_reach.cpp
+++ b/tests/test_reach.cpp
@@ -164,7 +164,7 @@
     }
     std::string choose(const std::string &asker, TimePoint now = t0)
     {
-        const auto helper = pool.choose({asker}, now);
+        const auto helper = pool.choose({asker}, {"lookup"}, now);
         return helper ? helper->name.value : std::string();
     }
 };
