Keep quarantined requests in the directory

Change: the daemon that grants the trials writes the quarantined requests as one object whenever they change; a scheduler reads it once after its start.

--- a/include/plumsill/quarantine.h
+++ b/include/plumsill/quarantine.h
@@ -54,6 +54,8 @@
     SuspectRequest report(const RequestDigest &digest, TimePoint now) const;
     /// The most suspicious requests, to be repeated to other daemons.
     std::vector<SuspectRequests> reports(TimePoint now) const;
+    /// The quarantined requests, as they are kept in the directory.
+    std::vector<SuspectRequest> quarantinedRequests(TimePoint now) const;
     std::size_t suspects() const { return m_suspects.size(); }
     std::size_t quarantined() const;
     /// Forgets what is too old.
--- a/src/directory_port_p.h
+++ b/src/directory_port_p.h
@@ -64,6 +64,16 @@
     {
         return visit([&](auto &directory) { return directory.getOrCreatePeerSecret(proposal); });
     }
+    /// The requests that were quarantined when they were stored last; DirectoryError::Missing if none ever were.
+    boost::asio::awaitable<DirectoryResult<std::vector<SuspectRequest>>> quarantinedRequests()
+    {
+        return visit([](auto &directory) { return directory.quarantinedRequests(); });
+    }
+    /// Replaces them.
+    boost::asio::awaitable<DirectoryResult<bool>> storeQuarantinedRequests(std::vector<SuspectRequest> requests)
+    {
+        return visit([&](auto &directory) { return directory.storeQuarantinedRequests(std::move(requests)); });
+    }
     /// Parses a document in its stored form, as another daemon sent it.
     DirectoryResult<DocumentRead> parse(std::string text) const
     {
--- a/src/net_store_directory.cpp
+++ b/src/net_store_directory.cpp
@@ -1,6 +1,7 @@
 #include "store_directory_p.h"
 
 #include "registration_p.h"
+#include "suspects_p.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -200,4 +201,43 @@
     auto existing = co_await peerSecret();
     co_return existing;
 }
+
+boost::asio::awaitable<DirectoryResult<std::vector<SuspectRequest>>> StoreDirectory::quarantinedRequests()
+{
+    const auto store = m_store;
+    ++m_calls;
+    const auto stored = co_await store->read(storekeys::Quarantine);
+    if (stored.has_error()) {
+        co_return errorOf(stored.error());
+    }
+    boost::system::error_code error;
+    const json::value requests = json::parse(stored.value().value, error);
+    if (error) {
+        co_return DirectoryError::Malformed;
+    }
+    co_return suspectRequests(requests, unixNow());
+}
+
+boost::asio::awaitable<DirectoryResult<bool>> StoreDirectory::storeQuarantinedRequests(std::vector<SuspectRequest> requests)
+{
+    const auto store = m_store;
+    const std::string value = json::serialize(toJson(requests, unixNow()));
+    m_calls += 2;
+    const auto stored = co_await store->read(storekeys::Quarantine);
+    if (stored.has_error() && stored.error().fault != StoreFault::NotFound) {
+        co_return errorOf(stored.error());
+    }
+    if (stored.has_error()) {
+        const auto created = co_await store->create(storekeys::Quarantine, value);
+        if (created.has_error()) {
+            co_return errorOf(created.error());
+        }
+        co_return true;
+    }
+    const auto written = co_await store->replace(storekeys::Quarantine, value, stored.value().version);
+    if (written.has_error()) {
+        co_return errorOf(written.error());
+    }
+    co_return true;
+}
 }
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -131,10 +131,12 @@
     if (!m_registryRead) {
         co_await readRegistry();
     }
+    co_await keepQuarantine();
     while (true) {
         co_await sleepFor(config::RegistryReadInterval);
         recordRegistryEra(RuntimeClock::now());
         co_await restoreSecret();
+        co_await keepQuarantine();
         co_await rewriteEntry();
         const TimePoint now = RuntimeClock::now();
         // One hub reads the registry periodically for the entire fleet. Another daemon reads it only when the registry
--- a/src/net_zone_quarantine.cpp
+++ b/src/net_zone_quarantine.cpp
@@ -227,6 +227,43 @@
     }
 }
 
+// The directory outlasts the loss of all daemons at the same time.
+boost::asio::awaitable<void> ZoneControl::keepQuarantine()
+{
+    TimePoint now = RuntimeClock::now();
+    if (!m_quarantineRead && actsAsHub(now)) {
+        const auto stored = co_await m_directory.quarantinedRequests();
+        const bool none = !stored && stored.error() == DirectoryError::Missing;
+        recordStoreResult(stored || none, "read quarantine", stored || none ? "" : toString(stored.error()));
+        m_quarantineRead = stored || none;
+        now = RuntimeClock::now();
+        for (const auto &request : stored ? stored.assume_value() : std::vector<SuspectRequest>()) {
+            m_storedTrials[request.digest] = request.trials;
+            const std::size_t before = m_quarantine.quarantined();
+            if (m_quarantine.merge(request, now)) {
+                suspectChanged(request.digest, before, {}, now);
+            }
+        }
+    }
+    const auto granter = trialGranter(now);
+    if (!m_quarantineRead || !granter || !isSelf(*granter)) {
+        co_return;
+    }
+    std::vector<SuspectRequest> requests = m_quarantine.quarantinedRequests(now);
+    std::map<RequestDigest, std::uint32_t> trials;
+    for (const auto &request : requests) {
+        trials[request.digest] = request.trials;
+    }
+    if (trials == m_storedTrials) {
+        co_return;
+    }
+    const auto written = co_await m_directory.storeQuarantinedRequests(std::move(requests));
+    recordStoreResult("store quarantine", written);
+    if (written) {
+        m_storedTrials = std::move(trials);
+    }
+}
+
 void ZoneControl::received(const Envelope &envelope, const SuspectRequests &suspects)
 {
     const TimePoint now = RuntimeClock::now();
--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -199,6 +199,17 @@
     return messages;
 }
 
+std::vector<SuspectRequest> Quarantine::quarantinedRequests(TimePoint now) const
+{
+    std::vector<SuspectRequest> requests;
+    for (const auto &entry : bySuspicion()) {
+        if (entry->second.quarantined() && requests.size() < MaxReported) {
+            requests.push_back(report(entry->first, entry->second, now));
+        }
+    }
+    return requests;
+}
+
 std::size_t Quarantine::quarantined() const
 {
     return static_cast<std::size_t>(std::count_if(m_suspects.begin(), m_suspects.end(), [](const auto &entry) { return entry.second.quarantined(); }));
--- a/src/store_directory_p.h
+++ b/src/store_directory_p.h
@@ -3,6 +3,7 @@
 #include "directory_p.h"
 #include "store_p.h"
 
+#include <plumsill/quarantine_messages.h>
 #include <plumsill/settings.h>
 
 #include <memory>
@@ -17,6 +18,7 @@
 inline constexpr const char *Document = "zone/document"; ///< INI text; the object's version is the document's version
 inline constexpr const char *Daemons = "zone/daemons/"; ///< prefix, followed by the instance's name
 inline constexpr const char *PeerSecret = "zone/secrets/peers";
+inline constexpr const char *Quarantine = "zone/quarantine";
 }
 
 /// The directory in plumsill's own store. The store's reads must be linearizable, because a read serves as proof that
@@ -33,6 +35,8 @@
     boost::asio::awaitable<DirectoryResult<bool>> withdraw(InstanceName name);
     boost::asio::awaitable<DirectoryResult<std::string>> peerSecret();
     boost::asio::awaitable<DirectoryResult<std::string>> getOrCreatePeerSecret(std::string proposal);
+    boost::asio::awaitable<DirectoryResult<std::vector<SuspectRequest>>> quarantinedRequests();
+    boost::asio::awaitable<DirectoryResult<bool>> storeQuarantinedRequests(std::vector<SuspectRequest> requests);
     /// Parses a stored document: its version, a line feed and the INI text.
     DirectoryResult<DocumentRead> parse(std::string text) const;
     void setStoreAddress(const Endpoint &store);
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -256,6 +256,9 @@
     std::vector<Endpoint> suspectReceivers(TimePoint now) const;
     void shareSuspect(const RequestDigest &digest, const Endpoint &from, TimePoint now);
     void repeatSuspects(TimePoint now);
+    /// Reads the quarantined requests once from the directory where this daemon is a scheduler, and writes changes there where it
+    /// grants the trials.
+    boost::asio::awaitable<void> keepQuarantine();
     void received(const Envelope &envelope, const SuspectRequests &suspects);
     void received(const Envelope &envelope, const TrialRequest &request);
     void received(const Envelope &envelope, const TrialReply &reply);
@@ -326,6 +329,8 @@
     Quarantine m_quarantine;
     std::map<std::uint64_t, HeldBack> m_heldBack; ///< by the id of the request
     TimePoint m_nextSuspectReportAt;
+    bool m_quarantineRead = false;
+    std::map<RequestDigest, std::uint32_t> m_storedTrials; ///< by request that the directory holds as quarantined
     std::map<MemberId, MemberRecord> m_members;
     std::map<ServiceName, Reach> m_reach;
     std::map<InstanceName, Asker> m_askers;
--- a/tests/process_quarantine.cpp
+++ b/tests/process_quarantine.cpp
@@ -98,6 +98,32 @@
     }
 }
 
+// Guards against a quarantine that is forgotten when all daemons end at the same moment.
+TEST(QuarantineProcess, QuarantineOutlastsTheLossOfAllDaemons)
+{
+    start("20ms");
+    for (unsigned copy = 0; copy < 8 && ended() < 3; ++copy) {
+        call("d" + std::to_string(copy % 4), "/read/deadly");
+        eventually(200ms, [this] { return ended() >= 3; });
+    }
+    std::this_thread::sleep_for(ContactTime);
+    const int before = ended();
+    for (const auto &[name, daemon] : fleet.daemons) {
+        daemon.process->signal(SIGKILL);
+    }
+    for (const char *name : {"d0", "d1", "d2", "d3"}) {
+        fleet.daemons.at(name).process->wait();
+        fleet.startDaemon(name, fleet.daemons.at(name).zone);
+    }
+    CHECK(eventually(20s, [this] { return fleet.allReady(); }));
+    for (unsigned copy = 0; copy < 12; ++copy) {
+        call("d" + std::to_string(copy % 4), "/read/deadly");
+        std::this_thread::sleep_for(100ms);
+    }
+    CHECK_TEXT(ended() - before <= MaxSends, std::to_string(ended() - before).c_str());
+    CHECK(served("d0") && served("d1"));
+}
+
 // Guards against the quarantine of a request that crashes nothing, but was running at targets that were lost together.
 TEST(QuarantineProcess, RequestThatRanAtTargetsLostTogetherIsNotRefused)
 {
