--- a/include/plumsill/zone_messages.h
+++ b/include/plumsill/zone_messages.h
@@ -187,7 +187,7 @@
     bool complete = true; ///< true: `running` contains all attempts that run at the sender
     std::vector<RunningAttempt> running;
     std::vector<TokensTaken> taken; ///< tokens of teams whose requests the sender recently placed by itself, without its hub
-    bool reaches = true; ///< false: the sender does not reach the targets of some service
+    bool reaches = true; ///< false: the sender reaches no targets at all; see ServicesOutOfReach for single services
 
     auto operator<=>(const MemberHeartbeat &) const = default;
     template<class Archive>
@@ -334,7 +334,7 @@
     }
 };
 
-/// Daemons of the sender's zone that do not reach the targets of some service. Sent with the digest while there are any, and once after.
+/// Daemons of the sender's zone that reach no targets at all. Sent with the digest while there are any, and once after.
 struct DaemonsWithoutReach {
     static constexpr std::size_t MaxDaemons = 200; ///< number of entries that fit into a datagram
 
--- a/src/net_zone_placement.cpp
+++ b/src/net_zone_placement.cpp
@@ -3,6 +3,9 @@
 #include <plumsill/config.h>
 #include <plumsill/event.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 namespace plumsill
 {
 namespace
--- a/src/net_zone_quarantine.cpp
+++ b/src/net_zone_quarantine.cpp
@@ -9,7 +9,6 @@
 // Evidence of requests that crash targets, and copies of them that are held back.
 namespace plumsill
 {
-using boost::asio::ip::tcp;
 using boost::system::error_code;
 
 namespace
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -110,7 +110,7 @@
         TimePoint heartbeatAt; ///< when that heartbeat was received
         std::map<std::uint32_t, std::uint32_t> taken; ///< number of taken tokens in the last report, by hash of the team's name
         ReportedCounts limitTaken; ///< requests to limited targets, by hash of the target's name
-        bool reaches = true; ///< false: the member does not reach the targets of some service
+        bool reaches = true; ///< false: the member reaches no targets at all
     };
 
     /// A copy of a quarantined request that waits for the result of a trial.
--- a/tests/test_quarantine.cpp
+++ b/tests/test_quarantine.cpp
@@ -9,14 +9,13 @@
 namespace
 {
 constexpr RequestDigest Deadly {1, 1};
-const TimePoint Start {};
 }
 
 /// Suspect requests as several daemons see them.
 TEST_GROUP(Quarantine)
 {
     Quarantine quarantine;
-    TimePoint now = Start + 1h;
+    TimePoint now = TimePoint(1h);
 
     void crash(Quarantine & at, unsigned target)
     {
