--- a/src/net_zone_quarantine.cpp
+++ b/src/net_zone_quarantine.cpp
@@ -9,6 +9,7 @@
 // Evidence of requests that crash targets, and copies of them that are held back.
 namespace plumsill
 {
+using boost::asio::ip::tcp;
 using boost::system::error_code;
 
 namespace
@@ -146,12 +147,13 @@
         co_return false;
     }
     const auto ticket = tunnelTicket({running.attempt.target, running.endpoint, {}, running.helper});
-    auto socket = co_await connectTo(running.helper->peer, error);
-    if (!socket) {
+    auto connected = co_await connectTo(running.helper->peer, error);
+    if (!connected) {
         co_return true;
     }
+    const auto socket = std::make_shared<tcp::socket>(std::move(*connected));
     RuntimeTimer timer(m_context, RuntimeClock::now() + 2 * config::ScheduledConnectTimeout);
-    timer.async_wait([&socket](const error_code &cancelled) {
+    timer.async_wait([socket](const error_code &cancelled) {
         if (!cancelled) {
             error_code ignored;
             socket->close(ignored);
