Let reports of reach expire, and keep a restarted target's part of its limit

A target that was restarted under its name got the whole of its limit from each scheduler's default part instead of the scheduler's own. Change: reports expire after the lifetime of a digest; the part is set for each new state.

--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -149,6 +149,7 @@
             sendHeartbeat(*unresponsive, now);
         }
         updateShares(now);
+        expireReachReports(now);
         repeatSuspects(now);
     }
 }
--- a/src/net_zone_reach.cpp
+++ b/src/net_zone_reach.cpp
@@ -345,7 +345,17 @@
     }
     m_scheduler.recordServicesOutOfReach(envelope.sender.name, std::move(missed), now);
     m_reachReports[envelope.sender.name] = {services, now};
-    std::erase_if(m_reachReports,
-                  [now](const auto &entry) { return now - entry.second.at > config::HubDigestLifetime || entry.second.services.services.empty(); });
+}
+
+// The report that ends a state may be lost, and a daemon may end.
+void ZoneControl::expireReachReports(TimePoint now)
+{
+    std::erase_if(m_reachReports, [this, now](const auto &entry) {
+        const bool expired = now - entry.second.at > config::HubDigestLifetime;
+        if (expired) {
+            m_scheduler.recordServicesOutOfReach(entry.first, {}, now);
+        }
+        return expired || entry.second.services.services.empty();
+    });
 }
 }
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -65,12 +65,13 @@
     }
     for (const auto &target : targets) {
         TargetStatePtr state = knownState(target);
+        const bool listedBefore = state && m_targets.contains(target.name);
         if (!state) {
             state = std::make_shared<TargetState>();
             state->coldUntil = now + std::chrono::milliseconds(target.coldMilliseconds);
             state->restsFrom = takeEarlyRests(target.name);
         }
-        if (!m_targets.contains(target.name)) {
+        if (!listedBefore) {
             state->limit.setPart(m_limitPart, now);
             state->wrongAddress = false;
             state->unlistedUntil = {};
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -231,6 +231,7 @@
     /// Passes on what a target has said to this daemon.
     void tellAskers(const HelperNotice &notice, TimePoint now);
     void received(const Envelope &envelope, const ServicesOutOfReach &services);
+    void expireReachReports(TimePoint now);
     void sendDaemonsWithoutReach(TimePoint now);
     /// Services out of reach of this daemon, and of its members where @p asHub is set.
     ServicesOutOfReach servicesOutOfReach(bool asHub, TimePoint now) const;
--- a/tests/test_scheduler.cpp
+++ b/tests/test_scheduler.cpp
@@ -317,6 +317,27 @@
     CHECK(!zone.scheduler.recordLimit({"t1"}, {true, true, 5}, t0 + 2s));
 }
 
+// Guards against a target that is restarted under its name and gets a scheduler's whole limit where it has only a part.
+TEST(Scheduler, RestartedTargetKeepsThePartOfItsLimit)
+{
+    const auto placedWithin = [](bool restarted) {
+        Zone zone({target(1, "x", 100)});
+        zone.scheduler.setLimitPart({0.1, 1}, t0);
+        if (restarted) {
+            auto next = target(1, "x", 100);
+            next.startedAt = 2;
+            zone.scheduler.setTargets({next}, t0);
+        }
+        zone.scheduler.recordLimit({"t1"}, {true, true, 50}, t0);
+        unsigned placed = 0;
+        for (unsigned i = 0; i < 100; ++i) {
+            placed += Zone::placed(zone.scheduler.submit(zone.request(t0 + 1s), t0 + 1s)) ? 1 : 0;
+        }
+        return placed;
+    };
+    LONGS_EQUAL(placedWithin(false), placedWithin(true));
+}
+
 // Guards against a rest that a target asks for before this daemon has it on its list, as its scheduler had.
 TEST(Scheduler, RestOfATargetThatIsNotListedYetIsKept)
 {
