--- a/tests/process_upgrade.cpp
+++ b/tests/process_upgrade.cpp
@@ -150,8 +150,8 @@
         }
         std::this_thread::sleep_for(SettleTime);
         if (name == "d3") {
-            for (const auto &[reader, ignored] : ports) {
-                CHECK_TEXT(eventually(5s, [&] { return call(reader, "/added/1", RedKey, false) == 200; }), reader.c_str());
+            for (const auto &entry : ports) {
+                CHECK_TEXT(eventually(5s, [&] { return call(entry.first, "/added/1", RedKey, false) == 200; }), entry.first.c_str());
             }
         }
     }
