--- a/include/plumsill/document.h
+++ b/include/plumsill/document.h
@@ -72,6 +72,7 @@
     unsigned priority = 0; ///< 0 is the highest
     Duration objective = Duration::zero(); ///< latency objective of an answer; zero: the timeout
     bool belowOnly = false; ///< matches paths below the prefix, but not the prefix itself
+    bool large = false; ///< its answers are large, so that their bytes count as load
 
     auto operator<=>(const Route &) const = default;
 };
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -249,6 +249,8 @@
     static TimePoint restsUntil(const TargetState &state, const InstanceName &daemon);
     /// Whether the target may get requests in principle.
     static bool inUse(const TargetState &state) { return !state.target.leaving && !state.saidLeaving && !state.wrongAddress; }
+    /// Whether the daemon is still to be given other targets.
+    static bool avoided(const std::map<InstanceName, TimePoint> &until, const InstanceName &daemon, TimePoint now);
     static unsigned slotsOf(const ServiceState &service, const TargetState &state);
     bool hasCapacity(const ServiceState &service, const TargetState &state, TimePoint now) const;
     double failureProbability(const TargetState &state, TimePoint now) const;
@@ -278,6 +280,8 @@
     void placeExpired(ServiceState &service, FairQueue &queue, std::vector<DelayedPlacement> &decided, TimePoint now);
     QueuedPlacement takeQueued(std::uint64_t queueId);
     RepeatBound repeatBound() const;
+    /// Whether a further attempt of a request that was sent before is within the bound on repeats; counts it if so.
+    bool mayRepeat(const PlacementRequest &request, TimePoint now);
 
     ZoneName m_zone;
     RepeatBound m_repeats;
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -4,27 +4,11 @@
 #include <plumsill/target_list.h>
 
 #include <algorithm>
-#include <limits>
 #include <set>
 #include <utility>
 
 namespace plumsill
 {
-namespace
-{
-// Whether the daemon is still to be given other targets.
-bool avoided(const std::map<InstanceName, TimePoint> &until, const InstanceName &daemon, TimePoint now)
-{
-    const auto found = until.find(daemon);
-    return found != until.end() && found->second > now;
-}
-}
-
-RepeatBound Scheduler::repeatBound() const
-{
-    return {m_repeats.ratio * config::RepeatMargin, m_repeats.slack * config::RepeatMargin * m_fleetShare, m_repeats.window};
-}
-
 Scheduler::Scheduler(ZoneName zone, const RepeatBound &repeats)
     : m_zone(std::move(zone))
     , m_repeats(repeats)
@@ -96,20 +80,6 @@
     return found == m_teamStates.end() ? nullptr : &found->second.bucket;
 }
 
-void Scheduler::setRepeatBound(const RepeatBound &repeats)
-{
-    m_repeats = repeats;
-    setFleetShare(m_fleetShare);
-}
-
-void Scheduler::setFleetShare(double share)
-{
-    m_fleetShare = share;
-    for (auto &[name, state] : m_services) {
-        state.repeats.setBound(repeatBound());
-    }
-}
-
 void Scheduler::setRemoteLoads(const ZoneName &from, const std::vector<TargetLoad> &loads, TimePoint now)
 {
     for (const auto &load : loads) {
@@ -138,91 +108,6 @@
     return probability;
 }
 
-// Number of slots that the target announces, or that of its service if it announces none.
-unsigned Scheduler::slotsOf(const ServiceState &service, const TargetState &state)
-{
-    return std::max(state.target.slots > 0 ? state.target.slots : service.slots, 1U);
-}
-
-// Whether the target has a free slot by the count of this scheduler. A target that has just refused a request is not
-// excluded, because it may refuse at random; cost() makes it the last choice.
-bool Scheduler::hasCapacity(const ServiceState &service, const TargetState &state, TimePoint now) const
-{
-    unsigned running = state.running;
-    for (const auto &[zone, remote] : state.remote) {
-        // A report from this zone is not added: the requests of this zone's daemons are already counted from their heartbeats, even
-        // if another scheduler placed them.
-        if (zone != m_zone && now - remote.at < config::RemoteLoadLifetime) {
-            running += remote.load.running;
-        }
-    }
-    return running < slotsOf(service, state) && state.limit.available(now);
-}
-
-// Expected cost of sending a request to this target, in lost requests: the request may fail, transfer data between zones,
-// or take the last slot of a target that other requests could use.
-double Scheduler::cost(ServiceState &service, const TargetState &state, const PlacementRequest &request, TimePoint now)
-{
-    const unsigned slots = slotsOf(service, state);
-    double sum = config::FailureCost * (request.idempotent ? config::RepeatableShare : 1.0) * failureProbability(state, now);
-    sum += state.target.zone == m_zone ? 0 : config::OtherZoneCost;
-    sum += config::LoadCost * state.running + (state.running + 1 >= slots ? config::LastSlotCost : 0);
-    sum += now < state.refusedUntil ? config::RefusedCost : 0;
-    sum += now < state.coldUntil ? config::ColdCost : 0;
-    const auto answered = state.lastAnswerAt.find(request.key.member.name);
-    sum -= answered != state.lastAnswerAt.end() && now - answered->second < config::FreshConnectionAge ? config::KeptConnectionBonus : 0;
-    const bool unused = state.running == 0 && now - state.lastPlaced > config::RetrialAfter;
-    const bool retrialDue = unused && state.target.zone == m_zone
-        && failureProbability(state, now) < (request.idempotent ? config::RepeatableTrialShare : config::RetrialThreshold);
-    return sum - (retrialDue ? config::RetrialBonus : 0);
-}
-
-std::optional<Placed> Scheduler::place(ServiceState &service, const PlacementRequest &request, bool allowRisky, TimePoint now)
-{
-    updateOverdue(now);
-    // The path that counts is that of the daemon which opens the connection.
-    const auto helper = request.relayed ? m_helpers.choose(request.key.member.name, request.service, now) : std::nullopt;
-    const InstanceName &sender = helper ? helper->name : request.key.member.name;
-    TargetStatePtr best;
-    double lowestCost = std::numeric_limits<double>::infinity();
-    bool anyHealthy = false; // whether a usable target is healthy, so that waiting for one makes sense
-    for (const auto &state : service.targets) {
-        if (!inUse(*state) || std::find(request.tried.begin(), request.tried.end(), state->target.name) != request.tried.end()) {
-            continue;
-        }
-        if (avoided(state->unreachableFrom, sender, now) || restsUntil(*state, sender) > now) {
-            continue;
-        }
-        const bool risky = failureProbability(*state, now) > (request.idempotent ? config::RepeatableTrialShare : config::RiskyShare);
-        anyHealthy = anyHealthy || !risky;
-        if (!hasCapacity(service, *state, now) || (risky && !allowRisky)) {
-            continue;
-        }
-        const double targetCost = cost(service, *state, request, now);
-        if (targetCost < lowestCost) {
-            lowestCost = targetCost;
-            best = state;
-        }
-    }
-    if (!best && !allowRisky && !anyHealthy) {
-        return place(service, request, true, now);
-    }
-    if (!best) {
-        return std::nullopt;
-    }
-    ++best->running;
-    ++service.running;
-    best->lastPlaced = now;
-    best->limit.take(now);
-    m_running[request.key] = {request.service, best, request.route, now, false, helper};
-    if (helper) {
-        m_helpers.recordStart(helper->name);
-    }
-    const LatencyModel &model = latency(service, request.route, (request.objective - now) / 3);
-    const Duration cold = now < best->coldUntil ? Duration(config::ColdStartSlack) : Duration::zero();
-    return Placed {best->target.name, best->target.endpoint, model.quantile(config::HedgeShare) + cold, helper};
-}
-
 // Records requests without an answer as evidence against their targets, depending on their ages. Called when a decision is
 // due, so that an idle scheduler needs no timer.
 void Scheduler::updateOverdue(TimePoint now)
@@ -273,27 +158,6 @@
     }
 }
 
-std::optional<Placement> Scheduler::admit(const PlacementRequest &request, TimePoint now)
-{
-    if (request.repeat) {
-        return service(request.service).repeats.tryRepeat(now) ? std::nullopt
-                                                               : std::optional<Placement>(NoCapacity {config::RetryAfterFailure, CapacityReason::RepeatBound});
-    }
-    if (request.admitted) {
-        return std::nullopt;
-    }
-    service(request.service).repeats.recordRequest(now);
-    const auto team = m_teamStates.find(request.team);
-    if (team == m_teamStates.end()) {
-        return std::nullopt;
-    }
-    team->second.demand.add(now);
-    if (team->second.bucket.take(now)) {
-        return std::nullopt;
-    }
-    return OverQuota {team->second.bucket.nextRetryDelay(now)};
-}
-
 // A member repeats its request if a datagram is lost, so a repeated key gets the same answer.
 Placement Scheduler::submit(const PlacementRequest &request, TimePoint now)
 {
@@ -320,91 +184,6 @@
     return enqueue(state, request, now);
 }
 
-Duration Scheduler::expectedCapacityDelay(const ServiceState &service, Duration wait) const
-{
-    Duration longest = config::MinRetryAfter;
-    for (const auto &[route, model] : service.latency) {
-        longest = std::max(longest, model.mean());
-    }
-    return std::max<Duration>(wait, longest / 2);
-}
-
-Scheduler::Closure Scheduler::closureOfAll(const ServiceState &service, const InstanceName &daemon, TimePoint now)
-{
-    TimePoint earliest = TimePoint::max();
-    CapacityReason reason = CapacityReason::TooLate;
-    for (const auto &state : service.targets) {
-        if (!inUse(*state)) {
-            continue;
-        }
-        const TimePoint rest = std::max(now, restsUntil(*state, daemon));
-        const auto unreachable = state->unreachableFrom.find(daemon);
-        const TimePoint reached = unreachable == state->unreachableFrom.end() ? now : std::max(now, unreachable->second);
-        if (std::max(rest, reached) < earliest) {
-            earliest = std::max(rest, reached);
-            reason = earliest == now ? CapacityReason::TooLate : reached > rest ? CapacityReason::Unreachable : CapacityReason::Resting;
-        }
-    }
-    return earliest == TimePoint::max() ? Closure {} : Closure {std::max<Duration>(earliest - now, Duration::zero()), reason};
-}
-
-Placement Scheduler::enqueue(ServiceState &service, const PlacementRequest &request, TimePoint now)
-{
-    const bool anyTarget = std::any_of(service.targets.begin(), service.targets.end(), [](const auto &state) { return inUse(*state); });
-    const Duration meanLatency = latency(service, request.route, (request.objective - now) / 3).mean();
-    const TimePoint latest = (request.objective - meanLatency > now ? request.objective : request.deadline) - meanLatency;
-    const auto helper = request.relayed ? m_helpers.choose(request.key.member.name, request.service, now) : std::nullopt;
-    const Closure closure = closureOfAll(service, helper ? helper->name : request.key.member.name, now);
-    if (!anyTarget || latest <= now + closure.left) {
-        returnToken(request);
-        return NoCapacity {expectedCapacityDelay(service, closure.left), closure.reason};
-    }
-    auto &queue = service.queues.try_emplace(request.priority, config::MaxQueuedRequests).first->second;
-    const std::uint64_t id = m_nextQueueId++;
-    const QueueResult queueResult = queue.push({id, request.team, latest, 1}, now);
-    if (queueResult.displaced) {
-        const QueuedPlacement dropped = takeQueued(*queueResult.displaced);
-        returnToken(dropped.request);
-        m_displaced.push_back({dropped.request.key, NoCapacity {expectedCapacityDelay(service, queueResult.retryAfter), CapacityReason::QueueFull}});
-    }
-    if (!queueResult.accepted) {
-        returnToken(request);
-        return NoCapacity {expectedCapacityDelay(service, queueResult.retryAfter), CapacityReason::QueueFull};
-    }
-    m_waiting.emplace(request.key, QueuedPlacement {request, id});
-    m_keyByQueueId.emplace(id, request.key);
-    return Queued {};
-}
-
-void Scheduler::returnToken(const PlacementRequest &request)
-{
-    TeamBucket *tokens = bucket(request.team);
-    if (!request.repeat && tokens != nullptr) {
-        tokens->returnTokens();
-    }
-}
-
-Scheduler::QueuedPlacement Scheduler::takeQueued(std::uint64_t queueId)
-{
-    const auto key = m_keyByQueueId.extract(queueId);
-    auto entry = m_waiting.extract(key.mapped());
-    return std::move(entry.mapped());
-}
-
-void Scheduler::cancelPlacement(const PlacementKey &key)
-{
-    const auto found = m_waiting.find(key);
-    if (found == m_waiting.end()) {
-        return;
-    }
-    for (auto &[priority, queue] : service(found->second.request.service).queues) {
-        queue.remove(found->second.queueId);
-    }
-    m_keyByQueueId.erase(found->second.queueId);
-    returnToken(found->second.request);
-    m_waiting.erase(found);
-}
-
 void Scheduler::endAttempt(const Attempt &attempt)
 {
     attempt.target->running -= attempt.target->running > 0 ? 1 : 0;
@@ -510,57 +289,6 @@
     m_running.erase(begin, entry);
 }
 
-// A request that can wait no longer is placed even at a target that seems to fail. It is refused only if no usable target
-// has a free slot.
-void Scheduler::placeExpired(ServiceState &service, FairQueue &queue, std::vector<DelayedPlacement> &decided, TimePoint now)
-{
-    for (const auto id : queue.expire(now)) {
-        const QueuedPlacement queued = takeQueued(id);
-        if (auto placed = place(service, queued.request, true, now)) {
-            decided.push_back({queued.request.key, *placed});
-            continue;
-        }
-        returnToken(queued.request);
-        decided.push_back({queued.request.key, NoCapacity {expectedCapacityDelay(service, Duration::zero()), CapacityReason::TooLate}});
-    }
-}
-
-void Scheduler::serveService(ServiceState &service, std::vector<DelayedPlacement> &decided, TimePoint now)
-{
-    for (auto &[priority, queue] : service.queues) {
-        placeExpired(service, queue, decided, now);
-        while (!queue.empty()) {
-            const bool anyCapacity = std::any_of(service.targets.begin(), service.targets.end(), [&](const auto &state) {
-                return inUse(*state) && state->unlistedUntil <= now && hasCapacity(service, *state, now)
-                    && failureProbability(*state, now) <= config::RiskyShare;
-            });
-            const auto next = anyCapacity ? queue.pop(now) : std::nullopt;
-            if (!next) {
-                break;
-            }
-            const QueuedPlacement queued = takeQueued(next->id);
-            if (auto placed = place(service, queued.request, false, now)) {
-                decided.push_back({queued.request.key, *placed});
-            } else {
-                // Each healthy target with a free slot was already tried by this request, or its daemon could not connect to it.
-                returnToken(queued.request);
-                decided.push_back({queued.request.key, NoCapacity {expectedCapacityDelay(service, Duration::zero())}});
-            }
-        }
-    }
-}
-
-std::vector<DelayedPlacement> Scheduler::serve(TimePoint now)
-{
-    std::vector<DelayedPlacement> decided = std::exchange(m_displaced, {});
-    if (!m_waiting.empty()) {
-        for (auto &[name, state] : m_services) {
-            serveService(state, decided, now);
-        }
-    }
-    return decided;
-}
-
 double Scheduler::demand(const TeamName &team, TimePoint now) const
 {
     const auto found = m_teamStates.find(team);
--- /dev/null
+++ b/src/scheduler_queue.cpp
@@ -0,0 +1,137 @@
+#include <plumsill/config.h>
+#include <plumsill/scheduler.h>
+
+#include <algorithm>
+#include <utility>
+
+// Requests that wait for a target, and the refusal of those that cannot be served in time.
+namespace plumsill
+{
+Duration Scheduler::expectedCapacityDelay(const ServiceState &service, Duration wait) const
+{
+    Duration longest = config::MinRetryAfter;
+    for (const auto &[route, model] : service.latency) {
+        longest = std::max(longest, model.mean());
+    }
+    return std::max<Duration>(wait, longest / 2);
+}
+
+Scheduler::Closure Scheduler::closureOfAll(const ServiceState &service, const InstanceName &daemon, TimePoint now)
+{
+    TimePoint earliest = TimePoint::max();
+    CapacityReason reason = CapacityReason::TooLate;
+    for (const auto &state : service.targets) {
+        if (!inUse(*state)) {
+            continue;
+        }
+        const TimePoint rest = std::max(now, restsUntil(*state, daemon));
+        const auto unreachable = state->unreachableFrom.find(daemon);
+        const TimePoint reached = unreachable == state->unreachableFrom.end() ? now : std::max(now, unreachable->second);
+        if (std::max(rest, reached) < earliest) {
+            earliest = std::max(rest, reached);
+            reason = earliest == now ? CapacityReason::TooLate : reached > rest ? CapacityReason::Unreachable : CapacityReason::Resting;
+        }
+    }
+    return earliest == TimePoint::max() ? Closure {} : Closure {std::max<Duration>(earliest - now, Duration::zero()), reason};
+}
+
+Placement Scheduler::enqueue(ServiceState &service, const PlacementRequest &request, TimePoint now)
+{
+    const bool anyTarget = std::any_of(service.targets.begin(), service.targets.end(), [](const auto &state) { return inUse(*state); });
+    const Duration meanLatency = latency(service, request.route, (request.objective - now) / 3).mean();
+    const TimePoint latest = (request.objective - meanLatency > now ? request.objective : request.deadline) - meanLatency;
+    const auto helper = request.relayed ? m_helpers.choose(request.key.member.name, request.service, now) : std::nullopt;
+    const Closure closure = closureOfAll(service, helper ? helper->name : request.key.member.name, now);
+    if (!anyTarget || latest <= now + closure.left) {
+        returnToken(request);
+        return NoCapacity {expectedCapacityDelay(service, closure.left), closure.reason};
+    }
+    auto &queue = service.queues.try_emplace(request.priority, config::MaxQueuedRequests).first->second;
+    const std::uint64_t id = m_nextQueueId++;
+    const QueueResult queueResult = queue.push({id, request.team, latest, 1}, now);
+    if (queueResult.displaced) {
+        const QueuedPlacement dropped = takeQueued(*queueResult.displaced);
+        returnToken(dropped.request);
+        m_displaced.push_back({dropped.request.key, NoCapacity {expectedCapacityDelay(service, queueResult.retryAfter), CapacityReason::QueueFull}});
+    }
+    if (!queueResult.accepted) {
+        returnToken(request);
+        return NoCapacity {expectedCapacityDelay(service, queueResult.retryAfter), CapacityReason::QueueFull};
+    }
+    m_waiting.emplace(request.key, QueuedPlacement {request, id});
+    m_keyByQueueId.emplace(id, request.key);
+    return Queued {};
+}
+
+Scheduler::QueuedPlacement Scheduler::takeQueued(std::uint64_t queueId)
+{
+    const auto key = m_keyByQueueId.extract(queueId);
+    auto entry = m_waiting.extract(key.mapped());
+    return std::move(entry.mapped());
+}
+
+void Scheduler::cancelPlacement(const PlacementKey &key)
+{
+    const auto found = m_waiting.find(key);
+    if (found == m_waiting.end()) {
+        return;
+    }
+    for (auto &[priority, queue] : service(found->second.request.service).queues) {
+        queue.remove(found->second.queueId);
+    }
+    m_keyByQueueId.erase(found->second.queueId);
+    returnToken(found->second.request);
+    m_waiting.erase(found);
+}
+
+// A request that can wait no longer is placed even at a target that seems to fail. It is refused only if no usable target
+// has a free slot.
+void Scheduler::placeExpired(ServiceState &service, FairQueue &queue, std::vector<DelayedPlacement> &decided, TimePoint now)
+{
+    for (const auto id : queue.expire(now)) {
+        const QueuedPlacement queued = takeQueued(id);
+        if (auto placed = place(service, queued.request, true, now)) {
+            decided.push_back({queued.request.key, *placed});
+            continue;
+        }
+        returnToken(queued.request);
+        decided.push_back({queued.request.key, NoCapacity {expectedCapacityDelay(service, Duration::zero()), CapacityReason::TooLate}});
+    }
+}
+
+void Scheduler::serveService(ServiceState &service, std::vector<DelayedPlacement> &decided, TimePoint now)
+{
+    for (auto &[priority, queue] : service.queues) {
+        placeExpired(service, queue, decided, now);
+        while (!queue.empty()) {
+            const bool anyCapacity = std::any_of(service.targets.begin(), service.targets.end(), [&](const auto &state) {
+                return inUse(*state) && state->unlistedUntil <= now && hasCapacity(service, *state, now)
+                    && failureProbability(*state, now) <= config::RiskyShare;
+            });
+            const auto next = anyCapacity ? queue.pop(now) : std::nullopt;
+            if (!next) {
+                break;
+            }
+            const QueuedPlacement queued = takeQueued(next->id);
+            if (auto placed = place(service, queued.request, false, now)) {
+                decided.push_back({queued.request.key, *placed});
+            } else {
+                // Each healthy target with a free slot was already tried by this request, or its daemon could not connect to it.
+                returnToken(queued.request);
+                decided.push_back({queued.request.key, NoCapacity {expectedCapacityDelay(service, Duration::zero())}});
+            }
+        }
+    }
+}
+
+std::vector<DelayedPlacement> Scheduler::serve(TimePoint now)
+{
+    std::vector<DelayedPlacement> decided = std::exchange(m_displaced, {});
+    if (!m_waiting.empty()) {
+        for (auto &[name, state] : m_services) {
+            serveService(state, decided, now);
+        }
+    }
+    return decided;
+}
+}
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -153,3 +153,17 @@
     CHECK(platform::decodeDaemon(boost::json::parse(boost::json::serialize(object))) == daemon);
     CHECK(!platform::decodeDaemon(boost::json::parse(R"({"metadata": {"name": "x"}, "spec": {"zone": "z"}})")));
 }
+
+// Guards against downloads that targets go on with after their callers have left: only repeatable work is broken off.
+TEST(Platform, RoutesOfDownloadsAreRepeatableAndHaveLargeAnswers)
+{
+    const auto decoded = platform::decodeDocument(boost::json::parse(R"({"version": "1", "resources": [
+        {"resource-kind": "routes", "metadata": {"name": "files"}, "spec": {"path-prefix": "/files/", "kind": "download", "service": "s1"}},
+        {"resource-kind": "routes", "metadata": {"name": "reads"}, "spec": {"path-prefix": "/reads/", "kind": "idempotent", "service": "s1"}},
+        {"resource-kind": "routes", "metadata": {"name": "orders"}, "spec": {"path-prefix": "/orders/", "kind": "non_idempotent", "service": "s1"}}]})"));
+    CHECK(decoded.has_value());
+    const auto &routes = decoded->document.routes;
+    CHECK(routes[0].idempotent && routes[0].large);
+    CHECK(routes[1].idempotent && !routes[1].large);
+    CHECK(!routes[2].idempotent && !routes[2].large);
+}
