Soak: large answers, slow readers, bursts and services that refuse half of their requests

Routes get priorities, daemons get limits of link and memory. What callers send moves into soak_load.h, the options into soak_options.h.

--- a/tests/platform_document.h
+++ b/tests/platform_document.h
@@ -22,6 +22,8 @@
     unsigned attempts = 2;
     unsigned timeoutMilliseconds = 3000;
     unsigned objectiveMilliseconds = 1000;
+    unsigned priority = 0; ///< 0 is the highest
+    bool large = false; ///< its answers are large
 };
 
 struct PlatformTeam {
@@ -54,12 +56,15 @@
                                              {{"host", FleetHost},
                                               {"path-prefix", route.prefix},
                                               {"service", route.service},
-                                              {"kind", route.idempotent ? "idempotent" : "non_idempotent"},
+                                              {"kind",
+                                               route.large            ? "download"
+                                                   : route.idempotent ? "idempotent"
+                                                                      : "non_idempotent"},
                                               {"public", route.open},
                                               {"attempts", route.attempts},
                                               {"timeout-ms", route.timeoutMilliseconds},
                                               {"target-latency-ms", route.objectiveMilliseconds},
-                                              {"priority", 0}}));
+                                              {"priority", route.priority}}));
     }
     for (const auto &service : document.services) {
         resources.push_back(detail::resource("services", service, {{"max-connections", 200}, {"health-path", "/health"}}));
--- a/tests/zone_fleet.h
+++ b/tests/zone_fleet.h
@@ -38,6 +38,8 @@
     unsigned drainMilliseconds = 2000; ///< time for which a stopping target drains
     unsigned lingerMilliseconds = 0; ///< time for which it serves after its entry was removed
     bool partitionable = false; ///< partition() works
+    double linkMegabits = 0; ///< limit of a daemon's link that its settings name; 0: none
+    unsigned memoryMegabytes = 0; ///< limit of a daemon's memory; 0: none
 };
 
 /// Listening socket whose queue of connections is full, so that connections to it hang.
@@ -260,6 +262,13 @@
 
     void writeSettings(const std::string &name, const ZoneDaemonProcess &daemon, const Endpoint &service, bool firstStart, unsigned keyLifetime)
     {
+        boost::json::object limits {{"cpu-share", 0.2}, {"cores", 1}};
+        if (m_options.linkMegabits > 0) {
+            limits["link-mbps"] = m_options.linkMegabits;
+        }
+        if (m_options.memoryMegabytes > 0) {
+            limits["memory-mb"] = m_options.memoryMegabytes;
+        }
         const boost::json::object settings {
             {"node-name", name},
             {"zone", daemon.zone},
@@ -269,7 +278,7 @@
             {"listen", {{"front", toString(daemon.traffic())}, {"ready", toString(daemon.readiness())}}},
             {"internal-ports", {7340, 7355}},
             {"bootstrap", firstStart},
-            {"limits", {{"cpu-share", 0.2}, {"cores", 1}}},
+            {"limits", limits},
             {"bounds", {"revoke-ms=" + std::to_string(keyLifetime), "grace-s=6", "budget-ratio=0.2", "budget-slack=64", "budget-window-s=10"}},
             {"platform", {{"address", toString(service)}, {"form", "objects"}}}};
         std::ofstream(settingsFile(name)) << boost::json::serialize(settings);
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -4,6 +4,8 @@
 #include "../src/clock_p.h"
 #include "../src/http_client_p.h"
 #include "../src/standin_p.h"
+#include "soak_load.h"
+#include "soak_options.h"
 #include "soak_oracle.h"
 #include "soak_plan.h"
 #include "zone_fleet.h"
@@ -13,9 +15,6 @@
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/json/parse.hpp>
 
-#include <popt.h>
-#include <xxhash.h>
-
 #include <iostream>
 #include <random>
 
@@ -28,7 +27,6 @@
 namespace
 {
 constexpr Time CallerTimeout = 6000; ///< milliseconds; longer than the deadline that the request carries
-constexpr unsigned SentDeadline = 4000; ///< milliseconds; deadline that the request carries
 /// Milliseconds from the end of a disturbance until a daemon is in contact with its fleet and the object service again, as at the users' sites.
 constexpr Time ReconnectTime = 3000;
 constexpr Time DisturbanceMargin = 1500; ///< milliseconds added to each disturbance, because on a busy machine the end of a fault is noticed late
@@ -39,17 +37,11 @@
 constexpr auto PollInterval = std::chrono::milliseconds(200);
 constexpr auto ThinkTime = std::chrono::milliseconds(30);
 constexpr auto ControlTimeout = std::chrono::seconds(1);
-constexpr const char *Services[] = {"lookup", "payments", "records"};
-constexpr TeamQuota BlueQuota {40, 20};
-
-struct Options {
-    long seed = 1;
-    int seconds = 20;
-    int daemons = 8;
-    int targets = 12;
-    int callers = 3; ///< number of callers of each daemon
-    int keepLogs = 0;
-};
+constexpr auto BurstThinkTime = std::chrono::milliseconds(5);
+constexpr unsigned BurstCallers = 6; ///< callers that a burst adds at one daemon
+constexpr unsigned SlowReaders = 10;
+constexpr double LinkMegabits = 20;
+constexpr unsigned MemoryMegabytes = 160;
 
 class Soak
 {
@@ -57,7 +49,8 @@
     explicit Soak(const Options &options)
         : m_options(options)
         , m_random(static_cast<std::uint64_t>(options.seed))
-        , m_fleet({true, static_cast<unsigned>(options.seed), 500, 2000})
+        , m_load(static_cast<std::uint64_t>(options.seed), platform::dialect())
+        , m_fleet({true, static_cast<unsigned>(options.seed), 500, 2000, 0, false, LinkMegabits, MemoryMegabytes})
         , m_oracle({}, {{"blue", BlueQuota}})
     { }
 
@@ -77,17 +70,15 @@
     void startDaemon(const std::string &name);
     void startTarget(unsigned slot);
     void publish();
-    test::PlatformDocument document() const;
     asio::awaitable<void> runFaults();
     asio::awaitable<void> waitForRecovery();
 
     // Callers.
-    asio::awaitable<void> runCaller(std::string daemon, unsigned number);
+    asio::awaitable<void> runCaller(std::string daemon, unsigned number, Duration thinkTime, TimePoint until);
+    asio::awaitable<void> runSlowReader(std::string daemon, TimePoint until);
+    std::string runOf(const std::string &daemon) const { return daemon + "#" + std::to_string(m_daemons.at(daemon).run); }
     asio::awaitable<HttpResult> exchange(HttpClient &client, Endpoint to, HttpRequest request);
-    SentRequest nextRequest(const std::string &daemon, unsigned number);
-    HttpRequest toRequest(const SentRequest &sentRequest) const;
     void recordResult(const SentRequest &sentRequest, const HttpResult &result, bool sent);
-    bool answerMatches(const SentRequest &sentRequest, const HttpAnswer &answer) const;
 
     // Observation.
     asio::awaitable<void> pollTargetLog(std::string name, Endpoint control);
@@ -99,6 +90,8 @@
     asio::awaitable<void> apply(PlannedFault planned);
     asio::awaitable<void> applyToDaemon(PlannedFault planned);
     asio::awaitable<void> applyToTarget(PlannedFault planned);
+    asio::awaitable<void> applyToService(PlannedFault planned);
+    void applyToCallers(const PlannedFault &planned);
     asio::awaitable<void> applyToLink(PlannedFault planned);
     asio::awaitable<void> applyToStore(PlannedFault planned);
     asio::awaitable<void> applyToDocument(PlannedFault planned);
@@ -110,8 +103,8 @@
     std::string targetName(std::uint32_t subject) const;
 
     const Options m_options;
-    const Dialect m_dialect = platform::dialect();
     std::mt19937_64 m_random;
+    Load m_load;
     asio::io_context m_loop {1};
     test::ZoneFleet m_fleet;
     Oracle m_oracle;
@@ -120,43 +113,18 @@
     std::set<std::string> m_endedTargets; ///< targets that the soak stopped or killed, or whose unexpected end it has reported
     std::set<std::string> m_paused; ///< daemons and targets that are paused
     unsigned m_targetRuns = 0;
-    unsigned m_version = 0;
-    unsigned m_keyNumber = 0;
-    std::vector<std::string> m_withdrawnKeys;
-    std::uint64_t m_nextId = 0;
     bool m_ended = false;
     unsigned m_violations = 0;
     std::map<std::string, unsigned> m_outcomes;
 };
 
-test::PlatformDocument Soak::document() const
-{
-    test::PlatformDocument document;
-    document.version = m_version;
-    for (const char *service : Services) {
-        document.services.emplace_back(service);
-    }
-    document.routes = {{"read", "/read/", "lookup", true, false, 2, 3000, 1000},
-                       {"order", "/order/", "payments", false, false, 1, 3000, 1000},
-                       {"open", "/open/", "records", true, true, 2, 3000, 1000}};
-    const unsigned oldest = m_version >= Oracle::KeptVersions ? m_version - Oracle::KeptVersions + 1 : 1;
-    for (unsigned version = oldest; version <= m_version; ++version) {
-        const std::string number = std::to_string(version);
-        document.routes.push_back({"version-" + number, "/v" + number + "/", "lookup", true, true, 2, 3000, 1000});
-    }
-    document.teams = {{"red", {"red-key-0000"}, 0, 0},
-                      {"blue", {"blue-key-0000"}, BlueQuota.rate, BlueQuota.burst},
-                      {"green", {"green-key-" + std::to_string(m_keyNumber)}, 0, 0}};
-    return document;
-}
-
 void Soak::publish()
 {
-    ++m_version;
-    if (!m_fleet.publish(document())) {
+    m_load.nextVersion();
+    if (!m_fleet.publish(m_load.document())) {
         throw std::runtime_error("the object service refused a document");
     }
-    m_oracle.documentAccepted(m_version, unixMilliseconds());
+    m_oracle.documentAccepted(m_load.version(), unixMilliseconds());
 }
 
 void Soak::startDaemon(const std::string &name)
@@ -210,73 +178,6 @@
     }
 }
 
-SentRequest Soak::nextRequest(const std::string &daemon, unsigned number)
-{
-    SentRequest sentRequest;
-    sentRequest.id = std::to_string(m_options.seed) + "-" + std::to_string(++m_nextId);
-    sentRequest.daemon = daemon + "#" + std::to_string(m_daemons.at(daemon).run);
-    sentRequest.method = "GET";
-    const auto kind = m_random() % 10;
-    if (number == 0) {
-        // Caller 0 requests the route that the newest document added, or the one that the document before it added.
-        sentRequest.version = m_version - std::min<unsigned>(static_cast<unsigned>(m_random() % 2), m_version - 1);
-        sentRequest.path = "/v" + std::to_string(sentRequest.version) + "/x";
-        return sentRequest;
-    }
-    sentRequest.path = kind < 4 ? "/order/" : kind < 9 ? "/read/" : "/open/";
-    sentRequest.path += sentRequest.id;
-    if (kind < 4) {
-        sentRequest.method = "POST";
-        sentRequest.idempotent = false;
-    }
-    if (kind == 9) {
-        return sentRequest;
-    }
-    const auto team = m_random() % 8;
-    if (team < 4) {
-        sentRequest.team = "red";
-        sentRequest.key = "red-key-0000";
-    } else if (team < 6) {
-        sentRequest.team = "blue";
-        sentRequest.key = "blue-key-0000";
-    } else if (team == 6 || m_withdrawnKeys.empty()) {
-        sentRequest.team = "green";
-        sentRequest.key = "green-key-" + std::to_string(m_keyNumber);
-    } else if (m_random() % 2 == 0) {
-        sentRequest.team = "green";
-        sentRequest.key = m_withdrawnKeys[m_random() % m_withdrawnKeys.size()];
-    } else {
-        sentRequest.key = "nobodys-key-00";
-        sentRequest.mayRun = false;
-    }
-    return sentRequest;
-}
-
-HttpRequest Soak::toRequest(const SentRequest &sentRequest) const
-{
-    HttpRequest request;
-    request.method = sentRequest.method;
-    request.target = sentRequest.path;
-    request.fields = {{"Host", test::FleetHost}, {m_dialect.requestId, sentRequest.id}, {m_dialect.deadline, std::to_string(SentDeadline)}};
-    if (!sentRequest.key.empty()) {
-        request.fields.push_back({"Authorization", "Bearer " + sentRequest.key});
-    }
-    request.body = sentRequest.method == "POST" ? "order " + sentRequest.id : "";
-    return request;
-}
-
-bool Soak::answerMatches(const SentRequest &sentRequest, const HttpAnswer &answer) const
-{
-    const std::string signature = fieldValue(answer.fields, m_dialect.signature);
-    if (signature.empty()) {
-        return answer.status < 200 || answer.status > 299;
-    }
-    const std::string signedText = sentRequest.id + " " + std::to_string(answer.status) + " " + answer.body;
-    std::array<char, 20> expected {};
-    std::snprintf(expected.data(), expected.size(), "%llx", static_cast<unsigned long long>(XXH64(signedText.data(), signedText.size(), 0)));
-    return signature == expected.data();
-}
-
 void Soak::recordResult(const SentRequest &sentRequest, const HttpResult &result, bool sent)
 {
     const std::string name = sentRequest.daemon.substr(0, sentRequest.daemon.find('#'));
@@ -285,7 +186,7 @@
     callerResult.undisturbed = m_daemons.at(name).disturbedUntil < sentRequest.sentAt;
     if (result) {
         callerResult.status = result.assume_value().status;
-        callerResult.matchesRequest = answerMatches(sentRequest, result.assume_value());
+        callerResult.matchesRequest = m_load.matches(sentRequest, result.assume_value());
     } else if (!sent) {
         callerResult.ending = Ending::NotSent;
     } else {
@@ -310,15 +211,15 @@
 }
 
 // One caller of a daemon. It keeps its connection until the daemon's process has ended.
-asio::awaitable<void> Soak::runCaller(std::string daemon, unsigned number)
+asio::awaitable<void> Soak::runCaller(std::string daemon, unsigned number, Duration thinkTime, TimePoint until)
 {
     HttpClient client(m_loop);
-    while (!m_ended) {
-        co_await sleepFor(ThinkTime);
-        SentRequest sentRequest = nextRequest(daemon, number);
+    while (!m_ended && RuntimeClock::now() < until) {
+        co_await sleepFor(thinkTime);
+        SentRequest sentRequest = m_load.next(runOf(daemon), number);
         sentRequest.sentAt = unixMilliseconds();
         m_oracle.requestSent(sentRequest);
-        HttpRequest request = toRequest(sentRequest);
+        HttpRequest request = m_load.toHttp(sentRequest);
         const Endpoint to = m_fleet.daemons.at(daemon).traffic();
         const HttpResult result = co_await exchange(client, to, std::move(request));
         const bool sent = result || result.assume_error() != HttpError::Refused;
@@ -326,6 +227,21 @@
     }
 }
 
+// A caller that reads a large answer slowly and leaves before its end. The daemon may cut the connection.
+asio::awaitable<void> Soak::runSlowReader(std::string daemon, TimePoint until)
+{
+    SentRequest sentRequest = m_load.nextFile(runOf(daemon));
+    sentRequest.sentAt = unixMilliseconds();
+    m_oracle.requestSent(sentRequest);
+    const Endpoint to = m_fleet.daemons.at(daemon).traffic();
+    HttpRequest request = m_load.toHttp(sentRequest);
+    co_await readSlowly(m_loop, to, std::move(request), until);
+    CallerResult left;
+    left.ending = Ending::TimedOut;
+    left.endedAt = unixMilliseconds();
+    m_oracle.requestEnded(sentRequest.id, left);
+}
+
 asio::awaitable<void> Soak::pollTargetLog(std::string name, Endpoint control)
 {
     HttpClient client(m_loop);
@@ -505,6 +421,34 @@
     }
 }
 
+// All targets of a service refuse half of the requests.
+asio::awaitable<void> Soak::applyToService(PlannedFault planned)
+{
+    const std::string service = Services[planned.subject % std::size(Services)];
+    const auto setShare = [this, &service](const char *fault) {
+        for (const auto &[name, target] : m_fleet.targets) {
+            if (target.service == service && !m_endedTargets.contains(name) && !m_paused.contains(name)) {
+                m_fleet.targetFault(name, fault);
+            }
+        }
+    };
+    setShare(R"({"shed_share":0.5})");
+    co_await sleepFor(planned.duration);
+    setShare(R"({"shed_share":0})");
+}
+
+void Soak::applyToCallers(const PlannedFault &planned)
+{
+    const std::string daemon = daemonName(planned.subject);
+    const TimePoint until = RuntimeClock::now() + planned.duration;
+    for (unsigned number = 1; planned.fault == Fault::Burst && number <= BurstCallers; ++number) {
+        asio::co_spawn(m_loop, runCaller(daemon, number, BurstThinkTime, until), asio::detached);
+    }
+    for (unsigned number = 0; planned.fault == Fault::SlowReaders && number < SlowReaders; ++number) {
+        asio::co_spawn(m_loop, runSlowReader(daemon, until), asio::detached);
+    }
+}
+
 asio::awaitable<void> Soak::applyToLink(PlannedFault planned)
 {
     const bool store = planned.fault == Fault::CutStoreLink || planned.fault == Fault::ResetStoreLink || planned.fault == Fault::SilenceStoreLink;
@@ -550,11 +494,10 @@
 asio::awaitable<void> Soak::applyToDocument(PlannedFault planned)
 {
     if (planned.fault == Fault::WithdrawKey) {
-        const std::string key = "green-key-" + std::to_string(m_keyNumber++);
-        m_withdrawnKeys.push_back(key);
+        const std::string key = m_load.withdrawGreenKey();
         publish();
         m_oracle.keyWithdrawn(key, unixMilliseconds());
-        m_oracle.keyAdded("green-key-" + std::to_string(m_keyNumber), unixMilliseconds());
+        m_oracle.keyAdded(m_load.greenKey(), unixMilliseconds());
         co_return;
     }
     const unsigned count = planned.fault == Fault::DocumentStorm ? 5 : 1;
@@ -572,6 +515,10 @@
         co_await applyToDaemon(planned);
     } else if (planned.fault <= Fault::SlowTarget) {
         co_await applyToTarget(planned);
+    } else if (planned.fault == Fault::ShedService) {
+        co_await applyToService(planned);
+    } else if (planned.fault <= Fault::SlowReaders) {
+        applyToCallers(planned);
     } else if (planned.fault <= Fault::SilenceStoreLink) {
         co_await applyToLink(planned);
     } else if (planned.fault <= Fault::StoreForgets) {
@@ -622,7 +569,7 @@
     }
     for (const auto &[name, daemon] : m_fleet.daemons) {
         for (unsigned number = 0; number < static_cast<unsigned>(m_options.callers); ++number) {
-            asio::co_spawn(m_loop, runCaller(name, number), asio::detached);
+            asio::co_spawn(m_loop, runCaller(name, number, ThinkTime, TimePoint::max()), asio::detached);
         }
     }
     asio::co_spawn(m_loop, pollObjectService(), asio::detached);
@@ -647,31 +594,19 @@
 
 int main(int argc, const char **argv)
 {
-    Options options;
-    constexpr unsigned Shown = POPT_ARGFLAG_SHOW_DEFAULT;
-    const poptOption table[] = {{"seed", 's', POPT_ARG_LONG | Shown, &options.seed, 0, "seed of the faults and of the load", "N"},
-                                {"seconds", 't', POPT_ARG_INT | Shown, &options.seconds, 0, "seconds during which faults begin", "N"},
-                                {"daemons", 'd', POPT_ARG_INT | Shown, &options.daemons, 0, "daemons, in three zones", "N"},
-                                {"targets", 0, POPT_ARG_INT | Shown, &options.targets, 0, "targets, of three services", "N"},
-                                {"callers", 'c', POPT_ARG_INT | Shown, &options.callers, 0, "callers of each daemon", "N"},
-                                {"keep-logs", 0, POPT_ARG_NONE, &options.keepLogs, 0, "keep the daemons' logs after a run without violations", nullptr},
-                                POPT_AUTOHELP POPT_TABLEEND};
-    poptContext context = poptGetContext("soak", argc, argv, table, 0);
-    const int bad = poptGetNextOpt(context);
-    if (bad < -1 || options.seconds < 1 || options.daemons < 3 || options.daemons > 200 || options.targets < 3 || options.callers < 1) {
-        std::cerr << "soak: bad option " << (bad < -1 ? poptBadOption(context, 0) : "value") << "\n";
+    const auto options = parseOptions(argc, argv);
+    if (!options) {
         return 2;
     }
-    poptFreeContext(context);
     const std::string path = argv[0];
     ::setenv("PLUMSILL_BIN", path.substr(0, path.rfind('/')).c_str(), 0);
     try {
-        Soak soak(options);
+        Soak soak(*options);
         const bool passed = soak.run();
-        std::cout << "soak: seed " << options.seed << ": " << (passed ? "ok" : "FAILED") << std::endl;
+        std::cout << "soak: seed " << options->seed << ": " << (passed ? "ok" : "FAILED") << std::endl;
         return passed ? 0 : 1;
     } catch (const std::exception &error) {
-        std::cout << "soak: seed " << options.seed << ": " << error.what() << std::endl;
+        std::cout << "soak: seed " << options->seed << ": " << error.what() << std::endl;
         return 1;
     }
 }
--- a/tools/soak_plan.h
+++ b/tools/soak_plan.h
@@ -22,6 +22,9 @@
     StopTarget, ///< planned stop
     GreyTarget, ///< gray failure: a share of the requests fail
     SlowTarget,
+    ShedService, ///< all targets of a service refuse half of the requests
+    Burst, ///< many more callers at one daemon
+    SlowReaders, ///< callers that read large answers slowly
     DelayTargetLink,
     CutTargetLink, ///< bytes in one direction are held back
     ResetTargetLink,
@@ -44,10 +47,11 @@
 inline const char *toString(Fault fault)
 {
     static constexpr const char *Names[]
-        = {"pause-daemon",        "kill-daemon",    "herd-kill",        "stop-daemon",        "rolling-stop",      "reload-daemon",   "pause-target",
-           "kill-target",         "stop-target",    "grey-target",      "slow-target",        "delay-target-link", "cut-target-link", "reset-target-link",
-           "silence-target-link", "cut-store-link", "reset-store-link", "silence-store-link", "store-refuses",     "store-throttles", "store-loses-answers",
-           "store-slow",          "store-silent",   "store-forgets",    "new-document",       "document-storm",    "withdraw-key"};
+        = {"pause-daemon",   "kill-daemon",      "herd-kill",          "stop-daemon",     "rolling-stop",      "reload-daemon",
+           "pause-target",   "kill-target",      "stop-target",        "grey-target",     "slow-target",       "shed-service",
+           "burst",          "slow-readers",     "delay-target-link",  "cut-target-link", "reset-target-link", "silence-target-link",
+           "cut-store-link", "reset-store-link", "silence-store-link", "store-refuses",   "store-throttles",   "store-loses-answers",
+           "store-slow",     "store-silent",     "store-forgets",      "new-document",    "document-storm",    "withdraw-key"};
     static_assert(std::size(Names) == static_cast<std::size_t>(Fault::Count));
     return Names[static_cast<std::size_t>(fault)];
 }
--- a/tools/standin_target.cpp
+++ b/tools/standin_target.cpp
@@ -61,6 +61,7 @@
     double crashBeforeShare = 0;
     double crashAfterShare = 0;
     double strayShare = 0;
+    double shedShare = 0; ///< refused without being run
     Duration answerDelay {};
     std::uint64_t unansweredUpTo = 0; ///< requests on connections with a serial number of at most this value get no answer
     bool unresponsive = false;
@@ -193,7 +194,10 @@
         cancellation.answered();
         co_return refused;
     }
-    const auto admission = co_await m_slots.acquire(deadline(request));
+    Admission admission = Admission::Full;
+    if (!chance(m_faults.shedShare)) {
+        admission = co_await m_slots.acquire(deadline(request));
+    }
     Answer answer;
     if (admission == Admission::Full) {
         ++m_stats.shed;
@@ -385,7 +389,8 @@
                                                        {"truncate_share", &m_faults.truncateShare},
                                                        {"stray_share", &m_faults.strayShare},
                                                        {"crash_before_first_byte_share", &m_faults.crashBeforeShare},
-                                                       {"crash_after_first_byte_share", &m_faults.crashAfterShare}};
+                                                       {"crash_after_first_byte_share", &m_faults.crashAfterShare},
+                                                       {"shed_share", &m_faults.shedShare}};
     const auto found = shares.find(name);
     if (found != shares.end()) {
         *found->second = value.to_number<double>();
