Don't take a partly rewritten registry for the whole fleet

Listed as red: DaemonsWhoseEntriesTheStoreLostStayKnownAndWriteThemAgain, "d3 read 2 of 6 entries".

Cause, by a trace on a scratch copy in which d3 waits 0.9 or 1.2 s before its first read of the registry (2 of 2 failed as listed; 0.7 s ended with one known daemon and no line that the test looks at): d3 is ready by the others' relay before it has read the registry, the copy comes back, its first read finds no entry, it chooses itself as its zone's scheduler, a read 2 s later finds 2 of 6, and the next one would follow 10 s after that. So the test had a wrong premise (a daemon that has never read the registry can't know the others), and the daemons a fault: RegistryRewrite recorded its first era at the first read, not at the enrolment as its header says, so the daemon took the first entries for the whole fleet, and after its warm-up granted the whole rate of each team.

Change: the era is recorded at the enrolment; a daemon whose first read may lack entries reads again at each interval (2 s) until one read can't, and its scheduler stays in its warm-up meanwhile (its zone's part at most).

Test: DaemonThatReadsFirstAfterTheLossReadsOnUntilAllAreWritten, seen to fail with the rule out ("CHECK(rewrite.knowsPart()) failed").

Open: a daemon that starts after the loss, while the secret is there and entries are not, doesn't know that they may be missing.

--- a/include/plumsill/registry_rewrite.h
+++ b/include/plumsill/registry_rewrite.h
@@ -24,10 +24,16 @@
     void recordWritten() { m_writeAt.reset(); }
     /// Whether the registry may lack entries of live daemons.
     bool mayLackEntries(TimePoint now) const { return m_lacksUntil && now < *m_lacksUntil; }
+    /// Records a read of the registry.
+    void recordRead(TimePoint now);
+    /// Whether each read so far may have lacked entries, so that this daemon may know only some of the others.
+    bool knowsPart() const { return m_knowsPart; }
 
 private:
     StoreEra m_era = 0;
     std::optional<TimePoint> m_writeAt;
     std::optional<TimePoint> m_lacksUntil;
+    bool m_read = false;
+    bool m_knowsPart = false;
 };
 }
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -119,6 +119,7 @@
         recordStoreResult(done, "enroll", done ? "" : usable ? "not enrolled" : secret ? "the stored peer secret is empty" : toString(secret.error()));
         if (done) {
             m_enrolled = true;
+            recordRegistryEra(RuntimeClock::now());
             Event("registry", "enrolled").add("zone", m_settings.zone.value).add("entry_written", !m_entryListed);
             break;
         }
@@ -142,7 +143,7 @@
         // One hub reads the registry periodically for the entire fleet. Another daemon reads it only when the registry
         // hash that a hub reports differs from the hash of its own copy.
         const bool due = readsForFleet(now) && now - m_registryReadAt >= config::FleetRegistryInterval;
-        if (due || !m_registryRead || now >= m_nextRegistryReadAt) {
+        if (due || !m_registryRead || m_rewrite.knowsPart() || now >= m_nextRegistryReadAt) {
             co_await readRegistry();
         }
     }
@@ -199,6 +200,7 @@
     const std::uint32_t before = m_hubs.registryHash();
     const TimePoint now = RuntimeClock::now();
     recordRegistryEra(now);
+    m_rewrite.recordRead(now);
     m_hubs.setRegistered(listed, m_rewrite.mayLackEntries(now));
     m_registryRead = true;
     m_registryReadAt = RuntimeClock::now();
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -370,11 +370,11 @@
 
 bool ZoneControl::warmingUp(TimePoint now) const
 {
-    return !m_hubActiveSince || now - *m_hubActiveSince < config::SchedulerWarmUpTime;
+    return !m_hubActiveSince || m_rewrite.knowsPart() || now - *m_hubActiveSince < config::SchedulerWarmUpTime;
 }
 
-// A hub that has just started, perhaps together with the entire fleet, doesn't know yet which other hubs spend tokens.
-// Until its warm-up time has passed, it assumes that each zone has an equal share of a team's rate. It uses at most the
+// A hub that has just started, perhaps together with the entire fleet, doesn't know yet which other hubs spend tokens. Nor does one
+// whose registry lacks entries. Until its warm-up time has passed, it assumes that each zone has an equal share of a team's rate. It uses at most the
 // shares of its own zone and of the zones that it has received digests from.
 double ZoneControl::maxPoolShare(TimePoint now)
 {
--- a/src/registry_rewrite.cpp
+++ b/src/registry_rewrite.cpp
@@ -20,4 +20,11 @@
     }
     m_era = std::max(m_era, era);
 }
+
+// A daemon that has read the registry before the loss keeps what it knew then.
+void RegistryRewrite::recordRead(TimePoint now)
+{
+    m_knowsPart = (m_knowsPart || !m_read) && mayLackEntries(now);
+    m_read = true;
+}
 }
--- a/tests/process_registry.cpp
+++ b/tests/process_registry.cpp
@@ -28,8 +28,15 @@
             fleet.startDaemon("d" + std::to_string(index), "z" + std::to_string(index % 3), true);
         }
         CHECK(eventually(20s, [this] { return fleet.allReady(); }));
+        // A daemon is ready before its first read of the registry; one that reads it only after the loss can't know the others.
+        CHECK(eventually(20s, [this] { return knownByAll(Daemons); }));
         fleet.restoreStore();
     }
+    bool knownByAll(unsigned number)
+    {
+        return std::all_of(fleet.daemons.begin(), fleet.daemons.end(),
+                           [&](const auto &entry) { return fleet.metric(entry.first, "plumsill_registered_daemons") == number; });
+    }
     std::size_t entries()
     {
         const auto listed = boost::json::parse(httpCall(fleet.storeControl, "GET", "/api/objects/plumsill-daemons").body);
--- a/tests/test_registry_rewrite.cpp
+++ b/tests/test_registry_rewrite.cpp
@@ -75,6 +75,27 @@
     CHECK(!rewrite.mayLackEntries(t0 + 40s));
 }
 
+// Guards against a daemon that takes a few entries for the whole fleet: it enrolled before the loss and reads first after it.
+TEST(RegistryRewrite, DaemonThatReadsFirstAfterTheLossReadsOnUntilAllAreWritten)
+{
+    rewrite.recordEra(2, 1, 0.5, t0 + 10s);
+    rewrite.recordRead(t0 + 10s);
+    CHECK(rewrite.knowsPart());
+    rewrite.recordRead(t0 + 12s);
+    CHECK(rewrite.knowsPart());
+    rewrite.recordRead(t0 + 10s + rewriteSpread(1) + config::RewriteMargin);
+    CHECK(!rewrite.knowsPart());
+}
+
+// Guards against a store that all daemons read on after its return.
+TEST(RegistryRewrite, DaemonThatHasReadBeforeTheLossKnowsAll)
+{
+    rewrite.recordRead(t0);
+    rewrite.recordEra(2, 443, 0.5, t0 + 10s);
+    rewrite.recordRead(t0 + 11s);
+    CHECK(!rewrite.knowsPart());
+}
+
 // Guards against a fleet that forgets its live daemons, since the copy lacks their entries.
 TEST(RegistryRewrite, KnownDaemonsStayWhileTheRegistryMayLackThem)
 {
