Prefer a small subset of a service's targets for each daemon

Cause: the scheduler let each daemon use all targets of its zone by turns, so that most connections were older than the 2 s for which non-idempotent requests reuse them; the preference for a kept connection was below the noise of the failure estimates, and counted connections that were in use. Change: TargetSubsets forms a subset by daemon and service, sized by the daemon's demand (Little's law with a margin, and at least its part of all targets), balanced by the number of subsets that a target is in, ranked by hash, and changed only as far as demand, targets or balance require. KeptConnections counts idle connections by daemon and target, idempotent requests to 30 s. Out of the subset a target costs more, but less than a refusal, a cold start or a likely failure. No subset where targets or daemons are few. Metrics by service.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -159,7 +159,16 @@
 inline constexpr double RepeatableTrialShare = 0.7; ///< replaces RetrialThreshold and RiskyShare for requests that may be retried at another target
 inline constexpr auto RetrialAfter = 1500ms; ///< below the 2 s within which each healthy target must get requests
 inline constexpr double KeptConnectionBonus
-    = 0.03; ///< subtracted for a target to which the daemon likely has an open connection: the cost of opening a new one
+    = 0.05; ///< subtracted for a target to which the daemon likely has an idle connection: the round trip of a new one, which may also fail
+inline constexpr double SubsetBonus
+    = 0.2; ///< subtracted for a target of the daemon's subset: exceeds the cost of its last slot, and is below that of a refusal, a cold start or another zone
+inline constexpr double SubsetIdleBonus = 0.05; ///< added to SubsetBonus per second without a request, up to RetrialAfter, which evens out the work of a subset
+inline constexpr double SubsetHeadroom = 1.25; ///< targets of a subset for each request of the daemon that runs at once
+inline constexpr std::size_t MinSubsetSize = 2; ///< targets of a subset beyond that, so that one may fail and one be occupied
+inline constexpr double SubsetCover = 1.5; ///< least mean number of subsets that a target is in, so that none is left to retrials
+inline constexpr double SubsetShrinkMargin = 1.3; ///< a subset shrinks once it is larger than the demand needs by this factor
+inline constexpr auto SubsetAdjustInterval = 500ms; ///< between two changes of a subset
+inline constexpr auto SubsetLifetime = 10'000ms; ///< a daemon without requests for this time loses its subset
 inline constexpr double RiskyShare = 0.5; ///< failure probability above which a request waits for another target, unless all usable targets are above it
 inline constexpr double HedgeShare = 0.04; ///< a hedge may be sent once the attempt is older than all but this share of good answers
 inline constexpr double OverdueShare = 0.03; ///< a request is overdue once less than this share of good answers takes longer than its age
--- a/include/plumsill/metrics.h
+++ b/include/plumsill/metrics.h
@@ -58,6 +58,7 @@
 struct Gauge {
     std::string name;
     double value = 0;
+    std::string labels {}; ///< such as `service="a"`; gauges of one name follow each other
 
     auto operator<=>(const Gauge &) const = default;
 };
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -5,11 +5,13 @@
 #include <plumsill/failure_estimate.h>
 #include <plumsill/fairqueue.h>
 #include <plumsill/helpers.h>
+#include <plumsill/kept_connections.h>
 #include <plumsill/messages.h>
 #include <plumsill/quota.h>
 #include <plumsill/repeats.h>
 #include <plumsill/roster.h>
 #include <plumsill/target_limit.h>
+#include <plumsill/target_subset.h>
 #include <plumsill/types.h>
 
 #include <cstdint>
@@ -154,6 +156,8 @@
     const std::vector<TeamName> &teams() const { return m_teams; }
     /// Request rate of the team per second, including refused requests.
     double demand(const TeamName &team, TimePoint now) const;
+    /// Subsets of targets and placements by service.
+    std::map<ServiceName, SubsetReport> subsetReports() const;
     /// Running requests and failure probabilities of the targets, to report to the schedulers of other zones.
     std::vector<TargetLoad> loads(TimePoint now) const;
 
@@ -165,6 +169,7 @@
 
     struct TargetState {
         Target target;
+        std::uint32_t id = 0; ///< shortHash() of the target's name
         unsigned running = 0; ///< attempts placed by this scheduler
         FailureEstimate failureEstimate;
         TimePoint lastEvidenceAt; ///< last end of an attempt at the target
@@ -174,7 +179,7 @@
         TimePoint lastPlaced;
         TargetLimit limit;
         std::map<ZoneName, RemoteLoad> remote; ///< reports of the schedulers, by their zone
-        std::map<InstanceName, TimePoint> lastAnswerAt; ///< time of the last good answer to each daemon, which may still have the connection open
+        KeptConnections kept;
         std::map<InstanceName, TimePoint> unreachableFrom; ///< time until which a daemon is given other targets, because it could not connect to this one
         std::map<InstanceName, TimePoint> restsFrom; ///< time until which the target wants no request from a daemon
         TimePoint unlistedUntil; ///< avoided until then, because a daemon with a newer list doesn't list it
@@ -221,6 +226,7 @@
         std::map<std::uint32_t, LatencyModel> latency; ///< by route
         std::map<unsigned, FairQueue> queues; ///< by priority
         RepeatCounter repeats;
+        TargetSubsets subsets;
         unsigned slots = 1; ///< slots of each target that announces no number
         unsigned running = 0;
     };
@@ -237,8 +243,10 @@
 
     ServiceState &service(const ServiceName &name);
     LatencyModel &latency(ServiceState &service, std::uint32_t route, Duration expected);
+    /// Targets among which the service's subsets are formed: those of this zone, or all where it has none.
+    std::vector<std::uint32_t> subsetCandidates(const ServiceState &service) const;
     std::optional<Placed> place(ServiceState &service, const PlacementRequest &request, bool allowRisky, TimePoint now);
-    double cost(ServiceState &service, const TargetState &state, const PlacementRequest &request, TimePoint now);
+    double cost(const ServiceState &service, const TargetState &state, const TargetSubset *subset, const PlacementRequest &request, TimePoint now) const;
     /// State of this run of the target, listed before or not; null if there is none.
     TargetStatePtr knownState(const Target &target) const;
     TargetStatePtr knownState(const TargetName &target) const;
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -98,8 +98,13 @@
         out << "plumsill_rejected_total{status=\"" << status << "\"} " << count << "\n";
     }
     out << "# TYPE plumsill_retries_total counter\nplumsill_retries_total " << m_retries << "\n";
+    const std::string *name = nullptr;
     for (const auto &gauge : gauges) {
-        out << "# TYPE " << gauge.name << " gauge\n" << gauge.name << " " << gauge.value << "\n";
+        if (name == nullptr || *name != gauge.name) {
+            out << "# TYPE " << gauge.name << " gauge\n";
+        }
+        name = &gauge.name;
+        out << gauge.name << (gauge.labels.empty() ? "" : "{" + gauge.labels + "}") << " " << gauge.value << "\n";
     }
     return out.str();
 }
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -26,6 +26,21 @@
     return secret;
 }
 
+void addSubsetGauges(const std::map<ServiceName, SubsetReport> &reports, std::vector<Gauge> &gauges)
+{
+    const auto add = [&](const char *name, const auto &value) {
+        for (const auto &[service, report] : reports) {
+            gauges.push_back({name, static_cast<double>(value(report)), "service=\"" + service.value + "\""});
+        }
+    };
+    add("plumsill_subset_daemons", [](const SubsetReport &report) { return report.daemons; });
+    add("plumsill_subset_mean_targets", [](const SubsetReport &report) { return report.meanSize; });
+    add("plumsill_placements_in_subset", [](const SubsetReport &report) { return report.inside; });
+    add("plumsill_placements_outside_subset", [](const SubsetReport &report) { return report.outside; });
+    add("plumsill_placements_on_kept_connection", [](const SubsetReport &report) { return report.reused; });
+    add("plumsill_placements_on_new_connection", [](const SubsetReport &report) { return report.opened; });
+}
+
 RepeatBound repeatBound(const FleetBounds &bounds)
 {
     return {bounds.repeatRatio, bounds.repeatSlack, bounds.repeatWindow};
@@ -534,6 +549,7 @@
     gauges.push_back({"plumsill_platform_calls", static_cast<double>(m_directory.calls())});
     gauges.push_back({"plumsill_log_lines_left_out", static_cast<double>(droppedEvents())});
     gauges.push_back({"plumsill_ready", ready(now) ? 1.0 : 0.0});
+    addSubsetGauges(m_scheduler.subsetReports(), gauges);
     return m_metrics.prometheusText(gauges);
 }
 }
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -61,15 +61,19 @@
             state->unlistedUntil = {};
         }
         state->target = target;
+        state->id = shortHash(target.name.value);
         const auto left = m_saidLeaving.find(target.name);
         state->saidLeaving = left != m_saidLeaving.end() && sameRun(left->second, target);
         if (left != m_saidLeaving.end() && !state->saidLeaving) {
             m_saidLeaving.erase(left);
         }
         kept.emplace(target.name, state);
-        m_byHash.emplace(shortHash(target.name.value), state);
+        m_byHash.emplace(state->id, state);
         service(target.service).targets.push_back(state);
     }
+    for (auto &[name, state] : m_services) {
+        state.subsets.setTargets(subsetCandidates(state));
+    }
     keepUnlisted(kept, now);
     m_targets = std::move(kept);
 }
@@ -212,10 +216,11 @@
     case AttemptEnd::Good:
         target.failureEstimate.recordGoodAnswer(now);
         target.unreachableFrom.erase(sender);
-        target.lastAnswerAt[key.member.name] = now;
+        target.kept.add(key.member.name, now);
         m_senders[sender].failedConnects.erase(attempt.service);
         if (now >= target.coldUntil) {
             latency(state, attempt.route, taken).add(taken);
+            state.subsets.recordDuration(taken);
         }
         break;
     case AttemptEnd::Failed:
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -36,7 +36,7 @@
 
 // Expected cost of sending a request to this target, in lost requests: the request may fail, transfer data between zones,
 // or take the last slot of a target that other requests could use.
-double Scheduler::cost(ServiceState &service, const TargetState &state, const PlacementRequest &request, TimePoint now)
+double Scheduler::cost(const ServiceState &service, const TargetState &state, const TargetSubset *subset, const PlacementRequest &request, TimePoint now) const
 {
     const unsigned slots = slotsOf(service, state);
     double sum = config::FailureCost * (request.idempotent ? config::RepeatableShare : 1.0) * failureProbability(state, now);
@@ -44,20 +44,50 @@
     sum += config::LoadCost * state.running + (state.running + 1 >= slots ? config::LastSlotCost : 0);
     sum += now < state.refusedUntil ? config::RefusedCost : 0;
     sum += now < state.coldUntil ? config::ColdCost : 0;
-    const auto answered = state.lastAnswerAt.find(request.key.member.name);
-    sum -= answered != state.lastAnswerAt.end() && now - answered->second < config::FreshConnectionAge ? config::KeptConnectionBonus : 0;
+    if (subset != nullptr && subset->contains(state.id)) {
+        sum -= config::SubsetBonus + config::SubsetIdleBonus * seconds(std::min<Duration>(now - state.lastPlaced, config::RetrialAfter));
+    }
+    sum -= state.kept.usable(request.key.member.name, request.idempotent, now) ? config::KeptConnectionBonus : 0;
     const bool unused = state.running == 0 && now - state.lastPlaced > config::RetrialAfter;
     const bool retrialDue = unused && state.target.zone == m_zone
         && failureProbability(state, now) < (request.idempotent ? config::RepeatableTrialShare : config::RetrialThreshold);
     return sum - (retrialDue ? config::RetrialBonus : 0);
 }
 
+std::vector<std::uint32_t> Scheduler::subsetCandidates(const ServiceState &service) const
+{
+    std::vector<std::uint32_t> own;
+    std::vector<std::uint32_t> all;
+    for (const auto &state : service.targets) {
+        if (!inUse(*state)) {
+            continue;
+        }
+        all.push_back(state->id);
+        if (state->target.zone == m_zone) {
+            own.push_back(state->id);
+        }
+    }
+    return own.empty() ? all : own;
+}
+
+std::map<ServiceName, SubsetReport> Scheduler::subsetReports() const
+{
+    std::map<ServiceName, SubsetReport> reports;
+    for (const auto &[name, state] : m_services) {
+        reports.emplace(name, state.subsets.report());
+    }
+    return reports;
+}
+
 std::optional<Placed> Scheduler::place(ServiceState &service, const PlacementRequest &request, bool allowRisky, TimePoint now)
 {
     updateOverdue(now);
     // The path that counts is that of the daemon which opens the connection.
     const auto helper = request.relayed ? m_helpers.choose(request.key.member.name, request.service, now) : std::nullopt;
     const InstanceName &sender = helper ? helper->name : request.key.member.name;
+    const InstanceName &asking = request.key.member.name; // it keeps the connection, also one through a helper
+    const std::uint32_t askingId = shortHash(asking.value);
+    const TargetSubset *subset = service.subsets.subset(askingId);
     TargetStatePtr best;
     double lowestCost = std::numeric_limits<double>::infinity();
     bool anyHealthy = false; // whether a usable target is healthy, so that waiting for one makes sense
@@ -73,7 +103,7 @@
         if (!hasCapacity(service, *state, now) || (risky && !allowRisky)) {
             continue;
         }
-        const double targetCost = cost(service, *state, request, now);
+        const double targetCost = cost(service, *state, subset, request, now);
         if (targetCost < lowestCost) {
             lowestCost = targetCost;
             best = state;
@@ -89,6 +119,8 @@
     ++service.running;
     best->lastPlaced = now;
     best->limit.take(now);
+    const bool reuses = best->kept.take(asking, request.idempotent, now);
+    service.subsets.recordPlacement(askingId, {best->id, reuses}, now);
     m_running[request.key] = {request.service, best, request.route, now, false, helper};
     if (helper) {
         m_helpers.recordStart(helper->name);
