Keep large answers in their zone

Change: the scheduler knows the routes of large answers from the document; their answers cost more in another zone, so that a single refusal in the zone moves none of them. Two classes of answers; bytes aren't learned. Test, first run on the untouched scheduler: LargeAnswersStayInTheZoneWhileSmallOnesOverflow, "expected <t1> but was <t2>". Without large routes in the document nothing changes.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -149,6 +149,8 @@
 inline constexpr double RepeatableShare = 0.4; ///< factor on FailureCost for requests that may be retried at another target
 inline constexpr double OtherZoneCost
     = 0.25; ///< an eighth of FailureCost: accounts for cross-zone transfer and for the outcome being unknown to the scheduler of the target's zone
+inline constexpr double LargeAnswerZoneCost
+    = 0.25; ///< added for an answer of a large route: exceeds RefusedCost in the sum, so that a single refusal moves no large answer to another zone
 inline constexpr double LoadCost = 0.04; ///< per request that already runs on the target, as all requests there are lost if it fails
 inline constexpr double LastSlotCost = 0.1; ///< for the last free slot of a target: the next request would have to wait
 inline constexpr double RefusedCost = 0.4; ///< for a target that has just refused a request
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -259,6 +259,7 @@
     static bool inUse(const TargetState &state) { return !state.target.leaving && !state.saidLeaving && !state.wrongAddress; }
     /// Whether the daemon is still to be given other targets.
     static bool avoided(const std::map<InstanceName, TimePoint> &until, const InstanceName &daemon, TimePoint now);
+    double otherZoneCost(const PlacementRequest &request) const;
     static unsigned slotsOf(const ServiceState &service, const TargetState &state);
     bool hasCapacity(const ServiceState &service, const TargetState &state, TimePoint now) const;
     double failureProbability(const TargetState &state, TimePoint now) const;
@@ -295,6 +296,7 @@
     RepeatBound m_repeats;
     double m_fleetShare = 0;
     QuotaPart m_limitPart;
+    std::set<std::uint32_t> m_largeRoutes; ///< routes of large answers, by shortHash() of their names
     std::map<ServiceName, ServiceState> m_services;
     std::map<TargetName, TargetStatePtr> m_targets;
     std::map<TargetName, UnlistedTarget> m_unlisted;
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -37,6 +37,12 @@
     for (const auto &listed : document.services) {
         service(listed.name).slots = std::max(listed.slots, 1U);
     }
+    m_largeRoutes.clear();
+    for (const auto &route : document.routes) {
+        if (route.large) {
+            m_largeRoutes.insert(shortHash(route.name.value));
+        }
+    }
 }
 
 // A target that restarted under its old name gets a new state, since nothing is known about its new run.
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -34,13 +34,18 @@
     return running < slotsOf(service, state) && state.limit.available(now);
 }
 
+double Scheduler::otherZoneCost(const PlacementRequest &request) const
+{
+    return config::OtherZoneCost + (m_largeRoutes.contains(request.route) ? config::LargeAnswerZoneCost : 0);
+}
+
 // Expected cost of sending a request to this target, in lost requests: the request may fail, transfer data between zones,
 // or take the last slot of a target that other requests could use.
 double Scheduler::cost(const ServiceState &service, const TargetState &state, const TargetSubset *subset, const PlacementRequest &request, TimePoint now) const
 {
     const unsigned slots = slotsOf(service, state);
     double sum = config::FailureCost * (request.idempotent ? config::RepeatableShare : 1.0) * failureProbability(state, now);
-    sum += state.target.zone == m_zone ? 0 : config::OtherZoneCost;
+    sum += state.target.zone == m_zone ? 0 : otherZoneCost(request);
     sum += config::LoadCost * state.running + (state.running + 1 >= slots ? config::LastSlotCost : 0);
     sum += now < state.refusedUntil ? config::RefusedCost : 0;
     sum += now < state.coldUntil ? config::ColdCost : 0;
--- a/tests/test_placement.cpp
+++ b/tests/test_placement.cpp
@@ -198,6 +198,37 @@
     CHECK(result.longestGap <= 2s);
 }
 
+// Guards against large answers that cross zones as readily as small ones, here because of one refusal.
+TEST(PlacementLoad, LargeAnswersStayInTheZoneWhileSmallOnesOverflow)
+{
+    Document document;
+    document.services = {{orders, 0.7, 4, {}, 0.999}};
+    document.routes.resize(2);
+    document.routes[0].name = {"lookups"};
+    document.routes[1].name = {"downloads"};
+    document.routes[1].large = true;
+    Scheduler scheduler({"x"}, {0.2, 50, 10s});
+    scheduler.setDocument(document, t0);
+    auto both = targets(2, 4);
+    both[1].zone = {"y"};
+    scheduler.setTargets(both, t0);
+    scheduler.setFleetShare(1);
+    const auto place = [&](std::uint64_t id, const char *route, Duration after) {
+        PlacementRequest request;
+        request.key = {{{"d1"}, 1}, id};
+        request.service = orders;
+        request.route = shortHash(route);
+        request.idempotent = true;
+        request.objective = t0 + after + 1s;
+        request.deadline = t0 + after + 5s;
+        return std::get<Placed>(scheduler.submit(request, t0 + after)).target.value;
+    };
+    STRCMP_EQUAL("t1", place(1, "lookups", 0ms).c_str());
+    scheduler.finishAttempt({{{"d1"}, 1}, 1}, AttemptEnd::NotExecuted, 1ms, t0 + 1ms);
+    STRCMP_EQUAL("t2", place(2, "lookups", 2ms).c_str());
+    STRCMP_EQUAL("t1", place(3, "downloads", 2ms).c_str());
+}
+
 TEST_GROUP(TargetSubsets)
 {
     TargetSubsets subsets;
