Serve waiting requests by priority at the rate of the service

What callers saw: at a service whose targets all seemed to fail, urgent requests were refused as queue-full while slots were free, and those that were placed had waited as long as they could.

Cause: place() accepts a target up to a failure probability of 0.7 for repeatable requests, and any target where none is healthy, but the queues were served only while a target below 0.5 was free. Requests left the queues only by expiring; then the gap since the last service counted as the service interval of their own queue, and whatever could wait for less was refused. The interval also began with one sample.

Change: queues are served under the rule of place(). PriorityQueues holds the queues of one service: the wait is judged by the rate of the service over all priorities, from the work that waits at the same or a higher priority, with a minimum share of 0.05 for each priority. QueueFull is said only where the queue is full. Requests below the highest priority leave free slots to what may arrive above them (urgent_reserve.h); none where one priority is seen, or where slots become free fast enough. The work of a request is learned by route and is its cost in the fair queue.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -75,6 +75,25 @@
 inline constexpr double QueueCostMax = 16.0;
 inline constexpr double QueueIntervalWeight = 0.05; ///< weight of a new sample in the moving average of the interval between served requests
 
+// Requests that wait for a target, by priority.
+inline constexpr double MinPriorityShare = 0.05; ///< share of the served work that each priority gets while requests of it wait
+inline constexpr double LateAnswerShare = 0.2; ///< share of answers that may miss the objective if their request waited as long as it may
+inline constexpr auto ServiceRateWindow = 2000ms; ///< time constant of the rate at which a service takes waiting work
+inline constexpr double AssumedServiceWork = 4; ///< typical requests for which the rate that is assumed without a measurement counts
+inline constexpr auto ArrivalRateTime = 2000ms; ///< time constant of the work that arrives at one priority
+inline constexpr auto UrgentSlotTime = 100ms; ///< time within which an urgent request should find a free slot: a fifth of a short objective
+inline constexpr double UrgentDeviations = 2; ///< standard deviations of urgent arrivals that a reserve of slots covers
+inline constexpr auto TokenReserveTime = 500ms; ///< urgent requests of a team above its rate find tokens for what arrives within this time
+inline constexpr double AboveRateFactor
+    = 1.2; ///< demand of a team in parts of its rate beyond which it counts as above its rate; covers the noise of the demand
+inline constexpr auto MaxReturnDelay = 4000ms; ///< a refused request is told to return within this time
+inline constexpr double MinUrgentArrivals = 0.05; ///< urgent requests per UrgentSlotTime below which no slot is reserved
+inline constexpr double MaxReservedShare = 0.5; ///< share of a service's slots, or of a team's burst, that may be reserved for urgent requests
+inline constexpr double WorkSampleWeight = 0.02; ///< minimum weight of an answer in the mean work of its route
+inline constexpr double MinWorkSamples = 5; ///< answers of a route before its work is told apart from that of a typical request
+inline constexpr double MinWork = 0.125; ///< bounds of the work of a request, in typical requests of its service
+inline constexpr double MaxWork = 8;
+
 // Document.
 inline constexpr auto DocumentTrustLifetime = 5000ms;
 inline constexpr std::size_t MaxValueBytes = 1'000'000;
--- a/include/plumsill/fairqueue.h
+++ b/include/plumsill/fairqueue.h
@@ -28,6 +28,7 @@
     bool accepted = false;
     Duration retryAfter {}; ///< time after which the refused or displaced request may be retried
     std::optional<std::uint64_t> displaced; ///< id of a request of the team with the longest queue; it was removed for the new one and must be refused
+    bool full = false; ///< whether the request was refused because the queue is full, and not because it would wait too long
 
     auto operator<=>(const QueueResult &) const = default;
 };
@@ -40,7 +41,9 @@
     explicit FairQueue(std::size_t limit);
 
     /// Queues a request, or refuses it if it cannot be served before its deadline or the queue is full.
-    QueueResult push(const QueuedRequest &request, TimePoint now);
+    QueueResult push(const QueuedRequest &request, TimePoint now) { return push(request, expectedWait(request.team, now), now); }
+    /// The same with a wait that the caller expects.
+    QueueResult push(const QueuedRequest &request, Duration wait, TimePoint now);
     /// Removes and returns the next request to serve; none if the queue is empty. Call expire() first. Before
     /// the request is sent, its team's key must be checked again, as it may have been withdrawn while the request was queued.
     std::optional<QueuedRequest> pop(TimePoint now);
@@ -55,6 +58,10 @@
     std::size_t size() const { return m_teamById.size(); }
     /// Number of queued requests of the team.
     std::size_t queued(const TeamName &team) const;
+    /// Work of all queued requests.
+    double work() const;
+    /// Work that is served before the request if it is queued now.
+    double workBefore(const QueuedRequest &request) const;
     /// Earliest deadline of all queued requests; none if the queue is empty.
     std::optional<TimePoint> nextDeadline() const;
     /// Estimated time until a new request of the team would be served; zero while the service rate is unknown.
@@ -63,6 +70,7 @@
 private:
     struct TeamQueue {
         std::deque<QueuedRequest> requests;
+        double work = 0; ///< sum of the requests' costs
         double deficit = 0;
     };
     using Teams = std::map<TeamName, TeamQueue>;
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -1,18 +1,20 @@
 #pragma once
 
 #include <plumsill/clock.h>
+#include <plumsill/config.h>
 #include <plumsill/document.h>
 #include <plumsill/failure_estimate.h>
-#include <plumsill/fairqueue.h>
 #include <plumsill/helpers.h>
 #include <plumsill/kept_connections.h>
 #include <plumsill/messages.h>
+#include <plumsill/priority_queues.h>
 #include <plumsill/quota.h>
 #include <plumsill/repeats.h>
 #include <plumsill/roster.h>
 #include <plumsill/target_limit.h>
 #include <plumsill/target_subset.h>
 #include <plumsill/types.h>
+#include <plumsill/work_model.h>
 
 #include <cstdint>
 #include <map>
@@ -224,7 +226,8 @@
         { }
         std::vector<TargetStatePtr> targets;
         std::map<std::uint32_t, LatencyModel> latency; ///< by route
-        std::map<unsigned, FairQueue> queues; ///< by priority
+        WorkModel work;
+        PriorityQueues queues {config::MaxQueuedRequests};
         RepeatCounter repeats;
         TargetSubsets subsets;
         unsigned slots = 1; ///< slots of each target that announces no number
@@ -286,7 +289,13 @@
     Duration expectedCapacityDelay(const ServiceState &service, Duration wait) const;
     void returnToken(const PlacementRequest &request);
     void serveService(ServiceState &service, std::vector<DelayedPlacement> &decided, TimePoint now);
-    void placeExpired(ServiceState &service, FairQueue &queue, std::vector<DelayedPlacement> &decided, TimePoint now);
+    void placeExpired(ServiceState &service, unsigned priority, std::vector<DelayedPlacement> &decided, TimePoint now);
+    /// Work per second that the running requests of the service complete, by their number and mean time; 0 while that is unknown.
+    static double assumedRate(const ServiceState &service);
+    /// Whether a healthy target has a free slot that is not reserved for requests of a higher priority.
+    bool anyFreeTarget(const ServiceState &service, unsigned priority, TimePoint now) const;
+    /// Whether all free slots are reserved for requests of a higher priority.
+    bool reservedForUrgent(const ServiceState &service, unsigned priority, TimePoint now) const;
     QueuedPlacement takeQueued(std::uint64_t queueId);
     RepeatBound repeatBound() const;
     /// Whether a further attempt of a request that was sent before is within the bound on repeats; counts it if so.
--- a/src/fairqueue.cpp
+++ b/src/fairqueue.cpp
@@ -31,10 +31,29 @@
     return std::max(*m_serviceInterval, sinceLast) * static_cast<Duration::rep>(before);
 }
 
-QueueResult FairQueue::push(const QueuedRequest &request, TimePoint now)
+double FairQueue::work() const
+{
+    double sum = 0;
+    for (const auto &[name, queue] : m_teams) {
+        sum += queue.work;
+    }
+    return sum;
+}
+
+double FairQueue::workBefore(const QueuedRequest &request) const
+{
+    const auto found = m_teams.find(request.team);
+    const double own = found == m_teams.end() ? 0 : found->second.work;
+    double before = own;
+    for (const auto &[name, queue] : m_teams) {
+        before += name == request.team ? 0 : std::min(queue.work, own + request.cost);
+    }
+    return before;
+}
+
+QueueResult FairQueue::push(const QueuedRequest &request, Duration wait, TimePoint now)
 {
     assert(!m_teamById.contains(request.id));
-    const auto wait = expectedWait(request.team, now);
     if (request.deadline <= now || request.deadline - now < wait) {
         return {false, wait, std::nullopt};
     }
@@ -44,7 +63,7 @@
     }
     const auto displaced = displaceFromLongestQueue(request.team);
     if (!displaced) {
-        return {false, wait, std::nullopt};
+        return {false, wait, std::nullopt, true};
     }
     append(request, now);
     return {true, wait, displaced};
@@ -61,6 +80,7 @@
     }
     const auto newest = longest->second.requests.back();
     longest->second.requests.pop_back();
+    longest->second.work -= newest.cost;
     removeFromIndex(newest);
     removeTeamIfEmpty(longest);
     return newest.id;
@@ -77,6 +97,7 @@
     }
     queue.requests.push_back(request);
     queue.requests.back().cost = std::clamp(request.cost, 0.0, config::QueueCostMax);
+    queue.work += queue.requests.back().cost;
     m_deadlines.insert({request.deadline, request.id});
     m_teamById.emplace(request.id, request.team);
 }
@@ -136,6 +157,7 @@
     auto &queue = team->second;
     auto request = queue.requests.front();
     queue.requests.pop_front();
+    queue.work -= request.cost;
     queue.deficit -= request.cost;
     if (!queue.requests.empty() && queue.deficit < queue.requests.front().cost) {
         m_serviceOrder.push_back(m_serviceOrder.front());
@@ -184,6 +206,7 @@
     const auto request = std::find_if(requests.begin(), requests.end(), [id](const auto &entry) { return entry.id == id; });
     const auto removed = *request;
     requests.erase(request);
+    team->second.work -= removed.cost;
     removeFromIndex(removed);
     removeTeamIfEmpty(team);
     return true;
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -184,9 +184,8 @@
         return *refused;
     }
     auto &state = service(request.service);
-    const bool othersWaiting = std::any_of(state.queues.begin(), state.queues.end(),
-                                           [&request](const auto &entry) { return entry.first <= request.priority && !entry.second.empty(); });
-    if (!othersWaiting) {
+    state.queues.recordArrival(request.priority, state.work.work(request.route), now);
+    if (!state.queues.waiting(request.priority) && !reservedForUrgent(state, request.priority, now)) {
         if (auto placed = place(state, request, false, now)) {
             return *placed;
         }
@@ -227,6 +226,7 @@
         if (now >= target.coldUntil) {
             latency(state, attempt.route, taken).add(taken);
             state.subsets.recordDuration(taken);
+            state.work.add(attempt.route, taken);
         }
         break;
     case AttemptEnd::Failed:
--- a/src/scheduler_queue.cpp
+++ b/src/scheduler_queue.cpp
@@ -1,7 +1,9 @@
 #include <plumsill/config.h>
 #include <plumsill/scheduler.h>
+#include <plumsill/urgent_reserve.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 // Requests that wait for a target, and the refusal of those that cannot be served in time.
@@ -38,17 +40,17 @@
 Placement Scheduler::enqueue(ServiceState &service, const PlacementRequest &request, TimePoint now)
 {
     const bool anyTarget = std::any_of(service.targets.begin(), service.targets.end(), [](const auto &state) { return inUse(*state); });
-    const Duration meanLatency = latency(service, request.route, (request.objective - now) / 3).mean();
-    const TimePoint latest = (request.objective - meanLatency > now ? request.objective : request.deadline) - meanLatency;
+    const Duration answerTime = latency(service, request.route, (request.objective - now) / 3).quantile(config::LateAnswerShare);
+    const TimePoint latest = (request.objective - answerTime > now ? request.objective : request.deadline) - answerTime;
     const auto helper = request.relayed ? m_helpers.choose(request.key.member.name, request.service, now) : std::nullopt;
     const Closure closure = closureOfAll(service, helper ? helper->name : request.key.member.name, now);
     if (!anyTarget || latest <= now + closure.left) {
         returnToken(request);
         return NoCapacity {expectedCapacityDelay(service, closure.left), closure.reason};
     }
-    auto &queue = service.queues.try_emplace(request.priority, config::MaxQueuedRequests).first->second;
     const std::uint64_t id = m_nextQueueId++;
-    const QueueResult queueResult = queue.push({id, request.team, latest, 1}, now);
+    const QueueResult queueResult
+        = service.queues.push(request.priority, {id, request.team, latest, service.work.work(request.route)}, assumedRate(service), now);
     if (queueResult.displaced) {
         const QueuedPlacement dropped = takeQueued(*queueResult.displaced);
         returnToken(dropped.request);
@@ -56,7 +58,7 @@
     }
     if (!queueResult.accepted) {
         returnToken(request);
-        return NoCapacity {expectedCapacityDelay(service, queueResult.retryAfter), CapacityReason::QueueFull};
+        return NoCapacity {expectedCapacityDelay(service, queueResult.retryAfter), queueResult.full ? CapacityReason::QueueFull : CapacityReason::TooLate};
     }
     m_waiting.emplace(request.key, QueuedPlacement {request, id});
     m_keyByQueueId.emplace(id, request.key);
@@ -76,9 +78,7 @@
     if (found == m_waiting.end()) {
         return;
     }
-    for (auto &[priority, queue] : service(found->second.request.service).queues) {
-        queue.remove(found->second.queueId);
-    }
+    service(found->second.request.service).queues.remove(found->second.queueId);
     m_keyByQueueId.erase(found->second.queueId);
     returnToken(found->second.request);
     m_waiting.erase(found);
@@ -86,9 +86,9 @@
 
 // A request that can wait no longer is placed even at a target that seems to fail. It is refused only if no usable target
 // has a free slot.
-void Scheduler::placeExpired(ServiceState &service, FairQueue &queue, std::vector<DelayedPlacement> &decided, TimePoint now)
+void Scheduler::placeExpired(ServiceState &service, unsigned priority, std::vector<DelayedPlacement> &decided, TimePoint now)
 {
-    for (const auto id : queue.expire(now)) {
+    for (const auto id : service.queues.expire(priority, now)) {
         const QueuedPlacement queued = takeQueued(id);
         if (auto placed = place(service, queued.request, true, now)) {
             decided.push_back({queued.request.key, *placed});
@@ -99,21 +99,64 @@
     }
 }
 
+double Scheduler::assumedRate(const ServiceState &service)
+{
+    const double mean = seconds(service.work.mean());
+    return mean > 0 ? service.running / mean : 0;
+}
+
+bool Scheduler::reservedForUrgent(const ServiceState &service, unsigned priority, TimePoint now) const
+{
+    const double arrivals = service.queues.requestsAbove(priority, now);
+    if (arrivals <= 0) {
+        return false;
+    }
+    UrgentLoad load {arrivals, assumedRate(service), 0};
+    unsigned freeSlots = 0;
+    for (const auto &state : service.targets) {
+        if (inUse(*state)) {
+            const unsigned slots = slotsOf(service, *state);
+            load.slots += slots;
+            freeSlots += hasCapacity(service, *state, now) ? slots - state->running : 0;
+        }
+    }
+    const unsigned reserved = reservedSlots(load);
+    return reserved > 0 && freeSlots <= reserved;
+}
+
+// A request waits for healthy targets while there are any; else for those that are healthy enough for repeatable requests; else it is placed
+// at whichever target is free, as place() does.
+bool Scheduler::anyFreeTarget(const ServiceState &service, unsigned priority, TimePoint now) const
+{
+    double lowest = 1;
+    double lowestFree = std::numeric_limits<double>::infinity();
+    for (const auto &state : service.targets) {
+        if (!inUse(*state) || state->unlistedUntil > now) {
+            continue;
+        }
+        const double failing = failureProbability(*state, now);
+        lowest = std::min(lowest, failing);
+        if (hasCapacity(service, *state, now)) {
+            lowestFree = std::min(lowestFree, failing);
+        }
+    }
+    const double accepted = lowest <= config::RiskyShare ? config::RiskyShare : lowest <= config::RepeatableTrialShare ? config::RepeatableTrialShare : 1;
+    return lowestFree <= accepted && !reservedForUrgent(service, priority, now);
+}
+
+// A request that waited longest is placed before those of a lower priority, so each priority's expired requests come first.
 void Scheduler::serveService(ServiceState &service, std::vector<DelayedPlacement> &decided, TimePoint now)
 {
-    for (auto &[priority, queue] : service.queues) {
-        placeExpired(service, queue, decided, now);
-        while (!queue.empty()) {
-            const bool anyCapacity = std::any_of(service.targets.begin(), service.targets.end(), [&](const auto &state) {
-                return inUse(*state) && state->unlistedUntil <= now && hasCapacity(service, *state, now)
-                    && failureProbability(*state, now) <= config::RiskyShare;
-            });
-            const auto next = anyCapacity ? queue.pop(now) : std::nullopt;
+    for (const unsigned priority : service.queues.priorities()) {
+        placeExpired(service, priority, decided, now);
+        while (anyFreeTarget(service, priority, now)) {
+            const auto next = service.queues.pop(priority, now);
             if (!next) {
                 break;
             }
             const QueuedPlacement queued = takeQueued(next->id);
             if (auto placed = place(service, queued.request, false, now)) {
+                service.queues.recordServed(next->cost, now);
                 decided.push_back({queued.request.key, *placed});
             } else {
                 // Each healthy target with a free slot was already tried by this request, or its daemon could not connect to it.
--- /dev/null
+++ b/tests/test_admission.cpp
@@ -0,0 +1,79 @@
+#include "admission_fixture.h"
+
+#include <plumsill/config.h>
+#include <plumsill/urgent_reserve.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plumsill;
+using namespace std::chrono_literals;
+
+namespace
+{
+const TeamName red {"red"};
+const TeamName blue {"blue"};
+}
+
+TEST_GROUP(Admission) {};
+
+// Guards against priority inversion: while all targets seemed to fail, nothing was served from the queues but what had waited as long as it
+// could, so free slots stayed empty and urgent requests were refused.
+TEST(Admission, UrgentSmallRequestsBesideABurstOfLessUrgentOnesAtTargetsThatOftenFail)
+{
+    AdmissionLoad load(4, 3);
+    load.failingShare = 0.5;
+    const auto results = load.run({{red, 1, 0, 40, 70ms, 500ms}, {red, 2, 2, 80, 140ms, 2s}}, 8s);
+    CHECK(results[0].placed >= 0.95 * results[0].requested);
+}
+
+// Guards against refusals that name the wrong limit: an operator read "queue-full" where the queue held three requests.
+TEST(Admission, WaitThatIsTooLongIsNotReportedAsAFullQueue)
+{
+    AdmissionLoad load(2, 2);
+    const auto results = load.run({{red, 1, 0, 70, 70ms, 500ms}, {red, 2, 2, 40, 140ms, 2s}}, 6s);
+    LONGS_EQUAL(0, results[0].refused.count(CapacityReason::QueueFull));
+    CHECK(results[0].refused.at(CapacityReason::TooLate) > 0);
+}
+
+// Guards against urgent requests that wait for long work of a lower priority to end, because it took the last free slots.
+TEST(Admission, UrgentRequestsBesideLongWorkThatFillsAllSlots)
+{
+    AdmissionLoad load(1, 6);
+    const auto results = load.run({{red, 1, 0, 6, 50ms, 300ms}, {red, 2, 2, 12, 1s, 4s}}, 20s);
+    CHECK(results[0].served() > 0.95);
+    CHECK(results[1].inTime >= 20 * 3);
+}
+
+// Guards against slots that stay empty where nothing urgent arrives.
+TEST(Admission, NoSlotIsReservedWithoutUrgentArrivals)
+{
+    LONGS_EQUAL(0, reservedSlots({0, 1, 6}));
+    LONGS_EQUAL(3, reservedSlots({100, 1, 6}));
+    LONGS_EQUAL(0, reservedSlots({100, 400, 40}));
+}
+
+// Guards against starvation: urgent work that alone exceeds the service left nothing to lower priorities.
+TEST(Admission, LowestPriorityGetsItsMinimumWhileUrgentWorkExceedsTheService)
+{
+    AdmissionLoad load(1, 4);
+    const auto results = load.run({{red, 1, 0, 200, 50ms, 500ms}, {red, 1, 2, 10, 50ms, 2s}}, 20s);
+    CHECK(results[1].inTime >= config::MinPriorityShare * 80 * 20 * 0.8);
+}
+
+// Guards against a team that sends much and pushes out one that sends little.
+TEST(Admission, SmallestTeamIsServedBesideATeamThatExceedsTheService)
+{
+    AdmissionLoad load(1, 4);
+    const auto results = load.run({{red, 1, 0, 200, 50ms, 500ms}, {blue, 1, 0, 4, 50ms, 500ms}}, 20s);
+    CHECK(results[1].served() > 0.95);
+}
+
+// Guards against shares by count: a team of long requests got several times the slots of a team of short ones.
+TEST(Admission, TeamsOfShortAndLongRequestsGetEqualWork)
+{
+    AdmissionLoad load(1, 4);
+    const auto results = load.run({{red, 1, 0, 100, 40ms, 1s}, {blue, 2, 0, 25, 240ms, 1s}}, 20s);
+    const double ratio = results[0].inTime * 40.0 / (results[1].inTime * 240.0);
+    CHECK(ratio > 0.7);
+    CHECK(ratio < 1.4);
+}
