Order requests of teams with equal priorities by the route's priority

All teams that were refused have priority 1, which replaced the route's 0, 1 or 2, so their requests waited in one queue whatever the route.

Change: the team's priority still comes first; among teams of equal priority the route's decides.

Test seen to fail with the former rule: UrgentRouteBesideABurstOfALessUrgentOneOfTeamsWithEqualPriorities.

--- a/src/document_check.cpp
+++ b/src/document_check.cpp
@@ -1,5 +1,6 @@
 #include <plumsill/document.h>
 #include <plumsill/ini.h>
+#include <plumsill/request_priority.h>
 #include <plumsill/routing.h>
 
 #include <algorithm>
@@ -18,7 +19,6 @@
 constexpr std::size_t MaxBodyLimitBytes = config::MaxBodyBytes;
 constexpr double MaxRate = 1e6;
 constexpr unsigned MaxSlots = 100'000;
-constexpr unsigned MaxPriority = 1000;
 constexpr unsigned MaxRouteAttempts = 10;
 constexpr unsigned MaxTargetConnections = 1'000'000;
 
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -2,6 +2,7 @@
 
 #include <plumsill/config.h>
 #include <plumsill/event.h>
+#include <plumsill/request_priority.h>
 
 #include <boost/beast/http.hpp>
 
@@ -59,7 +60,7 @@
     }
     const auto *presented = std::get_if<PresentedKey>(&presence);
     if (route.open) {
-        return Access {route, {}, presented == nullptr ? std::string() : presented->key, route.priority};
+        return Access {route, {}, presented == nullptr ? std::string() : presented->key, requestPriority(std::nullopt, route.priority)};
     }
     if (now >= snapshot.trustedUntil) {
         return notTrusted();
@@ -71,7 +72,7 @@
     if (!mayUse(route, *team)) {
         return Refusal {403, "forbidden", "the team may not use this route", std::nullopt, {}};
     }
-    return Access {route, *team, presented->key, snapshot.compiled->priorityOf(*team).value_or(route.priority)};
+    return Access {route, *team, presented->key, requestPriority(snapshot.compiled->priorityOf(*team), route.priority)};
 }
 
 RequestDigest requestDigest(const Access &access, const CallerRequest &request)
--- a/tests/admission_fixture.h
+++ b/tests/admission_fixture.h
@@ -121,7 +121,7 @@
         request.team = stream.team;
         request.route = stream.route;
         request.priority = stream.priority;
-        request.idempotent = stream.priority == 0;
+        request.idempotent = stream.route == 1;
         request.objective = now + stream.objective;
         request.deadline = now + stream.objective * 2;
         ++m_results[index].requested;
--- a/tests/test_admission.cpp
+++ b/tests/test_admission.cpp
@@ -1,6 +1,7 @@
 #include "admission_fixture.h"
 
 #include <plumsill/config.h>
+#include <plumsill/request_priority.h>
 #include <plumsill/urgent_reserve.h>
 
 #include <CppUTest/TestHarness.h>
@@ -26,6 +27,23 @@
     CHECK(results[0].placed >= 0.95 * results[0].requested);
 }
 
+// Guards against routes that lose their rank: where all teams had the same priority, it replaced that of the route, and urgent requests waited
+// in one queue with all others.
+TEST(Admission, UrgentRouteBesideABurstOfALessUrgentOneOfTeamsWithEqualPriorities)
+{
+    AdmissionLoad load(4, 3);
+    const auto results = load.run({{red, 1, requestPriority(1, 0), 60, 70ms, 500ms}, {red, 2, requestPriority(1, 2), 120, 140ms, 2s}}, 8s);
+    CHECK(results[0].served() > 0.95);
+}
+
+// Guards against a route whose rank outweighs the priority of a team.
+TEST(Admission, PriorityOfTheTeamComesBeforeThatOfTheRoute)
+{
+    CHECK(requestPriority(0, 2) < requestPriority(1, 0));
+    CHECK(requestPriority(std::nullopt, 0) < requestPriority(1, 0));
+    CHECK(requestPriority(1, 0) < requestPriority(std::nullopt, 2));
+}
+
 // Guards against refusals that name the wrong limit: an operator read "queue-full" where the queue held three requests.
 TEST(Admission, WaitThatIsTooLongIsNotReportedAsAFullQueue)
 {
