Grant the tokens of a team above its rate by priority, and let its excess end at its rate

Cause: a refusal for room returned the token, so a team above its rate had tokens for as many requests as it sent, and its bucket served whoever came first.

Teams within their rate are served as before.

A take-over of the scheduler in the middle of a burst is tested, too.

--- a/include/plumsill/quota.h
+++ b/include/plumsill/quota.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plumsill/clock.h>
+#include <plumsill/config.h>
 #include <plumsill/types.h>
 
 #include <cstdint>
@@ -37,8 +38,10 @@
     explicit TeamBucket(std::uint32_t taken = 0)
         : m_taken(taken)
     { }
-    /// Takes a token; returns false if none is available.
-    bool take(TimePoint now);
+    /// Takes a token; returns false if none is available beyond @p reserved tokens of this scheduler's part.
+    bool take(TimePoint now, double reserved = 0);
+    /// Whether requests arrive here faster than this scheduler's part of the rate. @p demand: requests per second.
+    bool aboveRate(double demand) const { return m_rate.rate > 0 && demand > poolRate() * m_part.share * config::AboveRateFactor; }
     /// Returns one token that was taken and not used.
     void returnTokens();
     /// Changes the rate and the burst.
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -13,6 +13,7 @@
 #include <plumsill/roster.h>
 #include <plumsill/target_limit.h>
 #include <plumsill/target_subset.h>
+#include <plumsill/token_reserve.h>
 #include <plumsill/types.h>
 #include <plumsill/work_model.h>
 
@@ -242,6 +243,7 @@
     struct TeamState {
         TeamBucket bucket;
         DemandRate demand;
+        TokenReserve tokens;
     };
 
     ServiceState &service(const ServiceName &name);
@@ -288,6 +290,8 @@
     static Closure closureOfAll(const ServiceState &service, const InstanceName &daemon, TimePoint now);
     Duration expectedCapacityDelay(const ServiceState &service, Duration wait) const;
     void returnToken(const PlacementRequest &request);
+    /// Returns the token of a request that is refused because the service has no room, unless its team is above its rate.
+    void returnTokenWithinRate(const PlacementRequest &request, TimePoint now);
     void serveService(ServiceState &service, std::vector<DelayedPlacement> &decided, TimePoint now);
     void placeExpired(ServiceState &service, unsigned priority, std::vector<DelayedPlacement> &decided, TimePoint now);
     /// Work per second that the running requests of the service complete, by their number and mean time; 0 while that is unknown.
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -65,13 +65,15 @@
 
 // While the pool holds a token, a scheduler may exceed its allowance by MaxAllowanceOverdraft. The other schedulers
 // receive the number of taken tokens in the next digest, and the level of the pool falls accordingly.
-bool TeamBucket::take(TimePoint now)
+bool TeamBucket::take(TimePoint now, double reserved)
 {
     if (m_rate.rate <= 0) {
         return true;
     }
     refill(now);
-    if (m_level < 1 || m_allowance < 1 - MaxAllowanceOverdraft) {
+    // Other schedulers reserve their parts of the pool for the same priorities, so the level is to hold the parts of all.
+    const double ofPool = m_part.share > 0 ? std::min(reserved / m_part.share, burst() * config::MaxReservedShare) : 0;
+    if (m_level < 1 + ofPool || m_allowance < 1 - MaxAllowanceOverdraft + ofPool * m_part.share) {
         return false;
     }
     spend(1);
--- a/src/scheduler_admission.cpp
+++ b/src/scheduler_admission.cpp
@@ -18,10 +18,14 @@
         return std::nullopt;
     }
     team->second.demand.add(now);
-    if (team->second.bucket.take(now)) {
+    auto &[bucket, demand, tokens] = team->second;
+    tokens.recordArrival(request.priority, now);
+    const bool taken = bucket.take(now, bucket.aboveRate(demand.value(now)) ? tokens.reserved(request.priority, now) : 0);
+    tokens.recordTaken(request.priority, taken, now);
+    if (taken) {
         return std::nullopt;
     }
-    return OverQuota {team->second.bucket.nextRetryDelay(now)};
+    return OverQuota {bucket.nextRetryDelay(now)};
 }
 
 void Scheduler::returnToken(const PlacementRequest &request)
@@ -31,4 +35,14 @@
         tokens->returnTokens();
     }
 }
+
+// If it got the token back, a team above its rate would be refused at the queues, where its requests press on those of other teams, instead of
+// by its rate.
+void Scheduler::returnTokenWithinRate(const PlacementRequest &request, TimePoint now)
+{
+    const auto team = m_teamStates.find(request.team);
+    if (team != m_teamStates.end() && !team->second.bucket.aboveRate(team->second.demand.value(now))) {
+        returnToken(request);
+    }
+}
 }
--- a/src/scheduler_queue.cpp
+++ b/src/scheduler_queue.cpp
@@ -53,11 +53,11 @@
         = service.queues.push(request.priority, {id, request.team, latest, service.work.work(request.route)}, assumedRate(service), now);
     if (queueResult.displaced) {
         const QueuedPlacement dropped = takeQueued(*queueResult.displaced);
-        returnToken(dropped.request);
+        returnTokenWithinRate(dropped.request, now);
         m_displaced.push_back({dropped.request.key, NoCapacity {expectedCapacityDelay(service, queueResult.retryAfter), CapacityReason::QueueFull}});
     }
     if (!queueResult.accepted) {
-        returnToken(request);
+        returnTokenWithinRate(request, now);
         return NoCapacity {expectedCapacityDelay(service, queueResult.retryAfter), queueResult.full ? CapacityReason::QueueFull : CapacityReason::TooLate};
     }
     m_waiting.emplace(request.key, QueuedPlacement {request, id});
@@ -94,7 +94,7 @@
             decided.push_back({queued.request.key, *placed});
             continue;
         }
-        returnToken(queued.request);
+        returnTokenWithinRate(queued.request, now);
         decided.push_back({queued.request.key, NoCapacity {expectedCapacityDelay(service, Duration::zero()), CapacityReason::TooLate}});
     }
 }
--- a/tests/admission_fixture.h
+++ b/tests/admission_fixture.h
@@ -3,6 +3,7 @@
 #include <plumsill/scheduler.h>
 
 #include <map>
+#include <memory>
 #include <queue>
 #include <random>
 
@@ -17,6 +18,7 @@
     double perSecond = 0;
     Duration work {};
     Duration objective = std::chrono::milliseconds(800);
+    unsigned repeats = 0; ///< times that a caller comes back at once after a refusal, whatever it was told
     Duration from {}; ///< since the start of the run
     Duration until = std::chrono::hours(1);
 };
@@ -41,18 +43,33 @@
 
     AdmissionLoad(unsigned targets, unsigned slots, const std::vector<Team> &teams = {}, const QuotaPart &part = {1, 1})
     {
-        Document document;
-        document.services = {{{"catalogue"}, 0.7, slots, {}, 0.999}};
-        document.teams = teams;
-        scheduler.setDocument(document, Start);
-        std::vector<Target> listed;
+        m_document.services = {{{"catalogue"}, 0.7, slots, {}, 0.999}};
+        m_document.teams = teams;
         for (unsigned i = 1; i <= targets; ++i) {
-            listed.push_back({{"t" + std::to_string(i)}, {"catalogue"}, {"x"}, {"10.0.0." + std::to_string(i), 80}, false, slots, 0, 1, 1});
+            m_targets.push_back({{"t" + std::to_string(i)}, {"catalogue"}, {"x"}, {"10.0.0." + std::to_string(i), 80}, false, slots, 0, 1, 1});
         }
-        scheduler.setTargets(listed, Start);
-        scheduler.setFleetShare(1);
+        setUp();
         for (const auto &team : teams) {
-            scheduler.bucket(team.name)->setPart(part, Start);
+            scheduler->bucket(team.name)->setPart(part, Start);
+        }
+    }
+
+    /// Replaces the scheduler by one that knows nothing but the running requests. Those that waited are sent to it again.
+    void takeOver()
+    {
+        setUp();
+        std::vector<RunningAttempt> running;
+        for (const auto &[key, sent] : m_sent) {
+            if (!sent.target.value.empty()) {
+                running.push_back({key.id, {"catalogue"}, sent.target, sent.request.route, 0});
+            }
+        }
+        scheduler->reconcile({{"d1"}, 1}, running, m_now);
+        const auto all = m_sent;
+        for (const auto &[key, sent] : all) {
+            if (sent.target.value.empty()) {
+                apply(key, scheduler->submit(sent.request, m_now), m_now);
+            }
         }
     }
 
@@ -70,7 +87,8 @@
             for (std::size_t i = 0; i < streams.size(); ++i) {
                 const bool active = at >= streams[i].from && at < streams[i].until;
                 for (next[i] = std::max(next[i], seconds(at)); active && next[i] <= seconds(at); next[i] += gap(streams[i])) {
-                    send(i, streams[i], now);
+                    ++m_results[i].requested;
+                    send(i, streams[i], now, streams[i].repeats);
                 }
             }
         }
@@ -78,13 +96,14 @@
     }
 
     double failingShare = 0; ///< share of the attempts at all targets that fail
-    Scheduler scheduler {{"x"}, {0.2, 50, std::chrono::seconds(10)}};
+    std::unique_ptr<Scheduler> scheduler;
 
 private:
     struct Sent {
         std::size_t stream = 0;
-        TimePoint objective;
+        PlacementRequest request;
         Duration work {};
+        TargetName target {}; ///< empty while it waits
     };
     struct End {
         TimePoint at;
@@ -93,6 +112,13 @@
         bool operator<(const End &other) const { return at > other.at; }
     };
 
+    void setUp()
+    {
+        scheduler = std::make_unique<Scheduler>(ZoneName {"x"}, RepeatBound {0.2, 50, std::chrono::seconds(10)});
+        scheduler->setDocument(m_document, m_now);
+        scheduler->setTargets(m_targets, m_now);
+        scheduler->setFleetShare(1);
+    }
     double gap(const Stream &stream) { return std::exponential_distribution<double>(stream.perSecond)(m_random); }
 
     void endDue(TimePoint now)
@@ -101,19 +127,19 @@
             const End end = m_ends.top();
             m_ends.pop();
             const bool good = std::uniform_real_distribution<double>(0, 1)(m_random) >= failingShare;
-            scheduler.finishAttempt(end.key, good ? AttemptEnd::Good : AttemptEnd::Failed, end.taken, now);
+            scheduler->finishAttempt(end.key, good ? AttemptEnd::Good : AttemptEnd::Failed, end.taken, now);
             const Sent sent = m_sent.extract(end.key).mapped();
-            m_results[sent.stream].inTime += good && now <= sent.objective ? 1 : 0;
+            m_results[sent.stream].inTime += good && now <= sent.request.objective ? 1 : 0;
             serve(now);
         }
     }
     void serve(TimePoint now)
     {
-        for (const auto &decided : scheduler.serve(now)) {
+        for (const auto &decided : scheduler->serve(now)) {
             apply(decided.key, decided.placement, now);
         }
     }
-    void send(std::size_t index, const Stream &stream, TimePoint now)
+    void send(std::size_t index, const Stream &stream, TimePoint now, unsigned repeats)
     {
         PlacementRequest request;
         request.key = {{{"d1"}, 1}, m_nextId++};
@@ -124,15 +150,20 @@
         request.idempotent = stream.route == 1;
         request.objective = now + stream.objective;
         request.deadline = now + stream.objective * 2;
-        ++m_results[index].requested;
         const double spread = std::uniform_real_distribution<double>(0.7, 1.3)(m_random);
-        m_sent[request.key] = {index, request.objective, fromSeconds(seconds(stream.work) * spread)};
-        apply(request.key, scheduler.submit(request, now), now);
+        m_sent[request.key] = {index, request, fromSeconds(seconds(stream.work) * spread)};
+        const Placement placement = scheduler->submit(request, now);
+        const bool refused = std::holds_alternative<OverQuota>(placement) || std::holds_alternative<NoCapacity>(placement);
+        apply(request.key, placement, now);
+        if (refused && repeats > 0) {
+            send(index, stream, now, repeats - 1);
+        }
     }
     void apply(const PlacementKey &key, const Placement &placement, TimePoint now)
     {
         StreamResult &result = m_results[m_sent.at(key).stream];
-        if (std::holds_alternative<Placed>(placement)) {
+        if (const auto *placed = std::get_if<Placed>(&placement)) {
+            m_sent[key].target = placed->target;
             ++result.placed;
             m_ends.push({now + m_sent[key].work, key, m_sent[key].work});
         } else if (const auto *none = std::get_if<NoCapacity>(&placement)) {
@@ -145,6 +176,8 @@
         }
     }
 
+    Document m_document;
+    std::vector<Target> m_targets;
     std::mt19937 m_random {7};
     std::uint64_t m_nextId = 1;
     TimePoint m_now = Start;
--- a/tests/test_admission.cpp
+++ b/tests/test_admission.cpp
@@ -13,6 +13,15 @@
 {
 const TeamName red {"red"};
 const TeamName blue {"blue"};
+
+Team team(const std::string &name, double rate, double burst)
+{
+    Team result;
+    result.name = {name};
+    result.rate = rate;
+    result.burst = burst;
+    return result;
+}
 }
 
 TEST_GROUP(Admission) {};
@@ -95,3 +104,45 @@
     CHECK(ratio > 0.7);
     CHECK(ratio < 1.4);
 }
+
+// Guards against a bucket that serves whoever comes first: the least urgent requests, which came three times each, used up the tokens of the
+// urgent ones.
+TEST(Admission, TeamAboveItsRateWithThreePrioritiesAndCallersThatRepeatThreeTimes)
+{
+    AdmissionLoad load(8, 4, {team("red", 40, 20)});
+    const auto results = load.run({{red, 1, 0, 15, 50ms, 500ms}, {red, 2, 1, 60, 50ms, 800ms, 3}, {red, 3, 2, 60, 50ms, 2s, 3}}, 20s);
+    CHECK(results[0].served() > 0.95);
+    CHECK(results[2].inTime >= config::MinPriorityShare * 40 * 20 * 0.8);
+    CHECK(results[0].inTime + results[1].inTime + results[2].inTime <= 40 * 20 + 20);
+}
+
+// Guards against an excess that ends in the queues: a team far above its rate got its tokens back with each refusal for room, and pushed out those
+// within theirs.
+TEST(Admission, TeamAtSixTimesItsRateInThreeZonesWithAFifthOfTheTargetsGone)
+{
+    constexpr unsigned Zones = 3;
+    unsigned passedTheRate = 0;
+    for (unsigned zone = 0; zone < Zones; ++zone) {
+        AdmissionLoad load(4, 2, {team("red", 180, 60), team("blue", 300, 60)}, {1.0 / Zones, 1});
+        const std::vector<Stream> streams {{red, 1, 1, 360, 200ms, 800ms}, {blue, 1, 1, 15, 200ms, 800ms}};
+        load.run(streams, 2s); // the time in which the demand of a team is learned
+        const auto results = load.run(streams, 20s);
+        CHECK(results[1].served() > 0.95);
+        passedTheRate += results[0].placed;
+        for (const auto &[reason, count] : results[0].refused) {
+            passedTheRate += count;
+        }
+    }
+    CHECK(passedTheRate <= 180 * 20 + 60);
+}
+
+// Guards against a scheduler that refuses more than before while it has learned nothing.
+TEST(Admission, TakeOverOfTheSchedulerInTheMiddleOfABurst)
+{
+    AdmissionLoad load(4, 3);
+    const std::vector<Stream> streams {{red, 1, 0, 60, 70ms, 500ms}, {red, 2, 2, 120, 140ms, 2s}};
+    load.run(streams, 4s);
+    load.takeOver();
+    const auto results = load.run(streams, 4s);
+    CHECK(results[0].served() > 0.95);
+}
