--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -86,7 +86,7 @@
 inline constexpr auto TokenReserveTime = 500ms; ///< urgent requests of a team above its rate find tokens for what arrives within this time
 inline constexpr double AboveRateFactor
     = 1.2; ///< demand of a team in parts of its rate beyond which it counts as above its rate; covers the noise of the demand
-inline constexpr auto MaxReturnDelay = 4000ms; ///< a refused request is told to return within this time
+inline constexpr auto ShortageLogInterval = 200ms; ///< minimum time between two log lines on refusals at the queues of one service
 inline constexpr double MinUrgentArrivals = 0.05; ///< urgent requests per UrgentSlotTime below which no slot is reserved
 inline constexpr double MaxReservedShare = 0.5; ///< share of a service's slots, or of a team's burst, that may be reserved for urgent requests
 inline constexpr double WorkSampleWeight = 0.02; ///< minimum weight of an answer in the mean work of its route
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <plumsill/admission_counts.h>
 #include <plumsill/clock.h>
 #include <plumsill/config.h>
 #include <plumsill/document.h>
@@ -156,6 +157,7 @@
     /// Whether no request is queued.
     bool idle() const { return m_waiting.empty(); }
 
+    const AdmissionCounts &admissionCounts() const { return m_counts; }
     const std::vector<TeamName> &teams() const { return m_teams; }
     /// Request rate of the team per second, including refused requests.
     double demand(const TeamName &team, TimePoint now) const;
@@ -233,6 +235,7 @@
         TargetSubsets subsets;
         unsigned slots = 1; ///< slots of each target that announces no number
         unsigned running = 0;
+        TimePoint shortageLoggedAt;
     };
 
     struct QueuedPlacement {
@@ -279,6 +282,8 @@
     static void retractEvidence(SenderState &sender, const ServiceName *service, TimePoint now);
     void recordUnreachable(const InstanceName &daemon, const TargetStatePtr &target, TimePoint now);
     static InstanceName senderOf(const PlacementKey &key, const Attempt &attempt);
+    Placement decide(const PlacementRequest &request, TimePoint now);
+    void count(unsigned priority, const Placement &placement);
     std::optional<Placement> admit(const PlacementRequest &request, TimePoint now);
     Placement enqueue(ServiceState &service, const PlacementRequest &request, TimePoint now);
     /// Time until a target of the service takes a request of the daemon, and what keeps all of them from it until then; zero
@@ -325,6 +330,7 @@
     std::unordered_map<std::uint64_t, PlacementKey> m_keyByQueueId; ///< key of each queued request
     std::vector<DelayedPlacement> m_displaced; ///< decisions on requests that a new request displaced from a queue
     std::uint64_t m_nextQueueId = 1;
+    AdmissionCounts m_counts;
     TimePoint m_overdueCheckedAt;
     TimePoint m_baselineUpdatedAt;
     double m_baselineFailureShare = BaselineFailureShare; ///< share of the targets in use that currently fail, averaged over about ten seconds
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -41,6 +41,22 @@
     add("plumsill_placements_on_new_connection", [](const SubsetReport &report) { return report.opened; });
 }
 
+void addAdmissionGauges(const std::map<unsigned, AdmissionCounts> &counts, std::vector<Gauge> &gauges)
+{
+    for (const auto &[priority, count] : counts) {
+        const std::string rank = "priority=\"" + std::to_string(priority) + "\",outcome=\"";
+        const auto add = [&gauges, &rank](const std::string &outcome, std::uint64_t requests) {
+            gauges.push_back({"plumsill_scheduled_requests", static_cast<double>(requests), rank + outcome + "\""});
+        };
+        add("placed", count.placed);
+        add("waited", count.waited);
+        add("over-rate", count.overRate);
+        for (const auto &[reason, requests] : count.refused) {
+            add(toString(reason), requests);
+        }
+    }
+}
+
 RepeatBound repeatBound(const FleetBounds &bounds)
 {
     return {bounds.repeatRatio, bounds.repeatSlack, bounds.repeatWindow};
@@ -550,6 +566,7 @@
     gauges.push_back({"plumsill_log_lines_left_out", static_cast<double>(droppedEvents())});
     gauges.push_back({"plumsill_ready", ready(now) ? 1.0 : 0.0});
     addSubsetGauges(m_scheduler.subsetReports(), gauges);
+    addAdmissionGauges(m_scheduler.admissionCounts(), gauges);
     return m_metrics.prometheusText(gauges);
 }
 }
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -180,6 +180,13 @@
     if (m_waiting.contains(request.key)) {
         return Queued {};
     }
+    const Placement placement = decide(request, now);
+    count(request.priority, placement);
+    return placement;
+}
+
+Placement Scheduler::decide(const PlacementRequest &request, TimePoint now)
+{
     if (const auto refused = admit(request, now)) {
         return *refused;
     }
--- a/src/scheduler_admission.cpp
+++ b/src/scheduler_admission.cpp
@@ -45,4 +45,18 @@
         returnToken(request);
     }
 }
+
+void Scheduler::count(unsigned priority, const Placement &placement)
+{
+    AdmissionCount &count = m_counts[priority];
+    if (std::holds_alternative<Placed>(placement)) {
+        ++count.placed;
+    } else if (std::holds_alternative<OverQuota>(placement)) {
+        ++count.overRate;
+    } else if (const auto *none = std::get_if<NoCapacity>(&placement)) {
+        ++count.refused[none->reason];
+    } else {
+        ++count.waited;
+    }
+}
 }
--- a/src/scheduler_queue.cpp
+++ b/src/scheduler_queue.cpp
@@ -1,4 +1,5 @@
 #include <plumsill/config.h>
+#include <plumsill/event.h>
 #include <plumsill/scheduler.h>
 #include <plumsill/urgent_reserve.h>
 
@@ -54,10 +55,22 @@
     if (queueResult.displaced) {
         const QueuedPlacement dropped = takeQueued(*queueResult.displaced);
         returnTokenWithinRate(dropped.request, now);
+        ++m_counts[dropped.request.priority].refused[CapacityReason::QueueFull];
         m_displaced.push_back({dropped.request.key, NoCapacity {expectedCapacityDelay(service, queueResult.retryAfter), CapacityReason::QueueFull}});
     }
     if (!queueResult.accepted) {
         returnTokenWithinRate(request, now);
+        if (now - service.shortageLoggedAt >= config::ShortageLogInterval) {
+            service.shortageLoggedAt = now;
+            Event("scheduler", "service-short")
+                .add("service", request.service.value)
+                .add("priority", static_cast<std::int64_t>(request.priority))
+                .add("refused_for", toString(queueResult.full ? CapacityReason::QueueFull : CapacityReason::TooLate))
+                .add("wait_ms", queueResult.retryAfter)
+                .add("time_left_ms", latest - now)
+                .add("waiting", static_cast<std::int64_t>(service.queues.size(request.priority)))
+                .add("running", static_cast<std::int64_t>(service.running));
+        }
         return NoCapacity {expectedCapacityDelay(service, queueResult.retryAfter), queueResult.full ? CapacityReason::QueueFull : CapacityReason::TooLate};
     }
     m_waiting.emplace(request.key, QueuedPlacement {request, id});
@@ -90,12 +103,14 @@
 {
     for (const auto id : service.queues.expire(priority, now)) {
         const QueuedPlacement queued = takeQueued(id);
+        Placement placement = NoCapacity {expectedCapacityDelay(service, Duration::zero()), CapacityReason::TooLate};
         if (auto placed = place(service, queued.request, true, now)) {
-            decided.push_back({queued.request.key, *placed});
-            continue;
+            placement = *placed;
+        } else {
+            returnTokenWithinRate(queued.request, now);
         }
-        returnTokenWithinRate(queued.request, now);
-        decided.push_back({queued.request.key, NoCapacity {expectedCapacityDelay(service, Duration::zero()), CapacityReason::TooLate}});
+        count(priority, placement);
+        decided.push_back({queued.request.key, placement});
     }
 }
 
@@ -155,14 +170,16 @@
                 break;
             }
             const QueuedPlacement queued = takeQueued(next->id);
+            Placement placement = NoCapacity {expectedCapacityDelay(service, Duration::zero())};
             if (auto placed = place(service, queued.request, false, now)) {
                 service.queues.recordServed(next->cost, now);
-                decided.push_back({queued.request.key, *placed});
+                placement = *placed;
             } else {
                 // Each healthy target with a free slot was already tried by this request, or its daemon could not connect to it.
                 returnToken(queued.request);
-                decided.push_back({queued.request.key, NoCapacity {expectedCapacityDelay(service, Duration::zero())}});
             }
+            count(queued.request.priority, placement);
+            decided.push_back({queued.request.key, placement});
         }
     }
 }
--- a/tests/test_admission.cpp
+++ b/tests/test_admission.cpp
@@ -146,3 +146,15 @@
     const auto results = load.run(streams, 4s);
     CHECK(results[0].served() > 0.95);
 }
+
+// Guards against refusals that no count shows: an operator could not tell which priority a shortage hit.
+TEST(Admission, RefusalsOfAShortageAreCountedByPriorityAndReason)
+{
+    AdmissionLoad load(2, 2);
+    const auto results = load.run({{red, 1, 0, 70, 70ms, 500ms}, {red, 2, 2, 40, 140ms, 2s}}, 6s);
+    for (std::size_t i = 0; i < results.size(); ++i) {
+        const AdmissionCount &count = load.scheduler->admissionCounts().at(i == 0 ? 0 : 2);
+        UNSIGNED_LONGS_EQUAL(results[i].placed, count.placed);
+        UNSIGNED_LONGS_EQUAL(results[i].refused.at(CapacityReason::TooLate), count.refused.at(CapacityReason::TooLate));
+    }
+}
