--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -238,6 +238,12 @@
         TimePoint shortageLoggedAt;
     };
 
+    /// The daemon that asks, which keeps the connection, also one through a helper.
+    struct AskingDaemon {
+        std::uint32_t id = 0; ///< shortHash() of its name
+        const TargetSubset *subset = nullptr; ///< null if it is to use all targets
+    };
+
     struct QueuedPlacement {
         PlacementRequest request;
         std::uint64_t queueId = 0;
@@ -254,7 +260,7 @@
     /// Targets among which the service's subsets are formed: those of this zone, or all where it has none.
     std::vector<std::uint32_t> subsetCandidates(const ServiceState &service) const;
     std::optional<Placed> place(ServiceState &service, const PlacementRequest &request, bool allowRisky, TimePoint now);
-    double cost(const ServiceState &service, const TargetState &state, const TargetSubset *subset, const PlacementRequest &request, TimePoint now) const;
+    double cost(const ServiceState &service, const TargetState &state, const AskingDaemon &daemon, const PlacementRequest &request, TimePoint now) const;
     /// State of this run of the target, listed before or not; null if there is none.
     TargetStatePtr knownState(const Target &target) const;
     TargetStatePtr knownState(const TargetName &target) const;
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -228,7 +228,7 @@
     case AttemptEnd::Good:
         target.failureEstimate.recordGoodAnswer(now);
         target.unreachableFrom.erase(sender);
-        target.kept.add(key.member.name, now);
+        target.kept.add(shortHash(key.member.name.value), now);
         m_senders[sender].failedConnects.erase(attempt.service);
         if (now >= target.coldUntil) {
             latency(state, attempt.route, taken).add(taken);
@@ -251,6 +251,7 @@
             target.failureEstimate.recordRefusal(now);
         }
         target.refusedUntil = now + config::RefusalBackoff;
+        target.kept.add(shortHash(key.member.name.value), now); // a refusal is a complete answer
         break;
     case AttemptEnd::WrongTarget:
         target.wrongAddress = true;
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -41,7 +41,7 @@
 
 // Expected cost of sending a request to this target, in lost requests: the request may fail, transfer data between zones,
 // or take the last slot of a target that other requests could use.
-double Scheduler::cost(const ServiceState &service, const TargetState &state, const TargetSubset *subset, const PlacementRequest &request, TimePoint now) const
+double Scheduler::cost(const ServiceState &service, const TargetState &state, const AskingDaemon &daemon, const PlacementRequest &request, TimePoint now) const
 {
     const unsigned slots = slotsOf(service, state);
     double sum = config::FailureCost * (request.idempotent ? config::RepeatableShare : 1.0) * failureProbability(state, now);
@@ -49,10 +49,10 @@
     sum += config::LoadCost * state.running + (state.running + 1 >= slots ? config::LastSlotCost : 0);
     sum += now < state.refusedUntil ? config::RefusedCost : 0;
     sum += now < state.coldUntil ? config::ColdCost : 0;
-    if (subset != nullptr && subset->contains(state.id)) {
+    if (daemon.subset != nullptr && daemon.subset->contains(state.id)) {
         sum -= config::SubsetBonus + config::SubsetIdleBonus * seconds(std::min<Duration>(now - state.lastPlaced, config::RetrialAfter));
     }
-    sum -= state.kept.usable(request.key.member.name, request.idempotent, now) ? config::KeptConnectionBonus : 0;
+    sum -= state.kept.usable(daemon.id, request.idempotent, now) ? config::KeptConnectionBonus : 0;
     const bool unused = state.running == 0 && now - state.lastPlaced > config::RetrialAfter;
     const bool retrialDue = unused && state.target.zone == m_zone
         && failureProbability(state, now) < (request.idempotent ? config::RepeatableTrialShare : config::RetrialThreshold);
@@ -90,9 +90,8 @@
     // The path that counts is that of the daemon which opens the connection.
     const auto helper = request.relayed ? m_helpers.choose(request.key.member.name, request.service, now) : std::nullopt;
     const InstanceName &sender = helper ? helper->name : request.key.member.name;
-    const InstanceName &asking = request.key.member.name; // it keeps the connection, also one through a helper
-    const std::uint32_t askingId = shortHash(asking.value);
-    const TargetSubset *subset = service.subsets.subset(askingId);
+    const std::uint32_t askingId = shortHash(request.key.member.name.value);
+    const AskingDaemon asking {askingId, service.subsets.subset(askingId)};
     TargetStatePtr best;
     double lowestCost = std::numeric_limits<double>::infinity();
     bool anyHealthy = false; // whether a usable target is healthy, so that waiting for one makes sense
@@ -108,7 +107,7 @@
         if (!hasCapacity(service, *state, now) || (risky && !allowRisky)) {
             continue;
         }
-        const double targetCost = cost(service, *state, subset, request, now);
+        const double targetCost = cost(service, *state, asking, request, now);
         if (targetCost < lowestCost) {
             lowestCost = targetCost;
             best = state;
@@ -124,8 +123,8 @@
     ++service.running;
     best->lastPlaced = now;
     best->limit.take(now);
-    const bool reuses = best->kept.take(asking, request.idempotent, now);
-    service.subsets.recordPlacement(askingId, {best->id, reuses}, now);
+    const bool reuses = best->kept.take(asking.id, request.idempotent, now);
+    service.subsets.recordPlacement(asking.id, {best->id, reuses}, now);
     m_running[request.key] = {request.service, best, request.route, now, false, helper};
     if (helper) {
         m_helpers.recordStart(helper->name);
--- a/tests/test_placement.cpp
+++ b/tests/test_placement.cpp
@@ -37,6 +37,7 @@
     Duration work = 350ms;
     double idempotentShare = 0;
     double failedShare = 0.012;
+    double shedShare = 0; ///< share of the requests that targets refuse
     double slowShare = 0.03; ///< share of the requests that take seven times as long
     Duration length = 12s;
     std::map<TargetName, double> slower {}; ///< factor on the work of single targets
@@ -122,7 +123,12 @@
         const auto slower = m_load.slower.find(placed->target);
         const double factor = (slower == m_load.slower.end() ? 1 : slower->second) * m_spread(m_random) * (m_unit(m_random) < m_load.slowShare ? 7 : 1);
         const Duration taken = fromSeconds(seconds(m_load.work) * factor);
-        m_ends.push({now + taken, key, placed->target, taken, m_unit(m_random) < m_load.failedShare ? AttemptEnd::Failed : AttemptEnd::Good});
+        const double chance = m_unit(m_random);
+        if (chance < m_load.shedShare) {
+            m_ends.push({now + 1ms, key, placed->target, 1ms, AttemptEnd::NotExecuted});
+        } else {
+            m_ends.push({now + taken, key, placed->target, taken, chance < m_load.shedShare + m_load.failedShare ? AttemptEnd::Failed : AttemptEnd::Good});
+        }
         auto &idle = m_idle[{key.member.name, placed->target}];
         const bool reuses = !idle.empty() && now - idle.back() < (m_idempotent[key] ? Duration(8500ms) : Duration(config::FreshConnectionAge));
         if (reuses) {
@@ -171,6 +177,14 @@
     CHECK(result.openedShare() <= 0.2);
 }
 
+// Guards against connections that the scheduler takes for closed, because the last answer on them was a refusal.
+TEST(PlacementLoad, ConnectionsToTargetsThatShedHalfOfTheRequestsAreReused)
+{
+    Load load;
+    load.shedShare = 0.55;
+    CHECK(ZoneLoad(load).run().openedShare() <= 0.2);
+}
+
 // Guards against small subsets that leave some of the targets to a few daemons.
 TEST(PlacementLoad, EvenDemandOfThirtyEightDaemonsIsSpreadOverTheTargets)
 {
