--- a/tests/test_placement.cpp
+++ b/tests/test_placement.cpp
@@ -255,7 +255,7 @@
         return all;
     }
     /// Two requests a second of each daemon, each of which takes 500 ms.
-    void run(std::uint32_t daemons, Duration length)
+    void sendRequests(std::uint32_t daemons, Duration length)
     {
         subsets.recordDuration(500ms);
         for (const TimePoint end = now + length; now < end; now += 500ms) {
@@ -280,13 +280,13 @@
 TEST(TargetSubsets, ThirdOfThreeHundredTargetsLeavesAThousandDaemonsAtOnce)
 {
     subsets.setTargets(range(300));
-    run(1000, 8s);
+    sendRequests(1000, 8s);
     std::vector<std::vector<std::uint32_t>> before;
     for (std::uint32_t daemon = 1; daemon <= 1000; ++daemon) {
         before.push_back(subsets.subset(daemon)->targets());
     }
     subsets.setTargets(range(200));
-    run(1000, 4s);
+    sendRequests(1000, 4s);
     unsigned remaining = 0;
     unsigned kept = 0;
     for (std::uint32_t daemon = 1; daemon <= 1000; ++daemon) {
@@ -307,8 +307,8 @@
 TEST(TargetSubsets, TargetsOfADepartedThirdOfTheDaemonsStayCovered)
 {
     subsets.setTargets(range(300));
-    run(90, 8s);
-    run(60, 20s);
+    sendRequests(90, 8s);
+    sendRequests(60, 20s);
     const auto counts = cover(60, 300);
     CHECK(*std::min_element(counts.begin() + 1, counts.end()) > 0);
 }
@@ -317,9 +317,9 @@
 TEST(TargetSubsets, NewTargetsAreTakenIntoSubsetsWithinFiveSeconds)
 {
     subsets.setTargets(range(200));
-    run(300, 8s);
+    sendRequests(300, 8s);
     subsets.setTargets(range(300));
-    run(300, 5s);
+    sendRequests(300, 5s);
     const auto counts = cover(300, 300);
     CHECK(*std::min_element(counts.begin() + 1, counts.end()) > 0);
 }
@@ -328,7 +328,7 @@
 TEST(TargetSubsets, FewTargetsOrFewDaemonsHaveNoSubsets)
 {
     subsets.setTargets(range(4));
-    run(20, 8s);
+    sendRequests(20, 8s);
     LONGS_EQUAL(0, subsets.report().daemons);
     TargetSubsets ofOne;
     ofOne.setTargets(range(100));
