--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -41,7 +41,7 @@
     add("plumsill_placements_on_new_connection", [](const SubsetReport &report) { return report.opened; });
 }
 
-void addAdmissionGauges(const std::map<unsigned, AdmissionCounts> &counts, std::vector<Gauge> &gauges)
+void addAdmissionGauges(const AdmissionCounts &counts, std::vector<Gauge> &gauges)
 {
     for (const auto &[priority, count] : counts) {
         const std::string rank = "priority=\"" + std::to_string(priority) + "\",outcome=\"";
