Give scarce repeats to urgent retries first, and to hedges last

A hedge cost what a retry of refused work cost.

Cause: RepeatCounter::tryRepeat knew neither priority, nor time left, nor hedges.

Change: RepeatBudget keeps as many repeats for more urgent retries as their recent rate needs within a window, less those for which old repeats and new requests make room; in a priority, retries that are answered in time go first; hedges, and retries whose caller will have gone, come last. Each less urgent priority keeps a tenth. The scheduler tells a hedge from a retry by the attempt that still runs. A repeat counts until a whole window has passed, wherever the window begins, and a clock that is set back opens no old step.

Tests, seen to fail first.

Known red: a new scheduler allows repeats that its predecessor has used in the same window (as before this commit; found by the test).

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -217,6 +217,11 @@
 inline constexpr auto MinRetryAfter = 100ms;
 inline constexpr double RepeatMargin
     = 0.9; ///< factor on the bound on repeats (retries and hedges); the margin covers repeats that are sent while a daemon changes to another scheduler
+inline constexpr double RepeatFloorShare = 0.1; ///< repeats that each less urgent priority may use for each one that a more urgent one uses
+inline constexpr double RepeatHedgeMargin = 1.5; ///< factor on the expected retries for which repeats are kept from hedges; covers the error of the estimate
+inline constexpr auto RepeatShortTime = 2000ms; ///< the repeats of a service are short until none was refused for this time
+inline constexpr auto RetryAfterEnd
+    = 20ms; ///< a daemon asks for a retry as soon as a target has refused the attempt before; covers the delay of both datagrams
 
 // Zone scheduler (the hub of a zone): connections, placement and heartbeats.
 inline constexpr std::size_t ScheduledConnections
--- a/include/plumsill/repeats.h
+++ b/include/plumsill/repeats.h
@@ -16,7 +16,7 @@
     auto operator<=>(const RepeatBound &) const = default;
 };
 
-/// Counts requests and repeats of one service in a sliding window of ten steps.
+/// Counts requests and repeats of one service in a sliding window.
 class RepeatCounter
 {
 public:
@@ -24,24 +24,31 @@
         : m_bound(bound)
     { }
 
+    const RepeatBound &bound() const { return m_bound; }
     /// Changes the bound. The counts so far are kept.
     void setBound(const RepeatBound &bound) { m_bound = bound; }
     /// Counts a request.
     void recordRequest(TimePoint now);
     /// Returns true if a repeat may be sent, and counts it.
     bool tryRepeat(TimePoint now);
+    /// Repeats that may still be sent now.
+    double left(TimePoint now);
+    /// Part of what is left that @p perSecond repeats need within the next window, beyond those for which old ones make room.
+    double neededFor(double perSecond, TimePoint now);
 
 private:
-    static constexpr std::size_t Steps = 10;
+    static constexpr std::int64_t Steps = 20; ///< in a window
     struct Step {
         std::int64_t number = 0;
         unsigned requests = 0;
         unsigned repeats = 0;
     };
 
+    Duration stepLength() const { return m_bound.window / Steps; }
     Step &step(TimePoint now);
 
     RepeatBound m_bound;
-    std::array<Step, Steps> m_steps {};
+    std::array<Step, Steps + 1> m_steps {};
+    std::int64_t m_latest = 0; ///< number of the newest step
 };
 }
--- a/include/plumsill/scheduler.h
+++ b/include/plumsill/scheduler.h
@@ -10,7 +10,7 @@
 #include <plumsill/messages.h>
 #include <plumsill/priority_queues.h>
 #include <plumsill/quota.h>
-#include <plumsill/repeats.h>
+#include <plumsill/repeat_budget.h>
 #include <plumsill/roster.h>
 #include <plumsill/target_limit.h>
 #include <plumsill/target_subset.h>
@@ -166,6 +166,9 @@
     /// Running requests and failure probabilities of the targets, to report to the schedulers of other zones.
     std::vector<TargetLoad> loads(TimePoint now) const;
 
+    /// Budgets of repeats, by service.
+    std::map<ServiceName, RepeatBudget *> repeatBudgets();
+
 private:
     struct RemoteLoad {
         TargetLoad load;
@@ -231,7 +234,7 @@
         std::map<std::uint32_t, LatencyModel> latency; ///< by route
         WorkModel work;
         PriorityQueues queues {config::MaxQueuedRequests};
-        RepeatCounter repeats;
+        RepeatBudget repeats;
         TargetSubsets subsets;
         unsigned slots = 1; ///< slots of each target that announces no number
         unsigned running = 0;
@@ -315,6 +318,8 @@
     RepeatBound repeatBound() const;
     /// Whether a further attempt of a request that was sent before is within the bound on repeats; counts it if so.
     bool mayRepeat(const PlacementRequest &request, TimePoint now);
+    /// Tells a hedge from a retry.
+    RepeatKind repeatKind(const PlacementRequest &request, TimePoint now);
 
     ZoneName m_zone;
     RepeatBound m_repeats;
