Read the limits of the instance from the settings

Of the platform's limits, link-mbps and memory-mb were read by nothing and cpu-share was taken as it came. All three are decoded and checked; one that is missing, 0, negative or absurd is named at start and after SIGHUP and isn't enforced (no limit known). Our own settings have limits.link_megabits, limits.memory_megabytes and limits.processor_cores, where such a value is a problem of the file as for every other key. The document's INI has large-answers for Route::large. Nothing decides by them yet.

New tests didn't compile before the change. test_settings, test_platform and test_document pass.

--- a/include/plumsill/config.h
+++ b/include/plumsill/config.h
@@ -303,6 +303,21 @@
 inline constexpr auto StoreBackoffMin = 200ms;
 inline constexpr auto StoreBackoffMax = 10'000ms;
 
+// Limits of the instance.
+inline constexpr double LinkPayloadShare = 0.95; ///< part of the link's rate that carries answers; the rest is taken by the headers of packets
+inline constexpr double HeldBytesShare = 0.25; ///< part of the instance's memory that may hold bytes of callers and targets
+inline constexpr std::size_t LargeBytes = 32 * 1024; ///< bodies from this size on are paced, and refused or streamed when memory is short
+inline constexpr double SmallRequestsShare = 0.25; ///< part of the bytes that may be held which large requests leave to small ones
+inline constexpr std::size_t LargeAnswerReserve = 256 * 1024; ///< bytes that must be free when a request of large answers is taken
+inline constexpr std::size_t RequestBodyCopies = 4; ///< copies of a request's body while it is sent: of the caller, the attempts, one attempt, and on the wire
+inline constexpr auto PacedChunkTime = 10ms; ///< time that one part of a large answer takes on the link; small answers wait at most twice as long
+inline constexpr auto PacedAhead = 10ms; ///< the next part is granted this long before the link is free, so that a late timer leaves no gap
+inline constexpr std::size_t MinPacedChunkBytes = 4 * 1024;
+inline constexpr std::size_t MaxPacedChunkBytes = 256 * 1024;
+inline constexpr double MinPacedShare = 0.1; ///< part of the link that large answers have while small ones fill it
+inline constexpr auto MaxLinkBacklog = 1000ms; ///< half of a usual deadline
+inline constexpr double AnswerSizeWeight = 0.1; ///< weight of one answer in the typical size of its route
+
 // Traffic threads.
 inline constexpr auto AcceptRetryDelay = 50ms;
 inline constexpr auto LimitCheckInterval = 500ms;
--- a/include/plumsill/settings.h
+++ b/include/plumsill/settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plumsill/document.h>
+#include <plumsill/instance_limits.h>
 #include <plumsill/log.h>
 #include <plumsill/types.h>
 
@@ -53,6 +54,7 @@
     bool firstStart = false; ///< all daemons of the fleet start for the first time, so this daemon gives the others time to enroll
     double capacity = 1; ///< number of CPU cores that the daemon may use
     FleetBounds bounds;
+    InstanceLimits limits;
 
     auto operator<=>(const Settings &) const = default;
 };
@@ -61,6 +63,7 @@
 struct ParsedSettings {
     Settings settings;
     std::vector<IniProblem> problems;
+    std::vector<IniProblem> notices; ///< values that are left out; the settings are usable without them
 
     bool valid() const { return problems.empty(); }
 };
--- a/src/document.cpp
+++ b/src/document.cpp
@@ -99,6 +99,9 @@
     if (route.belowOnly) {
         text += "below-only = yes\n";
     }
+    if (route.large) {
+        text += "large-answers = yes\n";
+    }
     return text;
 }
 
--- a/src/document_check.cpp
+++ b/src/document_check.cpp
@@ -314,6 +314,7 @@
          [](Route &target, const std::string &text) { return assign(parseCount(text, MaxRouteAttempts), target.attempts, "not a whole number from 1 to 10"); }},
         {"priority", [](Route &target, const std::string &text) { return assign(parsePriority(text), target.priority, "not a whole number from 0 to 1000"); }},
         {"below-only", [](Route &target, const std::string &text) { return assign(parseYesNo(text), target.belowOnly, "neither yes nor no"); }},
+        {"large-answers", [](Route &target, const std::string &text) { return assign(parseYesNo(text), target.large, "neither yes nor no"); }},
         {"service",
          [](Route &target, const std::string &text) {
              target.service = {text};
--- a/src/net_control.cpp
+++ b/src/net_control.cpp
@@ -231,6 +231,7 @@
     snapshot->compiled = m_document.compiled();
     snapshot->leaving = m_leaving;
     snapshot->closeAt = m_closeAt;
+    snapshot->limits = m_settings.limits;
     snapshot->trustedUntil = m_document.holder().trustedUntil().value_or(TimePoint());
     if (snapshot->compiled) {
         for (const auto &service : snapshot->compiled->document->services) {
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -447,6 +447,7 @@
     snapshot->leaving = m_leaving;
     snapshot->closeAt = m_closeAt;
     snapshot->answerBy = m_answerBy;
+    snapshot->limits = m_settings.limits;
     snapshot->trustedUntil = trustedUntil();
     snapshot->publishedAt = now;
     snapshot->proofExpectedUntil = m_proofExpectedUntil;
@@ -501,6 +502,7 @@
     }
     m_settings.platform = settings.platform;
     m_settings.capacity = settings.capacity;
+    m_settings.limits = settings.limits;
     m_settings.bounds = settings.bounds;
     m_scheduler.setRepeatBound(repeatBound(settings.bounds));
     publish(now);
--- a/src/net_zone_daemon.cpp
+++ b/src/net_zone_daemon.cpp
@@ -97,6 +97,7 @@
         .add("traffic", toString(traffic))
         .add("readiness", toString(m_settings.readinessListen))
         .add("peers", toString(peer.assume_value()))
+        .add("limits", toString(m_settings.limits))
         .add("version", PLUMSILL_VERSION);
     flushEvents();
 }
@@ -154,6 +155,9 @@
         for (const auto &problem : parsed.problems) {
             Event("daemon", "settings-problem").add("problem", toString(problem));
         }
+        for (const auto &notice : parsed.notices) {
+            Event("daemon", "settings-notice").add("problem", toString(notice));
+        }
     }
 }
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -138,6 +138,16 @@
     return {};
 }
 
+ErrorText assignLimit(const std::string &value, const LimitRange &range, std::optional<double> &limit)
+{
+    const auto number = parseNumber(value);
+    if (!number || !limitProblem(number, range).empty()) {
+        return "not a number from " + decimalText(range.min) + " to " + decimalText(range.max) + ": " + value;
+    }
+    limit = *number;
+    return {};
+}
+
 /// Fleet forms in which a key of the settings file is mandatory.
 enum class Requirement
 {
@@ -172,6 +182,12 @@
     Field {"fleet.form", Requirement::Never, [](const std::string &value, Settings &settings) { return assignForm(value, settings.form); }},
     Field {"fleet.zones", Requirement::Never, [](const std::string &value, Settings &settings) { return assignZones(value, settings.zones); }},
     Field {"instance.capacity", Requirement::Never, [](const std::string &value, Settings &settings) { return assignPositive(value, settings.capacity); }},
+    Field {"limits.link_megabits", Requirement::Never,
+           [](const std::string &value, Settings &settings) { return assignLimit(value, LinkMegabitsRange, settings.limits.linkMegabits); }},
+    Field {"limits.memory_megabytes", Requirement::Never,
+           [](const std::string &value, Settings &settings) { return assignLimit(value, MemoryMegabytesRange, settings.limits.memoryMegabytes); }},
+    Field {"limits.processor_cores", Requirement::Never,
+           [](const std::string &value, Settings &settings) { return assignLimit(value, ProcessorCoresRange, settings.limits.processorCores); }},
     Field {"readiness.listen", Requirement::Zone, [](const std::string &value, Settings &settings) { return assignEndpoint(value, settings.readinessListen); }},
     Field {"readiness.path", Requirement::Never, [](const std::string &value, Settings &settings) { return assignPath(value, settings.readinessPath); }},
     Field {"metrics.listen", Requirement::Zone, [](const std::string &value, Settings &settings) { return assignEndpoint(value, settings.metricsListen); }},
--- a/src/snapshot_p.h
+++ b/src/snapshot_p.h
@@ -2,6 +2,7 @@
 
 #include <plumsill/document.h>
 #include <plumsill/health.h>
+#include <plumsill/instance_limits.h>
 #include <plumsill/keys.h>
 #include <plumsill/messages.h>
 #include <plumsill/routing.h>
@@ -48,6 +49,7 @@
     /// At this time, all running requests get a final answer. A connection's answers are sent in the order of its requests. An unanswered request would
     /// therefore hold back the ready answers to the pipelined requests behind it until the daemon has stopped.
     TimePoint answerBy = TimePoint::max();
+    InstanceLimits limits;
 };
 
 using SnapshotPtr = boost::intrusive_ptr<const Snapshot>;
--- a/tests/test_document.cpp
+++ b/tests/test_document.cpp
@@ -39,6 +39,17 @@
 
 TEST_GROUP(Document) {};
 
+TEST(Document, RouteOfLargeAnswersKeepsItsKeyInTheCanonicalText)
+{
+    std::string text = validText;
+    text += "large-answers = yes\n";
+    const auto parsed = parseDocument(text, "f");
+    CHECK(parsed.valid());
+    CHECK(parsed.document.routes.at(1).large);
+    CHECK(parseDocument(canonicalText(parsed.document), "f").document.routes.at(0).large);
+    CHECK(canonicalText(parsed.document).find("large-answers") == canonicalText(parsed.document).rfind("large-answers"));
+}
+
 TEST(Document, ValidTextIsReadCompletely)
 {
     const auto parsed = parseDocument(validText, "f");
@@ -50,6 +61,7 @@
     const auto &team = parsed.document.teams.at(0);
     DOUBLES_EQUAL(50, team.rate, 0);
     LONGS_EQUAL(2, team.keyDigests.size());
+    CHECK(!parsed.document.routes.at(0).large);
     const auto &route = parsed.document.routes.at(0);
     STRCMP_EQUAL("example.org", route.host.c_str());
     STRCMP_EQUAL("/orders", route.prefix.c_str());
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -14,7 +14,7 @@
 {
 const char *const settingsText = R"({"node-name": "edge-1", "zone": "lx-a", "region": "lx", "ip": "10.1.0.30",
     "listen": {"front": "10.1.0.30:8782", "ready": "10.1.0.30:8789"}, "internal-ports": [7340, 7355], "bootstrap": true,
-    "limits": {"cpu-share": 0.5, "cores": 2}, "bounds": ["revoke-ms=4000", "grace-s=8", "budget-ratio=0.1", "budget-slack=12"],
+    "limits": {"cpu-share": 0.5, "cores": 2, "link-mbps": 10.0, "memory-mb": 160}, "bounds": ["revoke-ms=4000", "grace-s=8", "budget-ratio=0.1", "budget-slack=12"],
     "platform": {"address": "10.200.1.7:8784"}, "a-new-field": {"x": 1}})";
 
 const char *const documentText = R"({"version": "0000001c", "resources": [
@@ -59,6 +59,8 @@
     STRCMP_EQUAL("10.1.0.30:8782", toString(settings.trafficListen).c_str());
     STRCMP_EQUAL("10.1.0.30:7340", toString(settings.peerListen).c_str());
     DOUBLES_EQUAL(1.0, settings.capacity, 1e-9);
+    CHECK(parsed.notices.empty());
+    CHECK(settings.limits == (InstanceLimits {10.0, 160.0, 1.0}));
     CHECK(settings.bounds.keyLifetime == 4s);
     CHECK(settings.bounds.stopGrace == 8s);
     DOUBLES_EQUAL(0.1, settings.bounds.repeatRatio, 1e-9);
@@ -74,6 +76,24 @@
     STRCMP_EQUAL("node.json", parsed.problems.front().file.c_str());
 }
 
+// A limit that is missing, 0, negative or absurd must neither stop the daemon nor be enforced, and the log names it.
+TEST(Platform, UnusableLimitsAreNamedAndNotEnforced)
+{
+    const std::string limits = R"("limits": {"cpu-share": 0.5, "cores": 2, "link-mbps": 10.0, "memory-mb": 160})";
+    for (const char *unusable : {"", R"("limits": {})", R"("limits": {"cpu-share": 0, "cores": 1, "link-mbps": 0, "memory-mb": 0})",
+                                 R"("limits": {"cpu-share": -1, "cores": 1, "link-mbps": -10, "memory-mb": -160})",
+                                 R"("limits": {"cpu-share": 1e9, "cores": 1, "link-mbps": 1e12, "memory-mb": "many"})"}) {
+        std::string text = settingsText;
+        text.replace(text.find(limits), limits.size(), *unusable == 0 ? R"("other": 1)" : unusable);
+        const ParsedSettings parsed = platform::decodeSettings(text, "node.json");
+        CHECK(parsed.valid());
+        CHECK(parsed.settings.limits == InstanceLimits {});
+        DOUBLES_EQUAL(1.0, parsed.settings.capacity, 1e-9);
+        LONGS_EQUAL(*unusable == 0 ? 1 : 3, parsed.notices.size());
+        CHECK(toString(parsed.notices.front()).find("no limit is assumed") != std::string::npos);
+    }
+}
+
 TEST(Platform, DocumentIsDecoded)
 {
     const auto decoded = platform::decodeDocument(boost::json::parse(documentText));
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -53,6 +53,17 @@
     CHECK(parsed.settings.logFormat == LogFormat::Json);
 }
 
+TEST(Settings, LimitsOfTheInstanceAreRead)
+{
+    const auto parsed = parseSettings(validText + "[limits]\nlink_megabits = 10\nmemory_megabytes = 160\nprocessor_cores = 0.1\n", "f.ini");
+    CHECK(parsed.valid());
+    CHECK(parsed.settings.limits == (InstanceLimits {10.0, 160.0, 0.1}));
+    CHECK(parseSettings(validText, "f.ini").settings.limits == InstanceLimits {});
+    STRCMP_EQUAL("f.ini:22: limits.link_megabits: not a number from 0.1 to 1e+06: 0", firstProblem(validText + "[limits]\nlink_megabits = 0\n").c_str());
+    STRCMP_EQUAL("f.ini:22: limits.memory_megabytes: not a number from 16 to 1.6e+07: -5",
+                 firstProblem(validText + "[limits]\nmemory_megabytes = -5\n").c_str());
+}
+
 TEST(Settings, EachProblemHasItsFileAndLine)
 {
     STRCMP_EQUAL("f.ini:7: traffic.thread: unknown key", firstProblem(replaced("threads", "thread")).c_str());
--- a/tools/plumsilld.cpp
+++ b/tools/plumsilld.cpp
@@ -108,6 +108,9 @@
     for (const auto &problem : parsed.problems) {
         std::cerr << toString(problem) << "\n";
     }
+    for (const auto &notice : parsed.notices) {
+        std::cerr << toString(notice) << "\n";
+    }
     if (!parsed.valid()) {
         return ExitUsage;
     }
