Pace large answers on the instance's link and bound the bytes held

Callers saw: a download of 540 kB holds a link of 10 Mbit/s for 0.43 s, and small answers behind it wait; what callers read slowly is held without bound.

Change: start-time fair queueing of the answers of routes with large answers (link_pacer.h), small ones are sent at once and counted; a budget of bytes held (memory_budget.h): request bodies, buffered answers and stream buffers; when it is short, large requests are refused with 503 memory-short (not run, Retry-After), and large answers are streamed so that the target waits. A hedge of a large answer is sent only before its first byte and where the link has time for two copies (worthItsBytes). Only with known limits; hedges only for routes with large answers. The caller's session and the reader of answers are split by subject (net_session_answers.cpp, net_answer_reader.cpp) without other change.

The callback now asks whether its owner still exists.

--- a/include/plumsill/attempt.h
+++ b/include/plumsill/attempt.h
@@ -136,6 +136,18 @@
     AttemptLimits m_limits;
 };
 
+/// A hedge of a request whose answer is large.
+struct LargeHedge {
+    bool answerBegun = false; ///< a byte of the first answer has arrived
+    Duration copyTime {}; ///< time that one copy of the answer takes on the link; zero: not known
+    Duration left {}; ///< until the answer should arrive
+
+    auto operator<=>(const LargeHedge &) const = default;
+};
+
+/// Whether the second copy is worth its bytes on the link.
+bool worthItsBytes(const LargeHedge &hedge);
+
 /// Connection state used to decide whether a connection to a target may be reused.
 struct ConnectionFacts {
     TimePoint openedAt;
--- a/include/plumsill/metrics.h
+++ b/include/plumsill/metrics.h
@@ -42,6 +42,27 @@
     TrafficCounts &operator+=(const TrafficCounts &other);
 };
 
+/// Use of the instance's limits by one traffic thread.
+struct InstanceUse {
+    std::size_t heldBytes = 0; ///< bytes held for callers and targets
+    std::size_t peakHeldBytes = 0;
+    std::uint64_t linkBytes = 0; ///< bytes of answers sent since the start
+    std::size_t pacedFlows = 0; ///< large answers that are being sent
+
+    auto operator<=>(const InstanceUse &) const = default;
+};
+
+/// Decisions for the sake of the instance's limits.
+struct LimitCounts {
+    std::uint64_t paced = 0; ///< large answers that were paced
+    std::uint64_t refusedForMemory = 0; ///< large requests that were refused
+    std::uint64_t streamedForMemory = 0; ///< answers that were streamed instead of buffered
+    std::uint64_t hedgesWithheld = 0; ///< hedges whose bytes were not worth it
+
+    auto operator<=>(const LimitCounts &) const = default;
+    LimitCounts &operator+=(const LimitCounts &other);
+};
+
 /// Counts and evidence that one traffic thread collected since its last report to control.
 struct TrafficReport {
     std::map<TrafficKey, TrafficCounts> counts;
@@ -50,8 +71,11 @@
     std::map<unsigned, std::uint64_t> rejected; ///< number of malformed, unrouted and unauthorized requests, by status
     std::uint64_t retries = 0;
     std::vector<LeavingTarget> leavingTargets; ///< targets that announced that they are draining
+    LimitCounts limits;
+    unsigned thread = 0;
+    InstanceUse use;
 
-    bool empty() const { return counts.empty() && evidence.empty() && rejected.empty() && leavingTargets.empty(); }
+    bool empty() const { return counts.empty() && evidence.empty() && rejected.empty() && leavingTargets.empty() && limits == LimitCounts {}; }
 };
 
 /// One gauge of the metrics page.
@@ -77,5 +101,7 @@
     std::map<ServiceName, LatencyHistogram> m_latency;
     std::map<unsigned, std::uint64_t> m_rejected;
     std::uint64_t m_retries = 0;
+    LimitCounts m_limits;
+    std::map<unsigned, InstanceUse> m_use; ///< by traffic thread
 };
 }
--- a/src/attempt.cpp
+++ b/src/attempt.cpp
@@ -105,6 +105,12 @@
     return m_sent ? RunOutcome::Unknown : RunOutcome::NotRun;
 }
 
+// Once a byte has arrived, a second copy would only slow the first one down. Both copies may pass the link before one of them is broken off.
+bool worthItsBytes(const LargeHedge &hedge)
+{
+    return !hedge.answerBegun && 2 * hedge.copyTime <= hedge.left;
+}
+
 // A lost connection is noticed only when something is sent on it. An idempotent request can be sent again in that case;
 // any other request uses only a connection that has answered recently.
 bool reusable(const ConnectionFacts &connection, bool idempotent, std::optional<TimePoint> suspectBefore, TimePoint now)
--- /dev/null
+++ b/src/caller_session_p.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "forward_p.h"
+#include "link_queue_p.h"
+#include "session_p.h"
+#include "traffic_p.h"
+
+#include <plumsill/memory_budget.h>
+
+#include <boost/beast/http.hpp>
+
+#include <deque>
+
+namespace plumsill
+{
+/// Result of reading a request or a part of it.
+enum class ReadResult : std::uint8_t
+{
+    Complete,
+    Closed, ///< the caller closed the connection; no answer is sent
+    Refused, ///< the request was refused; the connection takes no further request
+};
+
+/// One request on a caller's connection, from its header to its answer.
+struct Exchange : boost::intrusive_ref_counter<Exchange, boost::thread_unsafe_counter> {
+    explicit Exchange(const boost::asio::any_io_executor &executor)
+        : state(executor)
+        , turnTimer(executor)
+    { }
+    std::optional<Access> access;
+    CallerRequest request;
+    RequestState state;
+    RuntimeTimer turnTimer; ///< cancelled when all answers before this one have been written
+    bool keepAlive = false;
+    HeldBytes held; ///< memory of the request's body
+    std::optional<PacedFlow> flow; ///< while a large answer is paced
+};
+
+using ExchangePtr = boost::intrusive_ptr<Exchange>;
+
+/// Reads the pipelined requests of one connection, serves them concurrently and sends the answers in the order of the requests.
+class CallerSession : public boost::intrusive_ref_counter<CallerSession, boost::thread_unsafe_counter>, public SessionBase
+{
+public:
+    CallerSession(TrafficThread &thread, boost::asio::ip::tcp::socket socket);
+
+    boost::asio::awaitable<void> run();
+    void enforceLimits(TimePoint now, const Snapshot &snapshot, bool closing) override;
+
+private:
+    boost::asio::awaitable<bool> waitForRequest();
+    boost::asio::awaitable<bool> readRequest();
+    boost::asio::awaitable<ReadResult> readHeader();
+    boost::asio::awaitable<ReadResult> readBody(std::size_t limit);
+    boost::asio::awaitable<boost::system::error_code> readHeldBody();
+    boost::asio::awaitable<void> refuseForMemory();
+    bool memoryTakes(std::size_t bodyBytes) const;
+    boost::asio::awaitable<void> waitForExchanges(std::size_t maxExchanges);
+    boost::asio::awaitable<void> serve(ExchangePtr exchange);
+    boost::asio::awaitable<bool> answer(const ExchangePtr &exchange);
+    boost::asio::awaitable<void> refuse(const Refusal &refusal);
+    boost::asio::awaitable<bool> waitForTurn(const ExchangePtr &exchange);
+    boost::asio::awaitable<bool> sendAnswer(const ExchangePtr &exchange, TargetAnswer &answer, bool keepAlive);
+    boost::asio::awaitable<bool> send(std::string_view bytes);
+    boost::asio::awaitable<bool> write(std::string_view bytes);
+    boost::asio::awaitable<bool> sendBody(const ExchangePtr &exchange, std::string_view bytes);
+    void startPacing(const ExchangePtr &exchange);
+    AnswerSink sink(const ExchangePtr &exchange);
+    boost::asio::awaitable<bool> beginStream(const ExchangePtr &exchange, const AnswerHeader &header, std::uint64_t length, bool chunked);
+    boost::asio::awaitable<bool> endStream();
+    boost::asio::awaitable<bool> writeStream(const ExchangePtr &exchange, std::string_view bytes);
+    boost::asio::awaitable<void> watchForDisconnect();
+    boost::asio::awaitable<void> closeGracefully();
+    void finish(const ExchangePtr &exchange);
+    void stopReading();
+    void handleCallerDisconnect();
+    void abortConnection();
+    bool leaving() const { return m_thread.snapshot()->leaving; }
+    CallerLimits limits() const;
+
+    TrafficThread &m_thread;
+    boost::asio::ip::tcp::socket m_socket;
+    RuntimeTimer m_exchangeEnded; ///< cancelled when an exchange ends
+    const std::string m_callerAddress;
+    boost::beast::flat_buffer m_buffer;
+    HeldBytes m_bodyHeld; ///< memory of the body that is being read
+    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    std::deque<ExchangePtr> m_exchanges; ///< in the order of their requests
+    TimePoint m_readDeadline = TimePoint::max();
+    TimePoint m_writeDeadline = TimePoint::max();
+    bool m_idle = false; ///< the session waits for the first byte of a request
+    bool m_readExpired = false; ///< the read was cancelled because its deadline passed or the daemon is stopping
+    bool m_closing = false; ///< no further request is read
+    bool m_streamChunked = false; ///< the streamed answer uses chunked transfer coding
+};
+}
--- a/src/forward_p.h
+++ b/src/forward_p.h
@@ -66,6 +66,7 @@
     boost::intrusive_ptr<ParallelAttempts> m_parallelAttempts;
     bool m_callerDisconnected = false;
     bool m_expired = false;
+    HeldBytes m_held; ///< memory of the answer, until it has been sent
 };
 
 /// Forwards one request to targets, with retries and hedges, and returns the caller's answer.
@@ -84,6 +85,10 @@
     /// Takes a token of the team's limit; returns a refusal when none can be had. Does nothing on open routes and where the scheduler counts tokens.
     boost::asio::awaitable<std::optional<Refusal>> admit();
     boost::asio::awaitable<ForwardResult> forward();
+    /// Refusal of a request of large answers while the memory for them is short.
+    std::optional<Refusal> checkMemory();
+    /// Whether a hedge is worth the bytes that its answer takes on the link.
+    bool hedgeIsWorthIt(TimePoint now);
     /// Gets a target for the next attempt.
     boost::asio::awaitable<DispatchResult> acquire();
     /// Waits until the request can be answered, or until another attempt (retry or hedge) is to be made. Returns nothing when another attempt is to be made.
--- /dev/null
+++ b/src/link_queue_p.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "clock_p.h"
+
+#include <plumsill/link_pacer.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <optional>
+
+namespace plumsill
+{
+/// One large answer at the pacer; ends with its object.
+class PacedFlow
+{
+public:
+    explicit PacedFlow(LinkPacer &pacer)
+        : m_pacer(pacer)
+        , m_id(pacer.open())
+    { }
+    ~PacedFlow() { m_pacer.close(m_id); }
+    PacedFlow(const PacedFlow &) = delete;
+    PacedFlow &operator=(const PacedFlow &) = delete;
+
+    FlowId id() const { return m_id; }
+
+private:
+    LinkPacer &m_pacer;
+    const FlowId m_id;
+};
+
+/// Lets the large answers of one traffic thread wait for the grants of its pacer.
+class LinkQueue
+{
+public:
+    LinkQueue(boost::asio::io_context &context, LinkPacer &pacer)
+        : m_pacer(pacer)
+        , m_timer(context)
+    { }
+
+    /// Waits until @p flow may send, and returns how many of @p bytes; at least 1.
+    boost::asio::awaitable<std::size_t> acquire(const PacedFlow &flow, std::size_t bytes);
+
+private:
+    struct Waiter {
+        RuntimeTimer timer;
+        std::optional<std::size_t> granted;
+    };
+
+    void serve();
+
+    LinkPacer &m_pacer;
+    RuntimeTimer m_timer; ///< wakes serve() up at the next grant
+    std::map<FlowId, Waiter *> m_waiters;
+};
+}
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -55,11 +55,47 @@
 }
 }
 
+namespace
+{
+void writeCounter(std::ostream &out, const char *name, std::uint64_t value)
+{
+    out << "# TYPE " << name << " counter\n" << name << " " << value << "\n";
+}
+
+void writeLimits(std::ostream &out, const LimitCounts &counts, const std::map<unsigned, InstanceUse> &useByThread)
+{
+    InstanceUse use;
+    for (const auto &[thread, part] : useByThread) {
+        use.heldBytes += part.heldBytes;
+        use.peakHeldBytes += part.peakHeldBytes;
+        use.linkBytes += part.linkBytes;
+        use.pacedFlows += part.pacedFlows;
+    }
+    writeCounter(out, "plumsill_answers_paced_total", counts.paced);
+    writeCounter(out, "plumsill_refused_for_memory_total", counts.refusedForMemory);
+    writeCounter(out, "plumsill_streamed_for_memory_total", counts.streamedForMemory);
+    writeCounter(out, "plumsill_hedges_withheld_total", counts.hedgesWithheld);
+    writeCounter(out, "plumsill_link_bytes_total", use.linkBytes);
+    out << "# TYPE plumsill_held_bytes gauge\nplumsill_held_bytes " << use.heldBytes << "\n";
+    out << "# TYPE plumsill_held_bytes_peak gauge\nplumsill_held_bytes_peak " << use.peakHeldBytes << "\n";
+    out << "# TYPE plumsill_large_answers gauge\nplumsill_large_answers " << use.pacedFlows << "\n";
+}
+}
+
 LatencyHistogram makeLatencyHistogram()
 {
     return boost::histogram::make_histogram(LatencyAxis(LatencyBins, LatencyMinSeconds, LatencyMaxSeconds));
 }
 
+LimitCounts &LimitCounts::operator+=(const LimitCounts &other)
+{
+    paced += other.paced;
+    refusedForMemory += other.refusedForMemory;
+    streamedForMemory += other.streamedForMemory;
+    hedgesWithheld += other.hedgesWithheld;
+    return *this;
+}
+
 TrafficCounts &TrafficCounts::operator+=(const TrafficCounts &other)
 {
     for (const auto &column : OutcomeColumns) {
@@ -83,6 +119,8 @@
         m_rejected[status] += count;
     }
     m_retries += report.retries;
+    m_limits += report.limits;
+    m_use[report.thread] = report.use;
 }
 
 std::string Metrics::prometheusText(const std::vector<Gauge> &gauges) const
@@ -98,6 +136,7 @@
         out << "plumsill_rejected_total{status=\"" << status << "\"} " << count << "\n";
     }
     out << "# TYPE plumsill_retries_total counter\nplumsill_retries_total " << m_retries << "\n";
+    writeLimits(out, m_limits, m_use);
     const std::string *name = nullptr;
     for (const auto &gauge : gauges) {
         if (name == nullptr || *name != gauge.name) {
--- a/src/net_dispatch.cpp
+++ b/src/net_dispatch.cpp
@@ -93,10 +93,14 @@
     }
     ++m_inFlight;
     const TargetName &name = m_view.targets[*index].target.name;
-    return std::make_unique<TargetLease>(name, m_targets.at(name), [this](AttemptEnd /*end*/, Duration /*taken*/, const TargetNotice & /*notice*/) {
-        --m_inFlight;
-        serveQueue();
-    });
+    // Requests that still run when the thread is destroyed end after the services.
+    const auto ended = [this, alive = std::weak_ptr(m_alive)](AttemptEnd /*end*/, Duration /*taken*/, const TargetNotice & /*notice*/) {
+        if (!alive.expired()) {
+            --m_inFlight;
+            serveQueue();
+        }
+    };
+    return std::make_unique<TargetLease>(name, m_targets.at(name), ended);
 }
 
 boost::asio::awaitable<DispatchResult> ServiceDispatch::acquire(const DispatchRequest &request)
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -252,11 +252,37 @@
     co_return Refusal {429, "over-rate", "the team's rate is used up", RunOutcome::NotRun, answer.retryAfter};
 }
 
+std::optional<Refusal> Forwarder::checkMemory()
+{
+    if (!m_access.route.large || m_thread.memory().takesLarge(config::LargeAnswerReserve)) {
+        return std::nullopt;
+    }
+    ++m_thread.report().limits.refusedForMemory;
+    ++counts().bad;
+    return memoryShort();
+}
+
+bool Forwarder::hedgeIsWorthIt(TimePoint now)
+{
+    if (!m_access.route.large) {
+        return true;
+    }
+    const Duration copyTime = m_thread.link().timeFor(m_thread.answerSizes().typical(m_access.route.name));
+    const bool worthIt = worthItsBytes({m_parallelAttempts->answerBegun(), copyTime, m_deadline - now});
+    m_thread.report().limits.hedgesWithheld += worthIt ? 0 : 1;
+    return worthIt;
+}
+
 boost::asio::awaitable<ForwardResult> Forwarder::run()
 {
     if (!m_access.key.empty() && m_parallelAttempts->request().body().find(m_access.key) != std::string::npos) {
         co_return refuse({400, "key-outside-header", "a key stands outside its header", std::nullopt, {}});
     }
+    if (const auto refusal = checkMemory()) {
+        ForwardResult refused = refuse(*refusal);
+        logEnd(refused);
+        co_return refused;
+    }
     if (const auto refusal = co_await admit()) {
         co_return refuse(*refusal);
     }
@@ -373,7 +399,9 @@
         }
         if (m_hedgeAt && now >= *m_hedgeAt) {
             m_hedgeAt.reset();
-            co_return std::nullopt;
+            if (hedgeIsWorthIt(now)) {
+                co_return std::nullopt;
+            }
         }
         boost::system::error_code cancelled;
         m_state.m_wakeTimer.expires_at(m_hedgeAt.value_or(m_deadline + config::LimitCheckInterval));
@@ -440,6 +468,10 @@
 ForwardResult Forwarder::passOn(BufferedAnswer buffered)
 {
     TargetAnswer answer = std::move(buffered.answer);
+    m_state.m_held = std::move(buffered.held);
+    if (m_access.route.large) {
+        m_thread.answerSizes().add(m_access.route.name, answer.body().size());
+    }
     const unsigned status = answer.result_int();
     const bool claimsNotRun = status == 408 || status == 421 || status == 429 || status == 503;
     if (claimsNotRun && !m_thread.dialect().notExecuted.empty()) {
--- a/src/net_parallel_attempts.cpp
+++ b/src/net_parallel_attempts.cpp
@@ -101,6 +101,8 @@
     options.handle = &entry->handle;
     options.tunnel = entry->lease->tunnel();
     options.dialect = &m_thread.dialect();
+    options.memory = &m_thread.memory();
+    options.streamedForMemory = &m_thread.report().limits.streamedForMemory;
     TargetRequest request = m_request;
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(options.timeout).count();
     request.set(m_thread.dialect().deadline, std::to_string(std::max<std::int64_t>(milliseconds, 1)));
@@ -121,6 +123,11 @@
     return entry;
 }
 
+bool ParallelAttempts::answerBegun() const
+{
+    return std::any_of(m_running.begin(), m_running.end(), [](const auto &entry) { return entry->handle.answerBegun(); });
+}
+
 // Abandons all running attempts. Those that cannot be cancelled continue, and each still reports its end through the lease of its target.
 void ParallelAttempts::close()
 {
--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -1,7 +1,4 @@
-#include "session_p.h"
-
-#include "forward_p.h"
-#include "traffic_p.h"
+#include "caller_session_p.h"
 
 #include <plumsill/config.h>
 #include <plumsill/event.h>
@@ -9,10 +6,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/http.hpp>
-
-#include <deque>
 
 namespace plumsill
 {
@@ -62,83 +55,16 @@
 }
 
 constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
-constexpr std::string_view LastChunk = "0\r\n\r\n";
 
-/// Result of reading a request or a part of it.
-enum class ReadResult : std::uint8_t
-{
-    Complete,
-    Closed, ///< the caller closed the connection; no answer is sent
-    Refused, ///< the request was refused; the connection takes no further request
-};
-
-/// One request on a caller's connection, from its header to its answer.
-struct Exchange : boost::intrusive_ref_counter<Exchange, boost::thread_unsafe_counter> {
-    explicit Exchange(const boost::asio::any_io_executor &executor)
-        : state(executor)
-        , turnTimer(executor)
-    { }
-    std::optional<Access> access;
-    CallerRequest request;
-    RequestState state;
-    RuntimeTimer turnTimer; ///< cancelled when all answers before this one have been written
-    bool keepAlive = false;
-};
-
-using ExchangePtr = boost::intrusive_ptr<Exchange>;
-
-/// Reads the pipelined requests of one connection, serves them concurrently and sends the answers in the order of the requests.
-class CallerSession : public boost::intrusive_ref_counter<CallerSession, boost::thread_unsafe_counter>, public SessionBase
-{
-public:
-    CallerSession(TrafficThread &thread, tcp::socket socket)
-        : m_thread(thread)
-        , m_socket(std::move(socket))
-        , m_exchangeEnded(m_socket.get_executor())
-        , m_callerAddress(addressOf(m_socket))
-    { }
-
-    boost::asio::awaitable<void> run();
-    void enforceLimits(TimePoint now, const Snapshot &snapshot, bool closing) override;
-
-private:
-    boost::asio::awaitable<bool> waitForRequest();
-    boost::asio::awaitable<bool> readRequest();
-    boost::asio::awaitable<ReadResult> readHeader();
-    boost::asio::awaitable<ReadResult> readBody(std::size_t limit);
-    boost::asio::awaitable<void> waitForExchanges(std::size_t maxExchanges);
-    boost::asio::awaitable<void> serve(ExchangePtr exchange);
-    boost::asio::awaitable<bool> answer(const ExchangePtr &exchange);
-    boost::asio::awaitable<void> refuse(const Refusal &refusal);
-    boost::asio::awaitable<bool> waitForTurn(const ExchangePtr &exchange);
-    boost::asio::awaitable<bool> sendAnswer(TargetAnswer &answer, bool keepAlive);
-    boost::asio::awaitable<bool> send(std::string_view bytes);
-    AnswerSink sink(const ExchangePtr &exchange);
-    boost::asio::awaitable<bool> beginStream(const ExchangePtr &exchange, const AnswerHeader &header, std::uint64_t length, bool chunked);
-    boost::asio::awaitable<bool> writeStream(std::string_view bytes);
-    boost::asio::awaitable<void> watchForDisconnect();
-    boost::asio::awaitable<void> closeGracefully();
-    void finish(const ExchangePtr &exchange);
-    void stopReading();
-    void handleCallerDisconnect();
-    void abortConnection();
-    bool leaving() const { return m_thread.snapshot()->leaving; }
-    CallerLimits limits() const;
-
-    TrafficThread &m_thread;
-    tcp::socket m_socket;
-    RuntimeTimer m_exchangeEnded; ///< cancelled when an exchange ends
-    const std::string m_callerAddress;
-    boost::beast::flat_buffer m_buffer;
-    std::optional<http::request_parser<http::string_body>> m_parser;
-    std::deque<ExchangePtr> m_exchanges; ///< in the order of their requests
-    TimePoint m_readDeadline = TimePoint::max();
-    TimePoint m_writeDeadline = TimePoint::max();
-    bool m_idle = false; ///< the session waits for the first byte of a request
-    bool m_readExpired = false; ///< the read was cancelled because its deadline passed or the daemon is stopping
-    bool m_closing = false; ///< no further request is read
-    bool m_streamChunked = false; ///< the streamed answer uses chunked transfer coding
-};
+}
+
+CallerSession::CallerSession(TrafficThread &thread, tcp::socket socket)
+    : m_thread(thread)
+    , m_socket(std::move(socket))
+    , m_exchangeEnded(m_socket.get_executor())
+    , m_callerAddress(addressOf(m_socket))
+    , m_bodyHeld(thread.memory())
+{ }
 
 CallerLimits CallerSession::limits() const
 {
@@ -207,7 +133,7 @@
     m_closing = true;
     if (co_await waitForTurn(exchange)) {
         TargetAnswer answer = refusalAnswer(refusal, m_thread.dialect());
-        co_await sendAnswer(answer, false);
+        co_await sendAnswer(exchange, answer, false);
     }
     finish(exchange);
 }
@@ -251,6 +177,34 @@
     co_return ReadResult::Refused;
 }
 
+boost::asio::awaitable<void> CallerSession::refuseForMemory()
+{
+    ++m_thread.report().limits.refusedForMemory;
+    co_await refuse(memoryShort());
+}
+
+// Small bodies are always taken.
+bool CallerSession::memoryTakes(std::size_t bodyBytes) const
+{
+    return bodyBytes < config::LargeBytes || m_thread.memory().takesLarge(bodyBytes * config::RequestBodyCopies - m_bodyHeld.bytes());
+}
+
+// Reads the body and counts its bytes as they arrive, so that a body that is announced but not sent takes no memory.
+boost::asio::awaitable<error_code> CallerSession::readHeldBody()
+{
+    error_code error;
+    m_parser->eager(true);
+    while (!error && !m_parser->is_done()) {
+        co_await http::async_read_some(m_socket, m_buffer, *m_parser, errorInto(error));
+        const std::size_t bytes = m_parser->get().body().size();
+        if (!error && !memoryTakes(bytes)) {
+            co_return boost::asio::error::no_memory;
+        }
+        m_bodyHeld.set(bytes * config::RequestBodyCopies);
+    }
+    co_return error;
+}
+
 boost::asio::awaitable<ReadResult> CallerSession::readBody(std::size_t limit)
 {
     const auto length = m_parser->content_length();
@@ -258,6 +212,10 @@
         co_await refuse(bodyTooLarge());
         co_return ReadResult::Refused;
     }
+    if (length && !memoryTakes(*length)) {
+        co_await refuseForMemory();
+        co_return ReadResult::Refused;
+    }
     m_parser->body_limit(limit);
     if (!m_parser->is_done() && boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue") && m_exchanges.empty()) {
         co_await send(Continue);
@@ -267,12 +225,15 @@
     }
     m_readExpired = false;
     m_readDeadline = RuntimeClock::now() + config::BodyTimeout;
-    error_code error;
-    co_await http::async_read(m_socket, m_buffer, *m_parser, errorInto(error));
+    const error_code error = co_await readHeldBody();
     m_readDeadline = TimePoint::max();
     if (!error) {
         co_return ReadResult::Complete;
     }
+    if (error == boost::asio::error::no_memory) {
+        co_await refuseForMemory();
+        co_return ReadResult::Refused;
+    }
     if (m_readExpired) {
         co_await refuse(requestTimedOut());
         co_return ReadResult::Refused;
@@ -315,6 +276,7 @@
     }
     const ExchangePtr exchange(new Exchange(m_socket.get_executor()));
     exchange->access = std::get<Access>(access);
+    exchange->held = std::exchange(m_bodyHeld, HeldBytes(m_thread.memory()));
     exchange->request = m_parser->release();
     exchange->keepAlive = exchange->request.keep_alive();
     m_closing = m_closing || !exchange->keepAlive;
@@ -349,10 +311,7 @@
         co_return false;
     }
     if (std::holds_alternative<StreamedAnswer>(result)) {
-        if (!m_streamChunked) {
-            co_return true;
-        }
-        const bool ended = co_await send(LastChunk);
+        const bool ended = co_await endStream();
         co_return ended;
     }
     if (!co_await waitForTurn(exchange)) {
@@ -362,7 +321,7 @@
     m_closing = m_closing || leaving() || !exchange->keepAlive;
     const bool last = m_exchanges.size() == 1;
     const bool keepAlive = exchange->keepAlive && !(m_closing && last);
-    const bool sent = co_await sendAnswer(std::get<TargetAnswer>(result), keepAlive);
+    const bool sent = co_await sendAnswer(exchange, std::get<TargetAnswer>(result), keepAlive);
     co_return sent;
 }
 
@@ -421,75 +380,6 @@
     handleCallerDisconnect();
 }
 
-// Most answers fit into the socket's send buffer, so a direct write is tried first; only the rest needs a wait and a deadline.
-boost::asio::awaitable<bool> CallerSession::send(std::string_view bytes)
-{
-    error_code error;
-    m_socket.non_blocking(true, error);
-    const auto sent = m_socket.write_some(boost::asio::buffer(bytes.data(), bytes.size()), error);
-    if (error && error != boost::asio::error::would_block) {
-        co_return false;
-    }
-    if (sent == bytes.size()) {
-        co_return true;
-    }
-    m_writeDeadline = RuntimeClock::now() + config::BodyTimeout;
-    const auto rest = boost::asio::buffer(bytes.data() + sent, bytes.size() - sent);
-    co_await boost::asio::async_write(m_socket, rest, errorInto(error));
-    m_writeDeadline = TimePoint::max();
-    co_return !error;
-}
-
-boost::asio::awaitable<bool> CallerSession::sendAnswer(TargetAnswer &answer, bool keepAlive)
-{
-    answer.keep_alive(keepAlive);
-    const std::string text = wireText(answer);
-    co_return co_await send(text);
-}
-
-boost::asio::awaitable<bool> CallerSession::beginStream(const ExchangePtr &exchange, const AnswerHeader &header, std::uint64_t length, bool chunked)
-{
-    if (!co_await waitForTurn(exchange)) {
-        co_return false;
-    }
-    http::response<http::empty_body> answer(header);
-    removeHopByHopFields(answer);
-    answer.version(11);
-    answer.keep_alive(exchange->keepAlive);
-    if (chunked) {
-        answer.chunked(true);
-    } else {
-        answer.content_length(length);
-    }
-    m_streamChunked = chunked;
-    const std::string text = wireText(TargetAnswer(std::move(answer.base())));
-    co_return co_await send(text);
-}
-
-boost::asio::awaitable<bool> CallerSession::writeStream(std::string_view bytes)
-{
-    if (!m_streamChunked) {
-        co_return co_await send(bytes);
-    }
-    static constexpr char Digits[] = "0123456789abcdef";
-    std::string chunk;
-    for (std::size_t size = bytes.size(); size > 0; size >>= 4) {
-        chunk.insert(chunk.begin(), Digits[size & 15]);
-    }
-    chunk += "\r\n";
-    chunk += bytes;
-    chunk += "\r\n";
-    co_return co_await send(chunk);
-}
-
-AnswerSink CallerSession::sink(const ExchangePtr &exchange)
-{
-    AnswerSink sink;
-    sink.begin = [this, exchange](const AnswerHeader &header, std::uint64_t length, bool chunked) { return beginStream(exchange, header, length, chunked); };
-    sink.write = [this](std::string_view bytes) { return writeStream(bytes); };
-    return sink;
-}
-
 boost::asio::awaitable<void> CallerSession::waitForExchanges(std::size_t maxExchanges)
 {
     while (m_exchanges.size() > maxExchanges) {
@@ -550,6 +440,11 @@
     co_await waitForExchanges(0);
     co_await closeGracefully();
 }
+
+const Refusal &memoryShort()
+{
+    static const Refusal refusal {503, "memory-short", "the daemon has no memory for a large request", RunOutcome::NotRun, config::RetryAfterFailure};
+    return refusal;
 }
 
 boost::asio::awaitable<void> runSession(TrafficThread &thread, tcp::socket socket)
--- /dev/null
+++ b/src/net_session_answers.cpp
@@ -0,0 +1,148 @@
+#include "caller_session_p.h"
+
+#include <plumsill/config.h>
+
+#include <boost/asio/write.hpp>
+
+#include <netinet/tcp.h>
+
+namespace plumsill
+{
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace
+{
+// Bytes that wait in the kernel can't be overtaken, so no more of them are kept there than one part of an answer.
+using UnsentLowWater = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
+
+constexpr std::string_view LastChunk = "0\r\n\r\n";
+}
+
+// Most answers fit into the socket's send buffer, so a direct write is tried first; only the rest needs a wait and a deadline.
+boost::asio::awaitable<bool> CallerSession::send(std::string_view bytes)
+{
+    m_thread.link().addUnpaced(bytes.size(), RuntimeClock::now());
+    co_return co_await write(bytes);
+}
+
+void CallerSession::startPacing(const ExchangePtr &exchange)
+{
+    if (!m_thread.link().active() || !exchange->access || !exchange->access->route.large) {
+        return;
+    }
+    error_code ignored;
+    m_socket.set_option(UnsentLowWater(static_cast<int>(m_thread.link().chunkBytes())), ignored);
+    exchange->flow.emplace(m_thread.link());
+    ++m_thread.report().limits.paced;
+}
+
+// Sends a part of a body; in the order of the pacer where the answer is paced.
+boost::asio::awaitable<bool> CallerSession::sendBody(const ExchangePtr &exchange, std::string_view bytes)
+{
+    if (!exchange->flow) {
+        co_return co_await send(bytes);
+    }
+    while (!bytes.empty()) {
+        const std::size_t granted = co_await m_thread.linkQueue().acquire(*exchange->flow, bytes.size());
+        if (!m_socket.is_open()) {
+            co_return false;
+        }
+        const bool sent = co_await write(bytes.substr(0, granted));
+        if (!sent) {
+            co_return false;
+        }
+        bytes.remove_prefix(granted);
+    }
+    co_return true;
+}
+
+boost::asio::awaitable<bool> CallerSession::write(std::string_view bytes)
+{
+    error_code error;
+    m_socket.non_blocking(true, error);
+    const auto sent = m_socket.write_some(boost::asio::buffer(bytes.data(), bytes.size()), error);
+    if (error && error != boost::asio::error::would_block) {
+        co_return false;
+    }
+    if (sent == bytes.size()) {
+        co_return true;
+    }
+    m_writeDeadline = RuntimeClock::now() + config::BodyTimeout;
+    const auto rest = boost::asio::buffer(bytes.data() + sent, bytes.size() - sent);
+    co_await boost::asio::async_write(m_socket, rest, errorInto(error));
+    m_writeDeadline = TimePoint::max();
+    co_return !error;
+}
+
+// A large body is sent as it is, without a copy of it.
+boost::asio::awaitable<bool> CallerSession::sendAnswer(const ExchangePtr &exchange, TargetAnswer &answer, bool keepAlive)
+{
+    answer.keep_alive(keepAlive);
+    if (answer.body().size() >= config::LargeBytes) {
+        startPacing(exchange);
+        const std::string body = std::move(answer.body());
+        answer.body().clear();
+        const std::string header = wireText(answer);
+        const bool started = co_await send(header);
+        if (!started) {
+            co_return false;
+        }
+        co_return co_await sendBody(exchange, body);
+    }
+    const std::string text = wireText(answer);
+    co_return co_await send(text);
+}
+
+boost::asio::awaitable<bool> CallerSession::beginStream(const ExchangePtr &exchange, const AnswerHeader &header, std::uint64_t length, bool chunked)
+{
+    if (!co_await waitForTurn(exchange)) {
+        co_return false;
+    }
+    http::response<http::empty_body> answer(header);
+    removeHopByHopFields(answer);
+    answer.version(11);
+    answer.keep_alive(exchange->keepAlive);
+    if (chunked) {
+        answer.chunked(true);
+    } else {
+        answer.content_length(length);
+    }
+    m_streamChunked = chunked;
+    startPacing(exchange);
+    const std::string text = wireText(TargetAnswer(std::move(answer.base())));
+    co_return co_await send(text);
+}
+
+boost::asio::awaitable<bool> CallerSession::writeStream(const ExchangePtr &exchange, std::string_view bytes)
+{
+    if (!m_streamChunked) {
+        co_return co_await sendBody(exchange, bytes);
+    }
+    static constexpr char Digits[] = "0123456789abcdef";
+    std::string chunk;
+    for (std::size_t size = bytes.size(); size > 0; size >>= 4) {
+        chunk.insert(chunk.begin(), Digits[size & 15]);
+    }
+    chunk += "\r\n";
+    chunk += bytes;
+    chunk += "\r\n";
+    co_return co_await sendBody(exchange, chunk);
+}
+
+AnswerSink CallerSession::sink(const ExchangePtr &exchange)
+{
+    AnswerSink sink;
+    sink.begin = [this, exchange](const AnswerHeader &header, std::uint64_t length, bool chunked) { return beginStream(exchange, header, length, chunked); };
+    sink.write = [this, exchange](std::string_view bytes) { return writeStream(exchange, bytes); };
+    return sink;
+}
+
+boost::asio::awaitable<bool> CallerSession::endStream()
+{
+    if (!m_streamChunked) {
+        co_return true;
+    }
+    co_return co_await send(LastChunk);
+}
+}
--- a/src/net_traffic.cpp
+++ b/src/net_traffic.cpp
@@ -31,8 +31,10 @@
 
 TrafficThread::TrafficThread(unsigned index, unsigned threads, ControlPort control, Dialect dialect)
     : m_index(index)
+    , m_threads(threads)
     , m_connections(std::max(config::MaxConnectionsPerTarget / threads, 1U))
     , m_context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE_IO)
+    , m_linkQueue(m_context, m_link)
     , m_acceptor(m_context)
     , m_control(std::move(control))
     , m_snapshot(new Snapshot)
@@ -72,6 +74,8 @@
 void TrafficThread::applySnapshot(SnapshotPtr snapshot)
 {
     m_snapshot = std::move(snapshot);
+    m_link.setRate(linkBytesPerSecond(m_snapshot->limits, m_threads));
+    m_memory.setBound(heldBytesBound(m_snapshot->limits, m_threads));
     for (const auto &[name, view] : m_snapshot->services) {
         auto &dispatch = m_services[name];
         if (!dispatch) {
@@ -104,11 +108,18 @@
     m_openSessions.push_back(session);
 }
 
+void TrafficThread::sendReport()
+{
+    m_report.thread = m_index;
+    m_report.use = {m_memory.held(), m_memory.peak(), m_link.sentBytes(), m_link.flows()};
+    m_control.report(std::exchange(m_report, {}));
+}
+
 void TrafficThread::sessionEnded()
 {
     --m_sessions;
     if (m_draining && m_sessions == 0) {
-        m_control.report(std::exchange(m_report, {}));
+        sendReport();
         stop();
     }
 }
@@ -227,7 +238,10 @@
         const auto *none = std::get_if<NoCapacity>(&*waiter.placement);
         co_return none == nullptr ? NoTarget {true, config::RetryAfterFailure} : NoTarget {true, none->retryAfter, false, none->reason};
     }
-    const auto ended = [this, id](AttemptEnd end, Duration elapsed, const TargetNotice &notice) {
+    const auto ended = [this, id, alive = std::weak_ptr(m_alive)](AttemptEnd end, Duration elapsed, const TargetNotice &notice) {
+        if (alive.expired()) {
+            return;
+        }
         m_control.attemptEnded({{id, end, wholeMilliseconds(elapsed), notice.limit, notice.leaving, millisecondsRoundedUp(notice.rest)}, notice.run});
     };
     auto lease = std::make_unique<TargetLease>(placed->target, runtimeOf(*placed), ended);
@@ -292,7 +306,7 @@
         enforceSessionLimits(now);
         removeIdleTeams(now);
         if (!m_report.empty()) {
-            m_control.report(std::exchange(m_report, {}));
+            sendReport();
         }
     }
 }
--- a/src/parallel_attempts_p.h
+++ b/src/parallel_attempts_p.h
@@ -18,6 +18,8 @@
     /// Removes and returns the next attempt that has ended; null when there is none.
     boost::intrusive_ptr<AttemptEntry> takeEnded();
     std::size_t running() const { return m_running.size(); }
+    /// Whether the answer of a running attempt has begun to arrive.
+    bool answerBegun() const;
     /// Abandons all running attempts, because no answer is needed any more. Attempts that cannot be cancelled run to their end.
     void close();
     const TargetRequest &request() const { return m_request; }
--- a/src/session_p.h
+++ b/src/session_p.h
@@ -39,6 +39,9 @@
     auto operator<=>(const Refusal &) const = default;
 };
 
+/// Refusal of a large request while the memory for bytes of callers and targets is short.
+const Refusal &memoryShort();
+
 using CallerRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using CallerRequestHeader = boost::beast::http::request_header<>;
 
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -1,17 +1,20 @@
 #pragma once
 
 #include "clock_p.h"
+#include "link_queue_p.h"
 #include "placement_p.h"
 #include "session_p.h"
 #include "snapshot_p.h"
 #include "upstream_p.h"
 
 #include <plumsill/allowance.h>
+#include <plumsill/answer_sizes.h>
 #include <plumsill/attempt.h>
 #include <plumsill/balancer.h>
 #include <plumsill/concurrency.h>
 #include <plumsill/fairqueue.h>
 #include <plumsill/limits.h>
+#include <plumsill/memory_budget.h>
 #include <plumsill/metrics.h>
 #include <plumsill/settings.h>
 
@@ -132,6 +135,10 @@
 
 using DispatchResult = std::variant<std::unique_ptr<TargetLease>, NoTarget>;
 
+/// Exists as long as its owner; leases that outlive the owner report to nobody.
+struct OwnerAlive {
+};
+
 /// Chooses targets of one service for one traffic thread and queues requests while all targets are busy.
 class ServiceDispatch
 {
@@ -175,6 +182,7 @@
     std::map<std::uint64_t, Waiter *> m_waiters;
     std::uint64_t m_nextWaiter = 1;
     std::size_t m_inFlight = 0;
+    std::shared_ptr<OwnerAlive> m_alive = std::make_shared<OwnerAlive>();
 };
 
 /// Event loop that accepts callers' connections and forwards their requests to targets.
@@ -213,6 +221,10 @@
     void resolvePlacement(std::uint64_t placementId, Placement placement, TunnelTicketPtr tunnel = {});
     /// Selects whether targets come from this thread's own balancers or from the scheduler.
     PlacementMode &placement() { return m_placement; }
+    LinkPacer &link() { return m_link; }
+    LinkQueue &linkQueue() { return m_linkQueue; }
+    MemoryBudget &memory() { return m_memory; }
+    AnswerSizes &answerSizes() { return m_answerSizes; }
     const Dialect &dialect() const { return m_dialect; }
     std::mt19937_64 &random() { return m_random; }
     void sessionStarted(SessionBase &session);
@@ -225,6 +237,7 @@
     TargetRuntimePtr runtimeOf(const Placed &placed);
     void removeIdleTeams(TimePoint now);
     void applySnapshot(SnapshotPtr snapshot);
+    void sendReport();
 
     struct CachedAllowance {
         TeamAllowancePtr allowance;
@@ -244,9 +257,14 @@
     using Sessions = boost::intrusive::list<SessionBase, boost::intrusive::constant_time_size<false>>;
 
     const unsigned m_index;
+    const unsigned m_threads; ///< traffic threads that share the limits of the instance
     const std::size_t m_connections;
+    MemoryBudget m_memory; // m_memory and m_link outlive m_context, whose requests use them to their end
+    LinkPacer m_link;
+    AnswerSizes m_answerSizes;
 
     boost::asio::io_context m_context;
+    LinkQueue m_linkQueue;
     boost::asio::ip::tcp::acceptor m_acceptor;
     ControlPort m_control;
     SnapshotPtr m_snapshot;
@@ -266,5 +284,6 @@
     std::uint64_t m_nextPlacementId;
     std::size_t m_sessions = 0;
     bool m_draining = false;
+    std::shared_ptr<OwnerAlive> m_alive = std::make_shared<OwnerAlive>();
 };
 }
--- a/src/upstream_p.h
+++ b/src/upstream_p.h
@@ -6,6 +6,7 @@
 #include <plumsill/attempt.h>
 #include <plumsill/config.h>
 #include <plumsill/dialect.h>
+#include <plumsill/memory_budget.h>
 #include <plumsill/types.h>
 #include <plumsill/zone_messages.h>
 
@@ -54,6 +55,7 @@
 struct BufferedAnswer {
     TargetAnswer answer;
     TargetNotice notice;
+    HeldBytes held {}; ///< memory of the answer's body
 };
 
 /// A complete answer was streamed through the sink.
@@ -97,12 +99,16 @@
     /// Sets the connection of the running attempt. @p cancellable: abandon() may close it.
     void attach(const boost::intrusive_ptr<TargetConnection> &connection, bool cancellable);
     void detach() { m_connection.reset(); }
+    /// Marks that the target's answer has begun to arrive.
+    void setAnswerBegun() { m_answerBegun = true; }
+    bool answerBegun() const { return m_answerBegun; }
 
 private:
     boost::intrusive_ptr<TargetConnection> m_connection;
     RuntimeTimer *m_waitTimer = nullptr;
     bool m_cancellable = true;
     bool m_abandoned = false;
+    bool m_answerBegun = false;
 };
 
 /// Options of one attempt.
@@ -113,6 +119,8 @@
     AttemptHandle *handle = nullptr; ///< cancels the attempt; may be null
     const Dialect *dialect = nullptr; ///< null: the default dialect
     TunnelTicketPtr tunnel; ///< opens connections through another daemon; null: directly
+    MemoryBudget *memory = nullptr; ///< counts the bytes of the answer; may be null
+    std::uint64_t *streamedForMemory = nullptr; ///< counts answers that are streamed because memory is short; may be null
 };
 
 /// Connections of one traffic thread to one target.
--- a/tests/test_attempt.cpp
+++ b/tests/test_attempt.cpp
@@ -108,3 +108,17 @@
     CHECK(!reusable({start, start + 19s}, true, suspect, start + 20s));
     CHECK(reusable({start + 11s, start + 19s}, true, suspect, start + 20s));
 }
+
+// Guards against a second copy of a large answer that only slows the first one down.
+TEST(Attempt, HedgeOfALargeAnswerThatHasBegunIsWithheld)
+{
+    CHECK(!worthItsBytes({true, 0ms, 2000ms}));
+    CHECK(worthItsBytes({false, 0ms, 2000ms}));
+}
+
+// Guards against copies that fill a slow link and arrive too late.
+TEST(Attempt, HedgeOfALargeAnswerIsWithheldWhereTheLinkIsTooSlowForTwoCopies)
+{
+    CHECK(!worthItsBytes({false, 430ms, 800ms}));
+    CHECK(worthItsBytes({false, 430ms, 900ms}));
+}
--- a/tests/traffic_fixture.h
+++ b/tests/traffic_fixture.h
@@ -151,10 +151,11 @@
         m_socket.connect({boost::asio::ip::make_address(endpoint.address), endpoint.port});
     }
 
+    void send(const std::string &bytes) { boost::asio::write(m_socket, boost::asio::buffer(bytes)); }
     /// Sends bytes and reads until the connection is closed, or until @p until is seen. Appends "[reset]" when the connection fails.
     std::string sendAndRead(const std::string &bytes, const std::string &until = {})
     {
-        boost::asio::write(m_socket, boost::asio::buffer(bytes));
+        send(bytes);
         std::string answer;
         boost::system::error_code error;
         while (!error && (until.empty() || answer.find(until) == std::string::npos)) {
@@ -216,6 +217,7 @@
         }
         snapshot->services.emplace(view.service, std::make_shared<const ServiceView>(view));
         snapshot->trustedUntil = trustedUntil;
+        snapshot->limits = limits;
         m_thread->publish(snapshot);
     }
     void publish(const std::vector<Endpoint> &targets) { publish(testDocument(), targets, TimePoint::max()); }
@@ -224,6 +226,7 @@
     /// Sends bytes on a new connection and reads until it is closed, or until @p until is seen.
     std::string sendAndRead(const std::string &bytes, const std::string &until = {}) { return CallerConnection(m_endpoint).sendAndRead(bytes, until); }
 
+    InstanceLimits limits; ///< published with the next snapshot
     std::function<void()> beforeToken; ///< called while a request waits for its token
     /// Control's answer to each token request.
     TokenAnswer tokenAnswer {true, TimePoint::max(), {}, {}, nullptr};
