Hold the requests that arrive while a daemon starts

Cause, from the logs (docs/design/return.md): the traffic port is open at once; the registry is read after 17 to 36 ms, but document and list only after the reader's next tick (in force at 111 to 128 ms, list at 117 to 148 ms). Ruled out: store calls, choice of a scheduler, answers of other zones (no first-read-unconfirmed), process start.

Change: a request that can't be checked after a start waits until document and targets are there, for 1.2 s after the start and half of its caller's time at most (request_hold.h; what a process that stood still did before is the same function). The first read of the registry starts the reads of document and list. No further call of the store.

--- a/src/caller_session_p.h
+++ b/src/caller_session_p.h
@@ -50,6 +50,8 @@
 private:
     boost::asio::awaitable<bool> waitForRequest();
     boost::asio::awaitable<bool> readRequest();
+    /// Whether the request whose header was read waits until its key can be checked.
+    bool holds(TimePoint arrivedAt) const;
     boost::asio::awaitable<ReadResult> readHeader();
     boost::asio::awaitable<ReadResult> readBody(std::size_t limit);
     boost::asio::awaitable<boost::system::error_code> readHeldBody();
--- a/src/forward_p.h
+++ b/src/forward_p.h
@@ -24,9 +24,9 @@
 
 /// Finds the request's route and, by its key, the team in @p snapshot. Returns a refusal when the request is not allowed.
 AccessResult checkAccess(const Snapshot &snapshot, const CallerRequestHeader &header, TimePoint now);
+/// Time until which a request that can't be checked waits for another snapshot (request_hold.h).
+TimePoint holdUntil(const Snapshot &snapshot, const CallerRequestHeader &header, const Dialect &dialect, TimePoint arrivedAt, TimePoint now);
 /// Checks the key again just before the request is sent. Returns a refusal when the key is no longer valid.
-/// Whether the keys are unconfirmed only because the process stood still, so that a request should wait for the next snapshot.
-bool awaitsProof(const Snapshot &snapshot, TimePoint now);
 std::optional<Refusal> recheckAccess(const Snapshot &snapshot, const Access &access, TimePoint now);
 /// Time by which the request must be answered: the earlier of the route's timeout and the caller's own deadline.
 TimePoint requestDeadline(const Route &route, const CallerRequestHeader &header, const Dialect &dialect, TimePoint now);
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -2,6 +2,7 @@
 
 #include <plumsill/config.h>
 #include <plumsill/event.h>
+#include <plumsill/request_hold.h>
 #include <plumsill/request_priority.h>
 
 #include <boost/beast/http.hpp>
@@ -81,6 +82,18 @@
     return digestOf({access.team.value, view(request.method_string()), view(request[http::field::host]), view(request.target()), request.body()});
 }
 
+/// Time that the caller gives the request, where it says so.
+std::optional<Duration> callerTime(const CallerRequestHeader &header, const Dialect &dialect)
+{
+    const auto field = header[dialect.deadline];
+    std::uint32_t milliseconds = 0;
+    const auto [end, error] = std::from_chars(field.data(), field.data() + field.size(), milliseconds);
+    if (field.empty() || error != std::errc() || end != field.data() + field.size()) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(milliseconds);
+}
+
 std::string joined(const std::vector<std::string> &values)
 {
     std::string text;
@@ -113,11 +126,9 @@
     return checkKey(snapshot, *found->route, header, now);
 }
 
-// Where control has published nothing for several intervals, it has stood still too, and doesn't know yet.
-bool awaitsProof(const Snapshot &snapshot, TimePoint now)
+TimePoint holdUntil(const Snapshot &snapshot, const CallerRequestHeader &header, const Dialect &dialect, TimePoint arrivedAt, TimePoint now)
 {
-    const bool paused = now < snapshot.proofExpectedUntil || now - snapshot.publishedAt > 3 * config::PublishInterval;
-    return snapshot.compiled && now >= snapshot.trustedUntil && paused;
+    return holdUntil({snapshot.trustedUntil, snapshot.publishedAt, snapshot.proofExpectedUntil}, callerTime(header, dialect), arrivedAt, now);
 }
 
 std::optional<Refusal> recheckAccess(const Snapshot &snapshot, const Access &access, TimePoint now)
@@ -158,13 +169,7 @@
 
 TimePoint requestDeadline(const Route &route, const CallerRequestHeader &header, const Dialect &dialect, TimePoint now)
 {
-    const auto field = header[dialect.deadline];
-    std::uint32_t milliseconds = 0;
-    const auto [end, error] = std::from_chars(field.data(), field.data() + field.size(), milliseconds);
-    if (field.empty() || error != std::errc() || end != field.data() + field.size()) {
-        return now + route.timeout;
-    }
-    return now + std::min<Duration>(route.timeout, std::chrono::milliseconds(milliseconds));
+    return now + std::min<Duration>(route.timeout, callerTime(header, dialect).value_or(route.timeout));
 }
 
 RequestState::RequestState(const boost::asio::any_io_executor &executor)
--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -250,15 +250,21 @@
     co_return ReadResult::Refused;
 }
 
+bool CallerSession::holds(TimePoint arrivedAt) const
+{
+    const TimePoint now = RuntimeClock::now();
+    return now < holdUntil(*m_thread.snapshot(), m_parser->get().base(), m_thread.dialect(), arrivedAt, now);
+}
+
 // Reads one request and starts to serve it. Returns false when the connection takes no further request.
 boost::asio::awaitable<bool> CallerSession::readRequest()
 {
     if (co_await readHeader() != ReadResult::Complete) {
         co_return false;
     }
-    AccessResult access = checkAccess(*m_thread.snapshot(), m_parser->get().base(), RuntimeClock::now());
-    const TimePoint waitUntil = RuntimeClock::now() + config::ProofAfterPause;
-    while (std::holds_alternative<Refusal>(access) && awaitsProof(*m_thread.snapshot(), RuntimeClock::now()) && RuntimeClock::now() < waitUntil) {
+    const TimePoint arrivedAt = RuntimeClock::now();
+    AccessResult access = checkAccess(*m_thread.snapshot(), m_parser->get().base(), arrivedAt);
+    while (std::holds_alternative<Refusal>(access) && holds(arrivedAt)) {
         co_await sleepFor(ProofCheckInterval);
         access = checkAccess(*m_thread.snapshot(), m_parser->get().base(), RuntimeClock::now());
     }
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -240,6 +240,7 @@
     recordHub(m_registryReadAt);
     if (m_registryReads == 1) {
         sendDigests(m_registryReadAt); // a hub learns from the answers what it has missed
+        startDueReads(m_registryReadAt); // its members wait for what it reads
     }
     if (m_hubs.registryHash() != before) {
         Event("registry", "registry-read").add("daemons", static_cast<std::int64_t>(m_hubs.registered().size()));
@@ -262,25 +263,28 @@
     return true;
 }
 
+void ZoneControl::startDueReads(TimePoint now)
+{
+    const ReadState state = readState(now);
+    const DueReads due = dueReads(state, m_startedAt, now);
+    const bool documentFails = due.document && m_documentRead.failed;
+    if (due.document && !m_documentRead.running && (state.readsForFleet || relayOverdue(state, now) || m_documentRead.backoff.allowed(now))) {
+        boost::asio::co_spawn(m_context, runRead(m_documentRead, &ZoneControl::readDocument), boost::asio::detached);
+    }
+    if (due.targets && !documentFails && !m_targetsRead.running && (state.readsForFleet || m_targetsRead.backoff.allowed(now)) && now >= m_nextListRead) {
+        m_nextListRead = now + config::TargetsReadInterval;
+        boost::asio::co_spawn(m_context, runRead(m_targetsRead, &ZoneControl::readTargets), boost::asio::detached);
+    }
+    if (due.targets && (documentFails || m_targetsRead.failed) && !m_otherHubs.empty() && !m_fetchingTargets) {
+        const auto &[id, hub] = *std::next(m_otherHubs.begin(), static_cast<std::ptrdiff_t>(m_random() % m_otherHubs.size()));
+        boost::asio::co_spawn(m_context, fetchTargets(hub.peer, id.name), boost::asio::detached);
+    }
+}
+
 boost::asio::awaitable<void> ZoneControl::runReader()
 {
-    const TimePoint start = RuntimeClock::now();
     while (true) {
-        const TimePoint now = RuntimeClock::now();
-        const ReadState state = readState(now);
-        const DueReads due = dueReads(state, start, now);
-        const bool documentFails = due.document && m_documentRead.failed;
-        if (due.document && !m_documentRead.running && (state.readsForFleet || relayOverdue(state, now) || m_documentRead.backoff.allowed(now))) {
-            boost::asio::co_spawn(m_context, runRead(m_documentRead, &ZoneControl::readDocument), boost::asio::detached);
-        }
-        if (due.targets && !documentFails && !m_targetsRead.running && (state.readsForFleet || m_targetsRead.backoff.allowed(now)) && now >= m_nextListRead) {
-            m_nextListRead = now + config::TargetsReadInterval;
-            boost::asio::co_spawn(m_context, runRead(m_targetsRead, &ZoneControl::readTargets), boost::asio::detached);
-        }
-        if (due.targets && (documentFails || m_targetsRead.failed) && !m_otherHubs.empty() && !m_fetchingTargets) {
-            const auto &[id, hub] = *std::next(m_otherHubs.begin(), static_cast<std::ptrdiff_t>(m_random() % m_otherHubs.size()));
-            boost::asio::co_spawn(m_context, fetchTargets(hub.peer, id.name), boost::asio::detached);
-        }
+        startDueReads(RuntimeClock::now());
         const TimePoint checked = RuntimeClock::now();
         co_await sleepFor(nextReadCheck(readState(checked), checked) - checked);
     }
@@ -344,6 +348,7 @@
         .add("revision", static_cast<std::int64_t>(m_list.revision()))
         .add("targets", static_cast<std::int64_t>(targets.size()))
         .add("leaving", static_cast<std::int64_t>(leaving));
+    publishRegainedTrust(now);
     sendBeacons(now);
     sendDigests(now);
     deliverQueuedPlacements();
@@ -435,20 +440,21 @@
 
 bool ZoneControl::ready(TimePoint now) const
 {
-    return !m_leaving && m_compiled && m_list.readAt() && now < trustedUntil();
+    return !m_leaving && m_compiled && now < servesUntil();
 }
 
+// The traffic threads get no document before the targets are known: they would refuse what they hold now.
 void ZoneControl::publish(TimePoint now)
 {
     m_publishedAt = now;
-    m_publishedTrust = trustedUntil();
+    m_publishedTrust = servesUntil();
     const boost::intrusive_ptr<Snapshot> snapshot(new Snapshot);
-    snapshot->compiled = m_compiled;
+    snapshot->compiled = m_list.readAt() ? m_compiled : nullptr;
     snapshot->leaving = m_leaving;
     snapshot->closeAt = m_closeAt;
     snapshot->answerBy = m_answerBy;
     snapshot->limits = m_settings.limits;
-    snapshot->trustedUntil = trustedUntil();
+    snapshot->trustedUntil = servesUntil();
     snapshot->publishedAt = now;
     snapshot->proofExpectedUntil = m_proofExpectedUntil;
     for (const auto &thread : m_threads) {
@@ -458,7 +464,7 @@
 
 void ZoneControl::publishRegainedTrust(TimePoint now)
 {
-    if (m_publishedTrust <= now && trustedUntil() > now) {
+    if (m_publishedTrust <= now && servesUntil() > now) {
         publish(now);
     }
 }
@@ -466,6 +472,7 @@
 boost::asio::awaitable<void> ZoneControl::runPublisher()
 {
     bool wasReady = false;
+    publish(RuntimeClock::now());
     while (true) {
         co_await sleepFor(m_scheduler.idle() ? Duration(config::ControlTick) : Duration(config::QueueServeInterval));
         const TimePoint now = RuntimeClock::now();
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -162,7 +162,7 @@
         return;
     }
     m_lastHeartbeatAt = now;
-    m_proofExpectedUntil = now + config::ProofAfterPause;
+    m_proofExpectedUntil = std::max<TimePoint>(m_proofExpectedUntil, now + config::ProofAfterPause);
     m_list.recordPause(pause);
     publish(now);
     Event("daemon", "resumed").add("paused_ms", pause);
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -17,6 +17,7 @@
 #include <plumsill/read_plan.h>
 #include <plumsill/registry_rewrite.h>
 #include <plumsill/reply_wait.h>
+#include <plumsill/request_hold.h>
 #include <plumsill/scheduler.h>
 #include <plumsill/settings.h>
 #include <plumsill/target_list.h>
@@ -161,6 +162,8 @@
     boost::asio::awaitable<void> rewriteEntry();
     /// Writes the peer secret again if the store has lost it.
     boost::asio::awaitable<void> restoreSecret();
+    /// Starts the reads of the directory that are due.
+    void startDueReads(TimePoint now);
     boost::asio::awaitable<bool> readDocument();
     boost::asio::awaitable<bool> readTargets();
     boost::asio::awaitable<void> runRead(DirectoryRead &state, boost::asio::awaitable<bool> (ZoneControl::*read)());
@@ -299,6 +302,8 @@
     /// Publishes at once when keys are trusted again that the traffic threads hold for unconfirmed.
     void publishRegainedTrust(TimePoint now);
     TimePoint trustedUntil() const;
+    /// Time until which this daemon can check keys and knows targets.
+    TimePoint servesUntil() const { return m_list.readAt() ? trustedUntil() : TimePoint(); }
     /// Random duration up to @p max.
     Duration randomDuration(Duration max);
 
@@ -361,7 +366,7 @@
     DirectoryRead m_targetsRead;
     std::optional<TimePoint> m_storeReadAt; ///< when this daemon sent its last successful read of the list of targets
     TimePoint m_publishedTrust; ///< end of trust in the last snapshot
-    TimePoint m_proofExpectedUntil; ///< end of the time after a pause in which a new proof is expected
+    TimePoint m_proofExpectedUntil = m_startedAt + StartHoldTime; ///< end of the time after a start or a pause in which a proof is expected
     std::optional<TimePoint> m_publishedAt; ///< none before the first snapshot
     std::mt19937_64 m_random {std::random_device()()};
     std::uint64_t m_localPlacements = 0;
