Show operators who gets a service's repeats and when they are short

Operators could not see that the repeats of a service were used up, nor who was refused one.

A scheduler logs repeats-short and repeats-recovered once for each service and change, and shows the repeats allowed and refused by priority and kind, those left, and the number of services that are short. No state or message is added; the counts are the budget's.

Compiled, not run: the metrics page and the log lines were not looked at in a running daemon.

--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -551,7 +551,7 @@
     }
 }
 
-std::string ZoneControl::metricsText(TimePoint now) const
+std::string ZoneControl::metricsText(TimePoint now)
 {
     std::vector<Gauge> gauges;
     const auto provedAt = m_documentFreshness.currentAt();
@@ -570,6 +570,7 @@
     gauges.push_back({"plumsill_services_out_of_reach", static_cast<double>(m_cutOff.size())});
     gauges.push_back({"plumsill_suspect_requests", static_cast<double>(m_quarantine.suspects())});
     gauges.push_back({"plumsill_quarantined_requests", static_cast<double>(m_quarantine.quarantined())});
+    addRepeatGauges(gauges, now);
     gauges.push_back({"plumsill_tunnels_for_others", static_cast<double>(m_peers.tunnels())});
     gauges.push_back({"plumsill_platform_calls", static_cast<double>(m_directory.calls())});
     gauges.push_back({"plumsill_log_lines_left_out", static_cast<double>(droppedEvents())});
--- a/src/net_zone_hubs.cpp
+++ b/src/net_zone_hubs.cpp
@@ -150,6 +150,7 @@
         }
         updateShares(now);
         expireReachReports(now);
+        logRepeatChanges(now);
         repeatSuspects(now);
     }
 }
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -72,7 +72,7 @@
     /// Removes this daemon's entry from the registry; returns once that has succeeded or failed.
     boost::asio::awaitable<void> withdraw();
     bool ready(TimePoint now) const;
-    std::string metricsText(TimePoint now) const;
+    std::string metricsText(TimePoint now);
 
 private:
     /// A request that waits for its placement.
@@ -241,6 +241,10 @@
     /// Decides on a request at this daemon's scheduler.
     Placement submit(const PlacementRequest &request, TimePoint now);
 
+    // Budgets of repeats (net_zone_repeats.cpp).
+    void logRepeatChanges(TimePoint now);
+    void addRepeatGauges(std::vector<Gauge> &gauges, TimePoint now);
+
     // Quarantine of requests that crash targets (net_zone_quarantine.cpp).
     /// Refuses a quarantined request, or keeps it until a trial has ended; false if the request may run.
     bool holdBack(ThreadPlacementRequest &threadRequest);
