--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -73,7 +73,9 @@
     , m_directory(std::move(directory))
     , m_hubs(m_self)
     , m_scheduler(settings.zone, repeatBound(settings.bounds))
-{ }
+{
+    publish(m_startedAt); // before the traffic threads start, which hold the first requests by it
+}
 
 Envelope ZoneControl::envelope(Message message) const
 {
@@ -472,7 +474,6 @@
 boost::asio::awaitable<void> ZoneControl::runPublisher()
 {
     bool wasReady = false;
-    publish(RuntimeClock::now());
     while (true) {
         co_await sleepFor(m_scheduler.idle() ? Duration(config::ControlTick) : Duration(config::QueueServeInterval));
         const TimePoint now = RuntimeClock::now();
