--- a/include/plumsill/urgent_reserve.h
+++ b/include/plumsill/urgent_reserve.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <compare>
+
 #include <cstdint>
 
 namespace plumsill
--- a/src/net_upstream.cpp
+++ b/src/net_upstream.cpp
@@ -14,7 +14,6 @@
 
 namespace plumsill
 {
-namespace http = boost::beast::http;
 using boost::system::error_code;
 
 namespace
--- a/src/priority_queues.cpp
+++ b/src/priority_queues.cpp
@@ -42,7 +42,7 @@
     if (next == m_queues.end() || (owed == m_queues.end() && next->first > lowest)) {
         return std::nullopt;
     }
-    const auto request = next->second.pop(now);
+    auto request = next->second.pop(now);
     if (owed != m_queues.end()) {
         m_owed[next->first] -= request->cost;
     }
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -180,7 +180,7 @@
     if (m_waiting.contains(request.key)) {
         return Queued {};
     }
-    const Placement placement = decide(request, now);
+    Placement placement = decide(request, now);
     count(request.priority, placement);
     return placement;
 }
