--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -26,23 +26,6 @@
 
 namespace
 {
-constexpr Time CallerTimeout = 6000; ///< milliseconds; longer than the deadline that the request carries
-/// Milliseconds from the end of a disturbance until a daemon is in contact with its fleet and the object service again, as at the users' sites.
-constexpr Time ReconnectTime = 3000;
-constexpr Time DisturbanceMargin = 1500; ///< milliseconds added to each disturbance, because on a busy machine the end of a fault is noticed late
-constexpr auto StopGrace = std::chrono::seconds(6);
-constexpr auto RecoveryTime = std::chrono::seconds(15);
-constexpr auto RecoveryWindow = std::chrono::seconds(2);
-constexpr double RecoveredShare = 0.9;
-constexpr auto PollInterval = std::chrono::milliseconds(200);
-constexpr auto ThinkTime = std::chrono::milliseconds(30);
-constexpr auto ControlTimeout = std::chrono::seconds(1);
-constexpr auto BurstThinkTime = std::chrono::milliseconds(5);
-constexpr unsigned BurstCallers = 6; ///< callers that a burst adds at one daemon
-constexpr unsigned SlowReaders = 10;
-constexpr double LinkMegabits = 20;
-constexpr unsigned MemoryMegabytes = 160;
-
 class Soak
 {
 public:
--- a/tools/soak_options.h
+++ b/tools/soak_options.h
@@ -1,12 +1,32 @@
 #pragma once
 
+#include "soak_oracle.h"
+
 #include <popt.h>
 
+#include <chrono>
 #include <iostream>
 #include <optional>
 
 namespace plumsill::soak
 {
+inline constexpr Time CallerTimeout = 6000; ///< milliseconds; longer than the deadline that the request carries
+/// Milliseconds from the end of a disturbance until a daemon is in contact with its fleet and the object service again, as at the users' sites.
+inline constexpr Time ReconnectTime = 3000;
+inline constexpr Time DisturbanceMargin = 1500; ///< milliseconds added to each disturbance, because on a busy machine the end of a fault is noticed late
+inline constexpr auto StopGrace = std::chrono::seconds(6);
+inline constexpr auto RecoveryTime = std::chrono::seconds(15);
+inline constexpr auto RecoveryWindow = std::chrono::seconds(2);
+inline constexpr double RecoveredShare = 0.9;
+inline constexpr auto PollInterval = std::chrono::milliseconds(200);
+inline constexpr auto ThinkTime = std::chrono::milliseconds(30);
+inline constexpr auto ControlTimeout = std::chrono::seconds(1);
+inline constexpr auto BurstThinkTime = std::chrono::milliseconds(5);
+inline constexpr unsigned BurstCallers = 6; ///< callers that a burst adds at one daemon
+inline constexpr unsigned SlowReaders = 10;
+inline constexpr double LinkMegabits = 20;
+inline constexpr unsigned MemoryMegabytes = 160;
+
 struct Options {
     long seed = 1;
     int seconds = 20;
