Keep the waiter of a large answer alive until its grant

Found by reading: a coroutine that is abandoned while it waits for the link (its caller left, or another attempt was faster) ends by an exception, and the queue kept a pointer into its frame, to which the next grant for the still open flow was written. The waiter is now counted; waiters that nobody holds are dropped. GrantOfAnAbandonedAnswerLeavesTheLinkToTheNext passes on the code before too, also under valgrind: Asio recycles the frame's memory. test_large_answers and test_link_queue pass.

--- a/src/link_queue_p.h
+++ b/src/link_queue_p.h
@@ -6,6 +6,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include <map>
 #include <optional>
@@ -44,7 +46,11 @@
     boost::asio::awaitable<std::size_t> acquire(const PacedFlow &flow, std::size_t bytes);
 
 private:
-    struct Waiter {
+    /// Shared by the queue and the coroutine that waits, which may be abandoned before the grant.
+    struct Waiter : boost::intrusive_ref_counter<Waiter, boost::thread_unsafe_counter> {
+        explicit Waiter(const boost::asio::any_io_executor &executor)
+            : timer(executor)
+        { }
         RuntimeTimer timer;
         std::optional<std::size_t> granted;
     };
@@ -53,6 +59,6 @@
 
     LinkPacer &m_pacer;
     RuntimeTimer m_timer; ///< wakes serve() up at the next grant
-    std::map<FlowId, Waiter *> m_waiters;
+    std::map<FlowId, boost::intrusive_ptr<Waiter>> m_waiters;
 };
 }
--- a/src/net_link_queue.cpp
+++ b/src/net_link_queue.cpp
@@ -6,17 +6,16 @@
 {
 boost::asio::awaitable<std::size_t> LinkQueue::acquire(const PacedFlow &flow, std::size_t bytes)
 {
-    Waiter waiter {RuntimeTimer(m_timer.get_executor()), std::nullopt};
-    waiter.timer.expires_at(TimePoint::max());
-    m_waiters.emplace(flow.id(), &waiter);
+    const boost::intrusive_ptr<Waiter> waiter(new Waiter(m_timer.get_executor()));
+    waiter->timer.expires_at(TimePoint::max());
+    m_waiters[flow.id()] = waiter;
     m_pacer.request(flow.id(), bytes);
     serve();
-    while (!waiter.granted) {
+    while (!waiter->granted) {
         boost::system::error_code cancelled;
-        co_await waiter.timer.async_wait(errorInto(cancelled));
+        co_await waiter->timer.async_wait(errorInto(cancelled));
     }
-    m_waiters.erase(flow.id());
-    co_return *waiter.granted;
+    co_return *waiter->granted;
 }
 
 void LinkQueue::serve()
@@ -26,8 +25,11 @@
         if (found != m_waiters.end()) {
             found->second->granted = grant->bytes;
             found->second->timer.cancel();
+            m_waiters.erase(found);
         }
     }
+    // Coroutines that were abandoned hold their waiters no more.
+    std::erase_if(m_waiters, [](const auto &entry) { return entry.second->use_count() == 1; });
     if (const auto wakeAt = m_pacer.wakeAt()) {
         m_timer.expires_at(*wakeAt);
         m_timer.async_wait([this](const boost::system::error_code &error) {
