Look at few targets when requests wait or are of a lower priority

Cause, one part of it: for each decision beside waiting requests the scheduler computed the failure probability of every target, for every priority, also of empty queues, and a request of a lower priority counted the free slots of all targets. Change: empty queues are passed over, failure probabilities are computed for targets with a free slot first, and the count of free slots ends at the reserve. Decisions are the same: test_admission, test_scheduler, test_fairqueue pass.

--- a/src/scheduler_queue.cpp
+++ b/src/scheduler_queue.cpp
@@ -120,13 +120,15 @@
     return mean > 0 ? service.running / mean : 0;
 }
 
+// Looks at no more targets than it takes to find enough free slots, since it is asked for each request of a lower priority.
 bool Scheduler::reservedForUrgent(const ServiceState &service, unsigned priority, TimePoint now) const
 {
-    const double arrivals = service.queues.requestsAbove(priority, now);
-    if (arrivals <= 0) {
+    UrgentLoad load {service.queues.requestsAbove(priority, now), assumedRate(service), std::numeric_limits<unsigned>::max()};
+    const unsigned needed = reservedSlots(load);
+    if (needed == 0) {
         return false;
     }
-    UrgentLoad load {arrivals, assumedRate(service), 0};
+    load.slots = 0;
     unsigned freeSlots = 0;
     for (const auto &state : service.targets) {
         if (inUse(*state)) {
@@ -134,6 +136,9 @@
             load.slots += slots;
             freeSlots += hasCapacity(service, *state, now) ? slots - state->running : 0;
         }
+        if (freeSlots > needed) {
+            return false;
+        }
     }
     const unsigned reserved = reservedSlots(load);
     return reserved > 0 && freeSlots <= reserved;
@@ -143,20 +148,27 @@
 // at whichever target is free, as place() does.
 bool Scheduler::anyFreeTarget(const ServiceState &service, unsigned priority, TimePoint now) const
 {
-    double lowest = 1;
+    const auto usable = [now](const TargetState &state) { return inUse(state) && state.unlistedUntil <= now; };
     double lowestFree = std::numeric_limits<double>::infinity();
     for (const auto &state : service.targets) {
-        if (!inUse(*state) || state->unlistedUntil > now) {
-            continue;
+        if (lowestFree > config::RiskyShare && usable(*state) && hasCapacity(service, *state, now)) {
+            lowestFree = std::min(lowestFree, failureProbability(*state, now));
+        }
+    }
+    if (lowestFree == std::numeric_limits<double>::infinity()) {
+        return false;
+    }
+    if (lowestFree > config::RiskyShare) {
+        double lowest = lowestFree;
+        for (const auto &state : service.targets) {
+            lowest = usable(*state) ? std::min(lowest, failureProbability(*state, now)) : lowest;
         }
-        const double failing = failureProbability(*state, now);
-        lowest = std::min(lowest, failing);
-        if (hasCapacity(service, *state, now)) {
-            lowestFree = std::min(lowestFree, failing);
+        const double accepted = lowest <= config::RiskyShare ? config::RiskyShare : lowest <= config::RepeatableTrialShare ? config::RepeatableTrialShare : 1;
+        if (lowestFree > accepted) {
+            return false;
         }
     }
-    const double accepted = lowest <= config::RiskyShare ? config::RiskyShare : lowest <= config::RepeatableTrialShare ? config::RepeatableTrialShare : 1;
-    return lowestFree <= accepted && !reservedForUrgent(service, priority, now);
+    return !reservedForUrgent(service, priority, now);
 }
 
 // A request that waited longest is placed before those of a lower priority, so each priority's expired requests come first.
@@ -164,7 +176,7 @@
 {
     for (const unsigned priority : service.queues.priorities()) {
         placeExpired(service, priority, decided, now);
-        while (anyFreeTarget(service, priority, now)) {
+        while (!service.queues.empty() && anyFreeTarget(service, priority, now)) {
             const auto next = service.queues.pop(priority, now);
             if (!next) {
                 break;
