--- a/review/rig/rig.cpp
+++ b/review/rig/rig.cpp
@@ -393,12 +393,12 @@
 
 bool Store::answer(const Request &request, Socket &connection)
 {
-    static const std::string Prefix = "/api/objects/";
+    static const std::string prefix = "/api/objects/";
     const std::string path = request.target.substr(0, request.target.find('?'));
-    if (!path.starts_with(Prefix)) {
+    if (!path.starts_with(prefix)) {
         return connection.send(answerText(404, "{}"));
     }
-    const std::string rest = path.substr(Prefix.size());
+    const std::string rest = path.substr(prefix.size());
     const auto slash = rest.find('/');
     const std::string kind = rest.substr(0, slash);
     std::string name = slash == std::string::npos ? std::string() : rest.substr(slash + 1);
@@ -503,9 +503,8 @@
     if (m_onArrival && request.target != "/health") {
         m_onArrival(request);
     }
-    const bool kept = request.target == "/health"
-        ? connection.send("HTTP/1.1 200 OK\r\nPlumsill-Instance-Id: " + m_name + "\r\nContent-Length: 0\r\n\r\n")
-        : m_work(*this, request, connection);
+    const bool kept = request.target == "/health" ? connection.send("HTTP/1.1 200 OK\r\nPlumsill-Instance-Id: " + m_name + "\r\nContent-Length: 0\r\n\r\n")
+                                                  : m_work(*this, request, connection);
     const std::lock_guard lock(m_mutex);
     --m_busy;
     m_free.notify_one();
@@ -580,14 +579,14 @@
     return *m_backends.back();
 }
 
-void Deployment::writeSettings(unsigned daemon, double linkMbps) const
+void Deployment::writeSettings(unsigned daemon, bool bootstrap) const
 {
     const std::string own = ip(10 + daemon);
     std::ofstream(m_folder + "/node" + std::to_string(daemon) + ".json")
         << R"({"node-name":"edge-)" << daemon << R"(","role":"entry","machine-class":"edge","serves":["edge"],"ip":")" << own
         << R"(","zone":"z1","region":"r1","zones":{"z1":"r1"},"listen":{"front":")" << own << R"(:8782","ready":")" << own << R"(:8789","control":")" << own
-        << R"(:8783"},"internal-ports":[7340,7355],"seeds":[],"bootstrap":true,"counts-in-tolerance":false,)"
-        << R"("limits":{"cpu-share":0.5,"cores":1,"memory-mb":400,"max-fds":4100,"link-mbps":)" << linkMbps << R"(,"disk-mb":0},"data-dir":null,)"
+        << R"(:8783"},"internal-ports":[7340,7355],"seeds":[],"bootstrap":)" << (bootstrap ? "true" : "false") << R"(,"counts-in-tolerance":false,)"
+        << R"("limits":{"cpu-share":0.5,"cores":1,"memory-mb":400,"max-fds":4100,"link-mbps":)" << m_linkMbps << R"(,"disk-mb":0},"data-dir":null,)"
         << R"("discovery":"platform","entry":"vip","heartbeat-ms":1500,)"
         << R"("contracts":["base","drain","config","cost","retry","recover","health","tenants","quota","platform"],)"
         << R"("fault-tolerance":{"machines":1,"zones":0,"regions":0},)"
@@ -597,34 +596,48 @@
         << R"(","form":"objects","writes-per-s":400,"reads-per-s":2000,"history-s":20,"value-bytes":1048576}})";
 }
 
-void Deployment::startDaemons(unsigned count, double linkMbps)
+int Deployment::startProcess(unsigned daemon)
 {
-    for (unsigned daemon = 0; daemon < count; ++daemon) {
-        writeSettings(daemon, linkMbps);
-        const std::string settings = "PLUMSILL_BOOT=" + m_folder + "/node" + std::to_string(daemon) + ".json";
-        const std::string log = m_folder + "/node" + std::to_string(daemon) + ".log";
-        const std::string path = std::string("PATH=") + (std::getenv("PATH") == nullptr ? "/usr/bin:/bin" : std::getenv("PATH"));
-        const int parent = ::getpid();
-        const int process = ::fork();
-        if (process == 0) {
-            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-            if (::getppid() != parent) {
-                ::_exit(127);
-            }
-            const int file = ::open(log.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0644);
-            ::dup2(file, STDOUT_FILENO);
-            ::dup2(file, STDERR_FILENO);
-            const std::array<const char *, 3> arguments {m_program.c_str(), "--platform", nullptr};
-            const std::array<const char *, 3> environment {settings.c_str(), path.c_str(), nullptr};
-            ::execve(m_program.c_str(), const_cast<char *const *>(arguments.data()), const_cast<char *const *>(environment.data()));
+    const std::string settings = "PLUMSILL_BOOT=" + m_folder + "/node" + std::to_string(daemon) + ".json";
+    const std::string log = m_folder + "/node" + std::to_string(daemon) + ".log";
+    const std::string path = std::string("PATH=") + (std::getenv("PATH") == nullptr ? "/usr/bin:/bin" : std::getenv("PATH"));
+    const int parent = ::getpid();
+    const int process = ::fork();
+    if (process == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (::getppid() != parent) {
             ::_exit(127);
         }
-        m_processes.push_back(process);
+        const int file = ::open(log.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0644);
+        ::dup2(file, STDOUT_FILENO);
+        ::dup2(file, STDERR_FILENO);
+        const std::array<const char *, 3> arguments {m_program.c_str(), "--platform", nullptr};
+        const std::array<const char *, 3> environment {settings.c_str(), path.c_str(), nullptr};
+        ::execve(m_program.c_str(), const_cast<char *const *>(arguments.data()), const_cast<char *const *>(environment.data()));
+        ::_exit(127);
+    }
+    m_record.line("started daemon edge-" + std::to_string(daemon) + ", process " + std::to_string(process));
+    return process;
+}
+
+void Deployment::startDaemons(unsigned count, double linkMbps)
+{
+    m_linkMbps = linkMbps;
+    for (unsigned daemon = 0; daemon < count; ++daemon) {
+        writeSettings(daemon, true);
+        m_processes.push_back(startProcess(daemon));
         m_endedProcesses.push_back(false);
-        m_record.line("started daemon edge-" + std::to_string(daemon) + ", process " + std::to_string(process));
+        m_statuses.push_back(0);
     }
 }
 
+void Deployment::restart(unsigned daemon)
+{
+    writeSettings(daemon, false);
+    m_processes[daemon] = startProcess(daemon);
+    m_endedProcesses[daemon] = false;
+}
+
 bool Deployment::ready(unsigned daemon) const
 {
     Socket socket = Socket::connect({ip(10 + daemon), 8789});
@@ -658,11 +671,17 @@
 bool Deployment::ended(unsigned daemon)
 {
     if (!m_endedProcesses[daemon]) {
-        m_endedProcesses[daemon] = ::waitpid(m_processes[daemon], nullptr, WNOHANG) == m_processes[daemon];
+        m_endedProcesses[daemon] = ::waitpid(m_processes[daemon], &m_statuses[daemon], WNOHANG) == m_processes[daemon];
     }
     return m_endedProcesses[daemon];
 }
 
+std::string Deployment::howEnded(unsigned daemon) const
+{
+    const int status = m_statuses[daemon];
+    return WIFSIGNALED(status) ? std::string("signal ") + ::strsignal(WTERMSIG(status)) : "status " + std::to_string(WEXITSTATUS(status));
+}
+
 std::string Deployment::log(unsigned daemon, const std::string &text) const
 {
     std::ifstream file(m_folder + "/node" + std::to_string(daemon) + ".log");
@@ -677,9 +696,8 @@
 
 std::string requestText(const std::string &method, const std::string &target, const std::string &id, unsigned deadlineMs, bool close)
 {
-    return method + " " + target + " HTTP/1.1\r\nHost: " + Deployment::Host + "\r\nPlumsill-Request-Id: " + id
-        + "\r\nPlumsill-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\nAuthorization: Bearer " + Deployment::Key + "\r\n"
-        + (close ? "Connection: close\r\n" : "") + "\r\n";
+    return method + " " + target + " HTTP/1.1\r\nHost: " + Deployment::Host + "\r\nPlumsill-Request-Id: " + id + "\r\nPlumsill-Deadline-Ms: "
+        + std::to_string(deadlineMs) + "\r\nAuthorization: Bearer " + Deployment::Key + "\r\n" + (close ? "Connection: close\r\n" : "") + "\r\n";
 }
 
 namespace
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -211,6 +211,10 @@
     void signal(unsigned daemon, int number);
     /// True when the process of the daemon has ended.
     bool ended(unsigned daemon);
+    /// Signal or status with which the process ended.
+    std::string howEnded(unsigned daemon) const;
+    /// Starts a daemon whose process has ended again.
+    void restart(unsigned daemon);
     const std::vector<std::unique_ptr<Backend>> &backends() const { return m_backends; }
     /// The last lines of the daemon's log that contain @p text.
     std::string log(unsigned daemon, const std::string &text) const;
@@ -219,7 +223,8 @@
     static constexpr const char *Key = "k3yofthetenant0000001";
 
 private:
-    void writeSettings(unsigned daemon, double linkMbps) const;
+    void writeSettings(unsigned daemon, bool bootstrap) const;
+    int startProcess(unsigned daemon);
 
     const std::string m_program;
     Record &m_record;
@@ -229,6 +234,8 @@
     std::vector<std::unique_ptr<Backend>> m_backends;
     std::vector<int> m_processes;
     std::vector<bool> m_endedProcesses;
+    std::vector<int> m_statuses;
+    double m_linkMbps = 0;
 };
 
 /// How a client reads its answer.
--- a/review/rig/scenarios.cpp
+++ b/review/rig/scenarios.cpp
@@ -12,7 +12,6 @@
 constexpr unsigned DeadlineMs = 15'000;
 constexpr std::int64_t DrainMs = 2000;
 constexpr std::int64_t GraceMs = 6000;
-constexpr std::int64_t GoneMs = 500;
 
 std::string describe(const std::string &id, const Answer &answer)
 {
@@ -81,7 +80,7 @@
         clients.emplace_back([&, client] {
             const std::string id = "stop-" + number(client);
             const std::string path = (client % 2 == 0 ? "/files/report/" : "/files/export/") + number(client);
-            context.record.line("send " + id + " GET " + path + " to edge-0");
+            context.record.line("send " + id + " to edge-0, GET " + std::string(path));
             answers[client] = call(deployment.front(0), "GET", path, id, DeadlineMs, true);
             context.record.line(describe(id, answers[client]));
         });
@@ -392,81 +391,139 @@
     return conclude(context.record, late > 0, "DRAIN", number(late) + " requests reached the draining backend later than drain-ms after the ack");
 }
 
-// Clients that send many reads behind each other leave before the answers.
+// Some clients send downloads behind each other on a connection and leave before the first has been answered. Other clients place orders on kept
+// connections meanwhile.
 Verdict leavePipelined(const Context &context)
 {
-    static constexpr unsigned Clients = 10;
-    static constexpr unsigned Behind = 24;
-    static constexpr std::int64_t WorkMs = 2500;
+    static constexpr std::size_t Bytes = 1'200'000;
+    static constexpr unsigned Daemons = 3;
+    static constexpr unsigned Buyers = 18;
+    static constexpr unsigned Behind = 6;
+    // Twice two stretches, of for_s = 4 and 5.
+    static constexpr std::int64_t LeaveFromMs = 4000;
+    static constexpr std::int64_t LeaveForMs = 9000;
+    static constexpr std::int64_t SecondLeaveFromMs = 18'000;
+    static constexpr std::int64_t EndMs = 33'000;
+    static constexpr std::int64_t GapMs = 150; // between two clients that download
+    static constexpr std::int64_t LeaveAfterMs = 500;
+    static constexpr std::int64_t RestartMs = 500;
+    static constexpr unsigned Tolerated = 3;
     Deployment deployment(context.daemonProgram, context.record, "pipelined");
+    const auto files = [](Backend & /*backend*/, const Request &request, Socket &connection) {
+        sleepMs(request.target.ends_with("/0") ? 700 : 150);
+        return connection.send(answerHeader(request, 200, Bytes)) && connection.send(contentOf(1, Bytes));
+    };
     std::mutex mutex;
-    std::map<std::string, std::int64_t> arrivedAt;
-    std::map<std::string, std::int64_t> workedUntil;
-    const auto work = [&mutex, &workedUntil](Backend & /*backend*/, const Request &request, Socket &connection) {
-        const std::string content = contentOf(1, 600);
-        // A backend drops a request when its connection closes.
-        const std::string ended = connection.receive(1, WorkMs);
-        {
-            const std::lock_guard lock(mutex);
-            workedUntil[request.field("plumsill-request-id")] = nowMs();
-        }
-        if (connection.ending() != "timeout") {
-            return false;
-        }
-        return ended.empty() && connection.send(answerHeader(request, 200, content.size())) && connection.send(content);
+    std::set<std::string> ran;
+    const auto orders = [](Backend & /*backend*/, const Request &request, Socket &connection) {
+        sleepMs(400);
+        return connection.send(answerHeader(request, 200, 400)) && connection.send(contentOf(2, 400));
     };
-    for (unsigned backend = 0; backend < 12; ++backend) {
-        deployment.addBackend("i-list-" + number(backend), "list", 20, work).watch([&mutex, &arrivedAt](const Request &request) {
+    for (unsigned backend = 0; backend < 9; ++backend) {
+        deployment.addBackend("i-files-" + number(backend), "files", 6, files);
+    }
+    for (unsigned backend = 0; backend < 3; ++backend) {
+        deployment.addBackend("i-orders-" + number(backend), "orders", 8, orders).watch([&mutex, &ran](const Request &request) {
             const std::lock_guard lock(mutex);
-            arrivedAt[request.field("plumsill-request-id")] = nowMs();
+            ran.insert(request.field("plumsill-request-id"));
         });
     }
-    deployment.configure(7, {{"list", "/list/", "list", "idempotent", 1, 8000, 4000}}, {"list"});
-    deployment.startDaemons(3, 1000);
+    deployment.configure(7, {{"files", "/files/", "files", "download", 2, 8000, 2000}, {"orders", "/orders/", "orders", "non_idempotent", 2, 6000, 1000}},
+                         {"files", "orders"});
+    deployment.startDaemons(Daemons, 200);
     deployment.awaitReady();
-    std::vector<std::int64_t> leftAt(Clients);
+    const std::int64_t start = nowMs();
+    std::atomic<unsigned> served {0};
+    std::atomic<unsigned> lost {0};
     std::vector<std::function<void()>> clients;
-    for (unsigned client = 0; client < Clients; ++client) {
-        clients.emplace_back([&, client] {
-            Socket connection = Socket::connect(deployment.front(client % 3));
+    for (unsigned buyer = 0; buyer < Buyers; ++buyer) {
+        clients.emplace_back([&, buyer] {
+            Socket connection;
+            std::string buffer;
+            bool kept = false; // an earlier order on the connection was answered
+            for (unsigned order = 0; nowMs() < start + EndMs; ++order) {
+                if (!connection.open()) {
+                    buffer.clear();
+                    kept = false;
+                    connection = Socket::connect(deployment.front(buyer % Daemons));
+                    sleepMs(connection.open() ? 0 : 100);
+                    continue;
+                }
+                const std::string id = "order-" + number(buyer) + "-" + number(order);
+                Answer answer;
+                answer.sentAt = nowMs();
+                if (connection.send(requestText("POST", "/orders/" + number(order), id, 6000))) {
+                    answer = readAnswer(connection, buffer, {}, nowMs() + 6000);
+                }
+                served += answer.complete && answer.status == 200 ? 1 : 0;
+                const bool closed = answer.status == 0 && (answer.ending == "closed" || answer.ending == "reset");
+                const std::lock_guard lock(mutex);
+                if (kept && closed && ran.contains(id)) {
+                    ++lost;
+                    context.record.line(id + " was passed on to a backend, and edge-" + number(buyer % Daemons) + " ended its kept connection (" + answer.ending
+                                        + ") without an answer");
+                }
+                kept = answer.complete;
+                if (!answer.complete || answer.fields["connection"] == "close") {
+                    connection.close();
+                }
+            }
+        });
+    }
+    unsigned leaving = 0;
+    unsigned inWindow = 0;
+    for (std::int64_t due = 0; due < EndMs - 4000; due += GapMs) {
+        const bool window = (due >= LeaveFromMs && due < LeaveFromMs + LeaveForMs) || (due >= SecondLeaveFromMs && due < SecondLeaveFromMs + LeaveForMs);
+        const auto client = static_cast<unsigned>(due / GapMs);
+        const bool leaves = context.trouble && window && client % 10 < 3; // share = 0.3
+        inWindow += window ? 1 : 0;
+        leaving += leaves ? 1 : 0;
+        clients.emplace_back([&, client, due, leaves] {
+            sleepMs(start + due - nowMs());
+            Socket connection = Socket::connect(deployment.front(client % Daemons));
             std::string requests;
             for (unsigned request = 0; request < Behind; ++request) {
-                requests += requestText("GET", "/list/" + number(request), "read-" + number(client) + "-" + number(request), 8000);
+                requests += requestText("GET", "/files/" + number(client) + "/" + number(request), "file-" + number(client) + "-" + number(request), 8000);
+            }
+            if (!connection.open() || !connection.send(requests)) {
+                return;
+            }
+            std::string buffer;
+            if (leaves) {
+                sleepMs(LeaveAfterMs);
+                context.record.line("client " + number(client) + " leaves " + number(Behind) + " downloads at edge-" + number(client % Daemons));
+                return;
             }
-            connection.send(requests);
-            sleepMs(1000);
-            if (!context.trouble) {
-                std::string buffer;
-                for (unsigned request = 0; request < Behind; ++request) {
-                    readAnswer(connection, buffer, {}, nowMs() + 8000);
+            unsigned complete = 0;
+            for (unsigned request = 0; request < Behind; ++request) {
+                const Answer answer = readAnswer(connection, buffer, {}, nowMs() + 8000);
+                complete += answer.complete && answer.status == 200 ? 1 : 0;
+                if (!answer.complete) {
+                    break;
                 }
             }
-            connection.close();
-            leftAt[client] = nowMs();
-            context.record.line("client " + number(client) + (context.trouble ? " left" : " has its answers"));
+            context.record.line("client " + number(client) + " has " + number(complete) + " of " + number(Behind) + " downloads");
         });
     }
-    runAll(std::move(clients));
-    sleepMs(6000);
-    unsigned late = 0;
-    unsigned working = 0;
-    unsigned wouldLast = 0;
-    for (unsigned client = 0; client < Clients; ++client) {
-        for (unsigned request = 0; request < Behind; ++request) {
-            const std::string id = "read-" + number(client) + "-" + number(request);
-            const auto arrival = arrivedAt.find(id);
-            if (arrival == arrivedAt.end()) {
-                continue;
+    // The thread that starts processes must outlast them, so this one watches over the daemons.
+    std::vector<unsigned> ends(Daemons, 0);
+    std::thread others([&clients] { runAll(std::move(clients)); });
+    while (nowMs() < start + EndMs) {
+        for (unsigned daemon = 0; daemon < Daemons; ++daemon) {
+            if (deployment.ended(daemon)) {
+                ++ends[daemon];
+                context.record.line("the process of edge-" + number(daemon) + " has ended by itself: " + deployment.howEnded(daemon));
+                sleepMs(RestartMs);
+                deployment.restart(daemon);
             }
-            late += arrival->second > leftAt[client] + GoneMs ? 1 : 0;
-            const bool lasts = arrival->second <= leftAt[client] && arrival->second + WorkMs > leftAt[client] + GoneMs;
-            wouldLast += lasts ? 1 : 0;
-            working += lasts && workedUntil[id] > leftAt[client] + GoneMs ? 1 : 0;
         }
+        sleepMs(20);
+    }
+    others.join();
+    for (unsigned daemon = 0; daemon < Daemons; ++daemon) {
+        context.record.line("edge-" + number(daemon) + " ended by itself " + number(ends[daemon]) + " times");
     }
-    const bool broken = context.trouble && (late > 10 || 4 * working > wouldLast);
-    return conclude(context.record, broken, "GONE",
-                    number(late) + " requests reached a backend over half a second after their client had left; backends were at work then on "
-                        + number(working) + " of " + number(wouldLast) + " that would have lasted so long");
+    context.record.line(number(leaving) + " of " + number(inWindow) + " clients left; " + number(served) + " orders were served");
+    return conclude(context.record, lost > Tolerated, "LOST", number(lost) + " orders on kept connections were passed on to a sound backend and got no answer");
 }
 }
