Review case 4: a planned stop cancels the pending write of an answer (LOST)

Cause: CallerSession::enforceLimits() cancels all operations of a socket to end the wait for the next request.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,4 +6,4 @@
     echo "build the deploy file and run review/build.sh first" >&2
     exit 2
 fi
-exec timeout -k 2 118 build-review/review-rig leave-mid-download target/plumsilld review/4/record.txt
+exec timeout -k 2 118 build-review/review-rig stop-slow-reader target/plumsilld review/4/record.txt
