--- a/review/rig/rig.cpp
+++ b/review/rig/rig.cpp
@@ -455,11 +455,12 @@
     return "seal-of-" + id;
 }
 
-Backend::Backend(std::string name, std::string service, const std::string &ip, unsigned slots, Work work)
+Backend::Backend(std::string name, std::string service, const std::string &ip, unsigned slots, Work work, Record &record)
     : m_name(std::move(name))
     , m_service(std::move(service))
     , m_slots(slots)
     , m_work(std::move(work))
+    , m_record(record)
     , m_server(std::make_unique<HttpServer>(ip, [this](const Request &request, Socket &connection) { return answer(request, connection); }))
 { }
 
@@ -500,8 +501,11 @@
         --m_waiting;
         ++m_busy;
     }
-    if (m_onArrival && request.target != "/health") {
-        m_onArrival(request);
+    if (request.target != "/health") {
+        m_record.line("run " + request.field("plumsill-request-id") + " at " + m_name);
+        if (m_onArrival) {
+            m_onArrival(request);
+        }
     }
     const bool kept = request.target == "/health" ? connection.send("HTTP/1.1 200 OK\r\nPlumsill-Instance-Id: " + m_name + "\r\nContent-Length: 0\r\n\r\n")
                                                   : m_work(*this, request, connection);
@@ -574,7 +578,7 @@
 
 Backend &Deployment::addBackend(const std::string &name, const std::string &service, unsigned slots, Backend::Work work)
 {
-    m_backends.push_back(std::make_unique<Backend>(name, service, ip(3), slots, std::move(work)));
+    m_backends.push_back(std::make_unique<Backend>(name, service, ip(3), slots, std::move(work), m_record));
     m_store->put("servers", name, m_backends.back()->entry("z1"));
     return *m_backends.back();
 }
@@ -821,6 +825,13 @@
     return AnswerReader(connection, buffer, reading, untilMs).read();
 }
 
+std::string describe(const std::string &id, const Answer &answer)
+{
+    std::string text = "answer " + id + ": status " + std::to_string(answer.status) + ", " + answer.ending + ", body " + std::to_string(answer.body.size())
+        + " bytes, took " + std::to_string(answer.endedAt - answer.sentAt) + " ms";
+    return answer.problem.empty() ? text : text + ", " + answer.problem;
+}
+
 Answer call(const Address &front, const std::string &method, const std::string &target, const std::string &id, unsigned deadlineMs, bool close,
             const Reading &reading, int receiveBuffer)
 {
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -150,7 +150,7 @@
     /// Writes the answer to a request that is run.
     using Work = std::function<bool(Backend &backend, const Request &request, Socket &connection)>;
 
-    Backend(std::string name, std::string service, const std::string &ip, unsigned slots, Work work);
+    Backend(std::string name, std::string service, const std::string &ip, unsigned slots, Work work, Record &record);
     const std::string &name() const { return m_name; }
     const std::string &service() const { return m_service; }
     const Address &address() const { return m_server->address(); }
@@ -167,6 +167,7 @@
     const std::string m_service;
     const unsigned m_slots;
     Work m_work;
+    Record &m_record;
     std::function<void(const Request &)> m_onArrival;
     std::mutex m_mutex;
     std::condition_variable m_free;
@@ -264,6 +265,8 @@
 /// Sends one request on a connection of its own and reads the answer.
 Answer call(const Address &front, const std::string &method, const std::string &target, const std::string &id, unsigned deadlineMs, bool close,
             const Reading &reading = {}, int receiveBuffer = 0);
+/// One line on what the client saw.
+std::string describe(const std::string &id, const Answer &answer);
 
 /// Result of a scenario.
 enum class Verdict : int
--- a/review/rig/scenarios.cpp
+++ b/review/rig/scenarios.cpp
@@ -13,13 +13,6 @@
 constexpr std::int64_t DrainMs = 2000;
 constexpr std::int64_t GraceMs = 6000;
 
-std::string describe(const std::string &id, const Answer &answer)
-{
-    std::string text = "answer " + id + ": status " + std::to_string(answer.status) + ", " + answer.ending + ", body " + std::to_string(answer.body.size())
-        + " bytes, took " + std::to_string(answer.endedAt - answer.sentAt) + " ms";
-    return answer.problem.empty() ? text : text + ", " + answer.problem;
-}
-
 /// Runs each function in a thread of its own and waits for all.
 void runAll(std::vector<std::function<void()>> functions)
 {
@@ -294,6 +287,7 @@
         leaving += leaves ? 1 : 0;
         clients.emplace_back([&, client, leaves] {
             const std::string id = "file-" + number(client);
+            context.record.line("send " + id + " to edge-" + number(client % 3));
             answers[client] = call(deployment.front(client % 3), "GET", "/files/" + number(client), id, 6000, true, {0, 65536, leaves ? Bytes / 4 : 0});
             context.record.line(describe(id, answers[client]));
         });
@@ -354,7 +348,9 @@
         clients.emplace_back([&, client] {
             for (unsigned request = 0; !stop; ++request) {
                 const std::string id = "list-" + number(client) + "-" + number(request);
+                context.record.line("send " + id + " to edge-" + number(client % 3));
                 const Answer answer = call(deployment.front(client % 3), "GET", "/list/" + number(request), id, 3000, true);
+                context.record.line(describe(id, answer));
                 served += answer.complete && answer.status == 200 ? 1 : 0;
                 sleepMs(60);
             }
@@ -450,11 +446,14 @@
                     continue;
                 }
                 const std::string id = "order-" + number(buyer) + "-" + number(order);
+                const std::int64_t sentAt = nowMs();
                 Answer answer;
-                answer.sentAt = nowMs();
+                context.record.line("send " + id + " to edge-" + number(buyer % Daemons));
                 if (connection.send(requestText("POST", "/orders/" + number(order), id, 6000))) {
                     answer = readAnswer(connection, buffer, {}, nowMs() + 6000);
+                    answer.sentAt = sentAt;
                 }
+                context.record.line(describe(id, answer));
                 served += answer.complete && answer.status == 200 ? 1 : 0;
                 const bool closed = answer.status == 0 && (answer.ending == "closed" || answer.ending == "reset");
                 const std::lock_guard lock(mutex);
@@ -485,6 +484,8 @@
             for (unsigned request = 0; request < Behind; ++request) {
                 requests += requestText("GET", "/files/" + number(client) + "/" + number(request), "file-" + number(client) + "-" + number(request), 8000);
             }
+            context.record.line("client " + number(client) + " sends file-" + number(client) + "-0 to -" + number(Behind - 1) + " to edge-"
+                                + number(client % Daemons));
             if (!connection.open() || !connection.send(requests)) {
                 return;
             }
@@ -496,7 +497,9 @@
             }
             unsigned complete = 0;
             for (unsigned request = 0; request < Behind; ++request) {
-                const Answer answer = readAnswer(connection, buffer, {}, nowMs() + 8000);
+                Answer answer = readAnswer(connection, buffer, {}, nowMs() + 8000);
+                answer.sentAt = start + due;
+                context.record.line(describe("file-" + number(client) + "-" + number(request), answer));
                 complete += answer.complete && answer.status == 200 ? 1 : 0;
                 if (!answer.complete) {
                     break;
