--- a/review/rig/main.cpp
+++ b/review/rig/main.cpp
@@ -13,6 +13,7 @@
     const std::map<std::string, rig::Verdict (*)(const rig::Context &)> scenarios {
         {"stop-during-stream", rig::stopDuringStream}, {"hedge-into-stream", rig::hedgeIntoStream}, {"stop-slow-reader", rig::stopSlowReader},
         {"leave-mid-download", rig::leaveMidDownload}, {"unreadable-entry", rig::unreadableEntry},  {"leave-pipelined", rig::leavePipelined},
+        {"leave-many-reads", rig::leaveManyReads},
     };
     const std::vector<std::string> arguments(argv + 1, argv + argc);
     const auto scenario = arguments.size() == 3 ? scenarios.find(arguments[0]) : scenarios.end();
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -287,4 +287,5 @@
 Verdict leaveMidDownload(const Context &context);
 Verdict unreadableEntry(const Context &context);
 Verdict leavePipelined(const Context &context);
+Verdict leaveManyReads(const Context &context);
 }
--- a/review/rig/scenarios.cpp
+++ b/review/rig/scenarios.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <numeric>
 #include <set>
 
 namespace rig
@@ -12,6 +13,7 @@
 constexpr unsigned DeadlineMs = 15'000;
 constexpr std::int64_t DrainMs = 2000;
 constexpr std::int64_t GraceMs = 6000;
+constexpr std::int64_t GoneMs = 500;
 
 /// Runs each function in a thread of its own and waits for all.
 void runAll(std::vector<std::function<void()>> functions)
@@ -107,7 +109,7 @@
                         + " answers with bytes that are no answer in the protocol, of " + number(Clients));
 }
 
-// A backend turns slow while it sends a long answer. Backends list their own state, so their answers differ in length.
+// Two of five backends turn slow while they send long answers. Backends list their own state, so their answers differ in length.
 Verdict hedgeIntoStream(const Context &context)
 {
     static constexpr std::size_t Longer = 1'900'000;
@@ -115,11 +117,13 @@
     static constexpr std::size_t PieceBytes = 100'000;
     static constexpr std::int64_t PieceMs = 25;
     static constexpr std::int64_t SlowFactor = 4;
-    static constexpr unsigned Clients = 48;
+    static constexpr std::int64_t SlowForMs = 9000;
+    static constexpr std::int64_t GapMs = 100;
+    static constexpr unsigned Clients = 90;
     static constexpr unsigned Earlier = 60;
     Deployment deployment(context.daemonProgram, context.record, "hedge");
-    const bool trouble = context.trouble;
-    const auto work = [trouble](Backend &backend, const Request &request, Socket &connection) {
+    std::atomic<std::int64_t> slowUntil {0};
+    const auto work = [&slowUntil](Backend &backend, const Request &request, Socket &connection) {
         const auto item = request.target.rfind("/item/");
         if (item != std::string::npos) {
             // Work of about 500 ms with a spread of 0.6.
@@ -129,17 +133,17 @@
             return connection.send(answerHeader(request, 200, 2000)) && connection.send(contentOf(3, 2000));
         }
         const bool isLonger = backend.name() == "i-list-1" || backend.name() == "i-list-2";
-        const std::int64_t factor = trouble && backend.name() == "i-list-1" ? SlowFactor : 1;
+        const bool slow = isLonger && nowMs() < slowUntil;
         const std::string content = isLonger ? contentOf(1, Longer) : contentOf(2, Shorter);
         bool sent = connection.send(answerHeader(request, 200, content.size()));
         for (std::size_t at = 0; sent && at < content.size(); at += PieceBytes) {
-            sleepMs(PieceMs * factor);
+            sleepMs(slow ? PieceMs * SlowFactor : PieceMs);
             sent = connection.send(std::string_view(content).substr(at, PieceBytes));
         }
         return sent;
     };
-    for (const auto *name : {"i-list-1", "i-list-2", "i-list-3", "i-list-4"}) {
-        deployment.addBackend(name, "list", 4, work);
+    for (const auto *name : {"i-list-1", "i-list-2", "i-list-3", "i-list-4", "i-list-5"}) {
+        deployment.addBackend(name, "list", 6, work);
     }
     deployment.configure(7, {{"list", "/list/", "list", "idempotent", 2, 10'000, 3000}}, {"list"});
     deployment.startDaemons(3, 1000);
@@ -152,11 +156,12 @@
         });
     }
     runAll(std::move(earlier));
+    slowUntil = context.trouble ? nowMs() + SlowForMs : 0;
     std::vector<Answer> answers(Clients);
     std::vector<std::function<void()>> clients;
     for (unsigned client = 0; client < Clients; ++client) {
         clients.emplace_back([&, client] {
-            sleepMs(300 * client);
+            sleepMs(GapMs * client);
             const std::string id = "list-" + number(client);
             context.record.line("send " + id + " GET /list/all/" + number(client) + " to edge-" + number(client % 3));
             answers[client] = call(deployment.front(client % 3), "GET", "/list/all/" + number(client), id, DeadlineMs, false);
@@ -236,7 +241,7 @@
     for (const auto &answer : answers) {
         const bool inTime = answer.endedAt - answer.sentAt < 7500;
         const bool counted = !answer.complete && inTime && (answer.ending == "reset" || answer.ending == "closed");
-        lost += counted && (!context.trouble || answer.endedAt < stoppedAt + GraceMs * 5 / 6) ? 1 : 0;
+        lost += counted && (!context.trouble || (answer.endedAt > stoppedAt && answer.endedAt < stoppedAt + GraceMs * 5 / 6)) ? 1 : 0;
     }
     return conclude(context.record, lost > 0, "LOST",
                     number(lost) + " requests whose backends had answered ended without a complete answer, of " + number(Clients));
@@ -404,6 +409,7 @@
     static constexpr std::int64_t LeaveAfterMs = 500;
     static constexpr std::int64_t RestartMs = 500;
     static constexpr unsigned Tolerated = 3;
+    static constexpr std::int64_t ContactMs = 3000;
     Deployment deployment(context.daemonProgram, context.record, "pipelined");
     const auto files = [](Backend & /*backend*/, const Request &request, Socket &connection) {
         sleepMs(request.target.ends_with("/0") ? 700 : 150);
@@ -430,7 +436,8 @@
     deployment.awaitReady();
     const std::int64_t start = nowMs();
     std::atomic<unsigned> served {0};
-    std::atomic<unsigned> lost {0};
+    std::vector<unsigned> lost(Daemons, 0); // by the daemon that took the order, while in touch
+    std::vector<std::int64_t> startedAt(Daemons, 0);
     std::vector<std::function<void()>> clients;
     for (unsigned buyer = 0; buyer < Buyers; ++buyer) {
         clients.emplace_back([&, buyer] {
@@ -457,8 +464,9 @@
                 served += answer.complete && answer.status == 200 ? 1 : 0;
                 const bool closed = answer.status == 0 && (answer.ending == "closed" || answer.ending == "reset");
                 const std::lock_guard lock(mutex);
-                if (kept && closed && ran.contains(id)) {
-                    ++lost;
+                const bool inTouch = sentAt - startedAt[buyer % Daemons] > ContactMs;
+                if (kept && closed && inTouch && ran.contains(id)) {
+                    ++lost[buyer % Daemons];
                     context.record.line(id + " was passed on to a backend, and edge-" + number(buyer % Daemons) + " ended its kept connection (" + answer.ending
                                         + ") without an answer");
                 }
@@ -518,6 +526,8 @@
                 context.record.line("the process of edge-" + number(daemon) + " has ended by itself: " + deployment.howEnded(daemon));
                 sleepMs(RestartMs);
                 deployment.restart(daemon);
+                const std::lock_guard lock(mutex);
+                startedAt[daemon] = nowMs();
             }
         }
         sleepMs(20);
@@ -527,6 +537,87 @@
         context.record.line("edge-" + number(daemon) + " ended by itself " + number(ends[daemon]) + " times");
     }
     context.record.line(number(leaving) + " of " + number(inWindow) + " clients left; " + number(served) + " orders were served");
-    return conclude(context.record, lost > Tolerated, "LOST", number(lost) + " orders on kept connections were passed on to a sound backend and got no answer");
+    const unsigned most = *std::max_element(lost.begin(), lost.end());
+    return conclude(context.record, most > Tolerated, "LOST",
+                    number(most) + " orders on kept connections were passed on to a sound backend by one machine in touch and got no answer; "
+                        + number(std::accumulate(lost.begin(), lost.end(), 0U)) + " by all machines");
+}
+
+// Clients that send many reads behind each other leave before the answers.
+Verdict leaveManyReads(const Context &context)
+{
+    static constexpr unsigned Clients = 10;
+    static constexpr unsigned Behind = 24;
+    static constexpr std::int64_t WorkMs = 2500;
+    Deployment deployment(context.daemonProgram, context.record, "pipelined");
+    std::mutex mutex;
+    std::map<std::string, std::int64_t> arrivedAt;
+    std::map<std::string, std::int64_t> workedUntil;
+    const auto work = [&mutex, &workedUntil](Backend & /*backend*/, const Request &request, Socket &connection) {
+        const std::string content = contentOf(1, 600);
+        // A backend drops a request when its connection closes.
+        const std::string ended = connection.receive(1, WorkMs);
+        {
+            const std::lock_guard lock(mutex);
+            workedUntil[request.field("plumsill-request-id")] = nowMs();
+        }
+        if (connection.ending() != "timeout") {
+            return false;
+        }
+        return ended.empty() && connection.send(answerHeader(request, 200, content.size())) && connection.send(content);
+    };
+    for (unsigned backend = 0; backend < 12; ++backend) {
+        deployment.addBackend("i-list-" + number(backend), "list", 20, work).watch([&mutex, &arrivedAt](const Request &request) {
+            const std::lock_guard lock(mutex);
+            arrivedAt[request.field("plumsill-request-id")] = nowMs();
+        });
+    }
+    deployment.configure(7, {{"list", "/list/", "list", "idempotent", 1, 8000, 4000}}, {"list"});
+    deployment.startDaemons(3, 1000);
+    deployment.awaitReady();
+    std::vector<std::int64_t> leftAt(Clients);
+    std::vector<std::function<void()>> clients;
+    for (unsigned client = 0; client < Clients; ++client) {
+        clients.emplace_back([&, client] {
+            Socket connection = Socket::connect(deployment.front(client % 3));
+            std::string requests;
+            for (unsigned request = 0; request < Behind; ++request) {
+                requests += requestText("GET", "/list/" + number(request), "read-" + number(client) + "-" + number(request), 8000);
+            }
+            connection.send(requests);
+            sleepMs(1000);
+            if (!context.trouble) {
+                std::string buffer;
+                for (unsigned request = 0; request < Behind; ++request) {
+                    readAnswer(connection, buffer, {}, nowMs() + 8000);
+                }
+            }
+            connection.close();
+            leftAt[client] = nowMs();
+            context.record.line("client " + number(client) + (context.trouble ? " left" : " has its answers"));
+        });
+    }
+    runAll(std::move(clients));
+    sleepMs(6000);
+    unsigned late = 0;
+    unsigned working = 0;
+    unsigned wouldLast = 0;
+    for (unsigned client = 0; client < Clients; ++client) {
+        for (unsigned request = 0; request < Behind; ++request) {
+            const std::string id = "read-" + number(client) + "-" + number(request);
+            const auto arrival = arrivedAt.find(id);
+            if (arrival == arrivedAt.end()) {
+                continue;
+            }
+            late += arrival->second > leftAt[client] + GoneMs ? 1 : 0;
+            const bool lasts = arrival->second <= leftAt[client] && arrival->second + WorkMs > leftAt[client] + GoneMs;
+            wouldLast += lasts ? 1 : 0;
+            working += lasts && workedUntil[id] > leftAt[client] + GoneMs ? 1 : 0;
+        }
+    }
+    const bool broken = late > 10 || 4 * working > wouldLast;
+    return conclude(context.record, broken, "GONE",
+                    number(late) + " requests reached a backend over half a second after their client had left; backends were at work then on "
+                        + number(working) + " of " + number(wouldLast) + " that would have lasted so long");
 }
 }
