Let a write go on when a connection reads no further request

Cause: a session waits for the next request while it sends an answer. To end that wait, enforceLimits() cancelled the socket, which ends writes as well as reads; the session took the cancelled write for a lost caller and reset the connection. The same call, at the time limit of a later request's header or body, cut the answer to an earlier one.

The write's own deadline (30 s) is ruled out by the time of the reset, the end of the process by its log.

Change: reads have a cancellation signal of their own and nothing cancels the socket. The read is cancelled at each check until it has ended, since a composed read may start its next operation after a cancellation; before, it was cancelled once. New log line answer-not-sent, with the error and the bytes left.

--- a/src/caller_session_p.h
+++ b/src/caller_session_p.h
@@ -7,6 +7,8 @@
 
 #include <plumsill/memory_budget.h>
 
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/beast/http.hpp>
 
 #include <deque>
@@ -65,6 +67,7 @@
     boost::asio::awaitable<bool> sendAnswer(const ExchangePtr &exchange, TargetAnswer &answer, bool keepAlive);
     boost::asio::awaitable<bool> send(std::string_view bytes);
     boost::asio::awaitable<bool> write(std::string_view bytes);
+    void logNotSent(const boost::system::error_code &error, std::size_t bytes) const;
     boost::asio::awaitable<bool> sendBody(const ExchangePtr &exchange, std::string_view bytes);
     void startPacing(const ExchangePtr &exchange);
     AnswerSink sink(const ExchangePtr &exchange);
@@ -74,7 +77,10 @@
     boost::asio::awaitable<void> watchForDisconnect();
     boost::asio::awaitable<void> closeGracefully();
     void finish(const ExchangePtr &exchange);
-    void stopReading();
+    /// Completion token of a read, which cancelRead() ends.
+    auto readInto(boost::system::error_code &error) { return boost::asio::bind_cancellation_slot(m_readCancel.slot(), errorInto(error)); }
+    /// Cancels the running read, if there is one. A pending write goes on.
+    void cancelRead();
     void handleCallerDisconnect();
     void abortConnection();
     bool leaving() const { return m_thread.snapshot()->leaving; }
@@ -82,6 +88,7 @@
 
     TrafficThread &m_thread;
     boost::asio::ip::tcp::socket m_socket;
+    boost::asio::cancellation_signal m_readCancel;
     RuntimeTimer m_exchangeEnded; ///< cancelled when an exchange ends
     const std::string m_callerAddress;
     boost::beast::flat_buffer m_buffer;
--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -72,11 +72,11 @@
     return compiled ? compiled->document->limits : CallerLimits {};
 }
 
-// When the write deadline has passed, the connection is reset. When the read deadline has passed, all operations of the socket are cancelled,
-// including a pending write. A caller that sends a request too slowly therefore does not get the rest of an earlier answer either.
+// When the write deadline has passed, the connection is reset. When the read deadline has passed, or no further request is read, only the read is
+// cancelled: an answer may be on its way to a caller that reads slowly. The read is cancelled at each check, since a composed read may start its next
+// operation after a cancellation.
 void CallerSession::enforceLimits(TimePoint now, const Snapshot &snapshot, bool closing)
 {
-    error_code ignored;
     if (now >= snapshot.answerBy) {
         for (const auto &exchange : m_exchanges) {
             exchange->state.expire();
@@ -88,11 +88,15 @@
         abortConnection();
     } else if (now >= m_readDeadline || stopsReading) {
         m_readExpired = true;
-        m_readDeadline = TimePoint::max();
-        m_socket.cancel(ignored);
+        cancelRead();
     }
 }
 
+void CallerSession::cancelRead()
+{
+    m_readCancel.emit(boost::asio::cancellation_type::terminal);
+}
+
 // The idle timeout starts when the last answer has been sent.
 boost::asio::awaitable<bool> CallerSession::waitForRequest()
 {
@@ -106,7 +110,7 @@
     m_readExpired = false;
     m_readDeadline = m_exchanges.empty() ? RuntimeClock::now() + limits().idleTimeout : TimePoint::max();
     error_code error;
-    const auto count = co_await m_socket.async_read_some(m_buffer.prepare(config::ReadBytes), errorInto(error));
+    const auto count = co_await m_socket.async_read_some(m_buffer.prepare(config::ReadBytes), readInto(error));
     m_buffer.commit(count);
     m_idle = false;
     m_readDeadline = TimePoint::max();
@@ -147,7 +151,7 @@
     m_readExpired = false;
     m_readDeadline = RuntimeClock::now() + allowed.headerTimeout;
     error_code error;
-    co_await http::async_read_header(m_socket, m_buffer, *m_parser, errorInto(error));
+    co_await http::async_read_header(m_socket, m_buffer, *m_parser, readInto(error));
     m_readDeadline = TimePoint::max();
     if (!error) {
         auto &header = m_parser->get().base();
@@ -195,7 +199,7 @@
     error_code error;
     m_parser->eager(true);
     while (!error && !m_parser->is_done()) {
-        co_await http::async_read_some(m_socket, m_buffer, *m_parser, errorInto(error));
+        co_await http::async_read_some(m_socket, m_buffer, *m_parser, readInto(error));
         const std::size_t bytes = m_parser->get().body().size();
         if (!error && !memoryTakes(bytes)) {
             co_return boost::asio::error::no_memory;
@@ -350,20 +354,12 @@
     if (m_idle && m_exchanges.empty()) {
         m_readDeadline = RuntimeClock::now() + limits().idleTimeout;
     }
-    if (m_closing && m_exchanges.empty()) {
-        stopReading();
+    if (m_closing && m_idle && m_exchanges.empty()) {
+        cancelRead();
     }
     m_exchangeEnded.cancel();
 }
 
-void CallerSession::stopReading()
-{
-    error_code ignored;
-    if (m_idle && m_socket.is_open()) {
-        m_socket.cancel(ignored);
-    }
-}
-
 // Cancels all requests of the connection, since their answers can no longer be delivered.
 void CallerSession::handleCallerDisconnect()
 {
@@ -404,7 +400,7 @@
         m_buffer.clear();
         m_idle = true;
         error_code error;
-        const auto count = co_await m_socket.async_read_some(m_buffer.prepare(config::ReadBytes), errorInto(error));
+        const auto count = co_await m_socket.async_read_some(m_buffer.prepare(config::ReadBytes), readInto(error));
         m_idle = false;
         ignored += count;
         if (error && !m_exchanges.empty() && error != boost::asio::error::operation_aborted) {
@@ -426,7 +422,7 @@
     m_readDeadline = RuntimeClock::now() + config::CloseDrainTime;
     while (!error) {
         m_buffer.clear();
-        co_await m_socket.async_read_some(m_buffer.prepare(config::ReadBytes), errorInto(error));
+        co_await m_socket.async_read_some(m_buffer.prepare(config::ReadBytes), readInto(error));
     }
 }
 
--- a/src/net_session_answers.cpp
+++ b/src/net_session_answers.cpp
@@ -1,6 +1,7 @@
 #include "caller_session_p.h"
 
 #include <plumsill/config.h>
+#include <plumsill/event.h>
 
 #include <boost/asio/write.hpp>
 
@@ -19,6 +20,15 @@
 constexpr std::string_view LastChunk = "0\r\n\r\n";
 }
 
+void CallerSession::logNotSent(const error_code &error, std::size_t bytes) const
+{
+    Event("traffic", "answer-not-sent")
+        .add("caller", m_callerAddress)
+        .add("error", error.message())
+        .add("bytes_left", static_cast<std::int64_t>(bytes))
+        .add("closing", m_closing);
+}
+
 // Most answers fit into the socket's send buffer, so a direct write is tried first; only the rest needs a wait and a deadline.
 boost::asio::awaitable<bool> CallerSession::send(std::string_view bytes)
 {
@@ -62,16 +72,20 @@
     error_code error;
     m_socket.non_blocking(true, error);
     const auto sent = m_socket.write_some(boost::asio::buffer(bytes.data(), bytes.size()), error);
+    if (!error && sent == bytes.size()) {
+        co_return true;
+    }
     if (error && error != boost::asio::error::would_block) {
+        logNotSent(error, bytes.size());
         co_return false;
     }
-    if (sent == bytes.size()) {
-        co_return true;
-    }
     m_writeDeadline = RuntimeClock::now() + config::BodyTimeout;
     const auto rest = boost::asio::buffer(bytes.data() + sent, bytes.size() - sent);
-    co_await boost::asio::async_write(m_socket, rest, errorInto(error));
+    const auto count = co_await boost::asio::async_write(m_socket, rest, errorInto(error));
     m_writeDeadline = TimePoint::max();
+    if (error) {
+        logNotSent(error, rest.size() - count);
+    }
     co_return !error;
 }
 
--- /dev/null
+++ b/tests/test_slow_readers.cpp
@@ -0,0 +1,101 @@
+#include "traffic_fixture.h"
+
+#include <plumsill/config.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plumsill;
+using namespace plumsill::test;
+
+namespace
+{
+// More than the kernel buffers.
+constexpr std::size_t BodyBytes = 16'000'000;
+constexpr int SmallReceiveBuffer = 8 * 1024;
+
+const std::string request = "GET /open HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string beginOfRequest = "GET /open HT";
+
+std::string answer(const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+}
+
+/// A caller that has read only the first bytes of an answer, so that the daemon waits to write the rest.
+TEST_GROUP(SlowReaders)
+{
+    ScriptedTarget target {{{answer(std::string(BodyBytes, 'x'))}, {answer("hello")}}};
+    TrafficFixture fixture;
+    std::unique_ptr<CallerConnection> slow;
+    std::string received;
+
+    void setup() override
+    {
+        publish(TimePoint::max());
+    }
+    void teardown() override
+    {
+        RuntimeClock::resume();
+    }
+    void publish(TimePoint closeAt)
+    {
+        Document document = testDocument();
+        for (auto &route : document.routes) {
+            route.timeout = std::chrono::minutes(5);
+        }
+        fixture.closeAt = closeAt;
+        fixture.publish(document, {target.endpoint()}, TimePoint::max());
+    }
+    void beginToRead(const std::string &requests)
+    {
+        slow = std::make_unique<CallerConnection>(fixture.endpoint(), SmallReceiveBuffer);
+        received = slow->sendAndRead(requests, "xxxx");
+    }
+    /// Reads the rest, and checks that it ends with @p expectedEnd after the body.
+    void checkRest(const std::string &expectedEnd)
+    {
+        received += slow->sendAndRead("");
+        CHECK(!contains(received, "[reset]"));
+        const auto body = received.find("\r\n\r\n") + 4;
+        CHECK(received.size() >= body + BodyBytes);
+        CHECK(received.find_first_not_of('x', body) >= body + BodyBytes);
+        STRCMP_EQUAL(expectedEnd.c_str(), received.substr(body + BodyBytes, expectedEnd.size()).c_str());
+    }
+};
+
+// Guards against a planned stop that cancels the pending write of an answer and resets the connection.
+TEST(SlowReaders, AnswerIsSentCompletelyThoughTheDaemonStops)
+{
+    beginToRead(request);
+    CallerConnection idle(fixture.endpoint());
+    publish(RuntimeClock::now());
+    // The connections are checked in the order in which they were opened.
+    STRCMP_EQUAL("", idle.sendAndRead("").c_str());
+    checkRest("");
+}
+
+// Guards against the time limit of a later request's header that cancels the pending write of an answer.
+TEST(SlowReaders, AnswerIsSentCompletelyThoughTheNextRequestComesTooSlowly)
+{
+    beginToRead(request + beginOfRequest);
+    CallerConnection other(fixture.endpoint());
+    CHECK(contains(other.sendAndRead(request + beginOfRequest, "hello"), "200 OK"));
+    std::atomic<bool> refused {false};
+    std::thread reader([&] { refused = contains(other.sendAndRead("", "HTTP/1.1 408"), "HTTP/1.1 408"); });
+    RuntimeClock::pause();
+    // Longer than the time limit of a header, and shorter than that of a write.
+    const TimePoint until = RuntimeClock::now() + config::HeaderTimeout + 2 * config::TrafficReportInterval;
+    while (!refused) {
+        RuntimeClock::advance(RuntimeClock::now() < until ? std::chrono::milliseconds(1) : Duration::zero());
+        std::this_thread::yield();
+    }
+    reader.join();
+    RuntimeClock::resume();
+    checkRest("HTTP/1.1 408");
+}
--- a/tests/traffic_fixture.h
+++ b/tests/traffic_fixture.h
@@ -145,9 +145,13 @@
 class CallerConnection
 {
 public:
-    explicit CallerConnection(const Endpoint &endpoint)
-        : m_socket(m_context)
+    /// @p receiveBytes: size of the kernel's receive buffer, small for a slow reader; 0: the system's default.
+    explicit CallerConnection(const Endpoint &endpoint, int receiveBytes = 0)
+        : m_socket(m_context, tcp::v4())
     {
+        if (receiveBytes > 0) {
+            m_socket.set_option(boost::asio::socket_base::receive_buffer_size(receiveBytes));
+        }
         m_socket.connect({boost::asio::ip::make_address(endpoint.address), endpoint.port});
     }
 
@@ -218,6 +222,7 @@
         snapshot->services.emplace(view.service, std::make_shared<const ServiceView>(view));
         snapshot->trustedUntil = trustedUntil;
         snapshot->limits = limits;
+        snapshot->closeAt = closeAt;
         m_thread->publish(snapshot);
     }
     void publish(const std::vector<Endpoint> &targets) { publish(testDocument(), targets, TimePoint::max()); }
@@ -227,6 +232,7 @@
     std::string sendAndRead(const std::string &bytes, const std::string &until = {}) { return CallerConnection(m_endpoint).sendAndRead(bytes, until); }
 
     InstanceLimits limits; ///< published with the next snapshot
+    TimePoint closeAt = TimePoint::max(); ///< time from which connections take no further request; published with the next snapshot
     std::function<void()> beforeToken; ///< called while a request waits for its token
     /// Control's answer to each token request.
     TokenAnswer tokenAnswer {true, TimePoint::max(), {}, {}, nullptr};
