Do not cut a tunnel at a planned stop while bytes wait for its reader

Found by reading, as a related path of the cut answers: a daemon that helps others to reach targets ended its tunnels at a planned stop, by a reset, once half a second had passed without bytes from the target. Callers would see an answer cut, at a daemon that does not stop, because it reads slowly.

Cause: a tunnel counted as idle while its bytes waited for their reader, in the daemon or in the kernel, and a reset discards both.

Evidence: Tunnel, DrainDoesNotCutAnAnswerThatIsReadSlowly, on the sources of: "CHECK(!*result) failed" (the read ended in an error).

Change: a direction that waits to write is not idle, and an idle tunnel is closed in an orderly way, so that what the kernel holds is sent. Answers through a tunnel never end with their connection (AnswerReader), so an orderly close completes none of them.

--- a/src/net_tunnel.cpp
+++ b/src/net_tunnel.cpp
@@ -30,11 +30,14 @@
     tcp::socket asker;
     tcp::socket target;
     RuntimeTimer idleTimer;
-    TimePoint lastBytesAt;
+    TimePoint lastBytesAt; ///< when bytes were last read or written
     unsigned openDirections = 2;
+    unsigned writing = 0; ///< directions whose bytes wait for their reader
     bool answered = true; ///< the last bytes came from the target
 
-    // Targets drop a request when its connection closes, so one whose asker has left must see that at once.
+    bool isIdle() const { return answered && writing == 0; }
+
+    // Targets drop a request when its connection closes, so one whose asker has left must see that at once. Bytes that the kernel still holds are sent.
     void close()
     {
         error_code ignored;
@@ -75,7 +78,10 @@
             error.clear();
             const std::string rest(chunk.data() + sent, count - sent);
             if (!rest.empty()) {
+                ++ends->writing;
                 co_await asio::async_write(to, asio::buffer(rest), asio::redirect_error(asio::use_awaitable, error));
+                --ends->writing;
+                ends->lastBytesAt = RuntimeClock::now();
             }
         }
     }
@@ -120,8 +126,10 @@
         ends->idleTimer.expires_after(config::TunnelCheckInterval);
         co_await ends->idleTimer.async_wait(asio::redirect_error(asio::use_awaitable, error));
         const Duration idle = RuntimeClock::now() - ends->lastBytesAt;
-        if (idle >= config::TunnelIdleTime || (draining() && ends->answered && idle >= config::TunnelCheckInterval)) {
+        if (idle >= config::TunnelIdleTime) {
             ends->breakOff();
+        } else if (draining() && ends->isIdle() && idle >= config::TunnelCheckInterval) {
+            ends->close();
         }
     }
 }
--- a/tests/test_tunnel.cpp
+++ b/tests/test_tunnel.cpp
@@ -3,6 +3,7 @@
 #include "clock_p.h"
 
 #include <plumsill/codec.h>
+#include <plumsill/config.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -162,3 +163,27 @@
     pass(target, socket, "answer");
     runUntil([this] { return helper.tunnels() == 0; });
 }
+
+// Guards against a planned stop of the helper that resets an answer whose bytes wait for an asker that reads slowly.
+TEST(Tunnel, DrainDoesNotCutAnAnswerThatIsReadSlowly)
+{
+    // More than the kernel buffers, so that the helper waits to write, and less.
+    for (const std::size_t size : {64'000'000, 100'000}) {
+        socket = tcp::socket(context);
+        target = tcp::socket(context);
+        status.reset();
+        openAndAccept();
+        const std::string answer(size, 'x');
+        asio::async_write(target, asio::buffer(answer), [](const error_code & /*error*/, std::size_t /*count*/) {});
+        helper.drainTunnels();
+        const TimePoint until = RuntimeClock::now() + 3 * config::TunnelCheckInterval;
+        runUntil([until] { return RuntimeClock::now() > until; });
+        std::string received(size, ' ');
+        std::optional<error_code> result;
+        asio::async_read(socket, asio::buffer(received), [&result](const error_code &error, std::size_t /*count*/) { result = error; });
+        runUntil([&result] { return result.has_value(); });
+        CHECK(!*result);
+        CHECK(received == answer);
+        runUntil([this] { return helper.tunnels() == 0; });
+    }
+}
