Parse each entry of a listing by itself

Cause: a page of the listing was parsed as a whole, so one entry that the parser refuses (half of a surrogate pair, bytes that are no UTF-8, nesting deeper than 32, a number whose exponent no type holds) made the whole page malformed.

No process ended: the parser's depth is bounded.

Change: a page is split into its entries by brackets and quotes, without recursion and without a look at their values (raw_json_p.h); each entry is parsed by itself. One that names no target is left out, logged once with its name and the field at fault, and counted. A page that can't be split stays an error: an incomplete list would show targets as removed. The list of daemons and the listing of plumsill's own platform take the same path.

--- a/include/plumsill/store.h
+++ b/include/plumsill/store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plumsill/clock.h>
+#include <plumsill/rejected_entries.h>
 #include <plumsill/types.h>
 
 #include <boost/outcome/result.hpp>
@@ -125,11 +126,19 @@
 
 using WatchEvent = std::variant<ObjectPut, ObjectDeleted, WatchBookmark>;
 
+/// The platform's listing of targets.
+struct ListedTargets {
+    std::vector<Target> targets;
+    std::vector<RejectedEntry> rejected; ///< entries that name no target to use
+
+    auto operator<=>(const ListedTargets &) const = default;
+};
+
 // Parsers of the store's JSON answers; an answer that can't be parsed gives StoreFault::Malformed.
 StoreResult<ObjectList> parseObjectList(const std::string &json);
 StoreResult<WatchEvent> parseWatchEvent(const std::string &line);
 StoreResult<std::vector<ListedInstance>> parseInstances(const std::string &json);
-StoreResult<std::vector<Target>> parseTargets(const std::string &json);
+StoreResult<ListedTargets> parseTargets(const std::string &json);
 
 /// Token bucket for the store calls of one daemon.
 class CallBudget
--- a/src/control_p.h
+++ b/src/control_p.h
@@ -237,6 +237,7 @@
     std::vector<std::unique_ptr<TrafficThread>> &m_threads;
     StoreConnection m_store;
     PlatformLists m_lists;
+    RejectedEntries m_rejectedTargets;
     Metrics m_metrics;
     BurnHistory m_history;
     TimePoint m_nextHistoryAt;
--- a/src/directory_p.h
+++ b/src/directory_p.h
@@ -2,6 +2,7 @@
 
 #include <plumsill/document.h>
 #include <plumsill/hubs.h>
+#include <plumsill/rejected_entries.h>
 #include <plumsill/types.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -43,7 +44,7 @@
 /// The platform's listing of targets.
 struct TargetsRead {
     std::vector<Target> targets;
-    unsigned rejected = 0; ///< number of invalid entries
+    std::vector<RejectedEntry> rejected; ///< entries that name no target to use
     TimePoint sentAt;
     StoreEra era = 0; ///< era of the store that answered
 };
--- a/src/net_control.cpp
+++ b/src/net_control.cpp
@@ -137,7 +137,10 @@
         co_return false;
     }
     const TimePoint now = RuntimeClock::now();
-    m_lists = {instances.value(), targets.value(), now};
+    for (const auto &entry : m_rejectedTargets.record(targets.value().rejected)) {
+        logWarning(LogPart::Store, "target entry " + entry.name + " of the platform's listing rejected: " + entry.reason);
+    }
+    m_lists = {instances.value(), targets.value().targets, now};
     m_membership.membership().instancesListed(m_lists.instances, now);
     m_health.listsChanged();
     m_publishDue = true;
--- a/src/net_store.cpp
+++ b/src/net_store.cpp
@@ -355,7 +355,7 @@
     co_return parseInstances(response.value().body());
 }
 
-asio::awaitable<StoreResult<std::vector<Target>>> StoreConnection::targets()
+asio::awaitable<StoreResult<ListedTargets>> StoreConnection::targets()
 {
     auto request = makeRequest(http::verb::get, "/v1/targets", m_pool->host());
     const auto response = co_await m_pool->exchange(std::move(request), m_pool->budget());
--- a/src/net_store_directory.cpp
+++ b/src/net_store_directory.cpp
@@ -103,7 +103,8 @@
     if (targets.has_error()) {
         co_return errorOf(targets.error());
     }
-    read.targets = std::move(targets.value());
+    read.targets = std::move(targets.value().targets);
+    read.rejected = std::move(targets.value().rejected);
     co_return read;
 }
 
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -325,9 +325,8 @@
     const TargetsRead &read = result.assume_value();
     m_storeReadAt = read.sentAt;
     m_documentFreshness.recordEra(read.era, read.sentAt);
-    if (read.rejected != m_rejectedTargets) {
-        m_rejectedTargets = read.rejected;
-        Event("targets", "entries-rejected").add("count", static_cast<std::int64_t>(read.rejected));
+    for (const auto &entry : m_rejectedTargets.record(read.rejected)) {
+        Event("targets", "entry-rejected").add("name", entry.name).add("reason", entry.reason).add("rejected", static_cast<std::int64_t>(read.rejected.size()));
     }
     const std::uint64_t before = m_list.revision();
     if (m_list.read(read.targets, read.sentAt, RuntimeClock::now(), read.era)) {
@@ -562,7 +561,7 @@
     gauges.push_back({"plumsill_digests_without_echo", static_cast<double>(m_digestsWithoutEcho)});
     gauges.push_back({"plumsill_store_era", static_cast<double>(m_directory.era())});
     gauges.push_back({"plumsill_targets_age_seconds", m_list.readAt() ? seconds(now - *m_list.readAt()) : -1});
-    gauges.push_back({"plumsill_targets_rejected", static_cast<double>(m_rejectedTargets)});
+    gauges.push_back({"plumsill_targets_rejected", static_cast<double>(m_rejectedTargets.count())});
     gauges.push_back({"plumsill_registered_daemons", static_cast<double>(m_hubs.registered().size())});
     gauges.push_back({"plumsill_schedules_for", static_cast<double>(m_members.size())});
     gauges.push_back({"plumsill_placements_by_hub", static_cast<double>(m_hubPlacements)});
--- a/src/store_client.cpp
+++ b/src/store_client.cpp
@@ -1,3 +1,5 @@
+#include "raw_json_p.h"
+
 #include <plumsill/config.h>
 #include <plumsill/ini.h>
 #include <plumsill/store.h>
@@ -13,6 +15,7 @@
 namespace json = boost::json;
 
 constexpr std::size_t MaxFilteredKeys = 4096;
+constexpr std::size_t MaxLoggedNameBytes = 64;
 constexpr auto ReadBackDelay = std::chrono::milliseconds(100);
 
 StoreError malformed(const std::string &what)
@@ -128,15 +131,24 @@
     });
 }
 
-StoreResult<std::vector<Target>> parseTargets(const std::string &text)
+// Each entry is parsed by itself, so that one of another writer does not hide the others.
+StoreResult<ListedTargets> parseTargets(const std::string &text)
 {
-    return convert<std::vector<Target>>(text, "list of targets", [](const json::value &value) {
-        std::vector<Target> targets;
-        for (const auto &item : value.as_array()) {
-            targets.push_back(toTarget(item.as_object()));
+    const auto items = rawElements(text);
+    if (!items) {
+        return malformed("list of targets");
+    }
+    ListedTargets listed;
+    for (const auto item : *items) {
+        try {
+            listed.targets.push_back(toTarget(json::parse({item.data(), item.size()}).as_object()));
+        } catch (const std::exception &error) {
+            const std::string_view name = rawMember(item, "name");
+            listed.rejected.push_back(
+                {!name.starts_with('"') ? std::string() : std::string(name.substr(1, std::min(name.size() - 2, MaxLoggedNameBytes))), error.what()});
         }
-        return targets;
-    });
+    }
+    return listed;
 }
 
 CallBudget::CallBudget(double callsPerSecond, double burst)
--- a/src/store_p.h
+++ b/src/store_p.h
@@ -43,7 +43,7 @@
     boost::asio::awaitable<StoreResult<Written>> replace(std::string key, std::string value, std::uint64_t expected);
     boost::asio::awaitable<StoreResult<Removed>> remove(std::string key, std::uint64_t expected);
     boost::asio::awaitable<StoreResult<std::vector<ListedInstance>>> instances();
-    boost::asio::awaitable<StoreResult<std::vector<Target>>> targets();
+    boost::asio::awaitable<StoreResult<ListedTargets>> targets();
 
     /// Passes every event after revision @p from to @p handler, on a separate connection, until the watch fails, becomes
     /// unresponsive or is cancelled. The objects must then be listed and watched again.
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -16,6 +16,7 @@
 #include <plumsill/reach.h>
 #include <plumsill/read_plan.h>
 #include <plumsill/registry_rewrite.h>
+#include <plumsill/rejected_entries.h>
 #include <plumsill/reply_wait.h>
 #include <plumsill/request_hold.h>
 #include <plumsill/scheduler.h>
@@ -333,7 +334,7 @@
     const TimePoint m_startedAt = RuntimeClock::now();
     bool m_fetchingTargets = false;
     bool m_storeReached = true;
-    unsigned m_rejectedTargets = 0;
+    RejectedEntries m_rejectedTargets;
     std::map<std::uint64_t, Pending> m_pending;
     std::map<std::uint64_t, Running> m_running;
     Quarantine m_quarantine;
