Assign no answer without an id on a connection that carried other requests

Callers would be told "not run" for a request that runs, or it would run at a second target.

Cause: the id that targets echo tells answers on a kept connection apart, but an answer without one was taken for that of the running request. A request without an id accepted any answer.

Change: on a connection that carried an earlier request, or on which a stray answer was skipped, an answer without an id fails the attempt as malformed, with its outcome unknown, and is logged (answer-without-id). On a new connection it is taken as before. A request without an id gets a connection of its own. Both hold for dialects with stray answers.

--- a/src/answer_reader_p.h
+++ b/src/answer_reader_p.h
@@ -50,6 +50,7 @@
     TargetNotice m_notice; ///< from the header of the answer
     std::size_t m_bodyBytes = 0;
     bool m_stray = false; ///< the answer that is read belongs to another request
+    bool m_skippedAnswer = false; ///< an answer to another request came first
     bool m_streaming = false;
     bool m_keepAlive = false;
 };
--- a/src/net_answer_reader.cpp
+++ b/src/net_answer_reader.cpp
@@ -1,9 +1,11 @@
 #include "answer_reader_p.h"
 
+#include <plumsill/event.h>
 #include <plumsill/target_limit.h>
 
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -41,6 +43,14 @@
     return failure == AttemptFailure::ConnectionLost ? AttemptFailure::Truncated : failure;
 }
 
+/// Request to which an answer belongs.
+enum class AnswerOwner : std::uint8_t
+{
+    ThisRequest,
+    OtherRequest,
+    Unknown, ///< the answer has no id, and the connection has carried earlier requests or their answers
+};
+
 bool hasField(const AnswerHeader &header, const std::string &name)
 {
     return !name.empty() && header.find(name) != header.end();
@@ -112,11 +122,15 @@
     return noBody || chunked || hasLength || header.result() == http::status::no_content || header.result() == http::status::not_modified;
 }
 
-bool belongsToOtherRequest(const TargetRequest &request, const AnswerHeader &header, const Dialect &dialect)
+AnswerOwner ownerOf(const AnswerHeader &header, const TargetRequest &request, const Dialect &dialect, bool firstOnConnection)
 {
     const auto sent = request.find(dialect.requestId);
-    const auto echoed = header.find(dialect.requestId);
-    return sent != request.end() && echoed != header.end() && sent->value() != echoed->value();
+    const auto [begin, end] = header.equal_range(dialect.requestId);
+    if (begin == end) {
+        return firstOnConnection || !dialect.acceptsStrayAnswers ? AnswerOwner::ThisRequest : AnswerOwner::Unknown;
+    }
+    const bool same = sent != request.end() && std::all_of(begin, end, [&sent](const auto &echoed) { return echoed.value() == sent->value(); });
+    return same ? AnswerOwner::ThisRequest : AnswerOwner::OtherRequest;
 }
 
 // True for a success (2xx) without the target's signature, or with a Content-Encoding, which means that an intermediary has encoded the body.
@@ -276,7 +290,13 @@
     const auto &header = m_parser->get().base();
     const bool noBody = m_request.method() == http::verb::head;
     const bool selfDelimited = isSelfDelimited(header, m_parser->chunked(), m_parser->content_length().has_value(), noBody);
-    const bool otherRequest = belongsToOtherRequest(m_request, header, m_dialect);
+    const AnswerOwner owner = ownerOf(header, m_request, m_dialect, !m_connection.kept && !m_skippedAnswer);
+    if (owner == AnswerOwner::Unknown) {
+        const std::string_view id = m_request[m_dialect.requestId];
+        Event("traffic", "answer-without-id").add("id", id).add("status", static_cast<std::int64_t>(header.result_int()));
+        co_return fail(AttemptFailure::Malformed);
+    }
+    const bool otherRequest = owner == AnswerOwner::OtherRequest;
     if ((!selfDelimited && !m_acceptsCloseDelimited) || (otherRequest && !m_dialect.acceptsStrayAnswers) || isNotAuthentic(header, m_dialect)) {
         co_return fail(AttemptFailure::Malformed);
     }
@@ -298,6 +318,7 @@
     }
     if (otherRequest) {
         m_sink = sink;
+        m_skippedAnswer = true;
         m_buffered.clear();
         co_return std::nullopt;
     }
@@ -315,7 +336,7 @@
         result = co_await readAnswer();
         if (result) {
             // After a stray answer, later bytes on the connection cannot be assigned to a request, so the connection is not reused.
-            m_keepAlive = m_keepAlive && skipped == 0;
+            m_keepAlive = m_keepAlive && !m_skippedAnswer;
             co_return std::move(*result);
         }
     }
--- a/src/net_upstream.cpp
+++ b/src/net_upstream.cpp
@@ -75,15 +75,20 @@
 void TargetPool::addIdle(const Connection &connection, TimePoint now)
 {
     connection->facts.lastAnswerAt = now;
+    connection->kept = true;
     intrusive_ptr_add_ref(connection.get());
     m_idle.push_front(*connection);
 }
 
-TargetPool::Connection TargetPool::takeIdle(bool idempotent, TimePoint now)
+TargetPool::Connection TargetPool::takeIdle(const TargetRequest &request, const AttemptOptions &options, TimePoint now)
 {
+    // On a connection that has carried another request, only the id tells whose answer arrives.
+    if (options.dialect->acceptsStrayAnswers && request.find(options.dialect->requestId) == request.end()) {
+        return {};
+    }
     while (!m_idle.empty()) {
         Connection connection(&m_idle.front());
-        if (!reusable(connection->facts, idempotent, m_suspectBefore, now)) {
+        if (!reusable(connection->facts, options.idempotent, m_suspectBefore, now)) {
             // The list begins with the most recently used connection. If that one is not reusable, the others, which have been
             // idle for longer, are not tried. closeStale() closes those that must not carry any further request.
             return {};
@@ -161,8 +166,10 @@
 
 boost::asio::awaitable<AttemptResult> TargetPool::attempt(const TargetRequest &request, AttemptOptions options)
 {
+    static const Dialect defaultDialect;
+    options.dialect = options.dialect == nullptr ? &defaultDialect : options.dialect;
     const TimePoint start = RuntimeClock::now();
-    Connection connection = takeIdle(options.idempotent, start);
+    Connection connection = takeIdle(request, options, start);
     ++m_active;
     closeExcessIdle();
     if (!connection) {
@@ -213,8 +220,6 @@
 
 boost::asio::awaitable<AttemptResult> TargetPool::attemptOn(const Connection &connection, const TargetRequest &request, AttemptOptions options)
 {
-    static const Dialect defaultDialect;
-    options.dialect = options.dialect == nullptr ? &defaultDialect : options.dialect;
     if (options.handle != nullptr) {
         if (options.handle->abandoned()) {
             co_return FailedAttempt {{AttemptFailure::ConnectionLost, AttemptProgress::NothingSent}, std::nullopt, {}, {}};
--- a/src/upstream_p.h
+++ b/src/upstream_p.h
@@ -83,6 +83,7 @@
     boost::beast::flat_buffer buffer {config::MaxUnparsedAnswerBytes};
     ConnectionFacts facts;
     bool writing = false; ///< the request is still being sent
+    bool kept = false; ///< has carried an earlier request
 };
 
 /// Cancels an attempt, or the wait for a target. Shared by the caller's session and the running attempt.
@@ -145,7 +146,7 @@
     using Connection = boost::intrusive_ptr<TargetConnection>;
     using IdleList = boost::intrusive::list<TargetConnection>;
 
-    Connection takeIdle(bool idempotent, TimePoint now);
+    Connection takeIdle(const TargetRequest &request, const AttemptOptions &options, TimePoint now);
     void addIdle(const Connection &connection, TimePoint now);
     void removeIdle(TargetConnection &connection);
     void recordNoAnswer(TimePoint now);
--- a/tests/test_zone_traffic.cpp
+++ b/tests/test_zone_traffic.cpp
@@ -222,6 +222,36 @@
     CHECK(!contains(result, "stray"));
 }
 
+// Guards against an earlier refusal, written once more on a kept connection, that is taken for the refusal of a request which the target runs.
+TEST(ZoneTraffic, RefusalOfAnEarlierRequestIsNotTakenForThatOfTheNextOne)
+{
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    for (const std::string field : {"", "Req-Id: r0\r\n"}) {
+        requested.clear();
+        const std::string named = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + field + "Content-Length: 0\r\n\r\n";
+        ScriptedTarget repeating({{refusal}, {named + answer("right", "Sig: s\r\nReq-Id: r2\r\n")}});
+        ScriptedTarget other({{answer("second")}});
+        placements = {placedAt(repeating), NoCapacity {300ms}, placedAt(repeating), placedAt(other)};
+        CHECK(contains(sendAndRead(order), "HTTP/1.1 503"));
+        const std::string result = sendAndRead(order);
+        CHECK(contains(result, field.empty() ? "HTTP/1.1 502" : "right"));
+        LONGS_EQUAL(2, repeating.runs());
+        LONGS_EQUAL(0, other.runs());
+    }
+}
+
+// Guards against the answer to an earlier request that is passed on because the caller's request has no id.
+TEST(ZoneTraffic, RequestWithoutAnIdUsesAConnectionOfItsOwn)
+{
+    const std::string withoutId = "POST /order HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer red-key-0001\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi";
+    ScriptedTarget target({{answer("first", "Sig: s\r\nReq-Id: r2\r\n")}, {answer("stray", "Sig: s\r\nReq-Id: r2\r\n") + answer("right")}});
+    placements = {placedAt(target), placedAt(target)};
+    CHECK(contains(sendAndRead(order), "first"));
+    const std::string result = sendAndRead(withoutId);
+    CHECK(contains(result, "HTTP/1.1 502"));
+    CHECK(!contains(result, "stray"));
+}
+
 TEST(ZoneTraffic, CloseDelimitedAnswerIsAccepted)
 {
     ScriptedTarget target({{"HTTP/1.1 200 OK\r\nSig: s\r\n\r\nopen-ended", true}});
