--- /dev/null
+++ b/tests/test_broken_answers.cpp
@@ -0,0 +1,103 @@
+#include "traffic_fixture.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+// Included last because its macros replace "new".
+#include <CppUTest/TestHarness.h>
+
+using namespace plumsill;
+using namespace plumsill::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+const std::string withLength = "HTTP/1.1 200 OK\r\nReq-Id: r1\r\nSig: s\r\nContent-Length: 5\r\n\r\nhello";
+const std::string inChunks = "HTTP/1.1 200 OK\r\nSig: s\r\nReq-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
+const std::string untilClose = "HTTP/1.1 200 OK\r\nSig: s\r\nReq-Id: r1\r\nConnection: close\r\n\r\n";
+const std::string afterInterim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + withLength;
+const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nReq-Id: r1\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull";
+}
+
+/// A target that sends the beginning of an answer and closes its connection, on a new connection and on a kept one.
+TEST_GROUP(BrokenAnswers)
+{
+    Dialect dialect;
+
+    void setup() override
+    {
+        dialect.requestId = "Req-Id";
+        dialect.signature = "Sig";
+        dialect.notExecuted = "Not-Run";
+        dialect.acceptsStrayAnswers = true;
+        dialect.acceptsCloseDelimitedAnswers = true;
+    }
+    boost::asio::awaitable<void> attempt(TargetPool & pool, std::vector<AttemptResult> & results, std::size_t count)
+    {
+        while (results.size() < count) {
+            TargetRequest request {boost::beast::http::verb::get, "/", 11};
+            request.set("Req-Id", "r1");
+            AttemptOptions options;
+            options.timeout = 5s;
+            options.dialect = &dialect;
+            results.push_back(co_await pool.attempt(request, options));
+        }
+    }
+    AttemptResult lastResult(const std::vector<Script> &scripts)
+    {
+        ScriptedTarget target(scripts);
+        boost::asio::io_context context;
+        TargetPool pool(target.endpoint(), 4);
+        std::vector<AttemptResult> results;
+        boost::asio::co_spawn(context, attempt(pool, results, scripts.size()), boost::asio::detached);
+        context.run();
+        return std::move(results.back());
+    }
+    void checkFailed(const AttemptResult &result)
+    {
+        const auto *failed = std::get_if<FailedAttempt>(&result);
+        CHECK(failed != nullptr);
+        CHECK(!failed->answer);
+        CHECK(failed->failed.progress == AttemptProgress::Sent);
+    }
+    /// Each part of the answer that is shorter than @p length is a failure, and none says that the request did not run.
+    void checkEachBeginning(const std::string &answer, std::size_t length)
+    {
+        for (std::size_t size = 0; size < length; ++size) {
+            const Script beginning {answer.substr(0, size), true};
+            checkFailed(lastResult({beginning}));
+            checkFailed(lastResult({{withLength}, beginning}));
+        }
+    }
+};
+
+// Guards against a success with an empty or short body, framed as whole, where the target stopped in the middle of its answer's head or body.
+TEST(BrokenAnswers, BeginningOfAnAnswerWithALengthIsNoAnswer)
+{
+    checkEachBeginning(withLength, withLength.size());
+    CHECK(std::holds_alternative<BufferedAnswer>(lastResult({{withLength, true}})));
+}
+
+TEST(BrokenAnswers, BeginningOfAnAnswerInChunksIsNoAnswer)
+{
+    checkEachBeginning(inChunks, inChunks.size());
+    CHECK(std::holds_alternative<BufferedAnswer>(lastResult({{inChunks, true}})));
+}
+
+// Only the head of such an answer shows that it was cut.
+TEST(BrokenAnswers, BeginningOfTheHeadOfAnAnswerWithoutALengthIsNoAnswer)
+{
+    checkEachBeginning(untilClose, untilClose.size());
+    CHECK(std::holds_alternative<BufferedAnswer>(lastResult({{untilClose + "hello", true}})));
+}
+
+TEST(BrokenAnswers, BeginningOfAnAnswerAfterAnInterimOneIsNoAnswer)
+{
+    checkEachBeginning(afterInterim, afterInterim.size());
+}
+
+// Guards against a refusal that is believed although it did not arrive as a whole.
+TEST(BrokenAnswers, BeginningOfARefusalDoesNotSayThatTheRequestDidNotRun)
+{
+    checkEachBeginning(refusal, refusal.size());
+}
