Give what writes a streamed answer a share in its request

Cause: an attempt whose large answer waits for its turn held a reference into the frame of CallerSession::answer(). When the caller left, that frame and the exchange ended, and the waiting coroutine went on with them. Where it did not crash, it waited for a turn that never came, since the exchange was no longer listed: the attempt, and the slot of its target, were held until the daemon's end.

Change: the sink is an object with a reference count, owned by all that may still write; it owns the session and the exchange. A turn is also over when the exchange is no longer listed.

--- a/src/answer_reader_p.h
+++ b/src/answer_reader_p.h
@@ -39,7 +39,7 @@
 
     TargetConnection &m_connection;
     const TargetRequest &m_request;
-    const AnswerSink *m_sink;
+    AnswerSinkPtr m_sink; ///< null: the answer is buffered
     AttemptHandle *const m_handle;
     std::uint64_t *const m_streamedForMemory;
     HeldBytes m_held; ///< bytes of m_buffered, or of the buffers of a streamed answer
--- a/src/caller_session_p.h
+++ b/src/caller_session_p.h
@@ -34,6 +34,7 @@
     RequestState state;
     RuntimeTimer turnTimer; ///< cancelled when all answers before this one have been written
     bool keepAlive = false;
+    bool finished = false; ///< no longer among the session's exchanges
     HeldBytes held; ///< memory of the request's body
     std::optional<PacedFlow> flow; ///< while a large answer is paced
 };
@@ -50,6 +51,8 @@
     void enforceLimits(TimePoint now, const Snapshot &snapshot, bool closing) override;
 
 private:
+    class StreamSink;
+
     boost::asio::awaitable<bool> waitForRequest();
     boost::asio::awaitable<bool> readRequest();
     /// Whether the request whose header was read waits until its key can be checked.
@@ -63,17 +66,17 @@
     boost::asio::awaitable<void> serve(ExchangePtr exchange);
     boost::asio::awaitable<bool> answer(const ExchangePtr &exchange);
     boost::asio::awaitable<void> refuse(const Refusal &refusal);
-    boost::asio::awaitable<bool> waitForTurn(const ExchangePtr &exchange);
+    boost::asio::awaitable<bool> waitForTurn(ExchangePtr exchange);
     boost::asio::awaitable<bool> sendAnswer(const ExchangePtr &exchange, TargetAnswer &answer, bool keepAlive);
     boost::asio::awaitable<bool> send(std::string_view bytes);
     boost::asio::awaitable<bool> write(std::string_view bytes);
     void logNotSent(const boost::system::error_code &error, std::size_t bytes) const;
     boost::asio::awaitable<bool> sendBody(const ExchangePtr &exchange, std::string_view bytes);
     void startPacing(const ExchangePtr &exchange);
-    AnswerSink sink(const ExchangePtr &exchange);
-    boost::asio::awaitable<bool> beginStream(const ExchangePtr &exchange, const AnswerHeader &header, std::uint64_t length, bool chunked);
+    AnswerSinkPtr sink(const ExchangePtr &exchange);
+    boost::asio::awaitable<bool> beginStream(ExchangePtr exchange, const AnswerHeader &header, std::uint64_t length, bool chunked);
     boost::asio::awaitable<bool> endStream();
-    boost::asio::awaitable<bool> writeStream(const ExchangePtr &exchange, std::string_view bytes);
+    boost::asio::awaitable<bool> writeStream(ExchangePtr exchange, std::string_view bytes);
     boost::asio::awaitable<void> watchForDisconnect();
     boost::asio::awaitable<void> closeGracefully();
     void finish(const ExchangePtr &exchange);
--- a/src/forward_p.h
+++ b/src/forward_p.h
@@ -73,7 +73,7 @@
 class Forwarder
 {
 public:
-    Forwarder(TrafficThread &thread, const Access &access, const CallerRequest &request, const std::string &callerAddress, const AnswerSink *sink,
+    Forwarder(TrafficThread &thread, const Access &access, const CallerRequest &request, const std::string &callerAddress, AnswerSinkPtr sink,
               RequestState &state);
     ~Forwarder();
     Forwarder(const Forwarder &) = delete;
--- a/src/net_answer_reader.cpp
+++ b/src/net_answer_reader.cpp
@@ -307,7 +307,7 @@
     if (!otherRequest && m_handle != nullptr) {
         m_handle->setAnswerBegun();
     }
-    const AnswerSink *sink = otherRequest ? std::exchange(m_sink, nullptr) : nullptr;
+    const AnswerSinkPtr sink = otherRequest ? std::exchange(m_sink, nullptr) : nullptr;
     m_stray = otherRequest;
     m_bodyBytes = 0;
     if (!noBody) {
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -197,7 +197,7 @@
     }
 }
 
-Forwarder::Forwarder(TrafficThread &thread, const Access &access, const CallerRequest &request, const std::string &callerAddress, const AnswerSink *sink,
+Forwarder::Forwarder(TrafficThread &thread, const Access &access, const CallerRequest &request, const std::string &callerAddress, AnswerSinkPtr sink,
                      RequestState &state)
     : m_thread(thread)
     , m_access(access)
@@ -211,7 +211,7 @@
     , m_unlimitedBudget(std::numeric_limits<double>::max())
 {
     const AddedFields addedFields {thread.nextRequestId(), callerAddress, access.team};
-    m_parallelAttempts = new ParallelAttempts(thread, access, m_service, requestForTarget(request, addedFields, thread.dialect()), sink);
+    m_parallelAttempts = new ParallelAttempts(thread, access, m_service, requestForTarget(request, addedFields, thread.dialect()), std::move(sink));
     m_state.m_parallelAttempts = m_parallelAttempts;
 }
 
--- a/src/net_parallel_attempts.cpp
+++ b/src/net_parallel_attempts.cpp
@@ -77,12 +77,12 @@
 }
 }
 
-ParallelAttempts::ParallelAttempts(TrafficThread &thread, const Access &access, ServiceName service, TargetRequest request, const AnswerSink *sink)
+ParallelAttempts::ParallelAttempts(TrafficThread &thread, const Access &access, ServiceName service, TargetRequest request, AnswerSinkPtr sink)
     : m_thread(thread)
     , m_service(std::move(service))
     , m_idempotent(access.route.idempotent)
     , m_request(std::move(request))
-    , m_sink(sink)
+    , m_sink(std::move(sink))
 { }
 
 void ParallelAttempts::start(std::unique_ptr<TargetLease> lease, const RequestAttempts &attempts, bool hasUntriedTarget, TimePoint deadline,
@@ -131,7 +131,7 @@
 // Abandons all running attempts. Those that cannot be cancelled continue, and each still reports its end through the lease of its target.
 void ParallelAttempts::close()
 {
-    m_sink = nullptr;
+    m_sink.reset();
     m_wakeTimer = nullptr;
     m_targetWait = nullptr;
     const auto running = m_running;
@@ -140,34 +140,44 @@
     }
 }
 
-// The caller gets the answer of the attempt that begins to stream first. The other attempts are abandoned, and their answers are discarded.
-AnswerSink ParallelAttempts::sinkFor(const boost::intrusive_ptr<AttemptEntry> &entry)
+/// Passes the answer of one attempt on. The caller gets the answer of the attempt that begins to stream first; the other attempts are abandoned, and their
+/// answers are discarded.
+class ParallelAttempts::AttemptSink final : public AnswerSink
 {
-    AnswerSink sink;
-    const boost::intrusive_ptr<ParallelAttempts> parallelAttempts(this);
-    sink.begin = [parallelAttempts, entry](const AnswerHeader &header, std::uint64_t length, bool chunked) -> boost::asio::awaitable<bool> {
-        if (parallelAttempts->m_sink == nullptr || parallelAttempts->m_streaming != nullptr) {
+public:
+    AttemptSink(boost::intrusive_ptr<ParallelAttempts> attempts, boost::intrusive_ptr<AttemptEntry> entry)
+        : m_attempts(std::move(attempts))
+        , m_entry(std::move(entry))
+    { }
+
+    boost::asio::awaitable<bool> begin(const AnswerHeader &header, std::uint64_t contentLength, bool chunked) override
+    {
+        const AnswerSinkPtr caller = m_attempts->m_sink;
+        if (!caller || m_attempts->m_streaming != nullptr) {
             co_return false;
         }
-        parallelAttempts->m_streaming = entry.get();
-        const auto others = parallelAttempts->m_running;
+        m_attempts->m_streaming = m_entry.get();
+        const auto others = m_attempts->m_running;
         for (const auto &other : others) {
-            if (other != entry) {
+            if (other != m_entry) {
                 other->handle.abandon();
             }
         }
-        const AnswerSink &caller = *parallelAttempts->m_sink;
-        co_return co_await caller.begin(header, length, chunked);
-    };
-    sink.write = [parallelAttempts, entry](std::string_view bytes) -> boost::asio::awaitable<bool> {
-        if (parallelAttempts->m_sink == nullptr || parallelAttempts->m_streaming != entry.get()) {
+        co_return co_await caller->begin(header, contentLength, chunked);
+    }
+    boost::asio::awaitable<bool> write(std::string_view bytes) override
+    {
+        const AnswerSinkPtr caller = m_attempts->m_sink;
+        if (!caller || m_attempts->m_streaming != m_entry.get()) {
             co_return false;
         }
-        const AnswerSink &caller = *parallelAttempts->m_sink;
-        co_return co_await caller.write(bytes);
-    };
-    return sink;
-}
+        co_return co_await caller->write(bytes);
+    }
+
+private:
+    const boost::intrusive_ptr<ParallelAttempts> m_attempts;
+    const boost::intrusive_ptr<AttemptEntry> m_entry;
+};
 
 boost::asio::awaitable<void> ParallelAttempts::attempt(boost::intrusive_ptr<AttemptEntry> entry, AttemptOptions options, TargetRequest request)
 {
@@ -175,8 +185,7 @@
     ServiceDispatch *dispatch = m_thread.dispatch(m_service);
     const bool limitReached = dispatch != nullptr && dispatch->limitReached();
     const Duration slowAfter = dispatch == nullptr ? Duration::zero() : dispatch->slowAfter();
-    const AnswerSink sink = sinkFor(entry);
-    options.sink = m_sink == nullptr ? nullptr : &sink;
+    options.sink = m_sink ? new AttemptSink(self, entry) : nullptr;
     const auto watch = std::make_shared<SlowWatch>();
     RuntimeTimer slowTimer(co_await boost::asio::this_coro::executor);
     if (slowAfter > Duration::zero()) {
--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -313,9 +313,8 @@
 // Returns false when the connection must be reset, so that the caller does not take a partial answer for a complete one.
 boost::asio::awaitable<bool> CallerSession::answer(const ExchangePtr &exchange)
 {
-    const AnswerSink answerSink = sink(exchange);
-    const bool mayStream = exchange->request.version() == 11;
-    Forwarder forwarder(m_thread, *exchange->access, exchange->request, m_callerAddress, mayStream ? &answerSink : nullptr, exchange->state);
+    const AnswerSinkPtr answerSink = exchange->request.version() == 11 ? sink(exchange) : nullptr;
+    Forwarder forwarder(m_thread, *exchange->access, exchange->request, m_callerAddress, answerSink, exchange->state);
     ForwardResult result = co_await forwarder.run();
     if (exchange->state.callerDisconnected() || std::holds_alternative<AbortCaller>(result)) {
         co_return false;
@@ -335,19 +334,21 @@
     co_return sent;
 }
 
-boost::asio::awaitable<bool> CallerSession::waitForTurn(const ExchangePtr &exchange)
+boost::asio::awaitable<bool> CallerSession::waitForTurn(ExchangePtr exchange)
 {
-    while (!m_exchanges.empty() && m_exchanges.front() != exchange) {
+    while (!exchange->finished && m_exchanges.front() != exchange) {
         error_code cancelled;
         exchange->turnTimer.expires_at(TimePoint::max());
         co_await exchange->turnTimer.async_wait(errorInto(cancelled));
     }
-    co_return m_socket.is_open() && !exchange->state.callerDisconnected();
+    co_return m_socket.is_open() && !exchange->finished && !exchange->state.callerDisconnected();
 }
 
 void CallerSession::finish(const ExchangePtr &exchange)
 {
     std::erase(m_exchanges, exchange);
+    exchange->finished = true;
+    exchange->turnTimer.cancel();
     if (!m_exchanges.empty()) {
         m_exchanges.front()->turnTimer.cancel();
     }
--- a/src/net_session_answers.cpp
+++ b/src/net_session_answers.cpp
@@ -108,7 +108,7 @@
     co_return co_await send(text);
 }
 
-boost::asio::awaitable<bool> CallerSession::beginStream(const ExchangePtr &exchange, const AnswerHeader &header, std::uint64_t length, bool chunked)
+boost::asio::awaitable<bool> CallerSession::beginStream(ExchangePtr exchange, const AnswerHeader &header, std::uint64_t length, bool chunked)
 {
     if (!co_await waitForTurn(exchange)) {
         co_return false;
@@ -128,7 +128,7 @@
     co_return co_await send(text);
 }
 
-boost::asio::awaitable<bool> CallerSession::writeStream(const ExchangePtr &exchange, std::string_view bytes)
+boost::asio::awaitable<bool> CallerSession::writeStream(ExchangePtr exchange, std::string_view bytes)
 {
     if (!m_streamChunked) {
         co_return co_await sendBody(exchange, bytes);
@@ -144,12 +144,29 @@
     co_return co_await sendBody(exchange, chunk);
 }
 
-AnswerSink CallerSession::sink(const ExchangePtr &exchange)
+/// Writes the answer to one request to its caller.
+class CallerSession::StreamSink final : public AnswerSink
 {
-    AnswerSink sink;
-    sink.begin = [this, exchange](const AnswerHeader &header, std::uint64_t length, bool chunked) { return beginStream(exchange, header, length, chunked); };
-    sink.write = [this, exchange](std::string_view bytes) { return writeStream(exchange, bytes); };
-    return sink;
+public:
+    StreamSink(boost::intrusive_ptr<CallerSession> session, ExchangePtr exchange)
+        : m_session(std::move(session))
+        , m_exchange(std::move(exchange))
+    { }
+
+    boost::asio::awaitable<bool> begin(const AnswerHeader &header, std::uint64_t contentLength, bool chunked) override
+    {
+        return m_session->beginStream(m_exchange, header, contentLength, chunked);
+    }
+    boost::asio::awaitable<bool> write(std::string_view bytes) override { return m_session->writeStream(m_exchange, bytes); }
+
+private:
+    const boost::intrusive_ptr<CallerSession> m_session;
+    const ExchangePtr m_exchange;
+};
+
+AnswerSinkPtr CallerSession::sink(const ExchangePtr &exchange)
+{
+    return new StreamSink(this, exchange);
 }
 
 boost::asio::awaitable<bool> CallerSession::endStream()
--- a/src/parallel_attempts_p.h
+++ b/src/parallel_attempts_p.h
@@ -8,7 +8,7 @@
 class ParallelAttempts : public boost::intrusive_ref_counter<ParallelAttempts, boost::thread_unsafe_counter>
 {
 public:
-    ParallelAttempts(TrafficThread &thread, const Access &access, ServiceName service, TargetRequest request, const AnswerSink *sink);
+    ParallelAttempts(TrafficThread &thread, const Access &access, ServiceName service, TargetRequest request, AnswerSinkPtr sink);
 
     /// Sends the request to the lease's target. When the attempt ends, cancels @p wakeTimer to wake the forwarder up, and cancels the wait
     /// for another target by @p targetWait.
@@ -25,8 +25,9 @@
     const TargetRequest &request() const { return m_request; }
 
 private:
+    class AttemptSink;
+
     boost::asio::awaitable<void> attempt(boost::intrusive_ptr<AttemptEntry> entry, AttemptOptions options, TargetRequest request);
-    AnswerSink sinkFor(const boost::intrusive_ptr<AttemptEntry> &entry);
     void recordEnd(const boost::intrusive_ptr<AttemptEntry> &entry, const AttemptResult &result);
     void recordEvidence(AttemptEntry &entry, const AttemptResult &result, Duration latency, Duration slowAfter, bool countedSlow);
     TargetEvidence &evidence(const TargetName &target);
@@ -35,7 +36,7 @@
     const ServiceName m_service;
     const bool m_idempotent;
     TargetRequest m_request;
-    const AnswerSink *m_sink; ///< null after close(), or when answers are not streamed
+    AnswerSinkPtr m_sink; ///< null after close(), or when answers are not streamed
     const AttemptEntry *m_streaming = nullptr; ///< attempt whose answer is streamed to the caller
     RuntimeTimer *m_wakeTimer = nullptr; ///< null after close()
     AttemptHandle *m_targetWait = nullptr; ///< null after close()
--- a/src/upstream_p.h
+++ b/src/upstream_p.h
@@ -29,12 +29,18 @@
 using TargetAnswer = boost::beast::http::response<boost::beast::http::string_body>;
 using AnswerHeader = boost::beast::http::response_header<>;
 
-/// Receives an answer that is too large to be buffered completely. Both functions return false when the answer can no longer be delivered.
-struct AnswerSink {
-    std::function<boost::asio::awaitable<bool>(const AnswerHeader &header, std::uint64_t contentLength, bool chunked)> begin;
-    std::function<boost::asio::awaitable<bool>(std::string_view bytes)> write;
+/// Receives an answer that is too large to be buffered completely. Owned by all that may still write, since an attempt can outlast its request. Both
+/// functions return false when the answer can no longer be delivered.
+class AnswerSink : public boost::intrusive_ref_counter<AnswerSink, boost::thread_unsafe_counter>
+{
+public:
+    virtual ~AnswerSink() = default;
+    virtual boost::asio::awaitable<bool> begin(const AnswerHeader &header, std::uint64_t contentLength, bool chunked) = 0;
+    virtual boost::asio::awaitable<bool> write(std::string_view bytes) = 0;
 };
 
+using AnswerSinkPtr = boost::intrusive_ptr<AnswerSink>;
+
 /// What became of a request at its target.
 enum class RunEnd : std::uint8_t
 {
@@ -116,7 +122,7 @@
 struct AttemptOptions {
     bool idempotent = false;
     Duration timeout {};
-    const AnswerSink *sink = nullptr; ///< receives a large answer; null: all answers are buffered
+    AnswerSinkPtr sink; ///< receives a large answer; null: all answers are buffered
     AttemptHandle *handle = nullptr; ///< cancels the attempt; may be null
     const Dialect *dialect = nullptr; ///< null: the default dialect
     TunnelTicketPtr tunnel; ///< opens connections through another daemon; null: directly
--- a/tests/test_zone_traffic.cpp
+++ b/tests/test_zone_traffic.cpp
@@ -1,5 +1,7 @@
 #include "traffic_fixture.h"
 
+#include <plumsill/config.h>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace plumsill;
@@ -29,6 +31,8 @@
     return text.find(part) != std::string::npos;
 }
 
+constexpr int SmallReceiveBuffer = 8 * 1024;
+
 std::string answer(const std::string &body, const std::string &fields = "Sig: s\r\n")
 {
     return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -101,6 +105,13 @@
     {
         return CallerConnection(endpoint).sendAndRead(bytes);
     }
+    static void waitUntil(const std::function<bool()> &done)
+    {
+        const TimePoint until = RuntimeClock::now() + 1s;
+        while (!done() && RuntimeClock::now() < until) {
+            std::this_thread::yield();
+        }
+    }
     std::vector<AttemptEnd> recordedEnds()
     {
         const std::lock_guard lock(mutex);
@@ -294,6 +305,29 @@
     CHECK(contains(result, "ready"));
 }
 
+// Guards against a crash: streamed answers that waited for their turn used their request after the caller had left.
+TEST(ZoneTraffic, StreamedAnswersThatWaitForTheirTurnEndWhenTheCallerLeaves)
+{
+    const std::string keptAlive = "GET /listing/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer red-key-0001\r\n\r\n";
+    // The others wait for their turn by the time at which the first one is answered.
+    ScriptedTarget first({{answer("first")}}, 100ms);
+    ScriptedTarget large({{answer(std::string(4 * config::MaxBufferedAnswerBytes, 'x'))}});
+    constexpr std::size_t Rounds = 10;
+    constexpr std::size_t Large = 5;
+    for (std::size_t round = 1; round <= Rounds; ++round) {
+        placements.push_back(placedAt(first));
+        placements.insert(placements.end(), Large, placedAt(large));
+        auto caller = std::make_unique<CallerConnection>(endpoint, SmallReceiveBuffer);
+        for (std::size_t i = 0; i < Large; ++i) {
+            caller->send(keptAlive);
+        }
+        caller->sendAndRead(keptAlive, "first");
+        caller.reset();
+        waitUntil([&] { return recordedEnds().size() == (1 + Large) * round; });
+        LONGS_EQUAL((1 + Large) * round, recordedEnds().size());
+    }
+}
+
 TEST(ZoneTraffic, AbsoluteFormRequestIsServed)
 {
     ScriptedTarget target({{answer("hello")}});
