Let only the attempt that began an answer write it

Cause: whether an attempt streams its answer was known to ParallelAttempts alone. The forwarder started a hedge (or a retry) beside it, and took the answer of that one, buffered and complete first, for the answer of the request; the session sent it as if nothing had been sent.

Change: AnswerOwnership, a module without network, says which attempt writes. Once one has begun, no further attempt is started, a pending placement is cancelled and a target that was just placed is released, and the ends of other attempts don't count.

--- a/src/forward_p.h
+++ b/src/forward_p.h
@@ -3,6 +3,8 @@
 #include "session_p.h"
 #include "traffic_p.h"
 
+#include <plumsill/answer_ownership.h>
+
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 
 #include <deque>
@@ -41,6 +43,7 @@
 /// One attempt of a request, from the lease of its target to its result.
 struct AttemptEntry : boost::intrusive_ref_counter<AttemptEntry, boost::thread_unsafe_counter> {
     AttemptHandle handle;
+    AttemptNumber number = 0;
     std::unique_ptr<TargetLease> lease;
     TimePoint startedAt;
     std::optional<AttemptResult> result; ///< empty while the attempt runs
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -355,6 +355,9 @@
         if (m_state.callerDisconnected()) {
             co_return AbortCaller {};
         }
+        if (!m_parallelAttempts->ownership().open()) {
+            choice = NoTarget {}; // releases the target at once
+        }
         const bool noOtherAttempt = m_parallelAttempts->running() == 0 && !m_parallelAttempts->hasEnded();
         if (const auto *none = std::get_if<NoTarget>(&choice)) {
             if (noOtherAttempt) {
@@ -386,6 +389,9 @@
             co_return AbortCaller {};
         }
         if (const auto entry = m_parallelAttempts->takeEnded()) {
+            if (!m_parallelAttempts->ownership().counts(entry->number)) {
+                continue;
+            }
             const auto *failed = std::get_if<FailedAttempt>(&*entry->result);
             if (failed != nullptr && failed->failed.failure == AttemptFailure::HelperUnavailable) {
                 std::erase(m_tried, entry->lease->name()); // the target may be reached through another helper
@@ -399,12 +405,13 @@
             continue;
         }
         const TimePoint now = RuntimeClock::now();
+        const bool open = m_parallelAttempts->ownership().open();
         if (m_state.m_expired) {
             co_return giveUp({504, m_attempts.outcomeWith(m_parallelAttempts->running()), {}});
         }
         if (m_hedgeAt && now >= *m_hedgeAt) {
             m_hedgeAt.reset();
-            if (hedgeIsWorthIt(now)) {
+            if (open && hedgeIsWorthIt(now)) {
                 co_return std::nullopt;
             }
         }
--- a/src/net_parallel_attempts.cpp
+++ b/src/net_parallel_attempts.cpp
@@ -91,6 +91,7 @@
     m_wakeTimer = &wakeTimer;
     m_targetWait = &targetWait;
     const boost::intrusive_ptr<AttemptEntry> entry(new AttemptEntry);
+    entry->number = ++m_started;
     entry->lease = std::move(lease);
     entry->startedAt = RuntimeClock::now();
     AttemptOptions options;
@@ -153,10 +154,10 @@
     boost::asio::awaitable<bool> begin(const AnswerHeader &header, std::uint64_t contentLength, bool chunked) override
     {
         const AnswerSinkPtr caller = m_attempts->m_sink;
-        if (!caller || m_attempts->m_streaming != nullptr) {
+        if (!caller || !m_attempts->m_ownership.begin(m_entry->number)) {
             co_return false;
         }
-        m_attempts->m_streaming = m_entry.get();
+        m_attempts->m_targetWait->cancelWait();
         const auto others = m_attempts->m_running;
         for (const auto &other : others) {
             if (other != m_entry) {
@@ -168,7 +169,7 @@
     boost::asio::awaitable<bool> write(std::string_view bytes) override
     {
         const AnswerSinkPtr caller = m_attempts->m_sink;
-        if (!caller || m_attempts->m_streaming != m_entry.get()) {
+        if (!caller || !m_attempts->m_ownership.owns(m_entry->number)) {
             co_return false;
         }
         co_return co_await caller->write(bytes);
--- a/src/parallel_attempts_p.h
+++ b/src/parallel_attempts_p.h
@@ -20,6 +20,8 @@
     std::size_t running() const { return m_running.size(); }
     /// Whether the answer of a running attempt has begun to arrive.
     bool answerBegun() const;
+    /// Which attempt streams its answer to the caller.
+    const AnswerOwnership &ownership() const { return m_ownership; }
     /// Abandons all running attempts, because no answer is needed any more. Attempts that cannot be cancelled run to their end.
     void close();
     const TargetRequest &request() const { return m_request; }
@@ -37,7 +39,8 @@
     const bool m_idempotent;
     TargetRequest m_request;
     AnswerSinkPtr m_sink; ///< null after close(), or when answers are not streamed
-    const AttemptEntry *m_streaming = nullptr; ///< attempt whose answer is streamed to the caller
+    AnswerOwnership m_ownership;
+    AttemptNumber m_started = 0; ///< number of attempts started
     RuntimeTimer *m_wakeTimer = nullptr; ///< null after close()
     AttemptHandle *m_targetWait = nullptr; ///< null after close()
     std::vector<boost::intrusive_ptr<AttemptEntry>> m_running;
--- a/tests/test_zone_traffic.cpp
+++ b/tests/test_zone_traffic.cpp
@@ -38,6 +38,12 @@
     return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+// An answer that is streamed, in two parts.
+constexpr std::size_t LargeBytes = 3 * config::MaxBufferedAnswerBytes;
+const std::string restOfLarge(100, 'x');
+const std::string beginOfLarge
+    = "HTTP/1.1 200 OK\r\nSig: s\r\nContent-Length: " + std::to_string(LargeBytes) + "\r\n\r\n" + std::string(LargeBytes - restOfLarge.size(), 'x');
+
 const std::string listing = "GET /listing/1 HTTP/1.1\r\nHost: h\r\nReq-Id: r1\r\nAuthorization: Bearer red-key-0001\r\nConnection: close\r\n\r\n";
 const std::string order
     = "POST /order HTTP/1.1\r\nHost: h\r\nReq-Id: r2\r\nAuthorization: Bearer red-key-0001\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi";
@@ -52,6 +58,7 @@
     std::mutex mutex;
     std::vector<Placement> placements;
     std::vector<PlacementRequest> requested;
+    std::atomic<unsigned> cancelled {0}; ///< placements that were no longer needed
     std::vector<AttemptEnd> ends;
     std::vector<std::uint32_t> rests; ///< milliseconds, by attempt
 
@@ -60,7 +67,7 @@
         ControlPort control;
         control.report = [](const TrafficReport & /*report*/) {};
         control.requestPlacement = [this](const ThreadPlacementRequest &placementRequest) { answerPlacement(placementRequest); };
-        control.cancelRequest = [](std::uint64_t /*id*/) {};
+        control.cancelRequest = [this](std::uint64_t /*id*/) { ++cancelled; };
         control.attemptEnded = [this](const EndedAttempt &ended) {
             const std::lock_guard lock(mutex);
             ends.push_back(ended.report.end);
@@ -112,6 +119,13 @@
             std::this_thread::yield();
         }
     }
+    static void checkLarge(const std::string &result)
+    {
+        const auto body = result.find("\r\n\r\n") + 4;
+        CHECK(contains(result, "HTTP/1.1 200 OK"));
+        LONGS_EQUAL(LargeBytes, result.size() - body);
+        CHECK(result.find_first_not_of('x', body) == std::string::npos);
+    }
     std::vector<AttemptEnd> recordedEnds()
     {
         const std::lock_guard lock(mutex);
@@ -305,6 +319,30 @@
     CHECK(contains(result, "ready"));
 }
 
+// Guards against the answer to a hedge that is written into one which is being streamed.
+TEST(ZoneTraffic, HedgeDoesNotWriteIntoAStreamedAnswer)
+{
+    ScriptedTarget slow({{beginOfLarge, false, restOfLarge, 500ms}});
+    ScriptedTarget fast({{answer("second")}});
+    placements = {placedAt(slow, 150ms), placedAt(fast)};
+    checkLarge(sendAndRead(listing));
+    LONGS_EQUAL(0, fast.runs());
+}
+
+// Guards against a hedge that waits for a target, and takes one from others, though its answer is no longer needed.
+TEST(ZoneTraffic, PlacementOfAHedgeIsCancelledWhenAStreamBegins)
+{
+    ScriptedTarget slow({{beginOfLarge, false, restOfLarge, 500ms}}, 100ms);
+    placements = {placedAt(slow, 20ms)};
+    std::string result;
+    std::thread caller([&] { result = sendAndRead(listing); });
+    waitUntil([&] { return cancelled == 1; });
+    LONGS_EQUAL(0, recordedEnds().size());
+    caller.join();
+    checkLarge(result);
+    LONGS_EQUAL(1, cancelled);
+}
+
 // Guards against a crash: streamed answers that waited for their turn used their request after the caller had left.
 TEST(ZoneTraffic, StreamedAnswersThatWaitForTheirTurnEndWhenTheCallerLeaves)
 {
--- a/tests/traffic_fixture.h
+++ b/tests/traffic_fixture.h
@@ -22,6 +22,8 @@
 struct Script {
     std::string answer; ///< bytes sent after the request has been read
     bool closeAfter = false; ///< the connection is closed after the answer
+    std::string rest {}; ///< bytes sent after the pause
+    Duration pause {};
 };
 
 /// Target that answers each request by the next script. The last script applies to all further requests.
@@ -111,6 +113,10 @@
                 co_await sleepFor(m_delay);
             }
             co_await boost::asio::async_write(socket, boost::asio::buffer(script.answer), token());
+            if (!script.rest.empty()) {
+                co_await sleepFor(script.pause);
+                co_await boost::asio::async_write(socket, boost::asio::buffer(script.rest), token());
+            }
             if (script.closeAfter || error) {
                 co_return;
             }
