Write no timeout into an answer that has begun

Cause: near the end of the grace period all requests are ended with a 504, also one whose answer had begun.

Change: an answer that has begun (AnswerOwnership) goes on until the process ends, which breaks it off visibly, by its length or the missing last chunk. What can be complete in that time is.

--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -406,7 +406,7 @@
         }
         const TimePoint now = RuntimeClock::now();
         const bool open = m_parallelAttempts->ownership().open();
-        if (m_state.m_expired) {
+        if (m_state.m_expired && open) {
             co_return giveUp({504, m_attempts.outcomeWith(m_parallelAttempts->running()), {}});
         }
         if (m_hedgeAt && now >= *m_hedgeAt) {
--- a/tests/test_zone_traffic.cpp
+++ b/tests/test_zone_traffic.cpp
@@ -319,6 +319,19 @@
     CHECK(contains(result, "ready"));
 }
 
+// Guards against a timeout that is written into an answer which is being streamed at a planned stop.
+TEST(ZoneTraffic, EndOfAPlannedStopDoesNotWriteIntoAStreamedAnswer)
+{
+    ScriptedTarget target({{beginOfLarge, false, restOfLarge, 800ms}});
+    placements = {placedAt(target)};
+    std::string result;
+    std::thread caller([&] { result = sendAndRead(listing); });
+    waitUntil([&] { return target.runs() == 1; });
+    publish(RuntimeClock::now());
+    caller.join();
+    checkLarge(result);
+}
+
 // Guards against the answer to a hedge that is written into one which is being streamed.
 TEST(ZoneTraffic, HedgeDoesNotWriteIntoAStreamedAnswer)
 {
