End the wait for the link when a caller leaves

Cause: a part of a paced answer waits for its turn on the link. The turn was dropped with the request of the caller who left, and what waited for it was never woken: the attempt, and the slot of its target, were held for ever.

Since the sink owns its request, the wait ended with the next turn; on a slow link that is late.

Change: a caller who leaves cancels the waits of its answers, and their places go to the others.

--- a/include/plumsill/link_pacer.h
+++ b/include/plumsill/link_pacer.h
@@ -41,6 +41,8 @@
     void close(FlowId flow);
     /// Asks for the next part of an answer, of chunkBytes() at most; a flow has at most one open request.
     void request(FlowId flow, std::size_t bytes);
+    /// Drops the open request of an answer.
+    void withdraw(FlowId flow);
     /// Counts bytes of answers that are not paced.
     void addUnpaced(std::size_t bytes, TimePoint now);
     /// Removes and returns the grant that is due; empty when none is.
--- a/src/link_pacer.cpp
+++ b/src/link_pacer.cpp
@@ -20,10 +20,19 @@
 
 void LinkPacer::close(FlowId flow)
 {
-    std::erase_if(m_waiting, [flow](const Waiting &waiting) { return waiting.flow == flow; });
+    withdraw(flow);
     m_flows.erase(flow);
 }
 
+void LinkPacer::withdraw(FlowId flow)
+{
+    std::erase_if(m_waiting, [flow](const Waiting &waiting) { return waiting.flow == flow; });
+    const auto found = m_flows.find(flow);
+    if (found != m_flows.end()) {
+        found->second.bytes = 0;
+    }
+}
+
 // A flow that was idle starts at the virtual time of the present, so that it has no credit for the time in which it sent nothing.
 void LinkPacer::request(FlowId flow, std::size_t bytes)
 {
--- a/src/link_queue_p.h
+++ b/src/link_queue_p.h
@@ -42,8 +42,10 @@
         , m_timer(context)
     { }
 
-    /// Waits until @p flow may send, and returns how many of @p bytes; at least 1.
+    /// Waits until @p flow may send, and returns how many of @p bytes; 0 if the wait was cancelled.
     boost::asio::awaitable<std::size_t> acquire(const PacedFlow &flow, std::size_t bytes);
+    /// Ends the wait of @p flow, if there is one, and gives its place to the others.
+    void cancel(const PacedFlow &flow);
 
 private:
     /// Shared by the queue and the coroutine that waits, which may be abandoned before the grant.
--- a/src/net_link_queue.cpp
+++ b/src/net_link_queue.cpp
@@ -18,6 +18,18 @@
     co_return *waiter->granted;
 }
 
+void LinkQueue::cancel(const PacedFlow &flow)
+{
+    const auto found = m_waiters.find(flow.id());
+    if (found == m_waiters.end()) {
+        return;
+    }
+    found->second->granted = 0;
+    found->second->timer.cancel();
+    m_waiters.erase(found);
+    m_pacer.withdraw(flow.id());
+}
+
 void LinkQueue::serve()
 {
     while (const auto grant = m_pacer.next(RuntimeClock::now())) {
--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -369,6 +369,9 @@
     for (const auto &exchange : exchanges) {
         exchange->state.setCallerDisconnected();
         exchange->turnTimer.cancel();
+        if (exchange->flow) {
+            m_thread.linkQueue().cancel(*exchange->flow);
+        }
     }
 }
 
--- a/src/net_session_answers.cpp
+++ b/src/net_session_answers.cpp
@@ -55,7 +55,7 @@
     }
     while (!bytes.empty()) {
         const std::size_t granted = co_await m_thread.linkQueue().acquire(*exchange->flow, bytes.size());
-        if (!m_socket.is_open()) {
+        if (granted == 0 || !m_socket.is_open()) {
             co_return false;
         }
         const bool sent = co_await write(bytes.substr(0, granted));
--- a/tests/test_link_pacer.cpp
+++ b/tests/test_link_pacer.cpp
@@ -162,3 +162,14 @@
         CHECK(pacer.next(start).has_value());
     }
 }
+
+// Guards against a caller who has left and still takes its turn on the link.
+TEST(LinkPacer, WithdrawnRequestGetsNoGrantAndTheFlowMayAskAgain)
+{
+    const auto flows = open(2);
+    pacer.withdraw(flows[0]);
+    LONGS_EQUAL(flows[1], pacer.next(start)->flow);
+    CHECK(!pacer.next(start + 10s));
+    pacer.request(flows[0], DownloadBytes);
+    LONGS_EQUAL(flows[0], pacer.next(start + 20s)->flow);
+}
--- a/tests/test_link_queue.cpp
+++ b/tests/test_link_queue.cpp
@@ -47,3 +47,23 @@
     LONGS_EQUAL(0, second);
     LONGS_EQUAL(1000, third);
 }
+
+// Guards against a coroutine that waits for the link for ever because its caller has left.
+TEST(LinkQueue, CancelledWaitEndsWithoutAGrant)
+{
+    std::size_t first = 0;
+    std::size_t second = 7;
+    std::size_t third = 0;
+    asio::co_spawn(context, acquire(queue, other, first), asio::detached);
+    asio::co_spawn(context, acquire(queue, abandoned, second), asio::detached);
+    context.poll();
+    queue.cancel(abandoned);
+    queue.cancel(other);
+    context.poll();
+    LONGS_EQUAL(0, second);
+    asio::co_spawn(context, acquire(queue, other, third), asio::detached);
+    context.restart();
+    context.run_for(std::chrono::seconds(2));
+    LONGS_EQUAL(1000, first);
+    LONGS_EQUAL(1000, third);
+}
--- a/tests/test_zone_traffic.cpp
+++ b/tests/test_zone_traffic.cpp
@@ -58,6 +58,7 @@
     std::mutex mutex;
     std::vector<Placement> placements;
     std::vector<PlacementRequest> requested;
+    InstanceLimits limits; ///< published with the next snapshot; with a rate of the link, all routes have large answers
     std::atomic<unsigned> cancelled {0}; ///< placements that were no longer needed
     std::vector<AttemptEnd> ends;
     std::vector<std::uint32_t> rests; ///< milliseconds, by attempt
@@ -98,10 +99,12 @@
         for (auto &route : document.routes) {
             route.timeout = 2s;
             route.attempts = 2;
+            route.large = limits.linkMegabits.has_value();
         }
         snapshot->compiled = new CompiledDocument({1, "digest"}, std::make_shared<const Document>(document));
         snapshot->trustedUntil = TimePoint::max();
         snapshot->answerBy = answerBy;
+        snapshot->limits = limits;
         thread->publish(snapshot);
     }
     static Placement placedAt(const ScriptedTarget &target, Duration hedgeAfter = 10s)
@@ -356,6 +359,24 @@
     LONGS_EQUAL(1, cancelled);
 }
 
+// Guards against an attempt that waits for the link for ever, and keeps the slot of its target, when the caller of a paced download leaves.
+TEST(ZoneTraffic, PacedDownloadGivesItsTargetBackWhenTheCallerLeaves)
+{
+    limits.linkMegabits = 0.1;
+    publish(TimePoint::max());
+    ScriptedTarget target({{beginOfLarge + restOfLarge}});
+    placements = {placedAt(target), placedAt(target)};
+    for (std::size_t round = 1; round <= placements.size(); ++round) {
+        auto caller = std::make_unique<CallerConnection>(endpoint, SmallReceiveBuffer);
+        caller->sendAndRead(listing, "xxxx");
+        caller.reset();
+        const TimePoint leftAt = RuntimeClock::now();
+        waitUntil([&] { return recordedEnds().size() == round; });
+        LONGS_EQUAL(round, recordedEnds().size());
+        CHECK(RuntimeClock::now() - leftAt < 500ms);
+    }
+}
+
 // Guards against a crash: streamed answers that waited for their turn used their request after the caller had left.
 TEST(ZoneTraffic, StreamedAnswersThatWaitForTheirTurnEndWhenTheCallerLeaves)
 {
