Notice callers who leave behind requests that are not read yet

Cause: a session reads no further while MaxPipelined requests run, nor while a refusal waits for its turn or after MaxIgnoredBytes. The end of the connection comes behind the bytes that it has not read.

Change: while no read is running, the check of the time limits (every 250 ms) asks the kernel whether the caller has closed.

A caller whose bytes fill the kernel's buffer can't be noticed: its end has not arrived.

--- a/src/caller_session_p.h
+++ b/src/caller_session_p.h
@@ -84,6 +84,9 @@
     auto readInto(boost::system::error_code &error) { return boost::asio::bind_cancellation_slot(m_readCancel.slot(), errorInto(error)); }
     /// Cancels the running read, if there is one. A pending write goes on.
     void cancelRead();
+    /// Whether no read is running that would show that the caller has left.
+    bool isBlind() const { return !m_idle && m_readDeadline == TimePoint::max() && !m_exchanges.empty(); }
+    bool callerHasClosed();
     void handleCallerDisconnect();
     void abortConnection();
     bool leaving() const { return m_thread.snapshot()->leaving; }
--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <poll.h>
+
 namespace plumsill
 {
 namespace http = boost::beast::http;
@@ -82,6 +84,9 @@
             exchange->state.expire();
         }
     }
+    if (isBlind() && callerHasClosed()) {
+        handleCallerDisconnect();
+    }
     const bool stopsReading = closing && m_idle && !m_closing;
     m_closing = m_closing || closing;
     if (now >= m_writeDeadline) {
@@ -92,6 +97,13 @@
     }
 }
 
+// Without a read only the state of the connection shows that the caller has left, since its unread requests come before the end.
+bool CallerSession::callerHasClosed()
+{
+    pollfd descriptor {m_socket.native_handle(), POLLRDHUP, 0};
+    return m_socket.is_open() && ::poll(&descriptor, 1, 0) > 0 && (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void CallerSession::cancelRead()
 {
     m_readCancel.emit(boost::asio::cancellation_type::terminal);
--- a/tests/test_zone_traffic.cpp
+++ b/tests/test_zone_traffic.cpp
@@ -377,6 +377,26 @@
     }
 }
 
+// Guards against targets that work on for a caller who has left behind more requests than the daemon reads ahead.
+TEST(ZoneTraffic, CallerWhoLeavesBehindManyRequestsIsNoticed)
+{
+    const std::string keptAlive = "GET /listing/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer red-key-0001\r\n\r\n";
+    constexpr std::size_t Sent = config::MaxPipelined + 8;
+    ScriptedTarget unresponsive({{""}});
+    placements.assign(Sent, placedAt(unresponsive));
+    auto caller = std::make_unique<CallerConnection>(endpoint);
+    for (std::size_t i = 0; i < Sent; ++i) {
+        caller->send(keptAlive);
+    }
+    waitUntil([&] { return unresponsive.runs() > config::MaxPipelined; });
+    const std::size_t running = unresponsive.runs();
+    caller.reset();
+    const TimePoint leftAt = RuntimeClock::now();
+    waitUntil([&] { return recordedEnds().size() == running; });
+    LONGS_EQUAL(running, recordedEnds().size());
+    CHECK(RuntimeClock::now() - leftAt < 500ms);
+}
+
 // Guards against a crash: streamed answers that waited for their turn used their request after the caller had left.
 TEST(ZoneTraffic, StreamedAnswersThatWaitForTheirTurnEndWhenTheCallerLeaves)
 {
