--- a/tests/test_odd_entries.cpp
+++ b/tests/test_odd_entries.cpp
@@ -40,10 +40,8 @@
 
 std::vector<std::string> namesOf(const std::vector<Target> &targets)
 {
-    std::vector<std::string> names;
-    for (const auto &target : targets) {
-        names.push_back(target.name.value);
-    }
+    std::vector<std::string> names(targets.size());
+    std::transform(targets.begin(), targets.end(), names.begin(), [](const Target &target) { return target.name.value; });
     return names;
 }
 
--- a/tests/test_store.cpp
+++ b/tests/test_store.cpp
@@ -186,7 +186,9 @@
                                    std::string(R"({"name":"x","service":"s","zone":"z","endpoint":"127.0.0.1:99999","state":"live"})"),
                                    std::string(R"({"name":"x","service":"s \ud83d"})"), std::string(R"({"name":"x","service":1e999999999999})"),
                                    R"({"name":"x","service":)" + deep + "}"}) {
-        const auto listed = parseTargets("[" + odd + "," + sound + "]").value();
+        std::string list = "[";
+        list.append(odd).append(",").append(sound).append("]");
+        const auto listed = parseTargets(list).value();
         LONGS_EQUAL(1, listed.targets.size());
         LONGS_EQUAL(1, listed.rejected.size());
         STRCMP_EQUAL("x", listed.rejected.front().name.c_str());
