Keep reading until the last answer has been delivered

Callers saw: a connection reset before they had read the last answer on it, when they read slowly and sent another request after the daemon had written its answer: at a planned stop, after the idle time, and after a refusal.

Bytes that arrive at a closed socket reset the connection, and the kernel discards what the caller has not received yet.

Change: the time to read on begins anew while the kernel holds bytes that the caller has not acknowledged (SIOCOUTQ), and ends with the time limit of a write. Where the system does not tell, it is as before.

--- a/src/caller_session_p.h
+++ b/src/caller_session_p.h
@@ -79,6 +79,8 @@
     boost::asio::awaitable<bool> writeStream(ExchangePtr exchange, std::string_view bytes);
     boost::asio::awaitable<void> watchForDisconnect();
     boost::asio::awaitable<void> closeGracefully();
+    /// Bytes that the caller's end has not acknowledged yet; 0 where the system does not tell.
+    std::size_t undeliveredBytes();
     void finish(const ExchangePtr &exchange);
     /// Completion token of a read, which cancelRead() ends.
     auto readInto(boost::system::error_code &error) { return boost::asio::bind_cancellation_slot(m_readCancel.slot(), errorInto(error)); }
@@ -106,6 +108,7 @@
     bool m_idle = false; ///< the session waits for the first byte of a request
     bool m_readExpired = false; ///< the read was cancelled because its deadline passed or the daemon is stopping
     bool m_closing = false; ///< no further request is read
+    bool m_shutDown = false; ///< the last answer has been written; the session waits until it is delivered
     bool m_streamChunked = false; ///< the streamed answer uses chunked transfer coding
 };
 }
--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -7,7 +7,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 
 namespace plumsill
 {
@@ -87,6 +91,9 @@
     if (isBlind() && callerHasClosed()) {
         handleCallerDisconnect();
     }
+    if (m_shutDown && undeliveredBytes() > 0) {
+        m_readDeadline = now + config::CloseDrainTime;
+    }
     const bool stopsReading = closing && m_idle && !m_closing;
     m_closing = m_closing || closing;
     if (now >= m_writeDeadline) {
@@ -104,6 +111,13 @@
     return m_socket.is_open() && ::poll(&descriptor, 1, 0) > 0 && (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+std::size_t CallerSession::undeliveredBytes()
+{
+    int bytes = 0;
+    const bool known = m_socket.is_open() && ::ioctl(m_socket.native_handle(), SIOCOUTQ, &bytes) == 0;
+    return known ? static_cast<std::size_t>(std::max(bytes, 0)) : 0;
+}
+
 void CallerSession::cancelRead()
 {
     m_readCancel.emit(boost::asio::cancellation_type::terminal);
@@ -426,8 +440,8 @@
     }
 }
 
-// Closing a socket that has unread bytes resets the connection, which could discard the answer before the caller reads it. Incoming bytes are
-// therefore read for config::CloseDrainTime after the shutdown.
+// Closing a socket that has unread bytes, or gets some later, resets the connection and discards what the caller has not received yet. Incoming bytes are
+// therefore read until the answer has been delivered, and for config::CloseDrainTime after that.
 boost::asio::awaitable<void> CallerSession::closeGracefully()
 {
     if (!m_socket.is_open()) {
@@ -435,7 +449,9 @@
     }
     error_code error;
     m_socket.shutdown(tcp::socket::shutdown_send, error);
+    m_shutDown = true;
     m_readDeadline = RuntimeClock::now() + config::CloseDrainTime;
+    m_writeDeadline = RuntimeClock::now() + config::BodyTimeout;
     while (!error) {
         m_buffer.clear();
         co_await m_socket.async_read_some(m_buffer.prepare(config::ReadBytes), readInto(error));
--- a/tests/test_slow_readers.cpp
+++ b/tests/test_slow_readers.cpp
@@ -43,14 +43,25 @@
     {
         RuntimeClock::resume();
     }
+    /// Waits until the daemon has closed a connection that it has shut down.
+    static void waitUntilClosed(CallerConnection & connection)
+    {
+        while (connection.trySend("x")) {
+            std::this_thread::yield();
+        }
+    }
     void publish(TimePoint closeAt)
+    {
+        publish(closeAt, target.endpoint());
+    }
+    void publish(TimePoint closeAt, const Endpoint &endpoint)
     {
         Document document = testDocument();
         for (auto &route : document.routes) {
             route.timeout = std::chrono::minutes(5);
         }
         fixture.closeAt = closeAt;
-        fixture.publish(document, {target.endpoint()}, TimePoint::max());
+        fixture.publish(document, {endpoint}, TimePoint::max());
     }
     void beginToRead(const std::string &requests)
     {
@@ -80,6 +91,25 @@
     checkRest("");
 }
 
+// Guards against bytes that arrive after the socket was closed and reset the connection, though the answer has not been delivered.
+TEST(SlowReaders, AnswerIsDeliveredThoughTheCallerSendsMoreAfterTheDaemonHasWrittenIt)
+{
+    // The kernel takes all of it at once.
+    constexpr std::size_t Bytes = 900'000;
+    ScriptedTarget small({{answer(std::string(Bytes, 'x'))}});
+    publish(TimePoint::max(), small.endpoint());
+    slow = std::make_unique<CallerConnection>(fixture.endpoint(), SmallReceiveBuffer);
+    received = slow->sendAndRead(request, "xxxx");
+    CallerConnection idle(fixture.endpoint());
+    publish(RuntimeClock::now(), small.endpoint());
+    STRCMP_EQUAL("", idle.sendAndRead("").c_str());
+    waitUntilClosed(idle);
+    slow->send(request);
+    received += slow->sendAndRead("");
+    CHECK(!contains(received, "[reset]"));
+    LONGS_EQUAL(Bytes, received.size() - received.find("\r\n\r\n") - 4);
+}
+
 // Guards against the time limit of a later request's header that cancels the pending write of an answer.
 TEST(SlowReaders, AnswerIsSentCompletelyThoughTheNextRequestComesTooSlowly)
 {
--- a/tests/traffic_fixture.h
+++ b/tests/traffic_fixture.h
@@ -162,6 +162,13 @@
     }
 
     void send(const std::string &bytes) { boost::asio::write(m_socket, boost::asio::buffer(bytes)); }
+    /// Sends bytes; false when the connection has failed.
+    bool trySend(const std::string &bytes)
+    {
+        boost::system::error_code error;
+        boost::asio::write(m_socket, boost::asio::buffer(bytes), error);
+        return !error;
+    }
     /// Sends bytes and reads until the connection is closed, or until @p until is seen. Appends "[reset]" when the connection fails.
     std::string sendAndRead(const std::string &bytes, const std::string &until = {})
     {
