Reset a broken answer only after the earlier ones are delivered

Callers saw: of two pipelined requests, the first answer cut although the daemon had written it completely, when the answer to the second broke off and the caller read slowly.

Cause: an answer that breaks off resets the connection, so that nobody takes it for whole. A reset discards all that the kernel still holds, also the answers before it.

Change: the session counts the bytes that the kernel has taken and those at the end of the last complete answer; the reset waits until the caller's end has acknowledged the latter, but no longer than a write may take, and not for a caller who has left. Without an earlier answer on its way it comes at once, as before.

--- a/src/caller_session_p.h
+++ b/src/caller_session_p.h
@@ -79,6 +79,8 @@
     boost::asio::awaitable<bool> writeStream(ExchangePtr exchange, std::string_view bytes);
     boost::asio::awaitable<void> watchForDisconnect();
     boost::asio::awaitable<void> closeGracefully();
+    /// Waits until the caller has all answers before @p exchange, whose own is broken off, but no longer than a write may take.
+    boost::asio::awaitable<void> waitUntilAnswersDelivered(ExchangePtr exchange);
     /// Bytes that the caller's end has not acknowledged yet; 0 where the system does not tell.
     std::size_t undeliveredBytes();
     void finish(const ExchangePtr &exchange);
@@ -105,6 +107,8 @@
     std::deque<ExchangePtr> m_exchanges; ///< in the order of their requests
     TimePoint m_readDeadline = TimePoint::max();
     TimePoint m_writeDeadline = TimePoint::max();
+    std::uint64_t m_writtenBytes = 0; ///< taken by the kernel
+    std::uint64_t m_answeredBytes = 0; ///< m_writtenBytes at the end of the last complete answer
     bool m_idle = false; ///< the session waits for the first byte of a request
     bool m_readExpired = false; ///< the read was cancelled because its deadline passed or the daemon is stopping
     bool m_closing = false; ///< no further request is read
--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -22,6 +22,7 @@
 namespace
 {
 constexpr Duration ProofCheckInterval = std::chrono::milliseconds(10);
+constexpr Duration DeliveryCheckInterval = std::chrono::milliseconds(10);
 
 const Refusal &requestTimedOut()
 {
@@ -108,7 +109,7 @@
 bool CallerSession::callerHasClosed()
 {
     pollfd descriptor {m_socket.native_handle(), POLLRDHUP, 0};
-    return m_socket.is_open() && ::poll(&descriptor, 1, 0) > 0 && (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    return !m_socket.is_open() || (::poll(&descriptor, 1, 0) > 0 && (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0);
 }
 
 std::size_t CallerSession::undeliveredBytes()
@@ -330,12 +331,28 @@
     } catch (const std::exception &error) {
         logWarning(LogPart::Traffic, std::string("request aborted by an exception: ") + error.what());
     }
-    if (!complete) {
+    if (complete) {
+        m_answeredBytes = m_writtenBytes;
+    } else {
+        co_await waitUntilAnswersDelivered(exchange);
         abortConnection();
     }
     finish(exchange);
 }
 
+// A reset discards all that the kernel holds, also the answers to earlier requests.
+boost::asio::awaitable<void> CallerSession::waitUntilAnswersDelivered(ExchangePtr exchange)
+{
+    if (exchange->state.callerDisconnected()) {
+        co_return;
+    }
+    co_await waitForTurn(exchange);
+    const TimePoint until = RuntimeClock::now() + config::BodyTimeout;
+    while (!callerHasClosed() && m_writtenBytes - undeliveredBytes() < m_answeredBytes && RuntimeClock::now() < until) {
+        co_await sleepFor(DeliveryCheckInterval);
+    }
+}
+
 // Returns false when the connection must be reset, so that the caller does not take a partial answer for a complete one.
 boost::asio::awaitable<bool> CallerSession::answer(const ExchangePtr &exchange)
 {
--- a/src/net_session_answers.cpp
+++ b/src/net_session_answers.cpp
@@ -72,6 +72,7 @@
     error_code error;
     m_socket.non_blocking(true, error);
     const auto sent = m_socket.write_some(boost::asio::buffer(bytes.data(), bytes.size()), error);
+    m_writtenBytes += sent;
     if (!error && sent == bytes.size()) {
         co_return true;
     }
@@ -83,6 +84,7 @@
     const auto rest = boost::asio::buffer(bytes.data() + sent, bytes.size() - sent);
     const auto count = co_await boost::asio::async_write(m_socket, rest, errorInto(error));
     m_writeDeadline = TimePoint::max();
+    m_writtenBytes += count;
     if (error) {
         logNotSent(error, rest.size() - count);
     }
--- a/tests/test_zone_traffic.cpp
+++ b/tests/test_zone_traffic.cpp
@@ -359,6 +359,22 @@
     LONGS_EQUAL(1, cancelled);
 }
 
+// Guards against an answer that breaks off and takes an earlier one along, which the kernel still holds for a slow reader.
+TEST(ZoneTraffic, AnswerThatBreaksOffLeavesTheEarlierOneWhole)
+{
+    const std::string first(500'000, 'y');
+    ScriptedTarget good({{answer(first)}});
+    ScriptedTarget truncating({{beginOfLarge.substr(0, config::MaxBufferedAnswerBytes + 100'000), true}});
+    placements = {placedAt(good), placedAt(truncating)};
+    const std::string keptAlive = "GET /listing/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer red-key-0001\r\n\r\n";
+    CallerConnection caller(endpoint, SmallReceiveBuffer);
+    std::string result = caller.sendAndRead(keptAlive + listing, "yyyy");
+    waitUntil([&] { return recordedEnds().size() == 2; });
+    result += caller.sendAndRead("");
+    LONGS_EQUAL(first.size(), std::count(result.begin(), result.end(), 'y'));
+    CHECK(contains(result, "[reset]"));
+}
+
 // Guards against an attempt that waits for the link for ever, and keeps the slot of its target, when the caller of a paced download leaves.
 TEST(ZoneTraffic, PacedDownloadGivesItsTargetBackWhenTheCallerLeaves)
 {
