Close a connection whose caller sends without end

Seen on daemons: a connection that was shut down stays open as long as its caller sends; at a planned stop the process then runs to the end of the grace period.

Cause: after the last answer the session reads on for a time, and the read is cancelled when it is over. A read that finds bytes at once never waits, so there is nothing to cancel.

Change: the loop asks whether its time is over.

--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -467,9 +467,10 @@
     error_code error;
     m_socket.shutdown(tcp::socket::shutdown_send, error);
     m_shutDown = true;
+    m_readExpired = false;
     m_readDeadline = RuntimeClock::now() + config::CloseDrainTime;
     m_writeDeadline = RuntimeClock::now() + config::BodyTimeout;
-    while (!error) {
+    while (!error && !m_readExpired) { // a read that never has to wait can't be cancelled
         m_buffer.clear();
         co_await m_socket.async_read_some(m_buffer.prepare(config::ReadBytes), readInto(error));
     }
--- a/tests/test_slow_readers.cpp
+++ b/tests/test_slow_readers.cpp
@@ -110,6 +110,33 @@
     LONGS_EQUAL(Bytes, received.size() - received.find("\r\n\r\n") - 4);
 }
 
+// Guards against a connection that stays open as long as its caller sends.
+TEST(SlowReaders, CallerWhoSendsWithoutEndDoesNotKeepTheConnection)
+{
+    std::vector<std::unique_ptr<CallerConnection>> idle;
+    for (int i = 0; i < 10; ++i) {
+        idle.push_back(std::make_unique<CallerConnection>(fixture.endpoint()));
+    }
+    publish(RuntimeClock::now());
+    for (const auto &connection : idle) {
+        STRCMP_EQUAL("", connection->sendAndRead("").c_str());
+    }
+    const TimePoint until = RuntimeClock::now() + config::CloseDrainTime + 4 * config::TrafficReportInterval;
+    std::vector<std::thread> senders;
+    std::atomic<std::size_t> closed {0};
+    for (const auto &connection : idle) {
+        senders.emplace_back([&connection, &closed, until] {
+            while (RuntimeClock::now() < until && connection->trySend(std::string(1000, 'x'))) {
+            }
+            closed += RuntimeClock::now() < until ? 1 : 0;
+        });
+    }
+    for (auto &sender : senders) {
+        sender.join();
+    }
+    LONGS_EQUAL(idle.size(), closed);
+}
+
 // Guards against the time limit of a later request's header that cancels the pending write of an answer.
 TEST(SlowReaders, AnswerIsSentCompletelyThoughTheNextRequestComesTooSlowly)
 {
