Send no request on a connection on which it was refused before

Cause: the id tells answers on a kept connection apart, but not two sendings of one request.

Evidence: ZoneTraffic, RequestIsNotSentAgainOnTheConnectionOnWhichItWasRefused, on: the second sending was not answered by its own answer.

Change: a connection remembers the ids that were refused on it and carries none of them again; with 32 of them it is not kept. RefusalOfAnEarlierRequestIsNotTakenForThatOfTheNextOne sent both requests with one id, which this change parts; they have two now, and it checks that both use one connection.

--- a/src/net_upstream.cpp
+++ b/src/net_upstream.cpp
@@ -9,15 +9,19 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
-#include <sys/socket.h>
+#include <algorithm>
 #include <utility>
 
+#include <sys/socket.h>
+
 namespace plumsill
 {
 using boost::system::error_code;
 
 namespace
 {
+constexpr std::size_t MaxRefusedIds = 32; // a connection with more is not used again
+
 // True when the connection is open and has no unread bytes. Bytes that arrive before the next request is sent belong to no request of this daemon, so a
 // connection with unread bytes must not be reused.
 bool isReadyForRequest(TargetConnection &connection)
@@ -86,8 +90,14 @@
     if (options.dialect->acceptsStrayAnswers && request.find(options.dialect->requestId) == request.end()) {
         return {};
     }
+    const std::string_view id = request[options.dialect->requestId];
     while (!m_idle.empty()) {
         Connection connection(&m_idle.front());
+        // A refusal that the target writes once more would be taken for that of the same request, sent again by its caller.
+        const auto &refused = connection->refusedIds;
+        if (std::find(refused.begin(), refused.end(), id) != refused.end()) {
+            return {};
+        }
         if (!reusable(connection->facts, options.idempotent, m_suspectBefore, now)) {
             // The list begins with the most recently used connection. If that one is not reusable, the others, which have been
             // idle for longer, are not tried. closeStale() closes those that must not carry any further request.
@@ -242,7 +252,10 @@
         co_return result;
     }
     m_lastAnswerAt = now;
-    if (reuse) {
+    if (failed != nullptr && failed->failed.progress == AttemptProgress::NotRun) {
+        connection->refusedIds.emplace_back(std::string_view(request[options.dialect->requestId]));
+    }
+    if (reuse && connection->refusedIds.size() < MaxRefusedIds) {
         connection->stream.expiresNever();
         addIdle(connection, now);
     }
--- a/src/upstream_p.h
+++ b/src/upstream_p.h
@@ -90,6 +90,7 @@
     ConnectionFacts facts;
     bool writing = false; ///< the request is still being sent
     bool kept = false; ///< has carried an earlier request
+    std::vector<std::string> refusedIds; ///< of the requests that the target refused on this connection
 };
 
 /// Cancels an attempt, or the wait for a target. Shared by the caller's session and the running attempt.
--- a/tests/test_zone_traffic.cpp
+++ b/tests/test_zone_traffic.cpp
@@ -45,8 +45,12 @@
     = "HTTP/1.1 200 OK\r\nSig: s\r\nContent-Length: " + std::to_string(LargeBytes) + "\r\n\r\n" + std::string(LargeBytes - restOfLarge.size(), 'x');
 
 const std::string listing = "GET /listing/1 HTTP/1.1\r\nHost: h\r\nReq-Id: r1\r\nAuthorization: Bearer red-key-0001\r\nConnection: close\r\n\r\n";
-const std::string order
-    = "POST /order HTTP/1.1\r\nHost: h\r\nReq-Id: r2\r\nAuthorization: Bearer red-key-0001\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi";
+std::string orderWithId(const std::string &id)
+{
+    return "POST /order HTTP/1.1\r\nHost: h\r\nReq-Id: " + id + "\r\nAuthorization: Bearer red-key-0001\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi";
+}
+
+const std::string order = orderWithId("r2");
 }
 
 /// Traffic thread with scripted placements: the n-th placement request gets the n-th entry of placements, and no answer when there is no such entry.
@@ -260,14 +264,43 @@
         ScriptedTarget repeating({{refusal}, {named + answer("right", "Sig: s\r\nReq-Id: r2\r\n")}});
         ScriptedTarget other({{answer("second")}});
         placements = {placedAt(repeating), NoCapacity {300ms}, placedAt(repeating), placedAt(other)};
-        CHECK(contains(sendAndRead(order), "HTTP/1.1 503"));
+        CHECK(contains(sendAndRead(orderWithId("r0")), "HTTP/1.1 503"));
         const std::string result = sendAndRead(order);
         CHECK(contains(result, field.empty() ? "HTTP/1.1 502" : "right"));
         LONGS_EQUAL(2, repeating.runs());
+        LONGS_EQUAL(1, repeating.connections());
         LONGS_EQUAL(0, other.runs());
     }
 }
 
+// Guards against an earlier refusal, written once more, that is taken for that of the same request when its caller sends it again.
+TEST(ZoneTraffic, RequestIsNotSentAgainOnTheConnectionOnWhichItWasRefused)
+{
+    for (const std::string field : {"", "Req-Id: r2\r\n"}) {
+        requested.clear();
+        const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + field + "Content-Length: 0\r\n\r\n";
+        const std::string right = answer("right", "Sig: s\r\nReq-Id: r2\r\n");
+        ScriptedTarget repeating({{refusal, false, false, refusal, 50ms}, {right}});
+        placements = {placedAt(repeating), NoCapacity {300ms}, placedAt(repeating)};
+        CHECK(contains(sendAndRead(order), "HTTP/1.1 503"));
+        CHECK(contains(sendAndRead(order), "right"));
+        LONGS_EQUAL(2, repeating.runs());
+        LONGS_EQUAL(2, repeating.connections());
+    }
+}
+
+// The other way on which a request could meet its own refusal: a second attempt.
+TEST(ZoneTraffic, SecondAttemptNamesTheTargetThatRefusedTheFirst)
+{
+    ScriptedTarget full({{"HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nReq-Id: r2\r\nContent-Length: 0\r\n\r\n"}});
+    ScriptedTarget good({{answer("second")}});
+    placements = {placedAt(full), placedAt(good)};
+    CHECK(contains(sendAndRead(order), "second"));
+    const Placed first = std::get<Placed>(placements[0]);
+    CHECK(requested[1].tried == std::vector<TargetName> {first.target});
+    LONGS_EQUAL(1, full.runs());
+}
+
 // Guards against the answer to an earlier request that is passed on because the caller's request has no id.
 TEST(ZoneTraffic, RequestWithoutAnIdUsesAConnectionOfItsOwn)
 {
@@ -325,7 +358,7 @@
 // Guards against a timeout that is written into an answer which is being streamed at a planned stop.
 TEST(ZoneTraffic, EndOfAPlannedStopDoesNotWriteIntoAStreamedAnswer)
 {
-    ScriptedTarget target({{beginOfLarge, false, restOfLarge, 800ms}});
+    ScriptedTarget target({{beginOfLarge, false, false, restOfLarge, 800ms}});
     placements = {placedAt(target)};
     std::string result;
     std::thread caller([&] { result = sendAndRead(listing); });
@@ -338,7 +371,7 @@
 // Guards against the answer to a hedge that is written into one which is being streamed.
 TEST(ZoneTraffic, HedgeDoesNotWriteIntoAStreamedAnswer)
 {
-    ScriptedTarget slow({{beginOfLarge, false, restOfLarge, 500ms}});
+    ScriptedTarget slow({{beginOfLarge, false, false, restOfLarge, 500ms}});
     ScriptedTarget fast({{answer("second")}});
     placements = {placedAt(slow, 150ms), placedAt(fast)};
     checkLarge(sendAndRead(listing));
@@ -348,7 +381,7 @@
 // Guards against a hedge that waits for a target, and takes one from others, though its answer is no longer needed.
 TEST(ZoneTraffic, PlacementOfAHedgeIsCancelledWhenAStreamBegins)
 {
-    ScriptedTarget slow({{beginOfLarge, false, restOfLarge, 500ms}}, 100ms);
+    ScriptedTarget slow({{beginOfLarge, false, false, restOfLarge, 500ms}}, 100ms);
     placements = {placedAt(slow, 20ms)};
     std::string result;
     std::thread caller([&] { result = sendAndRead(listing); });
--- a/tests/traffic_fixture.h
+++ b/tests/traffic_fixture.h
@@ -22,6 +22,7 @@
 struct Script {
     std::string answer; ///< bytes sent after the request has been read
     bool closeAfter = false; ///< the connection is closed after the answer
+    bool resetAfter = false; ///< the connection is reset after the answer
     std::string rest {}; ///< bytes sent after the pause
     Duration pause {};
 };
@@ -48,6 +49,8 @@
     Endpoint endpoint() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
     /// Number of requests received.
     std::size_t runs() const { return m_runs; }
+    /// Number of connections accepted.
+    std::size_t connections() const { return m_connections; }
     /// Header of the last request received.
     std::string lastRequest()
     {
@@ -80,7 +83,9 @@
     boost::asio::awaitable<void> accept()
     {
         while (true) {
-            boost::asio::co_spawn(m_context, serve(co_await m_acceptor.async_accept(boost::asio::use_awaitable)), boost::asio::detached);
+            tcp::socket socket = co_await m_acceptor.async_accept(boost::asio::use_awaitable);
+            ++m_connections;
+            boost::asio::co_spawn(m_context, serve(std::move(socket)), boost::asio::detached);
         }
     }
     Script nextScript()
@@ -117,7 +122,10 @@
                 co_await sleepFor(script.pause);
                 co_await boost::asio::async_write(socket, boost::asio::buffer(script.rest), token());
             }
-            if (script.closeAfter || error) {
+            if (script.resetAfter) {
+                socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+            }
+            if (script.closeAfter || script.resetAfter || error) {
                 co_return;
             }
         }
@@ -128,6 +136,7 @@
     boost::asio::io_context m_context {1};
     tcp::acceptor m_acceptor;
     std::atomic<std::size_t> m_runs {0};
+    std::atomic<std::size_t> m_connections {0};
     std::mutex m_mutex;
     std::string m_last;
     std::map<std::string, unsigned> m_runsById;
@@ -169,6 +178,13 @@
         boost::asio::write(m_socket, boost::asio::buffer(bytes), error);
         return !error;
     }
+    /// Reads that many bytes.
+    std::string read(std::size_t bytes)
+    {
+        std::string text(bytes, ' ');
+        boost::asio::read(m_socket, boost::asio::buffer(text));
+        return text;
+    }
     /// Sends bytes and reads until the connection is closed, or until @p until is seen. Appends "[reset]" when the connection fails.
     std::string sendAndRead(const std::string &bytes, const std::string &until = {})
     {
