--- a/tests/test_slow_readers.cpp
+++ b/tests/test_slow_readers.cpp
@@ -14,7 +14,9 @@
 constexpr int SmallReceiveBuffer = 8 * 1024;
 
 const std::string request = "GET /open HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string lastRequest = "GET /open HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 const std::string beginOfRequest = "GET /open HT";
+const std::string beginOfBody = "POST /open HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhe";
 
 std::string answer(const std::string &body)
 {
@@ -34,6 +36,8 @@
     TrafficFixture fixture;
     std::unique_ptr<CallerConnection> slow;
     std::string received;
+    bool isLarge = false; ///< the routes have large answers
+    Duration idleTimeout = std::chrono::minutes(5);
 
     void setup() override
     {
@@ -59,10 +63,25 @@
         Document document = testDocument();
         for (auto &route : document.routes) {
             route.timeout = std::chrono::minutes(5);
+            route.large = isLarge;
         }
+        document.limits.idleTimeout = idleTimeout;
         fixture.closeAt = closeAt;
         fixture.publish(document, {endpoint}, TimePoint::max());
     }
+    /// Advances the paused clock by @p time and two checks of the limits, until the daemon refuses the request on @p other.
+    static void advanceUntilRefused(CallerConnection & other, Duration time)
+    {
+        std::atomic<bool> refused {false};
+        std::thread reader([&] { refused = contains(other.sendAndRead("", "HTTP/1.1 408"), "HTTP/1.1 408"); });
+        const TimePoint until = RuntimeClock::now() + time + 2 * config::TrafficReportInterval;
+        while (!refused) {
+            RuntimeClock::advance(RuntimeClock::now() < until ? std::chrono::milliseconds(1) : Duration::zero());
+            std::this_thread::yield();
+        }
+        reader.join();
+        RuntimeClock::resume();
+    }
     void beginToRead(const std::string &requests)
     {
         slow = std::make_unique<CallerConnection>(fixture.endpoint(), SmallReceiveBuffer);
@@ -110,6 +129,66 @@
     LONGS_EQUAL(Bytes, received.size() - received.find("\r\n\r\n") - 4);
 }
 
+// Guards against the time limit of a later request's body that cancels the pending write of an answer.
+TEST(SlowReaders, AnswerIsSentCompletelyThoughTheBodyOfTheNextRequestComesTooSlowly)
+{
+    beginToRead(request + beginOfBody);
+    CallerConnection other(fixture.endpoint());
+    CHECK(contains(other.sendAndRead(request + beginOfBody, "hello"), "200 OK"));
+    RuntimeClock::pause();
+    // Both limits are of the same length, so that of the write has to begin anew.
+    RuntimeClock::advance(config::BodyTimeout / 2);
+    received += slow->read(BodyBytes / 2);
+    advanceUntilRefused(other, config::BodyTimeout / 2);
+    checkRest("HTTP/1.1 408");
+}
+
+TEST(SlowReaders, AnswerIsSentCompletelyThoughTheIdleTimePasses)
+{
+    idleTimeout = std::chrono::seconds(2);
+    publish(TimePoint::max());
+    beginToRead(lastRequest);
+    CallerConnection idle(fixture.endpoint());
+    CHECK(contains(idle.sendAndRead(request, "hello"), "200 OK"));
+    std::atomic<bool> closed {false};
+    std::thread reader([&] { closed = idle.sendAndRead("").empty(); });
+    RuntimeClock::pause();
+    const TimePoint until = RuntimeClock::now() + 3 * idleTimeout;
+    while (!closed) {
+        RuntimeClock::advance(RuntimeClock::now() < until ? std::chrono::milliseconds(1) : Duration::zero());
+        std::this_thread::yield();
+    }
+    reader.join();
+    RuntimeClock::resume();
+    checkRest("");
+}
+
+// A new document without the route, the keys and the targets, and without trust in it.
+TEST(SlowReaders, AnswerIsSentCompletelyThoughANewDocumentDropsItsRoute)
+{
+    beginToRead(lastRequest);
+    Document other = testDocument();
+    other.routes.clear();
+    other.teams.clear();
+    fixture.publish(other, {}, TimePoint());
+    STRCMP_EQUAL("HTTP/1.1 404", fixture.sendAndRead(lastRequest).substr(0, 12).c_str());
+    checkRest("");
+}
+
+// A reload changes the rate of the link and the bound of the memory.
+TEST(SlowReaders, AnswerIsSentCompletelyThoughTheLimitsAreReloaded)
+{
+    isLarge = true;
+    fixture.limits.linkMegabits = 1;
+    publish(TimePoint::max());
+    beginToRead(lastRequest);
+    fixture.limits.memoryMegabytes = MemoryMegabytesRange.min;
+    publish(TimePoint::max());
+    fixture.limits.linkMegabits.reset();
+    publish(TimePoint::max());
+    checkRest("");
+}
+
 // Guards against a connection that stays open as long as its caller sends.
 TEST(SlowReaders, CallerWhoSendsWithoutEndDoesNotKeepTheConnection)
 {
@@ -143,16 +222,7 @@
     beginToRead(request + beginOfRequest);
     CallerConnection other(fixture.endpoint());
     CHECK(contains(other.sendAndRead(request + beginOfRequest, "hello"), "200 OK"));
-    std::atomic<bool> refused {false};
-    std::thread reader([&] { refused = contains(other.sendAndRead("", "HTTP/1.1 408"), "HTTP/1.1 408"); });
     RuntimeClock::pause();
-    // Longer than the time limit of a header, and shorter than that of a write.
-    const TimePoint until = RuntimeClock::now() + config::HeaderTimeout + 2 * config::TrafficReportInterval;
-    while (!refused) {
-        RuntimeClock::advance(RuntimeClock::now() < until ? std::chrono::milliseconds(1) : Duration::zero());
-        std::this_thread::yield();
-    }
-    reader.join();
-    RuntimeClock::resume();
+    advanceUntilRefused(other, config::HeaderTimeout);
     checkRest("HTTP/1.1 408");
 }
