Test odd entries with real processes, at a start and through relays

The object stand-in takes raw entries at the beginning of its lists. The test has nesting, numbers and ports out of range, half a surrogate pair and bytes that are no UTF-8 there before the first daemon starts; the fleet must get ready, follow a change of targets at all daemons, and take a new one.

Heads and bodies that end at each of their bytes are now also tested with a reset (BrokenAnswers, 4,695 checks); all passed at once.

--- a/tests/process_zone.cpp
+++ b/tests/process_zone.cpp
@@ -412,6 +412,42 @@
     LONGS_EQUAL(200, status("d1", "GET", "/read/1", RedKey));
 }
 
+// Guards against entries of another writer that no parser accepts: daemons that end or don't start, and changes of the targets that nobody learns of.
+TEST(ZoneProcess, UnreadableEntriesHideNoChangeFromReadersMembersAndStartingDaemons)
+{
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    std::string odd = R"({"metadata":{"name":"x1"},"spec":)" + deep + R"(},{"metadata":{"name":"x2"},"spec":{"service":"lookup \ud83d"}},)";
+    odd += "{\"metadata\":{\"name\":\"x3\"},\"spec\":\"\xff\xfe\"},";
+    for (const char *field :
+         {R"("slots":1e999999999999)", R"("slots":99999999999999999999)", R"("address":"127.0.0.1:70000")", R"("address":"127.0.0.1:-1")"}) {
+        odd += R"({"metadata":{"name":"x4"},"spec":{"service":"lookup",)" + std::string(field) + "}},";
+    }
+    odd += R"({"metadata":17,"spec":17})";
+    ZoneFleetOptions options;
+    fleet = std::make_unique<ZoneFleet>(options);
+    CHECK(fleet->publish(document(1)));
+    LONGS_EQUAL(204, httpCall(fleet->storeControl, "POST", "/control/raw-targets", {}, odd).status);
+    fleet->startTarget("t0", "lookup", "z0");
+    fleet->startTarget("t1", "lookup", "z1");
+    for (unsigned index = 0; index < 4; ++index) {
+        fleet->startDaemon("d" + std::to_string(index), "z" + std::to_string(index % 2), true);
+    }
+    CHECK(eventually(20s, [this] { return fleet->allReady(); }));
+    CHECK(eventually(10s, [this] { return allAnswer("GET", "/read/1", RedKey, 200); }));
+    // A change reaches the daemons that read the list and those to which it is relayed.
+    fleet->startTarget("t2", "lookup", "z0");
+    fleet->targets.at("t0").process->signal(SIGTERM);
+    fleet->targets.at("t1").process->signal(SIGTERM);
+    fleet->targets.at("t0").process->wait();
+    fleet->targets.at("t1").process->wait();
+    const std::size_t before = runsAt("t2");
+    CHECK(allAnswer("GET", "/read/1", RedKey, 200));
+    LONGS_EQUAL(before + fleet->daemons.size(), runsAt("t2"));
+    fleet->startDaemon("d4", "z0");
+    CHECK(eventually(10s, [this] { return fleet->ready("d4"); }));
+    CHECK(allAnswer("GET", "/read/1", RedKey, 200));
+}
+
 TEST(ZoneProcess, RejectedEntriesOfOtherWritersAffectNoTarget)
 {
     start(false, 3);
--- a/tests/test_broken_answers.cpp
+++ b/tests/test_broken_answers.cpp
@@ -19,7 +19,7 @@
 const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nReq-Id: r1\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull";
 }
 
-/// A target that sends the beginning of an answer and closes its connection, on a new connection and on a kept one.
+/// A target that sends the beginning of an answer and closes or resets its connection, on a new connection and on a kept one.
 TEST_GROUP(BrokenAnswers)
 {
     Dialect dialect;
@@ -64,9 +64,11 @@
     void checkEachBeginning(const std::string &answer, std::size_t length)
     {
         for (std::size_t size = 0; size < length; ++size) {
-            const Script beginning {answer.substr(0, size), true};
-            checkFailed(lastResult({beginning}));
-            checkFailed(lastResult({{withLength}, beginning}));
+            for (const bool reset : {false, true}) {
+                const Script beginning {answer.substr(0, size), !reset, reset};
+                checkFailed(lastResult({beginning}));
+                checkFailed(lastResult({{withLength}, beginning}));
+            }
         }
     }
 };
--- a/tests/test_store.cpp
+++ b/tests/test_store.cpp
@@ -195,6 +195,18 @@
     }
 }
 
+// Guards against a process that ends because of another writer's event. The reader of the watch reads the object anew after an error.
+TEST(StoreClient, OddWatchEventIsAnError)
+{
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    for (const std::string &value : {deep, std::string("1e999999999999"), std::string(400, '9'), std::string("\"\xff\""), std::string(R"("\ud83d")")}) {
+        std::string line = R"({"type":"put","key":"a","version":3,"value":)";
+        line.append(value).append("}");
+        CHECK(parseWatchEvent(line).error().fault == StoreFault::Malformed);
+    }
+    CHECK(parseWatchEvent(R"({"type":"put","key":"a","version":1e30,"value":"v"})").error().fault == StoreFault::Malformed);
+}
+
 TEST(StoreClient, AnswersAreParsedOrRejected)
 {
     const auto targets = parseTargets(R"([{"name":"t","service":"s","zone":"z","endpoint":"127.0.0.1:80","state":"leaving"}])");
--- a/tools/standin_objects.cpp
+++ b/tools/standin_objects.cpp
@@ -139,6 +139,7 @@
     std::map<std::string, TimePoint> m_lastHeartbeatAt; ///< time of the last write of each target's entry
     std::map<std::string, std::int64_t> m_leaving; ///< Unix time in milliseconds at which a target was listed as leaving or removed
     std::list<RuntimeTimer *> m_watches;
+    std::string m_rawTargets; ///< entries of another writer, at the beginning of each list of targets
     std::map<std::string, std::uint64_t> m_calls; ///< number of calls by method
 };
 
@@ -194,11 +195,11 @@
 Answer ObjectService::readList(const Request &request, const ObjectPath &objectPath) const
 {
     const ObjectPage page = m_store.list(objectPath.kind, queryValue(request, "after"));
-    json::array items;
+    std::string items = objectPath.kind == platform::TargetsKind ? m_rawTargets : std::string();
     for (const auto &item : page.items) {
-        items.push_back(item);
+        items += (items.empty() ? "" : ",") + json::serialize(item);
     }
-    return jsonAnswer(200, json::serialize(json::object {{"items", std::move(items)}, {"has-more", page.more}, {"as-of", page.revision}}));
+    return jsonAnswer(200, "{\"items\":[" + items + "],\"has-more\":" + (page.more ? "true" : "false") + ",\"as-of\":" + std::to_string(page.revision) + "}");
 }
 
 Answer ObjectService::perform(const Request &request, const ObjectPath &objectPath)
@@ -333,6 +334,10 @@
         wakeWatches();
         co_return Answer {204};
     }
+    if (request.path == "/control/raw-targets") {
+        m_rawTargets = request.body;
+        co_return Answer {204};
+    }
     if (request.path == "/control/leaving") {
         json::object leaving;
         for (const auto &[name, time] : m_leaving) {
