Close a request's attempts when its answer is decided

Callers saw, while an answer that was decided on was not fully written: a streamed answer of another attempt in its place, behind or within it, or a connection that stood still.

Cause: attempts were closed when the forwarder ended, after its answer had been written. Until then another attempt could begin to stream, because the forwarder claims no ownership of the answer. On a paced link the second answer also replaced the first one's place at the pacer, and its wait was never granted.

Change: the forwarder closes its attempts once it has decided. A begun stream is never cut by that: no other result is decided on while one has begun.

--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -292,6 +292,7 @@
         co_return refuse(*refusal);
     }
     ForwardResult result = co_await forward();
+    m_parallelAttempts->close(); // before the answer waits for its turn: no other may begin from now on
     logEnd(result);
     co_return result;
 }
--- a/tests/test_zone_traffic.cpp
+++ b/tests/test_zone_traffic.cpp
@@ -378,6 +378,40 @@
     LONGS_EQUAL(0, fast.runs());
 }
 
+// Guards against an answer that begins to be streamed while a timeout waits for its turn, and is written behind or into it.
+TEST(ZoneTraffic, TimeoutThatWaitsForItsTurnIsNotFollowedByAStream)
+{
+    const std::string keptAlive = "GET /listing/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer red-key-0001\r\n\r\n";
+    ScriptedTarget first({{beginOfLarge, false, false, restOfLarge, 900ms}});
+    ScriptedTarget second({{beginOfLarge + restOfLarge}}, 500ms);
+    placements = {placedAt(first), placedAt(second)};
+    std::string result;
+    std::thread caller([&] { result = sendAndRead(keptAlive + listing); });
+    waitUntil([&] { return first.runs() == 1 && second.runs() == 1; });
+    publish(RuntimeClock::now());
+    caller.join();
+    const auto end = result.find("HTTP/1.1", LargeBytes);
+    checkLarge(result.substr(0, end));
+    CHECK(result.compare(end, 12, "HTTP/1.1 504") == 0);
+    CHECK(!contains(result, "[reset]"));
+    LONGS_EQUAL(LargeBytes, std::count(result.begin(), result.end(), 'x'));
+}
+
+// Guards against the answer of an attempt that begins to be streamed while the answer to its hedge is being sent.
+TEST(ZoneTraffic, StreamDoesNotBeginWhileTheAnswerToAHedgeIsSent)
+{
+    limits.linkMegabits = 10;
+    publish(TimePoint::max());
+    const std::string body(900'000, 'y');
+    ScriptedTarget slow({{beginOfLarge + restOfLarge}}, 300ms);
+    ScriptedTarget fast({{answer(body)}});
+    placements = {placedAt(slow, 20ms), placedAt(fast)};
+    const std::string result = sendAndRead(listing);
+    LONGS_EQUAL(body.size(), std::count(result.begin(), result.end(), 'y'));
+    LONGS_EQUAL(0, std::count(result.begin(), result.end(), 'x'));
+    LONGS_EQUAL(result.size() - body.size(), result.find("\r\n\r\n") + 4);
+}
+
 // Guards against a hedge that waits for a target, and takes one from others, though its answer is no longer needed.
 TEST(ZoneTraffic, PlacementOfAHedgeIsCancelledWhenAStreamBegins)
 {
