Decide on order, writers and ends of a connection's answers in one module

Change: AnswerPipeline, without network, keeps the answers' order, their writers, and the pending read and write; the session reports events and carries out effects. What the daemon itself writes claims the answer too (AnswerOwnership), which only attempts did. A request that waits for its turn no longer waits once its caller has left, whoever is in front. The timer of a turn is set once: two waits on it would have cancelled each other in a loop.

--- a/src/answer_ownership.cpp
+++ b/src/answer_ownership.cpp
@@ -2,10 +2,10 @@
 
 namespace plumsill
 {
-bool AnswerOwnership::begin(AttemptNumber attempt)
+bool AnswerOwnership::claim(AttemptNumber writer)
 {
     if (!m_owner) {
-        m_owner = attempt;
+        m_owner = writer;
         return true;
     }
     return false;
--- a/src/caller_session_p.h
+++ b/src/caller_session_p.h
@@ -5,6 +5,7 @@
 #include "session_p.h"
 #include "traffic_p.h"
 
+#include <plumsill/answer_pipeline.h>
 #include <plumsill/memory_budget.h>
 
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -25,16 +26,19 @@
 
 /// One request on a caller's connection, from its header to its answer.
 struct Exchange : boost::intrusive_ref_counter<Exchange, boost::thread_unsafe_counter> {
-    explicit Exchange(const boost::asio::any_io_executor &executor)
-        : state(executor)
-        , turnTimer(executor)
+    Exchange(const boost::asio::any_io_executor &executor, RequestNumber request, AnswerOwnershipPtr answerOwnership)
+        : number(request)
+        , ownership(answerOwnership)
+        , state(executor, std::move(answerOwnership))
+        , turnTimer(executor, TimePoint::max())
     { }
+    const RequestNumber number;
+    const AnswerOwnershipPtr ownership;
     std::optional<Access> access;
     CallerRequest request;
     RequestState state;
-    RuntimeTimer turnTimer; ///< cancelled when all answers before this one have been written
+    RuntimeTimer turnTimer; ///< cancelled when the answer need not wait for its turn any longer
     bool keepAlive = false;
-    bool finished = false; ///< no longer among the session's exchanges
     HeldBytes held; ///< memory of the request's body
     std::optional<PacedFlow> flow; ///< while a large answer is paced
 };
@@ -63,6 +67,16 @@
     boost::asio::awaitable<void> refuseForMemory();
     bool memoryTakes(std::size_t bodyBytes) const;
     boost::asio::awaitable<void> waitForExchanges(std::size_t maxExchanges);
+    ExchangePtr addExchange(bool keepAlive);
+    /// Carries out what the pipeline has decided.
+    void apply(const PipelineEffects &effects);
+    void apply(const CancelRead &effect);
+    void apply(const ResetConnection &effect);
+    void apply(const WakeRequest &effect);
+    void apply(const AbandonRequest &effect);
+    void apply(const ExpireRequest &effect);
+    /// The exchange of @p request; null when it has ended.
+    ExchangePtr exchange(RequestNumber request) const;
     boost::asio::awaitable<void> serve(ExchangePtr exchange);
     boost::asio::awaitable<bool> answer(const ExchangePtr &exchange);
     boost::asio::awaitable<void> refuse(const Refusal &refusal);
@@ -83,16 +97,10 @@
     boost::asio::awaitable<void> waitUntilAnswersDelivered(ExchangePtr exchange);
     /// Bytes that the caller's end has not acknowledged yet; 0 where the system does not tell.
     std::size_t undeliveredBytes();
-    void finish(const ExchangePtr &exchange);
-    /// Completion token of a read, which cancelRead() ends.
+    void finish(const ExchangePtr &exchange, bool complete);
+    /// Completion token of a read, which CancelRead ends.
     auto readInto(boost::system::error_code &error) { return boost::asio::bind_cancellation_slot(m_readCancel.slot(), errorInto(error)); }
-    /// Cancels the running read, if there is one. A pending write goes on.
-    void cancelRead();
-    /// Whether no read is running that would show that the caller has left.
-    bool isBlind() const { return !m_idle && m_readDeadline == TimePoint::max() && !m_exchanges.empty(); }
     bool callerHasClosed();
-    void handleCallerDisconnect();
-    void abortConnection();
     bool leaving() const { return m_thread.snapshot()->leaving; }
     CallerLimits limits() const;
 
@@ -105,14 +113,7 @@
     HeldBytes m_bodyHeld; ///< memory of the body that is being read
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
     std::deque<ExchangePtr> m_exchanges; ///< in the order of their requests
-    TimePoint m_readDeadline = TimePoint::max();
-    TimePoint m_writeDeadline = TimePoint::max();
-    std::uint64_t m_writtenBytes = 0; ///< taken by the kernel
-    std::uint64_t m_answeredBytes = 0; ///< m_writtenBytes at the end of the last complete answer
-    bool m_idle = false; ///< the session waits for the first byte of a request
-    bool m_readExpired = false; ///< the read was cancelled because its deadline passed or the daemon is stopping
-    bool m_closing = false; ///< no further request is read
-    bool m_shutDown = false; ///< the last answer has been written; the session waits until it is delivered
+    AnswerPipeline m_pipeline;
     bool m_streamChunked = false; ///< the streamed answer uses chunked transfer coding
 };
 }
--- a/src/forward_p.h
+++ b/src/forward_p.h
@@ -53,7 +53,7 @@
 class RequestState
 {
 public:
-    explicit RequestState(const boost::asio::any_io_executor &executor);
+    RequestState(const boost::asio::any_io_executor &executor, AnswerOwnershipPtr ownership);
     ~RequestState();
 
     /// Reports that the caller closed its connection. Cancels the request, except for attempts that cannot be cancelled; these run to their end.
@@ -64,6 +64,7 @@
 
 private:
     friend class Forwarder;
+    const AnswerOwnershipPtr m_ownership; ///< who writes the answer
     RuntimeTimer m_wakeTimer; ///< cancelled to wake the forwarder up
     AttemptHandle m_targetWait; ///< cancels the wait for a target
     boost::intrusive_ptr<ParallelAttempts> m_parallelAttempts;
--- a/src/net_forward.cpp
+++ b/src/net_forward.cpp
@@ -172,8 +172,9 @@
     return now + std::min<Duration>(route.timeout, callerTime(header, dialect).value_or(route.timeout));
 }
 
-RequestState::RequestState(const boost::asio::any_io_executor &executor)
-    : m_wakeTimer(executor)
+RequestState::RequestState(const boost::asio::any_io_executor &executor, AnswerOwnershipPtr ownership)
+    : m_ownership(std::move(ownership))
+    , m_wakeTimer(executor)
 { }
 
 RequestState::~RequestState() = default;
@@ -211,7 +212,8 @@
     , m_unlimitedBudget(std::numeric_limits<double>::max())
 {
     const AddedFields addedFields {thread.nextRequestId(), callerAddress, access.team};
-    m_parallelAttempts = new ParallelAttempts(thread, access, m_service, requestForTarget(request, addedFields, thread.dialect()), std::move(sink));
+    m_parallelAttempts
+        = new ParallelAttempts(thread, access, m_service, requestForTarget(request, addedFields, thread.dialect()), std::move(sink), state.m_ownership);
     m_state.m_parallelAttempts = m_parallelAttempts;
 }
 
--- a/src/net_parallel_attempts.cpp
+++ b/src/net_parallel_attempts.cpp
@@ -77,12 +77,14 @@
 }
 }
 
-ParallelAttempts::ParallelAttempts(TrafficThread &thread, const Access &access, ServiceName service, TargetRequest request, AnswerSinkPtr sink)
+ParallelAttempts::ParallelAttempts(TrafficThread &thread, const Access &access, ServiceName service, TargetRequest request, AnswerSinkPtr sink,
+                                   AnswerOwnershipPtr ownership)
     : m_thread(thread)
     , m_service(std::move(service))
     , m_idempotent(access.route.idempotent)
     , m_request(std::move(request))
     , m_sink(std::move(sink))
+    , m_ownership(std::move(ownership))
 { }
 
 void ParallelAttempts::start(std::unique_ptr<TargetLease> lease, const RequestAttempts &attempts, bool hasUntriedTarget, TimePoint deadline,
@@ -154,7 +156,7 @@
     boost::asio::awaitable<bool> begin(const AnswerHeader &header, std::uint64_t contentLength, bool chunked) override
     {
         const AnswerSinkPtr caller = m_attempts->m_sink;
-        if (!caller || !m_attempts->m_ownership.begin(m_entry->number)) {
+        if (!caller || !m_attempts->m_ownership->claim(m_entry->number)) {
             co_return false;
         }
         m_attempts->m_targetWait->cancelWait();
@@ -169,7 +171,7 @@
     boost::asio::awaitable<bool> write(std::string_view bytes) override
     {
         const AnswerSinkPtr caller = m_attempts->m_sink;
-        if (!caller || !m_attempts->m_ownership.owns(m_entry->number)) {
+        if (!caller || !m_attempts->m_ownership->owns(m_entry->number)) {
             co_return false;
         }
         co_return co_await caller->write(bytes);
--- a/src/net_session.cpp
+++ b/src/net_session.cpp
@@ -79,30 +79,11 @@
     return compiled ? compiled->document->limits : CallerLimits {};
 }
 
-// When the write deadline has passed, the connection is reset. When the read deadline has passed, or no further request is read, only the read is
-// cancelled: an answer may be on its way to a caller that reads slowly. The read is cancelled at each check, since a composed read may start its next
-// operation after a cancellation.
 void CallerSession::enforceLimits(TimePoint now, const Snapshot &snapshot, bool closing)
 {
-    if (now >= snapshot.answerBy) {
-        for (const auto &exchange : m_exchanges) {
-            exchange->state.expire();
-        }
-    }
-    if (isBlind() && callerHasClosed()) {
-        handleCallerDisconnect();
-    }
-    if (m_shutDown && undeliveredBytes() > 0) {
-        m_readDeadline = now + config::CloseDrainTime;
-    }
-    const bool stopsReading = closing && m_idle && !m_closing;
-    m_closing = m_closing || closing;
-    if (now >= m_writeDeadline) {
-        abortConnection();
-    } else if (now >= m_readDeadline || stopsReading) {
-        m_readExpired = true;
-        cancelRead();
-    }
+    const bool callerClosed = m_pipeline.blind() && callerHasClosed();
+    const std::size_t undelivered = m_pipeline.isShutDown() ? undeliveredBytes() : 0;
+    apply(m_pipeline.check({now, closing, now >= snapshot.answerBy, callerClosed, undelivered}));
 }
 
 // Without a read only the state of the connection shows that the caller has left, since its unread requests come before the end.
@@ -119,32 +100,24 @@
     return known ? static_cast<std::size_t>(std::max(bytes, 0)) : 0;
 }
 
-void CallerSession::cancelRead()
-{
-    m_readCancel.emit(boost::asio::cancellation_type::terminal);
-}
-
 // The idle timeout starts when the last answer has been sent.
 boost::asio::awaitable<bool> CallerSession::waitForRequest()
 {
-    if (m_closing) {
+    if (!m_pipeline.takesRequests()) {
         co_return false;
     }
     if (m_buffer.size() > 0) {
         co_return true;
     }
-    m_idle = true;
-    m_readExpired = false;
-    m_readDeadline = m_exchanges.empty() ? RuntimeClock::now() + limits().idleTimeout : TimePoint::max();
+    m_pipeline.beginRead(Reading::NextRequest, m_exchanges.empty() ? RuntimeClock::now() + limits().idleTimeout : TimePoint::max());
     error_code error;
     const auto count = co_await m_socket.async_read_some(m_buffer.prepare(config::ReadBytes), readInto(error));
     m_buffer.commit(count);
-    m_idle = false;
-    m_readDeadline = TimePoint::max();
-    if (count == 0 && !m_closing && !m_readExpired) {
-        handleCallerDisconnect();
+    m_pipeline.endRead();
+    if (count == 0 && m_pipeline.takesRequests() && !m_pipeline.readExpired()) {
+        apply(m_pipeline.callerLeft());
     }
-    co_return count > 0 && !m_closing;
+    co_return count > 0 && m_pipeline.takesRequests();
 }
 
 boost::asio::awaitable<void> CallerSession::refuse(const Refusal &refusal)
@@ -159,14 +132,13 @@
         event.add("document", static_cast<std::int64_t>(snapshot.compiled ? snapshot.compiled->stamp.version : 0));
         event.add("keys_left_ms", std::min<Duration>(snapshot.trustedUntil - RuntimeClock::now(), std::chrono::hours(1)));
     }
-    const ExchangePtr exchange(new Exchange(m_socket.get_executor()));
-    m_exchanges.push_back(exchange);
-    m_closing = true;
+    const ExchangePtr exchange = addExchange(false);
+    bool sent = false;
     if (co_await waitForTurn(exchange)) {
         TargetAnswer answer = refusalAnswer(refusal, m_thread.dialect());
-        co_await sendAnswer(exchange, answer, false);
+        sent = co_await sendAnswer(exchange, answer, false);
     }
-    finish(exchange);
+    finish(exchange, sent);
 }
 
 boost::asio::awaitable<ReadResult> CallerSession::readHeader()
@@ -175,11 +147,10 @@
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(allowed.headerBytes));
     m_parser->body_limit(boost::none);
-    m_readExpired = false;
-    m_readDeadline = RuntimeClock::now() + allowed.headerTimeout;
+    m_pipeline.beginRead(Reading::Request, RuntimeClock::now() + allowed.headerTimeout);
     error_code error;
     co_await http::async_read_header(m_socket, m_buffer, *m_parser, readInto(error));
-    m_readDeadline = TimePoint::max();
+    m_pipeline.endRead();
     if (!error) {
         auto &header = m_parser->get().base();
         if (!header.target().starts_with('/')) {
@@ -192,7 +163,7 @@
         }
         co_return ReadResult::Complete;
     }
-    if (m_readExpired) {
+    if (m_pipeline.readExpired()) {
         co_await refuse(requestTimedOut());
         co_return ReadResult::Refused;
     }
@@ -201,7 +172,7 @@
         co_return ReadResult::Refused;
     }
     if (error == http::error::end_of_stream || error.category() == boost::asio::error::get_system_category()) {
-        handleCallerDisconnect();
+        apply(m_pipeline.callerLeft());
         co_return ReadResult::Closed;
     }
     co_await refuse(malformedRequest());
@@ -254,10 +225,9 @@
     if (m_parser->is_done()) {
         co_return ReadResult::Complete;
     }
-    m_readExpired = false;
-    m_readDeadline = RuntimeClock::now() + config::BodyTimeout;
+    m_pipeline.beginRead(Reading::Request, RuntimeClock::now() + config::BodyTimeout);
     const error_code error = co_await readHeldBody();
-    m_readDeadline = TimePoint::max();
+    m_pipeline.endRead();
     if (!error) {
         co_return ReadResult::Complete;
     }
@@ -265,7 +235,7 @@
         co_await refuseForMemory();
         co_return ReadResult::Refused;
     }
-    if (m_readExpired) {
+    if (m_pipeline.readExpired()) {
         co_await refuse(requestTimedOut());
         co_return ReadResult::Refused;
     }
@@ -274,7 +244,7 @@
         co_return ReadResult::Refused;
     }
     if (error == http::error::partial_message || error.category() == boost::asio::error::get_system_category()) {
-        handleCallerDisconnect();
+        apply(m_pipeline.callerLeft());
         co_return ReadResult::Closed;
     }
     co_await refuse(malformedBody());
@@ -307,19 +277,18 @@
     if (co_await readBody(std::get<Access>(access).route.bodyLimit) != ReadResult::Complete) {
         co_return false;
     }
-    if (m_closing) {
+    if (!m_pipeline.takesRequests()) {
         // The connection began to close while the body was read, and its last answer may have been sent already. This request is therefore not served.
         co_return false;
     }
-    const ExchangePtr exchange(new Exchange(m_socket.get_executor()));
+    const bool keepAlive = m_parser->keep_alive();
+    const ExchangePtr exchange = addExchange(keepAlive);
     exchange->access = std::get<Access>(access);
     exchange->held = std::exchange(m_bodyHeld, HeldBytes(m_thread.memory()));
     exchange->request = m_parser->release();
-    exchange->keepAlive = exchange->request.keep_alive();
-    m_closing = m_closing || !exchange->keepAlive;
-    m_exchanges.push_back(exchange);
+    exchange->keepAlive = keepAlive;
     boost::asio::co_spawn(m_socket.get_executor(), serve(exchange), boost::asio::detached);
-    co_return exchange->keepAlive;
+    co_return keepAlive;
 }
 
 boost::asio::awaitable<void> CallerSession::serve(ExchangePtr exchange)
@@ -331,13 +300,11 @@
     } catch (const std::exception &error) {
         logWarning(LogPart::Traffic, std::string("request aborted by an exception: ") + error.what());
     }
-    if (complete) {
-        m_answeredBytes = m_writtenBytes;
-    } else {
+    if (!complete) {
         co_await waitUntilAnswersDelivered(exchange);
-        abortConnection();
+        apply(m_pipeline.reset());
     }
-    finish(exchange);
+    finish(exchange, complete);
 }
 
 // A reset discards all that the kernel holds, also the answers to earlier requests.
@@ -348,7 +315,7 @@
     }
     co_await waitForTurn(exchange);
     const TimePoint until = RuntimeClock::now() + config::BodyTimeout;
-    while (!callerHasClosed() && m_writtenBytes - undeliveredBytes() < m_answeredBytes && RuntimeClock::now() < until) {
+    while (!callerHasClosed() && !m_pipeline.delivered(undeliveredBytes()) && RuntimeClock::now() < until) {
         co_await sleepFor(DeliveryCheckInterval);
     }
 }
@@ -369,66 +336,27 @@
     if (!co_await waitForTurn(exchange)) {
         co_return false;
     }
-    // While the daemon is stopping, it reads no further request. It answers the requests already read, then closes the connection.
-    m_closing = m_closing || leaving() || !exchange->keepAlive;
-    const bool last = m_exchanges.size() == 1;
-    const bool keepAlive = exchange->keepAlive && !(m_closing && last);
+    const bool keepAlive = m_pipeline.keepsAlive(exchange->number, leaving());
     const bool sent = co_await sendAnswer(exchange, std::get<TargetAnswer>(result), keepAlive);
     co_return sent;
 }
 
 boost::asio::awaitable<bool> CallerSession::waitForTurn(ExchangePtr exchange)
 {
-    while (!exchange->finished && m_exchanges.front() != exchange) {
+    while (m_pipeline.waits(exchange->number)) {
         error_code cancelled;
-        exchange->turnTimer.expires_at(TimePoint::max());
         co_await exchange->turnTimer.async_wait(errorInto(cancelled));
     }
-    co_return m_socket.is_open() && !exchange->finished && !exchange->state.callerDisconnected();
+    co_return m_socket.is_open() && m_pipeline.mayWrite(exchange->number);
 }
 
-void CallerSession::finish(const ExchangePtr &exchange)
+void CallerSession::finish(const ExchangePtr &exchange, bool complete)
 {
+    apply(m_pipeline.finish(exchange->number, complete, RuntimeClock::now(), limits().idleTimeout));
     std::erase(m_exchanges, exchange);
-    exchange->finished = true;
-    exchange->turnTimer.cancel();
-    if (!m_exchanges.empty()) {
-        m_exchanges.front()->turnTimer.cancel();
-    }
-    if (m_idle && m_exchanges.empty()) {
-        m_readDeadline = RuntimeClock::now() + limits().idleTimeout;
-    }
-    if (m_closing && m_idle && m_exchanges.empty()) {
-        cancelRead();
-    }
     m_exchangeEnded.cancel();
 }
 
-// Cancels all requests of the connection, since their answers can no longer be delivered.
-void CallerSession::handleCallerDisconnect()
-{
-    m_closing = true;
-    const auto exchanges = m_exchanges;
-    for (const auto &exchange : exchanges) {
-        exchange->state.setCallerDisconnected();
-        exchange->turnTimer.cancel();
-        if (exchange->flow) {
-            m_thread.linkQueue().cancel(*exchange->flow);
-        }
-    }
-}
-
-// Resets the connection, so that the caller does not take a partial answer for a complete one.
-void CallerSession::abortConnection()
-{
-    error_code ignored;
-    if (m_socket.is_open()) {
-        m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-        m_socket.close(ignored);
-    }
-    handleCallerDisconnect();
-}
-
 boost::asio::awaitable<void> CallerSession::waitForExchanges(std::size_t maxExchanges)
 {
     while (m_exchanges.size() > maxExchanges) {
@@ -445,20 +373,19 @@
     std::size_t ignored = 0;
     while (!m_exchanges.empty() && m_socket.is_open() && ignored < config::MaxIgnoredBytes) {
         m_buffer.clear();
-        m_idle = true;
+        m_pipeline.beginRead(Reading::Ignored, TimePoint::max());
         error_code error;
         const auto count = co_await m_socket.async_read_some(m_buffer.prepare(config::ReadBytes), readInto(error));
-        m_idle = false;
+        m_pipeline.endRead();
         ignored += count;
         if (error && !m_exchanges.empty() && error != boost::asio::error::operation_aborted) {
-            handleCallerDisconnect();
+            apply(m_pipeline.callerLeft());
             break;
         }
     }
 }
 
-// Closing a socket that has unread bytes, or gets some later, resets the connection and discards what the caller has not received yet. Incoming bytes are
-// therefore read until the answer has been delivered, and for config::CloseDrainTime after that.
+// Closing a socket that has unread bytes, or gets some later, resets the connection and discards what the caller has not received yet.
 boost::asio::awaitable<void> CallerSession::closeGracefully()
 {
     if (!m_socket.is_open()) {
@@ -466,11 +393,8 @@
     }
     error_code error;
     m_socket.shutdown(tcp::socket::shutdown_send, error);
-    m_shutDown = true;
-    m_readExpired = false;
-    m_readDeadline = RuntimeClock::now() + config::CloseDrainTime;
-    m_writeDeadline = RuntimeClock::now() + config::BodyTimeout;
-    while (!error && !m_readExpired) { // a read that never has to wait can't be cancelled
+    m_pipeline.shutDown(RuntimeClock::now());
+    while (!error && !m_pipeline.readExpired()) { // a read that never has to wait can't be cancelled
         m_buffer.clear();
         co_await m_socket.async_read_some(m_buffer.prepare(config::ReadBytes), readInto(error));
     }
--- a/src/net_session_answers.cpp
+++ b/src/net_session_answers.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+
 #include <netinet/tcp.h>
 
 namespace plumsill
@@ -20,13 +22,74 @@
 constexpr std::string_view LastChunk = "0\r\n\r\n";
 }
 
+ExchangePtr CallerSession::addExchange(bool keepAlive)
+{
+    const RequestNumber number = m_pipeline.add(keepAlive);
+    m_exchanges.emplace_back(new Exchange(m_socket.get_executor(), number, m_pipeline.ownership(number)));
+    return m_exchanges.back();
+}
+
+ExchangePtr CallerSession::exchange(RequestNumber request) const
+{
+    const auto found = std::find_if(m_exchanges.begin(), m_exchanges.end(), [request](const auto &entry) { return entry->number == request; });
+    return found == m_exchanges.end() ? nullptr : *found;
+}
+
+void CallerSession::apply(const PipelineEffects &effects)
+{
+    for (const auto &effect : effects) {
+        std::visit([this](const auto &single) { apply(single); }, effect);
+    }
+}
+
+void CallerSession::apply(const CancelRead & /*effect*/)
+{
+    m_readCancel.emit(boost::asio::cancellation_type::terminal);
+}
+
+void CallerSession::apply(const ResetConnection & /*effect*/)
+{
+    error_code ignored;
+    if (m_socket.is_open()) {
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        m_socket.close(ignored);
+    }
+}
+
+void CallerSession::apply(const WakeRequest &effect)
+{
+    if (const ExchangePtr woken = exchange(effect.request)) {
+        woken->turnTimer.cancel();
+    }
+}
+
+void CallerSession::apply(const AbandonRequest &effect)
+{
+    const ExchangePtr abandoned = exchange(effect.request);
+    if (!abandoned) {
+        return;
+    }
+    abandoned->state.setCallerDisconnected();
+    abandoned->turnTimer.cancel();
+    if (abandoned->flow) {
+        m_thread.linkQueue().cancel(*abandoned->flow);
+    }
+}
+
+void CallerSession::apply(const ExpireRequest &effect)
+{
+    if (const ExchangePtr expired = exchange(effect.request)) {
+        expired->state.expire();
+    }
+}
+
 void CallerSession::logNotSent(const error_code &error, std::size_t bytes) const
 {
     Event("traffic", "answer-not-sent")
         .add("caller", m_callerAddress)
         .add("error", error.message())
         .add("bytes_left", static_cast<std::int64_t>(bytes))
-        .add("closing", m_closing);
+        .add("closing", !m_pipeline.takesRequests());
 }
 
 // Most answers fit into the socket's send buffer, so a direct write is tried first; only the rest needs a wait and a deadline.
@@ -55,7 +118,7 @@
     }
     while (!bytes.empty()) {
         const std::size_t granted = co_await m_thread.linkQueue().acquire(*exchange->flow, bytes.size());
-        if (granted == 0 || !m_socket.is_open()) {
+        if (granted == 0 || !m_socket.is_open() || !m_pipeline.mayWrite(exchange->number)) {
             co_return false;
         }
         const bool sent = co_await write(bytes.substr(0, granted));
@@ -72,7 +135,7 @@
     error_code error;
     m_socket.non_blocking(true, error);
     const auto sent = m_socket.write_some(boost::asio::buffer(bytes.data(), bytes.size()), error);
-    m_writtenBytes += sent;
+    m_pipeline.written(sent);
     if (!error && sent == bytes.size()) {
         co_return true;
     }
@@ -80,11 +143,11 @@
         logNotSent(error, bytes.size());
         co_return false;
     }
-    m_writeDeadline = RuntimeClock::now() + config::BodyTimeout;
+    m_pipeline.beginWrite(RuntimeClock::now() + config::BodyTimeout);
     const auto rest = boost::asio::buffer(bytes.data() + sent, bytes.size() - sent);
     const auto count = co_await boost::asio::async_write(m_socket, rest, errorInto(error));
-    m_writeDeadline = TimePoint::max();
-    m_writtenBytes += count;
+    m_pipeline.endWrite();
+    m_pipeline.written(count);
     if (error) {
         logNotSent(error, rest.size() - count);
     }
@@ -94,6 +157,9 @@
 // A large body is sent as it is, without a copy of it.
 boost::asio::awaitable<bool> CallerSession::sendAnswer(const ExchangePtr &exchange, TargetAnswer &answer, bool keepAlive)
 {
+    if (!exchange->ownership->claim(DaemonWrites)) {
+        co_return false;
+    }
     answer.keep_alive(keepAlive);
     if (answer.body().size() >= config::LargeBytes) {
         startPacing(exchange);
@@ -132,6 +198,9 @@
 
 boost::asio::awaitable<bool> CallerSession::writeStream(ExchangePtr exchange, std::string_view bytes)
 {
+    if (!m_pipeline.mayWrite(exchange->number)) {
+        co_return false;
+    }
     if (!m_streamChunked) {
         co_return co_await sendBody(exchange, bytes);
     }
--- a/src/parallel_attempts_p.h
+++ b/src/parallel_attempts_p.h
@@ -8,7 +8,7 @@
 class ParallelAttempts : public boost::intrusive_ref_counter<ParallelAttempts, boost::thread_unsafe_counter>
 {
 public:
-    ParallelAttempts(TrafficThread &thread, const Access &access, ServiceName service, TargetRequest request, AnswerSinkPtr sink);
+    ParallelAttempts(TrafficThread &thread, const Access &access, ServiceName service, TargetRequest request, AnswerSinkPtr sink, AnswerOwnershipPtr ownership);
 
     /// Sends the request to the lease's target. When the attempt ends, cancels @p wakeTimer to wake the forwarder up, and cancels the wait
     /// for another target by @p targetWait.
@@ -20,8 +20,8 @@
     std::size_t running() const { return m_running.size(); }
     /// Whether the answer of a running attempt has begun to arrive.
     bool answerBegun() const;
-    /// Which attempt streams its answer to the caller.
-    const AnswerOwnership &ownership() const { return m_ownership; }
+    /// Who writes the answer to the caller.
+    const AnswerOwnership &ownership() const { return *m_ownership; }
     /// Abandons all running attempts, because no answer is needed any more. Attempts that cannot be cancelled run to their end.
     void close();
     const TargetRequest &request() const { return m_request; }
@@ -39,7 +39,7 @@
     const bool m_idempotent;
     TargetRequest m_request;
     AnswerSinkPtr m_sink; ///< null after close(), or when answers are not streamed
-    AnswerOwnership m_ownership;
+    const AnswerOwnershipPtr m_ownership;
     AttemptNumber m_started = 0; ///< number of attempts started
     RuntimeTimer *m_wakeTimer = nullptr; ///< null after close()
     AttemptHandle *m_targetWait = nullptr; ///< null after close()
--- a/tests/test_answer_ownership.cpp
+++ b/tests/test_answer_ownership.cpp
@@ -20,9 +20,9 @@
 // Guards against bytes of another attempt, a refusal or a timeout within an answer that has begun.
 TEST(AnswerOwnership, OnlyTheAttemptThatBeganFirstWrites)
 {
-    CHECK(ownership.begin(2));
-    CHECK(!ownership.begin(1));
-    CHECK(!ownership.begin(2));
+    CHECK(ownership.claim(2));
+    CHECK(!ownership.claim(1));
+    CHECK(!ownership.claim(2));
     CHECK(!ownership.open());
     CHECK(ownership.owns(2));
     CHECK(ownership.counts(2));
--- a/tests/test_zone_traffic.cpp
+++ b/tests/test_zone_traffic.cpp
@@ -480,6 +480,33 @@
     CHECK(RuntimeClock::now() - leftAt < 500ms);
 }
 
+// Guards against targets that are held by streamed answers which wait behind an unread one, though their caller has ended the connection.
+TEST(ZoneTraffic, AnswersBehindAnUnreadOneGiveTheirTargetsBackWhenTheCallerLeaves)
+{
+    const std::string keptAlive = "GET /listing/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer red-key-0001\r\n\r\n";
+    constexpr std::size_t Buffered = 10; // more than the kernel holds
+    constexpr std::size_t Streamed = 3;
+    ScriptedTarget small({{answer(std::string(config::MaxBufferedAnswerBytes, 'x'))}});
+    ScriptedTarget large({{beginOfLarge + restOfLarge}});
+    placements.assign(Buffered, placedAt(small));
+    placements.insert(placements.end(), Streamed, placedAt(large));
+    CallerConnection caller(endpoint, SmallReceiveBuffer);
+    for (std::size_t i = 0; i < Buffered; ++i) {
+        caller.send(keptAlive);
+    }
+    waitUntil([&] { return recordedEnds().size() == Buffered; });
+    for (std::size_t i = 0; i < Streamed; ++i) {
+        caller.send(keptAlive);
+    }
+    waitUntil([&] { return large.runs() == Streamed; });
+    LONGS_EQUAL(Buffered, recordedEnds().size());
+    caller.endSending();
+    const TimePoint leftAt = RuntimeClock::now();
+    waitUntil([&] { return recordedEnds().size() == Buffered + Streamed; });
+    LONGS_EQUAL(Buffered + Streamed, recordedEnds().size());
+    CHECK(RuntimeClock::now() - leftAt < 500ms);
+}
+
 // Guards against a crash: streamed answers that waited for their turn used their request after the caller had left.
 TEST(ZoneTraffic, StreamedAnswersThatWaitForTheirTurnEndWhenTheCallerLeaves)
 {
--- a/tests/traffic_fixture.h
+++ b/tests/traffic_fixture.h
@@ -178,6 +178,8 @@
         boost::asio::write(m_socket, boost::asio::buffer(bytes), error);
         return !error;
     }
+    /// Closes the sending side only.
+    void endSending() { m_socket.shutdown(tcp::socket::shutdown_send); }
     /// Reads that many bytes.
     std::string read(std::size_t bytes)
     {
