Keep a reload signal until its handler is set

Cause: the handler is set after the settings have been read; until then the default action ends the process.

The settings come through a pipe, so the signal arrives while the daemon reads them.

Change: SIGHUP is blocked from main() on and released when its handler is set. The cell form, which has no reload, releases it before it runs.

The time before main() can't be covered by the process.

--- a/src/net_zone_daemon.cpp
+++ b/src/net_zone_daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon_p.h"
 
+#include "reload_signal_p.h"
 #include "supervisor_p.h"
 #include "text_port_p.h"
 #include "traffic_threads_p.h"
@@ -184,6 +185,7 @@
 int runZoneDaemon(const Settings &settings, ZoneDaemonPorts ports)
 {
     ZoneDaemon daemon(settings, std::move(ports));
+    releaseReloadSignal();
     return daemon.run();
 }
 }
--- a/tools/plumsilld.cpp
+++ b/tools/plumsilld.cpp
@@ -1,6 +1,7 @@
 #include "../platform/decode.h"
 #include "../platform/wire.h"
 #include "../src/daemon_p.h"
+#include "../src/reload_signal_p.h"
 
 #include <plumsill/event.h>
 #include <plumsill/log.h>
@@ -176,12 +177,14 @@
     }
     openLog(parsed.settings.logLevel, parsed.settings.logFormat, parsed.settings.logFile);
     std::signal(SIGPIPE, SIG_IGN);
+    releaseReloadSignal(); // the cell form has no reload
     return runDaemon(parsed.settings, {*peerSecret, *adminToken});
 }
 }
 
 int main(int argc, const char **argv)
 {
+    holdReloadSignal();
     const auto arguments = parseArguments(argc, argv);
     if (!arguments) {
         return ExitUsage;
