Count what a streamed answer holds until it has been sent

Cause: the count was lowered when the answer began to be streamed, before its first megabyte was sent.

Change: the count is lowered once the buffered bytes have been sent.

Result: the test passed in 5 of 5 runs; test_zone_traffic, test_large_answers, test_broken_answers and test_endless_answers pass.

--- a/src/net_answer_reader.cpp
+++ b/src/net_answer_reader.cpp
@@ -219,14 +219,16 @@
         co_return true;
     }
     m_streaming = true;
-    m_held.set(StreamBufferBytes);
+    m_held.set(m_buffered.size()); // until they are sent, which may have to wait for earlier answers
     const auto length = m_parser->content_length();
     const bool started = co_await m_sink->begin(m_parser->get().base(), length.value_or(0), !length.has_value());
     if (!started) {
         co_return false;
     }
     const std::string buffered = std::move(m_buffered);
-    co_return co_await m_sink->write(buffered);
+    const bool sent = co_await m_sink->write(buffered);
+    m_held.set(StreamBufferBytes);
+    co_return sent;
 }
 
 boost::asio::awaitable<std::optional<AttemptResult>> AnswerReader::readBody()
--- a/tests/test_zone_traffic.cpp
+++ b/tests/test_zone_traffic.cpp
@@ -530,6 +530,31 @@
     }
 }
 
+// Guards against memory that is used up by streamed answers which wait for earlier ones, while the budget counts a few kilobytes of each.
+TEST(ZoneTraffic, StreamsThatWaitForTheirTurnCountInTheMemoryBudget)
+{
+    limits.linkMegabits = 1000;
+    limits.memoryMegabytes = MemoryMegabytesRange.min;
+    publish(TimePoint::max());
+    const std::string keptAlive = "GET /listing/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer red-key-0001\r\n\r\n";
+    ScriptedTarget first({{answer("first")}}, 800ms);
+    ScriptedTarget large({{beginOfLarge + restOfLarge}});
+    placements = {placedAt(first), placedAt(large), placedAt(large), placedAt(large)};
+    const std::size_t streams = placements.size() - 1;
+    placements.resize(100'000, NoCapacity {10ms});
+    CallerConnection caller(endpoint);
+    caller.send(keptAlive + keptAlive + keptAlive + keptAlive);
+    waitUntil([&] { return large.runs() == streams; });
+    const auto isRefused = [&] { return contains(sendAndRead(listing), "memory-short"); };
+    waitUntil(isRefused);
+    // The answers have arrived by now and wait for the first one.
+    const TimePoint until = RuntimeClock::now() + 300ms;
+    while (RuntimeClock::now() < until) {
+        CHECK(isRefused());
+    }
+    LONGS_EQUAL(0, recordedEnds().size());
+}
+
 TEST(ZoneTraffic, AbsoluteFormRequestIsServed)
 {
     ScriptedTarget target({{answer("hello")}});
