Compare the platform's prefixes with paths as they were sent

Cause: paths were normalized before they were compared, and refused where targets may read them in two ways.

Evidence: Routing, LiteralPathsAreComparedAsTheyWereSent asks for what didn't exist (Document::literalPaths); with the normalized path in its place, "/a/x%2Fy" is a bad path and "/a;x/b" is found, as AmbiguousPathsCannotBypassAPrefix still shows for plumsill's own documents.

A path with a dot segment is still refused in every encoding, since a target may read it as one outside of its prefix.

--- a/include/plumsill/document.h
+++ b/include/plumsill/document.h
@@ -93,6 +93,7 @@
     std::vector<Team> teams;
     std::vector<Route> routes;
     CallerLimits limits;
+    bool literalPaths = false; ///< prefixes are compared with paths as sent, not with normalized ones; not part of the INI text
 
     auto operator<=>(const Document &) const = default;
 };
--- a/include/plumsill/routing.h
+++ b/include/plumsill/routing.h
@@ -33,6 +33,8 @@
 
 /// Path that is matched against the routes, without the query; none if the path is ambiguous.
 std::optional<std::string> normalizedPath(std::string_view target);
+/// Path as sent, without the query; none if a target may read it as one outside of its prefix.
+std::optional<std::string> literalPath(std::string_view target);
 /// Host in lower case, without the port and the final dot.
 std::string normalizedHost(std::string_view host);
 /// Whether @p team may use @p route.
@@ -53,6 +55,8 @@
 
 private:
     struct Index;
+    std::optional<std::string> path(std::string_view target) const;
+
     std::shared_ptr<const Document> m_document;
     std::unique_ptr<const Index> m_index;
 };
--- a/src/keys.cpp
+++ b/src/keys.cpp
@@ -1,6 +1,7 @@
 #include <plumsill/keys.h>
 
 #include "hex_p.h"
+#include "percent_decoding_p.h"
 
 #include <openssl/evp.h>
 #include <openssl/sha.h>
@@ -13,9 +14,6 @@
 {
 namespace
 {
-// A key may be percent-encoded once for the query and a second time in a path within the query.
-constexpr int DecodingRounds = 2;
-
 KeyDigest digestOf(std::string_view key)
 {
     KeyDigest digest {};
@@ -42,22 +40,6 @@
     return text.size() >= MinKeyBytes && text.size() <= MaxKeyBytes && std::all_of(text.begin(), text.end(), isKeyByte);
 }
 
-std::string percentDecoded(std::string_view text)
-{
-    std::string decoded;
-    decoded.reserve(text.size());
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const bool encoded = text[i] == '%' && i + 2 < text.size() && hexDigit(text[i + 1]) >= 0 && hexDigit(text[i + 2]) >= 0;
-        if (encoded) {
-            decoded += static_cast<char>(hexDigit(text[i + 1]) * 16 + hexDigit(text[i + 2]));
-            i += 2;
-        } else {
-            decoded += text[i];
-        }
-    }
-    return decoded;
-}
-
 std::string_view trimmed(std::string_view text)
 {
     const auto first = std::min(text.find_first_not_of(" \t"), text.size());
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -1,6 +1,7 @@
 #include <plumsill/routing.h>
 
 #include "hex_p.h"
+#include "percent_decoding_p.h"
 
 #include <algorithm>
 #include <cctype>
@@ -69,10 +70,28 @@
     return segment.substr(0, segment.find(';'));
 }
 
+bool isDotSegment(std::string_view segment)
+{
+    const auto name = withoutParameters(segment);
+    return name == "." || name == "..";
+}
+
+bool hasDotSegment(std::string_view path)
+{
+    for (std::size_t start = 0; start <= path.size();) {
+        const auto end = std::min(path.find_first_of("/\\", start), path.size());
+        if (isDotSegment(path.substr(start, end - start))) {
+            return true;
+        }
+        start = end + 1;
+    }
+    return false;
+}
+
 bool appendSegment(std::string &path, std::string_view segment)
 {
     const auto name = withoutParameters(segment);
-    if (name.empty() || name == "." || name == "..") {
+    if (name.empty() || isDotSegment(segment)) {
         return false;
     }
     path += '/';
@@ -168,6 +187,20 @@
     return path.empty() ? "/" : path;
 }
 
+// Whatever a target does with encoded characters, parameters and empty segments, only a dot segment leads out of the prefix.
+std::optional<std::string> literalPath(std::string_view target)
+{
+    const auto raw = target.substr(0, target.find('?'));
+    std::string text(raw);
+    for (int round = 0; round <= DecodingRounds; ++round) {
+        if (!text.starts_with('/') || hasDotSegment(text)) {
+            return std::nullopt;
+        }
+        text = percentDecoded(text);
+    }
+    return std::string(raw);
+}
+
 std::string normalizedHost(std::string_view host)
 {
     std::string name(host.substr(0, host.find(':')));
@@ -201,9 +234,14 @@
 
 RouteTable::~RouteTable() = default;
 
+std::optional<std::string> RouteTable::path(std::string_view target) const
+{
+    return m_document->literalPaths ? literalPath(target) : normalizedPath(target);
+}
+
 RouteMatch RouteTable::find(std::string_view host, std::string_view target, std::string_view method) const
 {
-    const auto path = normalizedPath(target);
+    const auto path = this->path(target);
     if (!path) {
         return BadPath {};
     }
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -101,6 +101,7 @@
     CHECK(decoded.has_value());
     LONGS_EQUAL(0x1c, decoded->version);
     const Document &document = decoded->document;
+    CHECK(document.literalPaths);
     LONGS_EQUAL(2, document.routes.size());
     const Route &split = document.routes[0];
     STRCMP_EQUAL("a.example", split.host.c_str());
--- a/tests/test_routing.cpp
+++ b/tests/test_routing.cpp
@@ -87,6 +87,28 @@
     STRCMP_EQUAL("admin", found(routes, "b", "/admin;x=1/y").c_str());
 }
 
+// Guards against a request that runs on a route whose prefix doesn't begin its path, or is refused because of an encoded character.
+TEST(Routing, LiteralPathsAreComparedAsTheyWereSent)
+{
+    Document document;
+    document.literalPaths = true;
+    document.routes = {route("a", "", "/a", {}), route("deep", "", "/a/b%20c", {}), route("x", "x", "/", {})};
+    document.routes[0].belowOnly = true;
+    document.routes[1].belowOnly = true;
+    const RouteTable routes(std::make_shared<const Document>(std::move(document)));
+    for (const char *target : {"/a/", "/a/b", "/a/x%2Fy", "/a/x%5Cy", "/a/%zz", "/a/;x=1", "/a//b", "/a/b c/d?e=/../", "/a/b%20%63/d", "/a/...", "/a/100%"}) {
+        STRCMP_EQUAL("a", found(routes, "b", target).c_str());
+    }
+    STRCMP_EQUAL("deep", found(routes, "b", "/a/b%20c/d").c_str());
+    for (const char *target : {"/a", "/a;x/b", "/%61/b", "//a/b", "/b", "/a?/a/"}) {
+        STRCMP_EQUAL("none", found(routes, "b", target).c_str());
+    }
+    // Targets may read these as paths outside of the prefix.
+    for (const char *target : {"/a/../b", "/a/./b", "/a/%2e%2E/b", "/a/%2e%2e%2fb", "/a/..;x/b", "/a/..\\b", "/a/%252e%252e/b", "/a/..", "a/b"}) {
+        STRCMP_EQUAL("bad", found(routes, "b", target).c_str());
+    }
+}
+
 TEST(Routing, OnlyListedTeamsMayUseARoute)
 {
     Route some = route("r", "", "/", {});
