Accept all characters of a bearer token in keys

Cause: the table looked keys up only if they consisted of letters, digits, "-", ".", "_" and "~".

Evidence: Keys, KeysMayHoldAllCharactersOfABearerToken; with the alphabet of before keys.find() gives null for "ab+cd/ef01==".

Change: a key may hold what a bearer token may (RFC 6750, 2.1). The search for keys outside their header also looks at the parts between separators.

--- a/include/plumsill/keys.h
+++ b/include/plumsill/keys.h
@@ -13,7 +13,7 @@
 
 namespace plumsill
 {
-/// A key consists of 8 to 256 letters, digits, '-', '.', '_' and '~'.
+/// A key consists of 8 to 256 letters, digits, '-', '.', '_', '~', '+', '/' and '='.
 inline constexpr std::size_t MinKeyBytes = 8;
 inline constexpr std::size_t MaxKeyBytes = 256;
 
@@ -59,6 +59,7 @@
 
 private:
     bool hasKeyToken(std::string_view text) const;
+    bool hasSeparatedKey(std::string_view token) const;
 
     std::vector<TeamName> m_teams;
     std::unordered_map<KeyDigest, std::uint32_t, KeyDigestHash> m_teamOfDigest;
--- a/src/keys.cpp
+++ b/src/keys.cpp
@@ -9,11 +9,14 @@
 #include <algorithm>
 #include <cctype>
 #include <optional>
+#include <vector>
 
 namespace plumsill
 {
 namespace
 {
+constexpr std::size_t MaxTokenBoundaries = 16;
+
 KeyDigest digestOf(std::string_view key)
 {
     KeyDigest digest {};
@@ -35,9 +38,35 @@
     return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '.' || c == '_' || c == '~';
 }
 
+// Further characters of a bearer token (RFC 6750, 2.1). In a path or a query they also separate keys.
+bool isTokenSeparator(char c)
+{
+    return c == '+' || c == '/' || c == '=';
+}
+
+bool isTokenByte(char c)
+{
+    return isKeyByte(c) || isTokenSeparator(c);
+}
+
 bool isKey(std::string_view text)
 {
-    return text.size() >= MinKeyBytes && text.size() <= MaxKeyBytes && std::all_of(text.begin(), text.end(), isKeyByte);
+    return text.size() >= MinKeyBytes && text.size() <= MaxKeyBytes && std::all_of(text.begin(), text.end(), isTokenByte);
+}
+
+/// Positions at which a key may begin or end within @p token. In a token with many parts, only the whole is looked at.
+std::vector<std::size_t> boundaries(std::string_view token)
+{
+    std::vector<std::size_t> positions {0};
+    for (std::size_t i = 0; i < token.size(); ++i) {
+        if (isTokenSeparator(token[i])) {
+            positions.push_back(i);
+            positions.push_back(i + 1);
+        }
+    }
+    positions.push_back(token.size());
+    positions.erase(std::unique(positions.begin(), positions.end()), positions.end());
+    return positions.size() <= MaxTokenBoundaries ? positions : std::vector<std::size_t> {0, token.size()};
 }
 
 std::string_view trimmed(std::string_view text)
@@ -115,8 +144,32 @@
     return found == m_teamOfDigest.end() ? nullptr : &m_teams[found->second];
 }
 
+// Looks for keys that hold separators.
+bool KeyTable::hasSeparatedKey(std::string_view token) const
+{
+    const auto positions = boundaries(token);
+    for (auto begin = positions.begin(); begin != positions.end(); ++begin) {
+        for (auto end = std::next(begin); end != positions.end(); ++end) {
+            const auto part = token.substr(*begin, *end - *begin);
+            const bool separated = std::any_of(part.begin(), part.end(), isTokenSeparator);
+            if (separated && find(part) != nullptr) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 bool KeyTable::hasKeyToken(std::string_view text) const
 {
+    for (std::size_t start = 0; start < text.size();) {
+        const std::size_t end
+            = static_cast<std::size_t>(std::find_if_not(text.begin() + static_cast<std::ptrdiff_t>(start), text.end(), isTokenByte) - text.begin());
+        if (hasSeparatedKey(text.substr(start, end - start))) {
+            return true;
+        }
+        start = end + 1;
+    }
     for (std::size_t start = 0; start < text.size();) {
         std::size_t end = start;
         while (end < text.size() && isKeyByte(text[end])) {
--- a/tests/test_routing.cpp
+++ b/tests/test_routing.cpp
@@ -141,6 +141,23 @@
     CHECK(std::holds_alternative<AmbiguousKey>(presentedKey({}, {"Bearer k", "Basic x"})));
 }
 
+// Guards against requests that are refused because their key holds the further characters of a bearer token, and against such a key that reaches a target.
+TEST(Keys, KeysMayHoldAllCharactersOfABearerToken)
+{
+    const std::string wide = "ab+cd/ef01==";
+    Document document;
+    document.teams = {{{"clerks"}, 1, 1, {sha256Hex(wide)}}};
+    const KeyTable keys(document);
+    STRCMP_EQUAL("clerks", keys.find(wide)->value.c_str());
+    for (const std::string &text : {wide, "/a/" + wide + "/b", "/a?k=" + wide + "&x=1", "sid=" + wide + "; x=2", "Bearer " + wide,
+                                    std::string("/a?k=ab%2Bcd%2Fef01%3D%3D&x=1"), "/" + wide}) {
+        CHECK_TEXT(keys.containsKnownKey(text), text.c_str());
+    }
+    for (const char *text : {"/ab+cd/ef01", "ab+cd/ef01=", "ab cd/ef01==", "/a/b/c/d/e/f/g/h/i/j/k/l/m/n/o/p/q/r"}) {
+        CHECK_TEXT(!keys.containsKnownKey(text), text);
+    }
+}
+
 TEST(Keys, KnownKeyIsDetectedAnywhereInAText)
 {
     const KeyTable keys(keyed());
