Let the soak have callers who leave downloads and entries of another writer

Two faults are new: callers that send four requests for answers of 1.5 MB behind each other, read slowly and leave; and entries with nesting, numbers and ports out of range, half of a surrogate pair and bytes that are no UTF-8 at the beginning of the listing.

Not there yet: slow readers through a planned stop as a fault of its own, refusals written twice, targets that slow down in a stream.

--- a/tests/zone_fleet.h
+++ b/tests/zone_fleet.h
@@ -213,6 +213,8 @@
         const auto place = answer.body.find("\n" + name + " ");
         return place == std::string::npos ? -1 : std::strtod(answer.body.c_str() + place + name.size() + 2, nullptr);
     }
+    /// Puts entries of another writer at the beginning of each list of targets.
+    void rawTargets(const std::string &entries) { httpCall(storeControl, "POST", "/control/raw-targets", {}, entries); }
     void storeFault(const std::string &json) { httpCall(storeControl, "POST", "/control/faults", {}, json); }
     /// Keeps a copy of the object service's state, or makes the service come back from it.
     void copyStore() { httpCall(storeControl, "POST", "/control/copy"); }
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -8,12 +8,12 @@
 #include "soak_options.h"
 #include "soak_oracle.h"
 #include "soak_plan.h"
+#include "soak_reports.h"
 #include "zone_fleet.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
-#include <boost/json/parse.hpp>
 
 #include <iostream>
 #include <random>
@@ -22,7 +22,6 @@
 using namespace plumsill::soak;
 using standin::unixMilliseconds;
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 namespace
 {
@@ -58,7 +57,7 @@
 
     // Callers.
     asio::awaitable<void> runCaller(std::string daemon, unsigned number, Duration thinkTime, TimePoint until);
-    asio::awaitable<void> runSlowReader(std::string daemon, TimePoint until);
+    asio::awaitable<void> runSlowReader(std::string daemon, std::size_t requests, std::size_t bytes, TimePoint until);
     std::string runOf(const std::string &daemon) const { return daemon + "#" + std::to_string(m_daemons.at(daemon).run); }
     asio::awaitable<HttpResult> exchange(HttpClient &client, Endpoint to, HttpRequest request);
     void recordResult(const SentRequest &sentRequest, const HttpResult &result, bool sent);
@@ -210,19 +209,23 @@
     }
 }
 
-// A caller that reads a large answer slowly and leaves before its end. The daemon may cut the connection.
-asio::awaitable<void> Soak::runSlowReader(std::string daemon, TimePoint until)
+// A caller that sends requests for large answers behind each other, reads slowly and leaves before their end. The daemon may cut the connection.
+asio::awaitable<void> Soak::runSlowReader(std::string daemon, std::size_t requests, std::size_t bytes, TimePoint until)
 {
-    SentRequest sentRequest = m_load.nextFile(runOf(daemon));
-    sentRequest.sentAt = unixMilliseconds();
-    m_oracle.requestSent(sentRequest);
-    const Endpoint to = m_fleet.daemons.at(daemon).traffic();
-    HttpRequest request = m_load.toHttp(sentRequest);
-    co_await readSlowly(m_loop, to, std::move(request), until);
-    CallerResult left;
-    left.ending = Ending::TimedOut;
-    left.endedAt = unixMilliseconds();
-    m_oracle.requestEnded(sentRequest.id, left);
+    std::vector<std::string> ids;
+    std::string text;
+    for (std::size_t number = 0; number < requests; ++number) {
+        SentRequest sentRequest = m_load.nextFile(runOf(daemon));
+        sentRequest.sentAt = unixMilliseconds();
+        m_oracle.requestSent(sentRequest);
+        ids.push_back(sentRequest.id);
+        text += headOf(m_load.toHttp(sentRequest, bytes));
+    }
+    co_await readSlowly(m_loop, m_fleet.daemons.at(daemon).traffic(), std::move(text), until);
+    const CallerResult left {.ending = Ending::TimedOut, .endedAt = unixMilliseconds()};
+    for (const auto &id : ids) {
+        m_oracle.requestEnded(id, left);
+    }
 }
 
 asio::awaitable<void> Soak::pollTargetLog(std::string name, Endpoint control)
@@ -239,10 +242,8 @@
             }
             continue;
         }
-        const json::value runs = json::parse(result.assume_value().body);
-        for (const auto &entry : runs.as_array()) {
-            const auto text = [&entry](const char *field) { return std::string(entry.at(field).as_string()); };
-            m_oracle.targetRan({text("id"), text("method"), text("path"), text("team"), name});
+        for (const auto &run : targetRuns(result.assume_value().body, name)) {
+            m_oracle.targetRan(run);
             ++from;
         }
     }
@@ -255,12 +256,7 @@
         HttpRequest request {"GET", "/control/leaving", {{"Host", "service"}}, {}};
         const HttpResult result = co_await exchange(client, m_fleet.storeControl, std::move(request));
         if (result) {
-            const json::value leaving = json::parse(result.assume_value().body);
-            std::map<std::string, Time> leavingSince;
-            for (const auto &[name, at] : leaving.as_object()) {
-                leavingSince[std::string(name)] = at.to_number<Time>();
-            }
-            m_oracle.setLeavingTargets(std::move(leavingSince));
+            m_oracle.setLeavingTargets(leavingTargets(result.assume_value().body));
         }
         reportDeadProcesses();
         report();
@@ -428,7 +424,11 @@
         asio::co_spawn(m_loop, runCaller(daemon, number, BurstThinkTime, until), asio::detached);
     }
     for (unsigned number = 0; planned.fault == Fault::SlowReaders && number < SlowReaders; ++number) {
-        asio::co_spawn(m_loop, runSlowReader(daemon, until), asio::detached);
+        asio::co_spawn(m_loop, runSlowReader(daemon, 1, FileBytes, until), asio::detached);
+    }
+    for (unsigned number = 0; planned.fault == Fault::LeavingDownloads && number < LeavingCallers; ++number) {
+        const Duration stay = planned.duration * number / (4 * LeavingCallers);
+        asio::co_spawn(m_loop, runSlowReader(daemon, PipelinedDownloads, StreamedBytes, RuntimeClock::now() + stay), asio::detached);
     }
 }
 
@@ -467,6 +467,11 @@
         test::httpCall(m_fleet.storeControl, "POST", "/control/compact");
         co_return;
     }
+    if (planned.fault == Fault::OddEntries) {
+        m_fleet.rawTargets(oddEntries());
+        co_await sleepFor(planned.duration);
+        co_return m_fleet.rawTargets({});
+    }
     const auto &[begin, end] = faults.at(planned.fault);
     markAllDisturbed(planned.duration);
     m_fleet.storeFault(begin);
@@ -500,11 +505,11 @@
         co_await applyToTarget(planned);
     } else if (planned.fault == Fault::ShedService) {
         co_await applyToService(planned);
-    } else if (planned.fault <= Fault::SlowReaders) {
+    } else if (planned.fault <= Fault::LeavingDownloads) {
         applyToCallers(planned);
     } else if (planned.fault <= Fault::SilenceStoreLink) {
         co_await applyToLink(planned);
-    } else if (planned.fault <= Fault::StoreForgets) {
+    } else if (planned.fault <= Fault::OddEntries) {
         co_await applyToStore(planned);
     } else {
         co_await applyToDocument(planned);
--- a/tools/soak_load.h
+++ b/tools/soak_load.h
@@ -26,6 +26,19 @@
 inline constexpr TeamQuota BlueQuota {40, 20};
 inline constexpr unsigned SentDeadline = 4000; ///< milliseconds; deadline that a request carries
 inline constexpr std::size_t FileBytes = 400'000; ///< size of a large answer, more than the buffers between a target and a caller hold
+inline constexpr std::size_t StreamedBytes = 1'500'000; ///< size of an answer that a daemon streams
+
+/// Entries that another writer may leave among the targets: nesting, numbers and ports out of range, half of a surrogate pair, bytes that are no UTF-8.
+inline std::string oddEntries()
+{
+    const std::string nested = std::string(50'000, '[') + std::string(50'000, ']');
+    std::string entries;
+    for (const std::string &spec : {nested, std::string(R"({"slots":1e999})"), std::string(R"({"address":"127.0.0.1:99999"})"),
+                                    std::string(R"({"service":"\ud800"})"), std::string("{\"service\":\"\xff\"}")}) {
+        entries += (entries.empty() ? "" : ",") + (R"({"metadata":{"name":"odd"},"spec":)" + spec + "}");
+    }
+    return entries;
+}
 
 /// Chooses requests at random, and knows the keys and versions that are in force.
 class Load
@@ -99,11 +112,11 @@
         return sentRequest;
     }
 
-    HttpRequest toHttp(const SentRequest &sentRequest) const
+    HttpRequest toHttp(const SentRequest &sentRequest, std::size_t fileBytes = FileBytes) const
     {
         HttpRequest request;
         request.method = sentRequest.method;
-        request.target = sentRequest.path + (sentRequest.path.starts_with("/file/") ? "?bytes=" + std::to_string(FileBytes) : "");
+        request.target = sentRequest.path + (sentRequest.path.starts_with("/file/") ? "?bytes=" + std::to_string(fileBytes) : "");
         request.fields = {{"Host", test::FleetHost}, {m_dialect.requestId, sentRequest.id}, {m_dialect.deadline, std::to_string(SentDeadline)}};
         if (!sentRequest.key.empty()) {
             request.fields.push_back({"Authorization", "Bearer " + sentRequest.key});
@@ -165,9 +178,17 @@
     std::uint64_t m_nextId = 0;
 };
 
-/// Sends a request and reads its answer at about 1 kB/s until @p until, through a small window. Closes the connection then, mostly before the end of a large
-/// answer.
-inline boost::asio::awaitable<void> readSlowly(boost::asio::io_context &context, Endpoint to, HttpRequest request, TimePoint until)
+inline std::string headOf(const HttpRequest &request)
+{
+    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+    for (const auto &field : request.fields) {
+        text += field.name + ": " + field.value + "\r\n";
+    }
+    return text + "\r\n";
+}
+
+/// Sends @p text and reads at about 1 kB/s until @p until, through a small window. Closes the connection then, mostly before the end of a large answer.
+inline boost::asio::awaitable<void> readSlowly(boost::asio::io_context &context, Endpoint to, std::string text, TimePoint until)
 {
     constexpr auto Pause = std::chrono::milliseconds(250);
     boost::asio::ip::tcp::socket socket(context);
@@ -176,11 +197,6 @@
     socket.set_option(boost::asio::socket_base::receive_buffer_size(4096), error);
     const boost::asio::ip::tcp::endpoint peer(boost::asio::ip::make_address(to.address), to.port);
     co_await socket.async_connect(peer, errorInto(error));
-    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
-    for (const auto &field : request.fields) {
-        text += field.name + ": " + field.value + "\r\n";
-    }
-    text += "\r\n";
     if (!error) {
         co_await boost::asio::async_write(socket, boost::asio::buffer(text), errorInto(error));
     }
--- a/tools/soak_options.h
+++ b/tools/soak_options.h
@@ -24,6 +24,8 @@
 inline constexpr auto BurstThinkTime = std::chrono::milliseconds(5);
 inline constexpr unsigned BurstCallers = 6; ///< callers that a burst adds at one daemon
 inline constexpr unsigned SlowReaders = 10;
+inline constexpr unsigned LeavingCallers = 6;
+inline constexpr std::size_t PipelinedDownloads = 4; ///< requests of a caller that leaves
 inline constexpr double LinkMegabits = 20;
 inline constexpr unsigned MemoryMegabytes = 160;
 
--- a/tools/soak_plan.h
+++ b/tools/soak_plan.h
@@ -25,6 +25,7 @@
     ShedService, ///< all targets of a service refuse half of the requests
     Burst, ///< many more callers at one daemon
     SlowReaders, ///< callers that read large answers slowly
+    LeavingDownloads, ///< callers that pipeline downloads and leave soon
     DelayTargetLink,
     CutTargetLink, ///< bytes in one direction are held back
     ResetTargetLink,
@@ -38,6 +39,7 @@
     StoreSlow,
     StoreSilent,
     StoreForgets, ///< the store discards its history of changes
+    OddEntries, ///< entries of another writer among the targets
     NewDocument,
     DocumentStorm,
     WithdrawKey,
@@ -47,11 +49,11 @@
 inline const char *toString(Fault fault)
 {
     static constexpr const char *Names[]
-        = {"pause-daemon",   "kill-daemon",      "herd-kill",          "stop-daemon",     "rolling-stop",      "reload-daemon",
-           "pause-target",   "kill-target",      "stop-target",        "grey-target",     "slow-target",       "shed-service",
-           "burst",          "slow-readers",     "delay-target-link",  "cut-target-link", "reset-target-link", "silence-target-link",
-           "cut-store-link", "reset-store-link", "silence-store-link", "store-refuses",   "store-throttles",   "store-loses-answers",
-           "store-slow",     "store-silent",     "store-forgets",      "new-document",    "document-storm",    "withdraw-key"};
+        = {"pause-daemon",       "kill-daemon",       "herd-kill",       "stop-daemon",         "rolling-stop",        "reload-daemon",  "pause-target",
+           "kill-target",        "stop-target",       "grey-target",     "slow-target",         "shed-service",        "burst",          "slow-readers",
+           "leaving-downloads",  "delay-target-link", "cut-target-link", "reset-target-link",   "silence-target-link", "cut-store-link", "reset-store-link",
+           "silence-store-link", "store-refuses",     "store-throttles", "store-loses-answers", "store-slow",          "store-silent",   "store-forgets",
+           "odd-entries",        "new-document",      "document-storm",  "withdraw-key"};
     static_assert(std::size(Names) == static_cast<std::size_t>(Fault::Count));
     return Names[static_cast<std::size_t>(fault)];
 }
