--- a/tests/test_object_directory.cpp
+++ b/tests/test_object_directory.cpp
@@ -55,3 +55,22 @@
     context.run();
     CHECK((versions == std::vector<std::uint64_t> {0, 2}));
 }
+
+// Guards against a call that is still running when its daemon ends and then uses its connection, which is gone by then.
+TEST(ObjectDirectory, CallsMayOutliveTheDirectory)
+{
+    ScriptedTarget store({{document("00000001")}}, 10s);
+    std::vector<std::uint64_t> versions;
+    {
+        boost::asio::io_context ending;
+        auto directory = std::make_unique<platform::ObjectDirectory>(ending, store.endpoint());
+        for (int i = 0; i < 2; ++i) {
+            boost::asio::co_spawn(ending, read(*directory, versions), boost::asio::detached);
+        }
+        while (store.runs() == 0) {
+            ending.poll();
+        }
+        directory.reset();
+    }
+    CHECK(versions.empty());
+}
