--- a/makefile
+++ b/makefile
@@ -10,7 +10,7 @@
 export CCACHE_NOHASHDIR := 1
 export CCACHE_SLOPPINESS := pch_defines,time_macros,include_file_mtime,include_file_ctime
 
-.PHONY: help setup build demo test lint format bench matrix fuzz soak upgrade platform-day clean
+.PHONY: help setup build demo test lint format bench matrix fuzz soak sanitize upgrade platform-day clean
 
 help: ## lists the commands
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
@@ -46,6 +46,9 @@
 soak: build ## runs real processes under random faults and checks the guarantees; SEED= first seed, RUNS= number of runs
 	@scripts/soak $(BUILD) $(or $(SEED),$$(date +%s)) $(or $(RUNS),1)
 
+sanitize: setup ## runs tests with sockets, and a short soak, with the address and undefined-behaviour sanitizers; TESTS=regex of some tests
+	@scripts/sanitize $(BUILD)-sanitize "$(TESTS)" "$(SEED)"
+
 upgrade: build ## replaces the daemons of another build one by one, and back; COMMIT=the other build
 	@test -n "$(COMMIT)" || { echo "usage: make upgrade COMMIT=commit"; exit 2; }
 	@scripts/upgrade $(BUILD) $(COMMIT)
