--- a/include/plumsill/answer_pipeline.h
+++ b/include/plumsill/answer_pipeline.h
@@ -69,6 +69,7 @@
     auto operator<=>(const PipelineCheck &) const = default;
 };
 
+/// Decides on the answers of one connection. Events are told to it; what they entail is returned, and carried out by the session.
 class AnswerPipeline
 {
 public:
