--- a/review/rig-2/fleet.h
+++ b/review/rig-2/fleet.h
@@ -150,13 +150,18 @@
         return status;
     }
 
+    /// Whether the other end has closed or reset the connection.
+    bool endedByPeer() const { return m_endedByPeer; }
+
 private:
     bool fill()
     {
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_end - std::chrono::steady_clock::now()).count();
         pollfd ready {m_socket, POLLIN, 0};
         char buffer[65536];
-        const auto count = m_open && left > 0 && ::poll(&ready, 1, static_cast<int>(left)) == 1 ? ::recv(m_socket, buffer, sizeof buffer, 0) : 0;
+        const bool readable = m_open && left > 0 && ::poll(&ready, 1, static_cast<int>(left)) == 1;
+        const auto count = readable ? ::recv(m_socket, buffer, sizeof buffer, 0) : 0;
+        m_endedByPeer = m_endedByPeer || (readable && count <= 0);
         m_open = count > 0;
         m_text.append(buffer, static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
         return m_open;
@@ -165,6 +170,7 @@
     const int m_socket;
     const std::chrono::steady_clock::time_point m_end;
     bool m_open = false;
+    bool m_endedByPeer = false;
     std::string m_text;
 };
 
