--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,7 +2,7 @@
 # Builds what the scripts of review/11 to review/15 start, after the build of the deploy file: the stand-ins and the rig.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cmake --build target -j8 --target standin-objects standin-target
+cmake --build target -j8 --target standin-objects standin-target standin-proxy
 mkdir -p target/review-3
 for source in review/rig-3/*.cpp; do
     name=$(basename "$source" .cpp)
--- a/review/rig-3/rig.cpp
+++ b/review/rig-3/rig.cpp
@@ -40,8 +40,10 @@
 constexpr unsigned MetricsPort = 9464;
 constexpr unsigned FirstBackendPort = 9500;
 constexpr unsigned StoreHost = 1;
+constexpr unsigned ProxyHost = 2;
 constexpr unsigned BackendHost = 3;
 constexpr unsigned FirstDaemonHost = 10;
+constexpr Milliseconds EntryInterval(1500);
 
 Endpoint parseEndpoint(const std::string &text)
 {
@@ -91,6 +93,11 @@
 }
 }
 
+std::int64_t unixMilliseconds()
+{
+    return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
 asio::awaitable<void> pause(Milliseconds time)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, time);
@@ -219,15 +226,81 @@
     return replaced == 200 || (replaced == 404 && call(m_storeControl, "POST", "/api/objects/config", {}, body).status == 201);
 }
 
+std::string Deployment::startBackendProcess(const Backend &backend, const std::vector<std::string> &options)
+{
+    std::string listen = address(BackendHost).to_string() + ":" + std::to_string(FirstBackendPort + m_backends.size());
+    std::vector<std::string> arguments {m_programs + "/standin-target",
+                                        "--platform",
+                                        "--name",
+                                        backend.name,
+                                        "--service",
+                                        backend.service,
+                                        "--slots",
+                                        std::to_string(backend.slots),
+                                        "--service-time",
+                                        std::to_string(backend.workMilliseconds) + "ms",
+                                        "--listen",
+                                        listen};
+    arguments.insert(arguments.end(), options.begin(), options.end());
+    m_backendProcesses.push_back(std::make_unique<Process>(arguments, std::string(), std::string()));
+    m_backends[backend.name] = {backend, m_backendProcesses.back()->readyEndpoint("control")};
+    return listen;
+}
+
 void Deployment::startBackend(const Backend &backend)
 {
-    const std::string listen = address(BackendHost).to_string() + ":" + std::to_string(FirstBackendPort + m_backends.size());
-    m_backendProcesses.push_back(std::make_unique<Process>(
-        std::vector<std::string> {m_programs + "/standin-target", "--platform", "--name", backend.name, "--service", backend.service, "--zone", backend.zone,
-                                  "--slots", std::to_string(backend.slots), "--service-time", std::to_string(backend.workMilliseconds) + "ms", "--listen",
-                                  listen, "--register", toString(m_storeAddress)},
-        std::string(), std::string()));
-    m_backends[backend.name] = {backend, m_backendProcesses.back()->readyEndpoint("control")};
+    startBackendProcess(backend, {"--zone", backend.zone, "--register", toString(m_storeAddress)});
+}
+
+void Deployment::startBackendWithoutDrain(const Backend &backend)
+{
+    const std::string listen = startBackendProcess(backend, {});
+    const std::string kind = "/api/objects/servers";
+    const std::int64_t born = unixMilliseconds();
+    m_entryName = backend.name;
+    m_entryWriter = std::jthread([this, backend, listen, kind, born](const std::stop_token &stop) {
+        for (std::uint64_t sequence = 1; !stop.stop_requested(); ++sequence) {
+            const json::object spec {{"service", backend.service}, {"address", listen},   {"zone", backend.zone}, {"version", "1"}, {"slots", backend.slots},
+                                     {"state", "ready"},           {"warmup-left-ms", 0}, {"sequence", sequence}, {"born", born}};
+            const std::string body = json::serialize(json::object {{"metadata", {{"name", backend.name}}}, {"spec", spec}});
+            if (call(m_storeAddress, "PUT", kind + "/" + backend.name, {}, body).status == 404) {
+                call(m_storeAddress, "POST", kind, {}, body);
+            }
+            const auto until = Clock::now() + EntryInterval;
+            while (!stop.stop_requested() && Clock::now() < until) {
+                ::poll(nullptr, 0, 20);
+            }
+        }
+    });
+}
+
+std::int64_t Deployment::removeEntry()
+{
+    m_entryWriter.request_stop();
+    m_entryWriter.join();
+    call(m_storeAddress, "DELETE", "/api/objects/servers/" + m_entryName);
+    return unixMilliseconds();
+}
+
+void Deployment::startProxy()
+{
+    m_proxy = std::make_unique<Process>(std::vector<std::string> {m_programs + "/standin-proxy", "--listen", address(ProxyHost).to_string() + ":0"},
+                                        std::string(), std::string());
+    m_proxyControl = m_proxy->readyEndpoint("http");
+}
+
+Endpoint Deployment::storeFor(const std::string &daemon)
+{
+    if (!m_proxy) {
+        return m_storeAddress;
+    }
+    const Reply reply = call(m_proxyControl, "PUT", "/control/links/" + daemon, {}, json::serialize(json::object {{"server", toString(m_storeAddress)}}));
+    return parseEndpoint(std::string(json::parse(reply.body).at("listen").as_string()));
+}
+
+void Deployment::cutFromStore(const std::string &daemon, bool cut)
+{
+    call(m_proxyControl, "PUT", "/control/links/" + daemon, {}, json::serialize(json::object {{"cut_to", cut}, {"cut_from", cut}}));
 }
 
 std::string Deployment::writeSettings(const std::string &name, const std::string &zone, bool bootstrap)
@@ -251,7 +324,7 @@
         {"bounds",
          {"contact-ms=3000", "drain-ms=2000", "grace-s=6", "config-apply-ms=2000", "strict-revoke=true", "revoke-ms=5000", "budget-ratio=0.2",
           "budget-window-s=10", "budget-slack=56", "quota-window-s=5", "quota-over=0.1", "quota-slack=20"}},
-        {"platform", {{"address", toString(m_storeAddress)}, {"form", "objects"}, {"writes-per-s", 400}, {"reads-per-s", 2000}, {"history-s", 20}}}};
+        {"platform", {{"address", toString(storeFor(name))}, {"form", "objects"}, {"writes-per-s", 400}, {"reads-per-s", 2000}, {"history-s", 20}}}};
     std::string file = m_folder + "/" + name + ".json";
     std::ofstream(file) << json::serialize(settings);
     return file;
@@ -316,7 +389,8 @@
     for (const auto &[name, backend] : m_backends) {
         const auto log = json::parse(call(backend.second, "GET", "/control/log").body);
         for (const auto &entry : log.as_array()) {
-            runs.push_back({name, backend.first.service, std::string(entry.at("id").as_string()), std::string(entry.at("path").as_string())});
+            runs.push_back({name, backend.first.service, std::string(entry.at("id").as_string()), std::string(entry.at("path").as_string()),
+                            entry.at("started_at").to_number<std::int64_t>()});
         }
     }
     return runs;
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <sys/types.h>
@@ -63,12 +64,16 @@
     unsigned workMilliseconds = 100;
 };
 
+/// Milliseconds of the Unix time.
+std::int64_t unixMilliseconds();
+
 /// One run of a request at a backend.
 struct Run {
     std::string backend;
     std::string service;
     std::string id;
     std::string path;
+    std::int64_t startedAt = 0; ///< Unix time in milliseconds
 };
 
 /// The platform's store, backends and daemons.
@@ -84,6 +89,14 @@
     /// Writes the configuration as the operator does.
     bool publish(const boost::json::object &configuration);
     void startBackend(const Backend &backend);
+    /// Starts a backend whose entry the rig keeps in the store, so that the entry can be removed while the backend serves on.
+    void startBackendWithoutDrain(const Backend &backend);
+    /// Removes that entry; returns the Unix time of the store's acknowledgement.
+    std::int64_t removeEntry();
+    /// Lets each daemon that is started later reach the store through a link of its own.
+    void startProxy();
+    /// Partitions the daemon from the store, or ends that.
+    void cutFromStore(const std::string &daemon, bool cut);
     /// Starts a daemon as the deploy file says. One that is started again keeps its name and address.
     void startDaemon(const std::string &name, const std::string &zone, bool bootstrap);
     Process &daemon(const std::string &name) { return *m_daemons.at(name); }
@@ -101,6 +114,9 @@
 private:
     std::string writeSettings(const std::string &name, const std::string &zone, bool bootstrap);
     boost::asio::ip::address address(unsigned host) const;
+    std::string startBackendProcess(const Backend &backend, const std::vector<std::string> &options);
+    /// Address at which the daemon finds the store.
+    Endpoint storeFor(const std::string &daemon);
 
     const std::string m_programs;
     const std::string m_network;
@@ -110,6 +126,10 @@
     Endpoint m_storeControl;
     std::map<std::string, std::pair<Backend, Endpoint>> m_backends; ///< with their control addresses
     std::vector<std::unique_ptr<Process>> m_backendProcesses;
+    std::unique_ptr<Process> m_proxy;
+    Endpoint m_proxyControl;
+    std::string m_entryName;
+    std::jthread m_entryWriter;
     std::map<std::string, unsigned> m_hosts; ///< last part of each daemon's address
     std::map<std::string, std::unique_ptr<Process>> m_daemons;
 };
