Give each incarnation of a daemon placement ids of its own

Cause: a reply to a placement request names only the request's id, and the ids began at the same number in each life of a daemon. A scheduler that resumes replies to the earlier life, and the daemon took the replies for its present requests with the same ids.

Ruled out: stale lists and reused addresses, since no target changes in the test; the scheduler's choice, since it places the earlier life's requests correctly.

Why this works: PlacementIds begins at a hash of the daemon's name and incarnation, so a reply to another life, or to another daemon at the same address, finds no request. No message changes, so schedulers of earlier builds do as well.

--- a/src/net_daemon.cpp
+++ b/src/net_daemon.cpp
@@ -73,13 +73,14 @@
 
 void Daemon::open()
 {
-    const Endpoint traffic = m_traffic.open(m_settings.trafficThreads, m_settings.trafficListen, controlPort(), {});
+    const MemberId id {m_settings.instance, newIncarnation()};
+    const Endpoint traffic = m_traffic.open(id, m_settings.trafficThreads, m_settings.trafficListen, controlPort(), {});
     const auto peer = m_peers.open(m_settings.peerListen);
     if (!peer) {
         throw std::runtime_error("cannot listen on " + toString(m_settings.peerListen) + ": " + toString(peer.error()));
     }
     const Endpoint admin = m_admin.open(m_settings.adminListen);
-    const Member self {{m_settings.instance, newIncarnation()}, m_settings.zone, peer.value(), admin};
+    const Member self {id, m_settings.zone, peer.value(), admin};
     m_control = std::make_unique<Control>(m_context, m_settings, m_peers, self, m_traffic.all());
     std::cout << "ready traffic=" << toString(traffic) << " admin=" << toString(admin) << " peer=" << toString(peer.value()) << std::endl;
 }
--- a/src/net_traffic.cpp
+++ b/src/net_traffic.cpp
@@ -29,7 +29,7 @@
 }
 }
 
-TrafficThread::TrafficThread(unsigned index, unsigned threads, ControlPort control, Dialect dialect)
+TrafficThread::TrafficThread(const MemberId &daemon, unsigned index, unsigned threads, ControlPort control, Dialect dialect)
     : m_index(index)
     , m_threads(threads)
     , m_connections(std::max(config::MaxConnectionsPerTarget / threads, 1U))
@@ -42,7 +42,7 @@
     , m_random(std::random_device()() + index)
     , m_dialect(std::move(dialect))
     , m_placement(placementOf(m_control))
-    , m_nextPlacementId(std::uint64_t(index) << WaiterThreadShift)
+    , m_placementIds(daemon, index)
 { }
 
 TrafficThread::~TrafficThread() = default;
@@ -198,7 +198,7 @@
 boost::asio::awaitable<DispatchResult> TrafficThread::place(const DispatchRequest &request)
 {
     const TimePoint now = RuntimeClock::now();
-    const std::uint64_t id = ++m_nextPlacementId;
+    const std::uint64_t id = m_placementIds.next();
     ThreadPlacementRequest placementRequest;
     placementRequest.thread = m_index;
     placementRequest.request.key.id = id;
--- a/src/net_traffic_threads.cpp
+++ b/src/net_traffic_threads.cpp
@@ -10,10 +10,10 @@
 { }
 
 // When the port is 0, the system chooses a port for the first thread, and the other threads use the same one.
-Endpoint TrafficThreads::open(unsigned count, Endpoint listen, const ControlPort &port, const Dialect &dialect)
+Endpoint TrafficThreads::open(const MemberId &daemon, unsigned count, Endpoint listen, const ControlPort &port, const Dialect &dialect)
 {
     for (unsigned index = 0; index < count; ++index) {
-        m_traffic.push_back(std::make_unique<TrafficThread>(index, count, port, dialect));
+        m_traffic.push_back(std::make_unique<TrafficThread>(daemon, index, count, port, dialect));
         listen = m_traffic.back()->open(listen);
     }
     return listen;
--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -393,6 +393,7 @@
     gauges.push_back({"plumsill_schedules_for", static_cast<double>(m_members.size())});
     gauges.push_back({"plumsill_placements_by_hub", static_cast<double>(m_hubPlacements)});
     gauges.push_back({"plumsill_placements_alone", static_cast<double>(m_localPlacements)});
+    gauges.push_back({"plumsill_placement_replies_without_request", static_cast<double>(m_repliesWithoutRequest)});
     gauges.push_back({"plumsill_running_requests", static_cast<double>(m_running.size())});
     gauges.push_back({"plumsill_services_out_of_reach", static_cast<double>(m_cutOff.size())});
     gauges.push_back({"plumsill_suspect_requests", static_cast<double>(m_quarantine.suspects())});
--- a/src/net_zone_daemon.cpp
+++ b/src/net_zone_daemon.cpp
@@ -75,12 +75,13 @@
 
 void ZoneDaemon::open()
 {
-    const Endpoint traffic = m_traffic.open(m_settings.trafficThreads, m_settings.trafficListen, controlPort(), m_ports.dialect);
+    const MemberId id {m_settings.instance, newIncarnation()};
+    const Endpoint traffic = m_traffic.open(id, m_settings.trafficThreads, m_settings.trafficListen, controlPort(), m_ports.dialect);
     const auto peer = m_peers.open(m_settings.peerListen);
     if (!peer) {
         throw std::runtime_error("cannot listen on " + toString(m_settings.peerListen) + ": " + toString(peer.error()));
     }
-    const RegisteredDaemon self {{m_settings.instance, newIncarnation()}, m_settings.zone, peer.assume_value(), m_settings.capacity};
+    const RegisteredDaemon self {id, m_settings.zone, peer.assume_value(), m_settings.capacity};
     m_control = std::make_unique<ZoneControl>(m_context, m_settings, m_ports.openDirectory(m_context, m_settings), m_peers, self, m_traffic.all());
     m_readiness.add(m_settings.readinessPath, [this] {
         const bool ready = m_control->ready(RuntimeClock::now());
--- a/src/net_zone_placement.cpp
+++ b/src/net_zone_placement.cpp
@@ -375,6 +375,7 @@
     const Placement placement = toPlacement(reply);
     const bool known = found != m_pending.end();
     if (!known) {
+        ++m_repliesWithoutRequest;
         if (reply.status == PlaceStatus::Placed && !m_running.contains(reply.id)) {
             send(envelope.replyTo, AttemptReport {reply.id, AttemptEnd::Abandoned, 0});
         }
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -16,6 +16,7 @@
 #include <plumsill/limits.h>
 #include <plumsill/memory_budget.h>
 #include <plumsill/metrics.h>
+#include <plumsill/placement_ids.h>
 #include <plumsill/settings.h>
 
 #include <boost/asio/io_context.hpp>
@@ -190,7 +191,7 @@
 {
 public:
     /// @p threads: number of traffic threads, which share the daemon's connections to targets evenly.
-    TrafficThread(unsigned index, unsigned threads, ControlPort control, Dialect dialect = {});
+    TrafficThread(const MemberId &daemon, unsigned index, unsigned threads, ControlPort control, Dialect dialect = {});
     ~TrafficThread();
     TrafficThread(const TrafficThread &) = delete;
     TrafficThread &operator=(const TrafficThread &) = delete;
@@ -281,7 +282,7 @@
     std::mt19937_64 m_random;
     const Dialect m_dialect;
     PlacementMode m_placement;
-    std::uint64_t m_nextPlacementId;
+    PlacementIds m_placementIds;
     std::size_t m_sessions = 0;
     bool m_draining = false;
     std::shared_ptr<OwnerAlive> m_alive = std::make_shared<OwnerAlive>();
--- a/src/traffic_threads_p.h
+++ b/src/traffic_threads_p.h
@@ -18,8 +18,8 @@
     /// @p onEnded is called on the event loop @p control when the last thread has ended.
     TrafficThreads(boost::asio::io_context &control, std::function<void()> onEnded);
 
-    /// Creates @p count threads and binds them to one endpoint, which is returned with the actual port. Throws system_error.
-    Endpoint open(unsigned count, Endpoint listen, const ControlPort &port, const Dialect &dialect);
+    /// Creates @p count threads of the daemon and binds them to one endpoint, which is returned with the actual port. Throws system_error.
+    Endpoint open(const MemberId &daemon, unsigned count, Endpoint listen, const ControlPort &port, const Dialect &dialect);
     void start();
     /// Stops accepting connections; open connections are still served.
     void drain();
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -386,6 +386,7 @@
     std::mt19937_64 m_random {std::random_device()()};
     std::uint64_t m_localPlacements = 0;
     std::uint64_t m_hubPlacements = 0;
+    std::uint64_t m_repliesWithoutRequest = 0; ///< placement replies that came late, or to another incarnation's request
     std::uint64_t m_digestsWithoutEcho = 0; ///< digests of other hubs whose proofs were ignored, as their age is unknown
     bool m_leaving = false;
     TimePoint m_closeAt = TimePoint::max(); ///< time from which connections take no further request; set at a planned stop
--- a/tests/test_zone_traffic.cpp
+++ b/tests/test_zone_traffic.cpp
@@ -78,7 +78,7 @@
             ends.push_back(ended.report.end);
             rests.push_back(ended.report.restMilliseconds);
         };
-        thread = std::make_unique<TrafficThread>(0, 1, control, testDialect());
+        thread = std::make_unique<TrafficThread>(MemberId {{"d0"}, 1}, 0, 1, control, testDialect());
         endpoint = thread->open({"127.0.0.1", 0});
         publish(TimePoint::max());
         runner = std::thread([this] { thread->run(); });
--- a/tests/traffic_fixture.h
+++ b/tests/traffic_fixture.h
@@ -226,7 +226,7 @@
             }
             m_thread->resolveToken(request.waiter, tokenAnswer);
         };
-        m_thread = std::make_unique<TrafficThread>(0, 1, control);
+        m_thread = std::make_unique<TrafficThread>(MemberId {{"d0"}, 1}, 0, 1, control);
         m_endpoint = m_thread->open({"127.0.0.1", 0});
         m_runner = std::thread([this] { m_thread->run(); });
     }
