Believe no outage of the platform against the reads of one's own

Cause: a scheduler that was cut from the store takes its own gap between two reads for an outage, in which entries of live targets may have expired, and keeps missing targets for 2.3 s. It relays its newer list, and its members take the list and the grace period over, although they have read of the removal by themselves without a gap.

Ruled out: placements by the scheduler alone, which members refuse while their list lacks the target; an entry written again, since the test writes none.

Why this works: a daemon whose reads, own or relayed, went on without the gap of an outage up to the other's return knows that there was none. It refuses that grace period, and lists of that daemon until one was read after the period, up to which they have the kept target. A daemon that started, stood still or missed reads, and one in a new era of the store, believes others as before. No message changes, so it holds with schedulers of earlier builds too. The stand-in target with no time to drain now removes its entry unmarked, as some targets of the platform do.

--- a/src/net_zone.cpp
+++ b/src/net_zone.cpp
@@ -191,7 +191,9 @@
         .add("from", from)
         .add("revision", static_cast<std::int64_t>(m_list.revision()))
         .add("targets", static_cast<std::int64_t>(targets.size()))
-        .add("leaving", static_cast<std::int64_t>(leaving));
+        .add("leaving", static_cast<std::int64_t>(leaving))
+        .add("unlisted", static_cast<std::int64_t>(m_list.kept()))
+        .add("grace_ms", m_list.graceLeft(now));
     publishRegainedTrust(now);
     sendBeacons(now);
     sendDigests(now);
@@ -209,12 +211,15 @@
     const auto reply = co_await m_peers.request(from, request);
     m_fetchingTargets = false;
     const auto *answer = reply ? std::get_if<ListReply>(&reply.assume_value().message) : nullptr;
-    if (answer == nullptr || !m_relayed.apply(daemon, *answer)) {
+    if (answer == nullptr) {
+        co_return;
+    }
+    const RelayedRead read {daemon, requestedAt, std::chrono::milliseconds(answer->ageMilliseconds), std::chrono::milliseconds(answer->graceMilliseconds)};
+    if (!acceptsList(read, answer->era) || !m_relayed.apply(daemon, *answer)) {
         co_return;
     }
     const std::uint64_t before = m_list.revision();
-    recordListGrace(answer->graceMilliseconds, requestedAt);
-    const TimePoint readAt = requestedAt - std::chrono::milliseconds(answer->ageMilliseconds);
+    const TimePoint readAt = requestedAt - read.age;
     if (!m_list.read(m_relayed.targets(), readAt, RuntimeClock::now(), answer->era)) {
         co_return; // this daemon has read the list itself meanwhile
     }
@@ -224,11 +229,11 @@
     }
 }
 
-void ZoneControl::recordListGrace(std::uint32_t graceMilliseconds, TimePoint writtenAt)
+bool ZoneControl::acceptsList(const RelayedRead &read, StoreEra era)
 {
-    if (graceMilliseconds > 0) {
-        m_list.recordGrace(writtenAt + std::chrono::milliseconds(graceMilliseconds));
-    }
+    const TimePoint now = RuntimeClock::now();
+    const auto eraSince = era > m_documentFreshness.era() ? std::optional(now) : m_documentFreshness.eraStart();
+    return m_list.recordRelayed(read, now, eraSince);
 }
 
 void ZoneControl::recordList(const ListProof &proof, TimePoint writtenAt, const MemberId &daemon, const Endpoint &from)
@@ -239,7 +244,10 @@
     const ListSource source {daemon, proof.revision};
     const TimePoint readAt = writtenAt - std::chrono::milliseconds(proof.ageMilliseconds);
     m_targetsRead.backoff.recordRelayed(readAt);
-    recordListGrace(proof.graceMilliseconds, writtenAt);
+    const RelayedRead read {daemon.name, writtenAt, std::chrono::milliseconds(proof.ageMilliseconds), std::chrono::milliseconds(proof.graceMilliseconds)};
+    if (!acceptsList(read, 0)) {
+        return;
+    }
     if (m_listSource == source) {
         const std::uint64_t before = m_list.revision();
         m_list.confirm(readAt);
--- a/src/target_list.cpp
+++ b/src/target_list.cpp
@@ -15,6 +15,9 @@
 // targets are kept.
 constexpr auto ReturnGracePeriod = 2300ms;
 
+// Messages tell of times in whole milliseconds, rounded down.
+constexpr auto MessageResolution = 1ms;
+
 // Number of changes that are kept for daemons with an earlier revision. Covers some minutes of releases in a fleet.
 constexpr std::size_t MaxKeptChanges = 4096;
 
@@ -75,10 +78,11 @@
     }
     const bool newEra = m_era != 0 && era > m_era;
     m_era = std::max(m_era, era);
-    if (m_readAt && (newEra || sentAt - *m_readAt - m_paused > OutageGap) && !m_targets.empty()) {
+    const bool outage = m_readAt && sentAt - *m_readAt - m_paused > OutageGap;
+    if ((newEra || outage) && !m_targets.empty()) {
         m_graceUntil = now + ReturnGracePeriod;
     }
-    m_readAt = sentAt;
+    recordRead(sentAt);
     m_paused = Duration::zero();
     m_kept.clear();
     std::map<TargetName, Target> listed;
@@ -159,9 +163,38 @@
     return changes;
 }
 
-void TargetList::recordGrace(TimePoint until)
+// A pause of this process hides an outage, so it counts as a gap here.
+void TargetList::recordRead(TimePoint sentAt)
+{
+    if (!m_readAt || sentAt - *m_readAt > OutageGap) {
+        m_readSince = sentAt;
+    }
+    m_readAt = sentAt;
+}
+
+bool TargetList::readUpTo(TimePoint time) const
 {
+    return m_readAt && m_readSince <= time - OutageGap && *m_readAt > time - OutageGap;
+}
+
+// A daemon that has read nothing for a while can't tell whether the platform was out or only its own way there. The reads of this list can.
+// The kept targets leave the other's list with its first read after its grace period, whose end is known only as a span.
+bool TargetList::recordRelayed(const RelayedRead &relayed, TimePoint now, std::optional<TimePoint> eraSince)
+{
+    if (relayed.graceLeft == Duration::zero()) {
+        const auto refused = m_refusedUntil.find(relayed.daemon);
+        return refused == m_refusedUntil.end() || relayed.writtenAt - relayed.age >= refused->second;
+    }
+    const TimePoint until = relayed.writtenAt + relayed.graceLeft;
+    const bool eraSettled = !eraSince || now - *eraSince >= ReturnGracePeriod;
+    if (eraSettled && graceLeft(now) == Duration::zero() && readUpTo(until - ReturnGracePeriod)) {
+        std::erase_if(m_refusedUntil, [now](const auto &entry) { return entry.second + OutageGap < now; });
+        m_refusedUntil[relayed.daemon] = now + relayed.graceLeft + MessageResolution;
+        return false;
+    }
+    m_refusedUntil.erase(relayed.daemon);
     m_graceUntil = m_graceUntil ? std::max(*m_graceUntil, until) : until;
+    return true;
 }
 
 Duration TargetList::graceLeft(TimePoint now) const
@@ -174,7 +207,7 @@
     if (!m_readAt || sentAt <= *m_readAt) {
         return;
     }
-    m_readAt = sentAt;
+    recordRead(sentAt);
     if (m_kept.empty() || (m_graceUntil && sentAt < *m_graceUntil)) {
         return;
     }
--- a/tests/process_drain.cpp
+++ b/tests/process_drain.cpp
@@ -13,6 +13,7 @@
 {
 constexpr auto DrainBound = 2s; // time from the store's word after which a leaving target must get no request
 constexpr auto ResumeTime = 500ms; // time in which a daemon that stood still reads the list
+constexpr auto ContactTime = 3s; // time after a cut from which the daemon's own requests count
 constexpr unsigned Targets = 6;
 
 PlatformDocument document()
@@ -33,7 +34,7 @@
     std::atomic<bool> stop {false};
     std::vector<std::thread> callers;
 
-    void start(unsigned drainMilliseconds = 60'000)
+    void start(unsigned drainMilliseconds = 60'000, unsigned zones = 3)
     {
         ZoneFleetOptions options;
         options.proxied = true;
@@ -43,10 +44,10 @@
         fleet = std::make_unique<ZoneFleet>(options);
         CHECK(fleet->publish(document()));
         for (unsigned index = 0; index < Targets; ++index) {
-            fleet->startTarget("t" + std::to_string(index), "lookup", "z" + std::to_string(index % 3));
+            fleet->startTarget("t" + std::to_string(index), "lookup", "z" + std::to_string(index % zones));
         }
         for (unsigned index = 0; index < 6; ++index) {
-            fleet->startDaemon("d" + std::to_string(index), "z" + std::to_string(index % 3), true);
+            fleet->startDaemon("d" + std::to_string(index), "z" + std::to_string(index % zones), true);
         }
         CHECK(eventually(20s, [this] { return fleet->allReady(); }));
         unsigned first = 0;
@@ -83,6 +84,30 @@
         }
         return ids;
     }
+    /// Daemon that places the zone's requests; empty where there is none.
+    std::string hubOf(const std::string &zone)
+    {
+        for (const auto &[name, daemon] : fleet->daemons) {
+            if (daemon.zone == zone && fleet->metric(name, "plumsill_schedules_for") > 0) {
+                return name;
+            }
+        }
+        return {};
+    }
+    void cutFromStore(const std::string &daemon, bool cut)
+    {
+        const std::string lost = cut ? "true" : "false";
+        fleet->linkFault("store-" + daemon, R"({"cut_to":)" + lost + R"(,"cut_from":)" + lost + "}");
+    }
+    /// Checks that after the first @p known arrivals only requests of the daemon's own callers arrived at the target.
+    void checkOnlyFrom(const std::string &daemon, const std::string &target, std::size_t known)
+    {
+        const auto all = arrivals(target);
+        const std::string own = "\"id\":\"id" + daemon.substr(1);
+        for (std::size_t number = known; number < all.size(); ++number) {
+            CHECK_TEXT(all[number].find(own) != std::string::npos, all[number].c_str());
+        }
+    }
     /// Has all targets but one leave at different moments, each after @p trouble, and checks that they get no request after the bound.
     void checkLeaving(const std::function<void(unsigned round)> &trouble)
     {
@@ -137,12 +162,7 @@
     for (unsigned round = 0; round < 3; ++round) {
         const std::string target = "t" + std::to_string(round);
         const std::string zone = "z" + std::to_string(round);
-        std::string hub;
-        for (const auto &[name, daemon] : fleet->daemons) {
-            if (daemon.zone == zone && fleet->metric(name, "plumsill_schedules_for") > 0) {
-                hub = name;
-            }
-        }
+        const std::string hub = hubOf(zone);
         CHECK(!hub.empty());
         fleet->daemons.at(hub).process->signal(SIGSTOP);
         ::poll(nullptr, 0, 300);
@@ -153,11 +173,29 @@
         std::this_thread::sleep_for(ResumeTime);
         const auto resumed = arrivals(target);
         // The hub itself, which was out of touch, may have sent requests of its own callers before it read the list.
-        const std::string own = "\"id\":\"id" + hub.substr(1);
-        for (std::size_t number = before.size(); number < resumed.size(); ++number) {
-            CHECK_TEXT(resumed[number].find(own) != std::string::npos, resumed[number].c_str());
-        }
+        checkOnlyFrom(hub, target, before.size());
         std::this_thread::sleep_for(3s);
         LONGS_EQUAL_TEXT(resumed.size(), arrivals(target).size(), (target + " got requests after the bound").c_str());
     }
 }
+
+// Guards against a target without an entry that daemons use again: their hub, which was cut from the store, keeps it for an outage of the
+// store and relays it to daemons that have read of its removal (review/13, DRAIN).
+TEST(DrainProcess, HubThatWasCutFromTheStoreBringsNoRemovedTargetBack)
+{
+    start(0, 1);
+    for (unsigned round = 0; round < 2; ++round) {
+        const std::string target = "t" + std::to_string(round);
+        const std::string hub = hubOf("z0");
+        CHECK(!hub.empty());
+        cutFromStore(hub, true);
+        std::this_thread::sleep_for(2500ms);
+        fleet->targets.at(target).process->signal(SIGTERM);
+        std::this_thread::sleep_for(DrainBound + 100ms);
+        const auto before = arrivals(target);
+        std::this_thread::sleep_for(900ms);
+        cutFromStore(hub, false);
+        std::this_thread::sleep_for(ContactTime + 1s);
+        checkOnlyFrom(hub, target, before.size());
+    }
+}
--- a/tests/test_zone_modules.cpp
+++ b/tests/test_zone_modules.cpp
@@ -466,7 +466,7 @@
     read({});
     const ListReply reply = follow();
     TargetList own;
-    own.recordGrace(now + std::chrono::milliseconds(reply.graceMilliseconds));
+    CHECK(own.recordRelayed({reader.name, now, 0ms, std::chrono::milliseconds(reply.graceMilliseconds)}, now));
     own.read(relayed.targets(), now, now);
     own.read({}, now + 400ms, now + 400ms);
     LONGS_EQUAL(1, own.targets().size());
--- a/tools/target_registration.h
+++ b/tools/target_registration.h
@@ -29,11 +29,15 @@
         }
     }
 
-    /// Marks the entry as leaving and retries until the service accepts the change. Removes the entry after @p drain.
+    /// Marks the entry as leaving and retries until the service accepts the change. Removes the entry after @p drain; with none, the entry is
+    /// removed unmarked.
     boost::asio::awaitable<void> leave(Duration drain)
     {
         m_target.leaving = true;
-        bool accepted = co_await write();
+        bool accepted = drain == Duration::zero();
+        if (!accepted) {
+            accepted = co_await write();
+        }
         while (!accepted) {
             co_await sleepFor(RetryDelay);
             accepted = co_await write();
