Number health digests on from the incarnation

Callers of a cell would have seen targets ejected on evidence from before a restart: an owner that stood still answers the digests of a daemon's earlier life, and the next life takes the verdict for the answer to its digest with the same number, in force as long.

Cause: digests were numbered from 1 in each life, as placement requests were, and anew when a document named a service again.

Why this works: one number for all digests begins at the incarnation, as that of heartbeats does, so a verdict on an earlier life's digest answers none of the present ones.

--- a/include/plumsill/health.h
+++ b/include/plumsill/health.h
@@ -233,7 +233,6 @@
         bool hasTargetList = false;
         std::map<TargetName, TargetEvidence> pending;
         std::map<TargetName, LocalRecord> localRecords;
-        std::uint64_t sequence = 0;
         TimePoint lastDigest;
         TimePoint nextDigest;
         std::optional<TimePoint> lastEvidenceAt;
@@ -252,11 +251,12 @@
     static std::vector<EjectionPermit> ejections(const ServiceRecord &record, TimePoint now);
     static Duration slowAfter(const ServiceRecord &record, TimePoint now);
     static void recordTransitions(ServiceRecord &record, TimePoint now);
-    static void makeDigest(ServiceRecord &record, TimePoint now, std::vector<LocalHealthEffect> &effects);
+    void makeDigest(ServiceRecord &record, TimePoint now, std::vector<LocalHealthEffect> &effects);
     static void updateAvoidance(LocalRecord &local, const TargetEvidence &evidence, TimePoint now);
 
     EvidenceSource m_self;
     std::uint64_t m_epoch = 0;
+    std::uint64_t m_sequence; ///< of the last digest
     std::map<ServiceName, ServiceRecord> m_services;
     std::map<LeavingTarget, TimePoint> m_leaving; ///< leaving targets, with the time at which each was first observed leaving
     std::size_t m_leavingTargetOffset = 0;
--- a/src/health_local.cpp
+++ b/src/health_local.cpp
@@ -85,6 +85,8 @@
 
 LocalHealth::LocalHealth(const EvidenceSource &self)
     : m_self(self)
+    // Sequences start above those of every earlier incarnation, so a verdict on an earlier incarnation's digest answers none of this one's.
+    , m_sequence(m_self.member.incarnation)
 { }
 
 void LocalHealth::setServices(const std::vector<Service> &services)
@@ -256,7 +258,7 @@
     }
     record.lastDigest = now;
     record.nextDigest = now + config::HealthDigestInterval;
-    HealthDigest digest {++record.sequence, record.service.name, {}};
+    HealthDigest digest {++m_sequence, record.service.name, {}};
     for (auto &[name, evidence] : record.pending) {
         digest.targets.push_back(std::move(evidence));
     }
--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -386,6 +386,21 @@
     CHECK(viewOf(1).use == TargetUse::Active);
 }
 
+// Guards against targets ejected by the verdict on a digest that was sent before a restart: it was taken for the answer to the digest that has
+// the same number in the new life, and in force as long.
+TEST(LocalHealth, VerdictOnADigestOfAnEarlierIncarnationIsRefused)
+{
+    local = LocalHealth({{{"entry-1"}, 1'796'000'000'000'000'000}, {"z0"}});
+    setup();
+    const std::uint64_t earlier = newDigest();
+    local = LocalHealth({{{"entry-1"}, 1'796'000'001'000'000'000}, {"z0"}});
+    setup();
+    const std::uint64_t present = newDigest();
+    CHECK(!local.handleVerdict(1, verdict(earlier, {1}), now));
+    CHECK(viewOf(1).use == TargetUse::Active);
+    CHECK(local.handleVerdict(1, verdict(present, {2}), now));
+}
+
 TEST(LocalHealth, OlderEpochIsRefused)
 {
     local.recordEpoch(5);
