Check the returning hub's own requests as well

HubThatWasCutFromTheStoreBringsNoRemovedTargetBack now also demands that the hub itself sends the removed target nothing from the moment at which it is in touch again.

--- a/tests/process_drain.cpp
+++ b/tests/process_drain.cpp
@@ -195,7 +195,10 @@
         const auto before = arrivals(target);
         std::this_thread::sleep_for(900ms);
         cutFromStore(hub, false);
-        std::this_thread::sleep_for(ContactTime + 1s);
+        std::this_thread::sleep_for(ContactTime);
         checkOnlyFrom(hub, target, before.size());
+        const auto inTouch = arrivals(target);
+        std::this_thread::sleep_for(1s);
+        LONGS_EQUAL_TEXT(inTouch.size(), arrivals(target).size(), (target + " got requests of the hub that is in touch again").c_str());
     }
 }
