End the daemon's own answers to HEAD requests with their head

Cause: a refusal is made with a body, and the connection wrote it whatever the method was; only answers passed on from targets were written without one.

The readiness, metrics and admin ports had the same fault, found by reading.

Why this works: each exchange knows its method from the beginning, also where the request is refused before it is read, and all answers that the daemon makes pass endWithHead(), which removes the body and keeps its length.

--- a/src/caller_session_p.h
+++ b/src/caller_session_p.h
@@ -39,6 +39,7 @@
     RequestState state;
     RuntimeTimer turnTimer; ///< cancelled when the answer need not wait for its turn any longer
     bool keepAlive = false;
+    boost::beast::http::verb method = boost::beast::http::verb::unknown; ///< also of a request that was refused before it was read
     HeldBytes held; ///< memory of the request's body
     std::optional<PacedFlow> flow; ///< while a large answer is paced
 };
--- a/src/net_admin.cpp
+++ b/src/net_admin.cpp
@@ -1,6 +1,7 @@
 #include "admin_p.h"
 
 #include "environment_p.h"
+#include "http_common_p.h"
 
 #include <plumsill/config.h>
 #include <plumsill/log.h>
@@ -80,6 +81,7 @@
         keepAlive = parser.get().keep_alive();
         response.keep_alive(keepAlive);
         response.prepare_payload();
+        endWithHead(parser.get().method(), response);
         stream.expiresAfter(config::BodyTimeout);
         co_await http::async_write(stream, response, errorInto(error));
     }
--- a/src/net_session_answers.cpp
+++ b/src/net_session_answers.cpp
@@ -1,4 +1,5 @@
 #include "caller_session_p.h"
+#include "http_common_p.h"
 
 #include <plumsill/config.h>
 #include <plumsill/event.h>
@@ -26,6 +27,7 @@
 {
     const RequestNumber number = m_pipeline.add(keepAlive);
     m_exchanges.emplace_back(new Exchange(m_socket.get_executor(), number, m_pipeline.ownership(number)));
+    m_exchanges.back()->method = m_parser->get().method();
     return m_exchanges.back();
 }
 
@@ -161,6 +163,7 @@
         co_return false;
     }
     answer.keep_alive(keepAlive);
+    endWithHead(exchange->method, answer);
     if (answer.body().size() >= config::LargeBytes) {
         startPacing(exchange);
         const std::string body = std::move(answer.body());
--- a/src/net_text_port.cpp
+++ b/src/net_text_port.cpp
@@ -70,6 +70,7 @@
         keepAlive = parser.get().keep_alive();
         answer.keep_alive(keepAlive);
         answer.prepare_payload();
+        endWithHead(parser.get().method(), answer);
         stream.expiresAfter(config::BodyTimeout);
         co_await http::async_write(stream, answer, errorInto(error));
     }
--- a/tests/test_traffic.cpp
+++ b/tests/test_traffic.cpp
@@ -278,6 +278,22 @@
     CHECK(!contains(answer, "hello"));
 }
 
+// Guards against the body of a refusal where the answer to the next request is due on a connection that stays open (review/12, MIXED).
+TEST(Traffic, RefusalsOfHeadRequestsHaveNoBody)
+{
+    fixture.tokenAnswer.admitted = false;
+    fixture.publish(std::vector<Endpoint> {});
+    const std::string key = "X-Api-Key: red-key-0001\r\n";
+    const std::string answers = fixture.sendAndRead(request("HEAD /listing/1", key) + request("HEAD /listing/1", key + "Connection: close\r\n"));
+    STRCMP_EQUAL("HTTP/1.1 429", statusOf(answers).c_str());
+    CHECK(contains(answers, "\r\n\r\nHTTP/1.1 429"));
+    CHECK(answers.ends_with("\r\n\r\n"));
+    CHECK(!contains(answers, "Content-Length: 0"));
+    const std::string unknownPath = fixture.sendAndRead(request("HEAD /nowhere", key));
+    STRCMP_EQUAL("HTTP/1.1 404", statusOf(unknownPath).c_str());
+    CHECK(unknownPath.ends_with("\r\n\r\n"));
+}
+
 TEST(Traffic, UnresponsiveTargetTimesOutAtTheDeadline)
 {
     ScriptedTarget unresponsive({{""}});
