--- a/tests/test_list_grace.cpp
+++ b/tests/test_list_grace.cpp
@@ -89,6 +89,17 @@
     CHECK(list.graceLeft(t0 + 9s) > Duration::zero());
 }
 
+// Guards against a grace period that ends before the entries of a new era are written again: the other daemon saw the era later.
+TEST(ListGrace, DaemonInAGracePeriodOfItsOwnTakesOverALaterEnd)
+{
+    for (TimePoint at = t0; at < t0 + 6s; at += 500ms) {
+        list.read(both, at, at, 1);
+    }
+    list.read(onlyFirst, t0 + 6s, t0 + 6s, 2);
+    CHECK(hear(t0 + 6200ms));
+    CHECK(list.graceLeft(t0 + 8400ms) > Duration::zero());
+}
+
 TEST(ListGrace, DaemonThatHasJustStartedBelievesOthers)
 {
     readEach500ms(onlyFirst, t0, t0 + 1s);
