--- a/src/target_list.cpp
+++ b/src/target_list.cpp
@@ -178,7 +178,8 @@
 }
 
 // A daemon that has read nothing for a while can't tell whether the platform was out or only its own way there. The reads of this list can.
-// The kept targets leave the other's list with its first read after its grace period, whose end is known only as a span.
+// The kept targets leave the other's list with its first read after its grace period. The period began before the message arrived, so it ends
+// before now + graceLeft.
 bool TargetList::recordRelayed(const RelayedRead &relayed, TimePoint now, std::optional<TimePoint> eraSince)
 {
     if (relayed.graceLeft == Duration::zero()) {
--- a/src/zone_p.h
+++ b/src/zone_p.h
@@ -181,7 +181,7 @@
     void adopt(const DocumentRead &read, const std::string &from);
     void listChanged(const std::string &from);
     void recordProof(const DocumentProof &proof, TimePoint writtenAt, const Endpoint &from);
-    /// Whether the list of that read may be taken over. @p era: era of the list, 0: unknown.
+    /// Takes over the grace period of another daemon. Returns false where its list must not be taken over. @p era: era of the list, 0: unknown.
     bool acceptsList(const RelayedRead &read, StoreEra era);
     void recordList(const ListProof &proof, TimePoint writtenAt, const MemberId &daemon, const Endpoint &from);
     DocumentProof documentProof(TimePoint now) const;
