Children of tests and of the soak inherit no descriptors

The sockets stayed open with unread bytes (/proc/net/tcp during a run: five connections of the soak, each with as many reads of 256 bytes less as its caller had made before it left), since the soak had started a daemon meanwhile, which inherited them. So the fault of the soak did what it doesn't say.

Why this works: a child closes all descriptors above standard error, so a connection ends with its caller.

--- a/tests/child_process.h
+++ b/tests/child_process.h
@@ -50,6 +50,8 @@
         if (!logFile.empty()) {
             posix_spawn_file_actions_adddup2(&actions, pipeEnds[1], STDERR_FILENO);
         }
+        // A connection that this process closes stays open as long as a child holds it.
+        posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
         const int spawnError = posix_spawn(&m_pid, path.c_str(), &actions, nullptr, argv.data(), environ);
         posix_spawn_file_actions_destroy(&actions);
         ::close(pipeEnds[1]);
